--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 PYTHON ?= python3
-VENV := .venv
+VENV ?= .venv
 BIN := $(VENV)/bin
 
 .PHONY: venv format lint generate test demo bench clean
