Eject failing backend servers, start them cold, probe within a budget

Adds the package health. Rules are pure functions over the backend view: a server that loses two answers or fails three times in a row is ejected, at most half of a group is, and a server that announced its leaving gets work again only after it was seen to refuse connections and then to accept them, since health endpoints may lie. A server that comes back from ejection is tried by a probe or an idempotent request before it gets a booking.

--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -110,9 +110,14 @@
       latency: moving average of the time to answer, seconds.
       failure_ratio: moving average of failed attempts, 0 to 1.
       limit: adaptive bound on in-flight requests.
-      answers: answers received since the server became ready.
+      answers: answers received since the server became ready or cold.
       ready_since: time since which it may get work, seconds.
       last_used: time of the last request sent to it, seconds.
+      failures_in_row: failed attempts since the last good answer.
+      ejections: ejections since the server last proved itself.
+      ejected_until: end of the ejection, seconds.
+      stopped: whether a server that announced its leaving has been seen to
+        refuse connections since.
     """
 
     server: BackendServer
@@ -125,6 +130,10 @@
     answers: int = 0
     ready_since: float = 0.0
     last_used: float = 0.0
+    failures_in_row: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    stopped: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -12,6 +12,7 @@
 from wigeonrouter import administration
 from wigeonrouter import configuration
 from wigeonrouter import core
+from wigeonrouter import health
 from wigeonrouter import membership
 from wigeonrouter import observability
 from wigeonrouter import request_path
@@ -71,6 +72,12 @@
             observe=self._metrics.observe,
             rng=self._rng,
         )
+        self._prober = health.Prober(
+            place=settings.place,
+            daemon_id=settings.daemon_id,
+            live_members=lambda: self.table.alive,
+            dispatchers=lambda: self._handler.dispatchers,
+        )
         self._callers = request_path.CallerServer(
             address=settings.caller_address,
             handler=self._handler,
@@ -127,6 +134,7 @@
         self._tasks = [
             gevent.spawn(self._follow_store),
             gevent.spawn(self._housekeep),
+            gevent.spawn(self._prober.run),
         ]
 
     def stop(self):
--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -7,15 +7,13 @@
 from gevent import event
 
 from wigeonrouter import core
+from wigeonrouter import health
 from wigeonrouter import limits
 from wigeonrouter import selection
 
-_LATENCY_WEIGHT = 0.2
-_FAILURE_WEIGHT = 0.1
 # Foreign load decays without any event of ours, so a queue is looked at
 # again after this time even when nothing was released.
 _REPUMP_INTERVAL_S = 0.005
-_COLD_ANSWERS = 10
 
 
 class Dispatcher:
@@ -64,8 +62,8 @@
         for server in service.servers:
             known = self._views.get(server.name)
             if known is None or known.server.address != server.address:
-                known = core.BackendView(
-                    server=server, limit=server.slots, ready_since=now
+                known = health.new_view(
+                    server=server, now=now, known_group=bool(self._views)
                 )
             else:
                 known = dataclasses.replace(known, server=server)
@@ -106,13 +104,45 @@
         if view is None or view.server.address != grant.server.address:
             self._pump()
             return
-        changes = {"in_flight": max(0, view.in_flight - 1)}
-        if not attempt.cancelled:
-            changes.update(_learn(view, attempt))
-        self._views[grant.server.name] = dataclasses.replace(view, **changes)
+        view = dataclasses.replace(view, in_flight=max(0, view.in_flight - 1))
+        view = health.after_attempt(view=view, attempt=attempt)
+        view = health.next_state(
+            view=view,
+            attempt=attempt,
+            group=self._views.values(),
+            settings=self._service.health,
+            now=self._clock(),
+        )
+        self._views[grant.server.name] = view
         self._refresh()
         self._pump()
 
+    def on_probe(self, *, name, reached, healthy):
+        """Take over the result of a probe; see health.after_probe."""
+        view = self._views.get(name)
+        if view is None:
+            return
+        self._views[name] = health.after_probe(
+            view=view, reached=reached, healthy=healthy, now=self._clock()
+        )
+        self._refresh()
+        self._pump()
+
+    def advance(self):
+        """Let the states of servers follow the time."""
+        now = self._clock()
+        changed = False
+        for name, view in self._views.items():
+            advanced = health.advance(
+                view=view, settings=self._service.health, now=now
+            )
+            if advanced is not view:
+                self._views[name] = advanced
+                changed = True
+        if changed:
+            self._refresh()
+            self._pump()
+
     def _wait(self, request, now):
         waiter = event.AsyncResult()
         handle = self._queue.push(
@@ -174,6 +204,8 @@
             )
             if not views:
                 views = self._eligible
+        if not request.kind.idempotent:
+            views = health.proved_views(views)
         self._sequence += 1
         choice = self._policy(
             views=views,
@@ -198,36 +230,7 @@
 
     def _refresh(self):
         self._eligible = tuple(
-            view for view in self._views.values() if self._may_get_work(view)
+            view
+            for view in self._views.values()
+            if health.may_get_work(view=view, draining=self._draining_facts)
         )
-
-    def _may_get_work(self, view):
-        if view.server.draining:
-            return False
-        if view.report is not None and view.report.draining:
-            return False
-        return str(view.server.address) not in self._draining_facts
-
-
-def _learn(view, attempt):
-    failed = attempt.outcome is not core.Outcome.OK
-    changes = {
-        "failure_ratio": _average(
-            view.failure_ratio, float(failed), _FAILURE_WEIGHT
-        )
-    }
-    if attempt.report is not None:
-        changes["report"] = attempt.report
-    if not failed:
-        changes["answers"] = view.answers + 1
-        if view.answers:
-            changes["latency"] = _average(
-                view.latency, attempt.latency, _LATENCY_WEIGHT
-            )
-        else:
-            changes["latency"] = attempt.latency
-    return changes
-
-
-def _average(old, new, weight):
-    return old + weight * (new - old)
--- /dev/null
+++ b/wigeonrouter/health/_rules_test.py
@@ -0,0 +1,213 @@
+"""Guards against work for servers that are leaving, silent or failing."""
+
+import dataclasses
+
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import health
+
+_SETTINGS = core.HealthSettings()
+_PLACE = core.Place(region="r", failure_domain="r-a")
+
+
+def _server(number, draining=False):
+    return core.BackendServer(
+        name=f"g/s{number}",
+        address=core.Address(host="127.0.0.1", port=1000 + number),
+        place=_PLACE,
+        draining=draining,
+    )
+
+
+def _group(count=4):
+    return [
+        health.new_view(server=_server(i), now=0.0, known_group=False)
+        for i in range(count)
+    ]
+
+
+def _attempt(outcome, report=None, cancelled=False):
+    return core.AttemptResult(
+        outcome=outcome, latency=0.01, report=report, cancelled=cancelled
+    )
+
+
+def _report(draining):
+    return core.LoadReport(
+        in_flight=0, slots=2, draining=draining, received=0, own_in_flight=0
+    )
+
+
+def _step(view, attempt, group, now=1.0):
+    view = health.after_attempt(view=view, attempt=attempt)
+    return health.next_state(
+        view=view, attempt=attempt, group=group, settings=_SETTINGS, now=now
+    )
+
+
+def _run(outcomes, count=4):
+    group = _group(count)
+    view = group[0]
+    for outcome in outcomes:
+        view = _step(view, _attempt(outcome), group)
+    return view
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "state"),
+    [
+        ([core.Outcome.FAILED] * 2, core.ServerState.READY),
+        ([core.Outcome.FAILED] * 3, core.ServerState.EJECTED),
+        ([core.Outcome.UNKNOWN] * 1, core.ServerState.READY),
+        ([core.Outcome.UNKNOWN] * 2, core.ServerState.EJECTED),
+        (
+            [core.Outcome.FAILED, core.Outcome.OK, core.Outcome.FAILED] * 3,
+            core.ServerState.READY,
+        ),
+        ([core.Outcome.NOT_RUN] * 9, core.ServerState.READY),
+    ],
+)
+def test_failing_and_silent_servers_are_ejected(outcomes, state):
+    assert _run(outcomes).state is state
+
+
+def test_a_cancelled_attempt_says_nothing_of_the_server():
+    group = _group()
+    view = group[0]
+    for _ in range(9):
+        view = _step(
+            view, _attempt(core.Outcome.UNKNOWN, cancelled=True), group
+        )
+    assert view == group[0]
+
+
+def test_ejection_never_takes_more_than_the_allowed_part_of_a_group():
+    group = _group(4)
+    for index, view in enumerate(group):
+        for _ in range(5):
+            view = _step(view, _attempt(core.Outcome.FAILED), group)
+            group[index] = view
+    ejected = [v for v in group if v.state is core.ServerState.EJECTED]
+    assert len(ejected) == 2
+    assert _run([core.Outcome.FAILED] * 9, count=1).state is (
+        core.ServerState.READY
+    )
+
+
+def test_a_leaving_server_is_not_believed_when_its_health_endpoint_lies():
+    group = _group()
+    attempt = _attempt(core.Outcome.OK, report=_report(draining=True))
+    view = _step(group[0], attempt, group)
+    view = health.after_probe(view=view, reached=True, healthy=True, now=2.0)
+    view = health.advance(view=view, settings=_SETTINGS, now=1000.0)
+    assert not health.may_get_work(view=view, draining=frozenset())
+
+
+def test_a_restarted_server_comes_back_cold():
+    group = _group()
+    attempt = _attempt(core.Outcome.OK, report=_report(draining=True))
+    view = _step(group[0], attempt, group)
+    view = health.after_probe(view=view, reached=False, healthy=False, now=2.0)
+    view = health.after_probe(view=view, reached=True, healthy=True, now=3.0)
+    assert view.state is core.ServerState.COLD
+    assert health.may_get_work(view=view, draining=frozenset())
+
+
+def test_a_server_back_from_ejection_is_not_tried_with_a_booking():
+    view = _run([core.Outcome.UNKNOWN] * 2)
+    view = health.advance(view=view, settings=_SETTINGS, now=100.0)
+    others = tuple(_group()[1:])
+    assert view.state is core.ServerState.COLD
+    assert health.proved_views((view, *others)) == others
+    assert health.proved_views((view,)) == (view,)
+    probed = health.after_probe(
+        view=view, reached=True, healthy=True, now=101.0
+    )
+    assert probed in health.proved_views((probed, *others))
+
+
+@pytest.mark.parametrize("source", ["settings", "fact"])
+def test_declared_drains_stop_new_work_at_once(source):
+    view = _group()[0]
+    draining = frozenset()
+    if source == "settings":
+        view = dataclasses.replace(view, server=_server(0, draining=True))
+    else:
+        draining = frozenset((str(view.server.address),))
+    assert not health.may_get_work(view=view, draining=draining)
+
+
+class GroupMachine(stateful.RuleBasedStateMachine):
+    """Random attempts, probes and time on a group of four servers."""
+
+    def __init__(self):
+        super().__init__()
+        self.group = _group(4)
+        self.now = 0.0
+        self.said_leaving = set()
+
+    @stateful.rule(
+        index=strategies.integers(0, 3),
+        outcome=strategies.sampled_from(core.Outcome),
+        draining=strategies.booleans(),
+    )
+    def attempt(self, index, outcome, draining):
+        view = self.group[index]
+        if not health.may_get_work(view=view, draining=frozenset()):
+            return
+        report = _report(draining)
+        self.group[index] = _step(
+            view, _attempt(outcome, report=report), self.group, self.now
+        )
+        if draining:
+            self.said_leaving.add(index)
+
+    @stateful.rule(
+        index=strategies.integers(0, 3),
+        reached=strategies.booleans(),
+        healthy=strategies.booleans(),
+    )
+    def probe(self, index, reached, healthy):
+        if not reached:
+            self.said_leaving.discard(index)
+        self.group[index] = health.after_probe(
+            view=self.group[index],
+            reached=reached,
+            healthy=healthy and reached,
+            now=self.now,
+        )
+
+    @stateful.rule(seconds=strategies.floats(0.0, 40.0))
+    def pass_time(self, seconds):
+        self.now += seconds
+        self.group = [
+            health.advance(view=view, settings=_SETTINGS, now=self.now)
+            for view in self.group
+        ]
+
+    @stateful.invariant()
+    def a_leaving_server_gets_no_work_until_it_restarted(self):
+        for index in self.said_leaving:
+            assert not health.may_get_work(
+                view=self.group[index], draining=frozenset()
+            )
+
+    @stateful.invariant()
+    def outlier_rules_leave_half_of_those_that_stay(self):
+        staying = [
+            view
+            for view in self.group
+            if view.state is not core.ServerState.DRAINING
+        ]
+        ejected = [
+            view for view in staying if view.state is core.ServerState.EJECTED
+        ]
+        # A drain after the ejections may leave fewer than half.
+        if not self.said_leaving and len(staying) == len(self.group):
+            assert len(ejected) <= len(staying) / 2
+
+
+test_group = GroupMachine.TestCase
