Send callers whose home failed to the next home

Callers used to get the other daemons of their region in random order, so the loss of a home scattered its callers over all of them, each with a small part of the in-flight counts. They now get the daemons in hash order, so that they meet at the daemon that becomes home once the loss is known. Two entries of other regions let a caller survive the loss of its region.

--- a/wigeonrouter/entries/_homes.py
+++ b/wigeonrouter/entries/_homes.py
@@ -4,8 +4,10 @@
 
 from wigeonrouter import core
 
-# Enough for a caller to survive the loss of a failure domain.
-MAX_ENTRIES = 6
+# Enough for a caller to survive the loss of a failure domain or, by the
+# entries of other regions, of its whole region.
+MAX_OWN_REGION_ENTRIES = 4
+MAX_OTHER_REGION_ENTRIES = 2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,34 +38,52 @@
       place: core.Place of the caller.
       members: an iterable of the members that are alive.
     Returns:
-      A list of core.Member, the first home first.
+      A list of core.Member, the first home first; empty where no daemon of
+      the area is alive.
     """
     area = _area(service.routing.entry_scope)
-    local = {m.daemon_id: m for m in members if area(m.place) == area(place)}
-    order = core.rendezvous_order(service.name, local)
-    return [local[name] for name in order[: service.routing.homes]]
+    own = area(place)
+    local = [member for member in members if area(member.place) == own]
+    return _ranked(service, local)[: service.routing.homes]
 
 
 def choose_entries(*, service, place, members, rng):
     """Order the entries that a caller should use.
 
+    The homes come first, those of the caller's failure domain before the
+    others. The daemon that would be home next comes next, so that callers
+    whose home died meet again at one daemon.
+
     Args:
       service: a core.EffectiveService, or None where none was named.
       place: core.Place of the caller.
       members: an iterable of the members that are alive.
       rng: random.Random; spreads callers over equal entries.
     Returns:
-      A tuple of at most MAX_ENTRIES Entry: homes first, then the caller's
-      failure domain, its region, and other regions.
+      A tuple of Entry: the caller's region first, then other regions.
     """
+    members = list(members)
     homes = []
-    if service is not None:
+    if service is None:
+        rng.shuffle(members)
+        ranked = sorted(members, key=lambda m: _distance(m.place, place))
+    else:
         homes = home_members(service=service, place=place, members=members)
+        rng.shuffle(homes)
         homes.sort(key=lambda m: _distance(m.place, place))
+        named = {member.daemon_id for member in homes}
+        ranked = homes + [
+            member
+            for member in _ranked(service, members)
+            if member.daemon_id not in named
+        ]
+    near = [m for m in ranked if m.place.region == place.region]
+    far = [m for m in ranked if m.place.region != place.region]
+    chosen = (
+        near[:MAX_OWN_REGION_ENTRIES]
+        + (_spread_over_regions(far))[:MAX_OTHER_REGION_ENTRIES]
+    )
     named = {member.daemon_id for member in homes}
-    others = [m for m in members if m.daemon_id not in named]
-    rng.shuffle(others)
-    others.sort(key=lambda m: _distance(m.place, place))
     return tuple(
         Entry(
             address=member.caller_address,
@@ -71,10 +91,30 @@
             place=member.place,
             home=member.daemon_id in named,
         )
-        for member in (homes + others)[:MAX_ENTRIES]
+        for member in chosen
     )
 
 
+def _ranked(service, members):
+    by_id = {member.daemon_id: member for member in members}
+    return [
+        by_id[daemon_id]
+        for daemon_id in core.rendezvous_order(service.name, by_id)
+    ]
+
+
+def _spread_over_regions(members):
+    """Put the first member of each region before further ones."""
+    firsts, rest, seen = [], [], set()
+    for member in members:
+        if member.place.region in seen:
+            rest.append(member)
+        else:
+            seen.add(member.place.region)
+            firsts.append(member)
+    return firsts + rest
+
+
 def _area(scope):
     if scope == "failure-domain":
         return lambda place: (place.region, place.failure_domain)
--- /dev/null
+++ b/wigeonrouter/entries/_homes_test.py
@@ -0,0 +1,116 @@
+"""Guards against callers that are sent apart, or to dead daemons."""
+
+import random
+
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import entries
+
+_REGIONS = ("north", "centre", "south")
+
+
+def _member(number):
+    region = _REGIONS[number % 3]
+    address = core.Address(host="127.0.0.1", port=1000 + number)
+    return core.Member(
+        daemon_id=f"d{number}",
+        incarnation=1,
+        state=core.MemberState.ALIVE,
+        place=core.Place(
+            region=region, failure_domain=f"{region}-{number // 3 % 2}"
+        ),
+        caller_address=address,
+        admin_address=address,
+        peer_address=address,
+    )
+
+
+_MEMBERS = tuple(_member(number) for number in range(18))
+_HERE = core.Place(region="north", failure_domain="north-0")
+
+
+def _service(name="/s", **routing):
+    return core.EffectiveService(
+        name=name,
+        match=core.MatchSettings(),
+        routing=core.RoutingSettings(**routing),
+    )
+
+
+def _choose(service, place=_HERE, members=_MEMBERS, seed=1):
+    return entries.choose_entries(
+        service=service,
+        place=place,
+        members=members,
+        rng=random.Random(seed),
+    )
+
+
+def test_all_callers_of_a_region_get_one_home():
+    firsts = {
+        _choose(
+            _service(),
+            place=core.Place(region="north", failure_domain=domain),
+            members=random.Random(seed).sample(_MEMBERS, len(_MEMBERS)),
+            seed=seed,
+        )[0].address
+        for domain in ("north-0", "north-1")
+        for seed in range(20)
+    }
+    assert len(firsts) == 1
+
+
+def test_the_second_entry_is_the_home_after_the_first_is_gone():
+    first, second = _choose(_service())[:2]
+    left = [m for m in _MEMBERS if m.caller_address != first.address]
+    assert _choose(_service(), members=left)[0].address == second.address
+
+
+@pytest.mark.parametrize("scope", ["region", "failure-domain"])
+def test_homes_lie_in_the_callers_area(scope):
+    service = _service(entry_scope=scope, homes=2)
+    homes = [entry for entry in _choose(service) if entry.home]
+    assert len(homes) == 2
+    assert all(entry.place.region == "north" for entry in homes)
+    if scope == "failure-domain":
+        assert all(entry.place == _HERE for entry in homes)
+    else:
+        distances = [entry.place != _HERE for entry in homes]
+        assert distances == sorted(distances)
+
+
+def test_an_answer_survives_the_loss_of_the_region():
+    chosen = _choose(_service())
+    assert {entry.place.region for entry in chosen} == set(_REGIONS)
+
+
+def test_a_region_without_daemons_is_served_by_others():
+    left = [m for m in _MEMBERS if m.place.region != "north"]
+    assert _choose(_service(), members=left)
+    assert not _choose(_service(), members=())
+
+
+def test_without_a_service_the_own_failure_domain_comes_first():
+    firsts = {_choose(None, seed=seed)[0] for seed in range(30)}
+    assert all(entry.place == _HERE for entry in firsts)
+    assert len(firsts) == 3
+
+
+def test_services_are_spread_over_the_daemons_of_a_region():
+    counts = {}
+    for number in range(600):
+        first = _choose(_service(f"/service-{number}"))[0].address
+        counts[first] = counts.get(first, 0) + 1
+    assert len(counts) == 6
+    assert max(counts.values()) < 2 * 600 / 6
+
+
+def test_the_loss_of_a_daemon_moves_only_its_own_services():
+    gone = _MEMBERS[0]
+    left = _MEMBERS[1:]
+    for number in range(200):
+        service = _service(f"/service-{number}")
+        before = _choose(service)[0].address
+        after = _choose(service, members=left)[0].address
+        assert after == before or before == gone.caller_address
