Name the process in request ids, not the gossip incarnation

Cause: a daemon that refutes a suspicion raises its incarnation. Request ids named the incarnation, so after one refutation the daemon took every id formed from a new entry answer for that of another process and refused it as id-owner-unreachable. Found by reading. The id now names the start time of the process, which only a restart changes.

--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -234,6 +234,8 @@
 
     Attributes:
       incarnation: grows with each start and each refuted suspicion.
+      instance: start time of the process in ms since the epoch. Request ids
+        name it, because a new process has forgotten the ids of the old one.
     """
 
     daemon_id: str
@@ -243,6 +245,7 @@
     caller_address: Address
     admin_address: Address
     peer_address: Address
+    instance: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -46,9 +46,11 @@
             address=settings.store_address,
             timeout=settings.store_timeout,
         )
+        started_ms = int(time.time() * 1000)
         own = core.Member(
             daemon_id=settings.daemon_id,
-            incarnation=int(time.time() * 1000),
+            incarnation=started_ms,
+            instance=started_ms,
             state=core.MemberState.ALIVE,
             place=settings.place,
             caller_address=settings.caller_address,
@@ -197,7 +199,7 @@
 
     def _claim_from_peer(self, parsed, request_id):
         member = self.table.find(parsed.daemon_id)
-        if member is None or member.incarnation != parsed.incarnation:
+        if member is None or member.instance != parsed.instance:
             return None
         return self._gossip.claim(member=member, request_id=request_id)
 
--- a/wigeonrouter/entries/_homes.py
+++ b/wigeonrouter/entries/_homes.py
@@ -26,8 +26,8 @@
 
 
 def request_id_prefix(member):
-    """Return the start of request ids that name a daemon's incarnation."""
-    return f"{member.daemon_id}~{member.incarnation}"
+    """Return the start of request ids that name a daemon's process."""
+    return f"{member.daemon_id}~{member.instance}"
 
 
 def home_members(*, service, place, members):
--- a/wigeonrouter/entries/_homes_test.py
+++ b/wigeonrouter/entries/_homes_test.py
@@ -1,5 +1,6 @@
 """Guards against callers that are sent apart, or to dead daemons."""
 
+import dataclasses
 import random
 
 import pytest
@@ -114,3 +115,12 @@
         before = _choose(service)[0].address
         after = _choose(service, members=left)[0].address
         assert after == before or before == gone.caller_address
+
+
+def test_a_refuted_suspicion_does_not_invalidate_request_ids():
+    member = _MEMBERS[0]
+    refuted = dataclasses.replace(member, incarnation=member.incarnation + 1)
+    restarted = dataclasses.replace(member, instance=member.instance + 1)
+    prefix = entries.request_id_prefix(member)
+    assert entries.request_id_prefix(refuted) == prefix
+    assert entries.request_id_prefix(restarted) != prefix
--- a/wigeonrouter/membership/_codec.py
+++ b/wigeonrouter/membership/_codec.py
@@ -23,6 +23,7 @@
         caller_address=str(member.caller_address),
         admin_address=str(member.admin_address),
         peer_address=str(member.peer_address),
+        instance=member.instance,
     )
 
 
@@ -42,4 +43,5 @@
         caller_address=core.parse_address(message.caller_address),
         admin_address=core.parse_address(message.admin_address),
         peer_address=core.parse_address(message.peer_address),
+        instance=message.instance,
     )
--- a/wigeonrouter/request_path/_handler.py
+++ b/wigeonrouter/request_path/_handler.py
@@ -188,7 +188,7 @@
             )
         own = self._own_member()
         if parsed.daemon_id == own.daemon_id:
-            if parsed.incarnation == own.incarnation:
+            if parsed.instance == own.instance:
                 return None
             return core.Refusal(problem=core.problems.ID_OWNER_UNREACHABLE)
         reply = self._claim_from_peer(parsed, request_id)
--- a/wigeonrouter/request_path/_request_ids.py
+++ b/wigeonrouter/request_path/_request_ids.py
@@ -1,6 +1,6 @@
 """Remembers the ids of non-idempotent requests.
 
-The id names the daemon incarnation that remembers it, so that a repeat at
+The id names the daemon process that remembers it, so that a repeat at
 another daemon can be checked without shared state.
 """
 
@@ -22,20 +22,20 @@
     """A request id of the form prefix.milliseconds.random."""
 
     daemon_id: str
-    incarnation: int
+    instance: int
     time_ms: int
 
 
 def parse_request_id(text):
     """Return the RequestId, or None for an id of any other form."""
     prefix, _, rest = text.partition(".")
-    daemon_id, _, incarnation = prefix.partition("~")
+    daemon_id, _, instance = prefix.partition("~")
     time_ms, _, nonce = rest.partition(".")
-    if not (daemon_id and nonce and _number(incarnation) and _number(time_ms)):
+    if not (daemon_id and nonce and _number(instance) and _number(time_ms)):
         return None
     return RequestId(
         daemon_id=daemon_id,
-        incarnation=int(incarnation),
+        instance=int(instance),
         time_ms=int(time_ms),
     )
 
