--- /dev/null
+++ b/wigeonrouter/health/_faults_test.py
@@ -0,0 +1,163 @@
+"""Guards against work that reaches leaving, failing or silent servers.
+
+A real request handler sends requests to backend server stand-ins; only the
+callers' connections and the other daemons are left out.
+"""
+
+import random
+
+import gevent
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import request_path
+from wigeonrouter import standins
+
+_PLACE = core.Place(region="r", failure_domain="r-a")
+_SERVERS = 4
+
+
+@pytest.fixture
+def backends():
+    """Four running backend server stand-ins on free ports."""
+    started = [
+        standins.BackendStandin(
+            address=core.Address(host="127.0.0.1", port=0), service_ms=1
+        )
+        for _ in range(_SERVERS)
+    ]
+    for standin in started:
+        standin.start()
+    yield started
+    for standin in started:
+        standin.stop()
+
+
+@pytest.fixture
+def handler(backends):
+    """A request handler with one service on the four servers."""
+    made = request_path.RequestHandler(
+        place=_PLACE,
+        own_member=lambda: None,
+        claim_from_peer=lambda parsed, request_id: None,
+        observe=lambda record: None,
+        rng=random.Random(1),
+    )
+    made.reconfigure({"/s": _service(backends)})
+    return made
+
+
+def _service(backends, **server_changes):
+    return core.EffectiveService(
+        name="/s",
+        match=core.MatchSettings(path_prefixes=("/",)),
+        kinds=(
+            core.TrafficKind(
+                name="read", idempotent=True, methods=frozenset(("GET",))
+            ),
+        ),
+        servers=tuple(
+            core.BackendServer(
+                name=f"s{number}",
+                address=core.Address(host="127.0.0.1", port=standin.port),
+                place=_PLACE,
+                **server_changes.get(f"s{number}", {}),
+            )
+            for number, standin in enumerate(backends)
+        ),
+        limits=core.LimitSettings(default_timeout=0.3),
+    )
+
+
+def _send(handler, count, method=b"GET", prefix=b"id", pause=0.0):
+    outcomes = []
+    for number in range(count):
+        request_id = b"%b-%d" % (prefix, number)
+        response = handler.handle(
+            request_path.HttpRequest(
+                method=method,
+                target=b"/x",
+                headers=((b"host", b"a"), (b"x-request-id", request_id)),
+                body=b"",
+                keep_alive=True,
+            )
+        )
+        outcomes.append(response.header(b"x-outcome") or b"ok")
+        gevent.sleep(pause)
+    return outcomes
+
+
+def _runs(standin):
+    return sum(standin.runs.values())
+
+
+def test_no_work_after_a_servers_own_sign_of_leaving(handler, backends):
+    _send(handler, 20)
+    backends[0].set_fault(draining=True)
+    outcomes = _send(handler, 40, prefix=b"after")
+    assert set(outcomes) == {b"ok"}
+    before = _runs(backends[0])
+    # The sign is gone, but only a restart proves that the server is back.
+    backends[0].set_fault()
+    _send(handler, 40, prefix=b"later")
+    assert _runs(backends[0]) == before
+
+
+def test_a_drain_in_the_settings_keeps_work_in_progress(handler, backends):
+    backends[0].set_fault(delay_ms=100)
+    task = gevent.spawn(_send, handler, 30)
+    gevent.sleep(0.05)
+    handler.reconfigure({"/s": _service(backends, s0={"draining": True})})
+    assert set(task.get()) == {b"ok"}
+    before = _runs(backends[0])
+    _send(handler, 40, prefix=b"later")
+    assert _runs(backends[0]) == before
+
+
+def test_a_declared_drain_stops_work(handler, backends):
+    _send(handler, 4)
+    before = _runs(backends[0])
+    handler.set_draining({f"127.0.0.1:{backends[0].port}"})
+    _send(handler, 40, prefix=b"later")
+    assert _runs(backends[0]) == before
+
+
+def test_a_fast_failing_server_stops_attracting_requests(handler, backends):
+    backends[0].set_fault(fail=True)
+    outcomes = _send(handler, 100)
+    assert outcomes.count(b"failed") <= 3
+
+
+def test_a_black_hole_costs_few_requests(handler, backends):
+    backends[0].set_fault(silent=True)
+    outcomes = _send(handler, 60, method=b"POST")
+    assert outcomes.count(b"unknown") <= 2
+    assert set(outcomes) <= {b"ok", b"unknown"}
+    assert max(max(b.runs.values(), default=0) for b in backends) == 1
+
+
+def test_bookings_are_never_sent_twice_when_answers_are_cut(handler, backends):
+    for standin in backends:
+        standin.set_fault(truncate=True)
+    outcomes = _send(handler, 10, method=b"POST")
+    assert set(outcomes) == {b"unknown"}
+    runs = {}
+    for standin in backends:
+        for request_id, count in standin.runs.items():
+            runs[request_id] = runs.get(request_id, 0) + count
+    assert len(runs) == 10
+    assert set(runs.values()) == {1}
+
+
+def test_refusals_before_running_are_retried_elsewhere(handler, backends):
+    for standin in backends[:3]:
+        standin.set_fault(refuse=True)
+    assert _send(handler, 1, method=b"POST") == [b"ok"]
+
+
+def test_all_servers_leaving_gives_a_true_not_run(handler, backends):
+    for standin in backends:
+        standin.set_fault(draining=True)
+    outcomes = _send(handler, 10, method=b"POST")
+    assert set(outcomes) == {b"not-run"}
+    assert all(_runs(standin) == 0 for standin in backends)
--- /dev/null
+++ b/wigeonrouter/health/_vm_list_test.py
@@ -0,0 +1,82 @@
+"""Guards against work for servers whose VM is leaving."""
+
+import collections
+
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import store
+from wigeonrouter.health import _vm_list
+
+_Fact = collections.namedtuple("_Fact", "state source")
+_BY_HOST = {
+    "10.0.0.1": {"10.0.0.1:80", "10.0.0.1:81"},
+    "10.0.0.2": {"10.0.0.2:80"},
+}
+
+
+def _listing(address, state):
+    vm = store.Vm(
+        name="vm",
+        role="backend",
+        address=address,
+        region="r",
+        failure_domain="r-a",
+        state=state,
+    )
+    return store.VmListing(version=1, vms=(vm,))
+
+
+@pytest.mark.parametrize(
+    ("address", "state", "known", "expected"),
+    [
+        (
+            "10.0.0.1",
+            "leaving",
+            {},
+            [("10.0.0.1:80", "draining"), ("10.0.0.1:81", "draining")],
+        ),
+        ("10.0.0.1:80", "leaving", {}, [("10.0.0.1:80", "draining")]),
+        (
+            "10.0.0.2",
+            "leaving",
+            {"10.0.0.2:80": _Fact("draining", "operator")},
+            [],
+        ),
+        (
+            "10.0.0.2",
+            "live",
+            {"10.0.0.2:80": _Fact("draining", "vm-list")},
+            [("10.0.0.2:80", "ready")],
+        ),
+        # A lagging "live" must not take back an operator's drain.
+        (
+            "10.0.0.2",
+            "live",
+            {"10.0.0.2:80": _Fact("draining", "operator")},
+            [],
+        ),
+        ("10.0.0.2", "live", {}, []),
+        ("10.0.0.9", "leaving", {}, []),
+        ("10.0.0.2", "surprising", {}, []),
+    ],
+)
+def test_the_list_is_believed_only_where_it_says_leaving(
+    address, state, known, expected
+):
+    found = _vm_list.statements(
+        listing=_listing(address, state), by_host=_BY_HOST, known=known
+    )
+    assert [(s.address, s.state) for s in found] == expected
+
+
+def test_servers_are_grouped_by_host():
+    server = core.BackendServer(
+        name="s",
+        address=core.Address(host="10.0.0.1", port=80),
+        place=core.Place(region="r", failure_domain="r-a"),
+    )
+    service = core.EffectiveService(
+        name="/s", match=core.MatchSettings(), servers=(server,)
+    )
+    assert _vm_list.servers_by_host([service]) == {"10.0.0.1": {"10.0.0.1:80"}}
