Check changes as a whole and close gaps in acceptance

Faults found by reading the thin path, each closed here: - catch_up could return the occupant of slot N+1 after peers had delivered N+1 during the read; with versions counted per key the next write could then replace an accepted revision. The read is repeated instead. - A lost reply followed by an outage was reported as "nothing was written" although the delayed write could still take effect.

Only services at and below a changed path are built anew.

--- a/wigeonrouter/administration/_app.py
+++ b/wigeonrouter/administration/_app.py
@@ -172,6 +172,14 @@
                 "change id",
                 change_id=failure.change_id,
             )
+        elif isinstance(failure, configuration.InvalidChange):
+            _problem(
+                resp,
+                422,
+                "invalid-change",
+                "the tree that the change leads to is not accepted",
+                errors=[str(error) for error in failure.errors],
+            )
         elif isinstance(failure, configuration.TooLarge):
             _problem(resp, 413, "too-large", f"at most {failure.limit} bytes")
         else:
--- a/wigeonrouter/configuration/_acceptance.py
+++ b/wigeonrouter/configuration/_acceptance.py
@@ -8,10 +8,12 @@
 
 import dataclasses
 
+from google.protobuf import message as protobuf_message
 from returns import result
 
 from wigeonrouter import settings
 from wigeonrouter import store as store_api
+from wigeonrouter.configuration import _checking
 from wigeonrouter.configuration import _snapshots
 from wigeonrouter.schema import settings_pb2
 
@@ -20,6 +22,8 @@
 MAX_UNSNAPSHOTTED = 3000
 MAX_ENTRY_BYTES = 1_000_000
 _MAX_RACES = 64
+# Longest encoding of the entry's time.
+_TIME_BYTES = 11
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,12 +75,27 @@
     limit: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InvalidChange:
+    """The tree that the change leads to is not accepted.
+
+    Attributes:
+      errors: tuple of TreeError.
+    """
+
+    errors: tuple
+
+
+class LogUnreadable(store_api.StoreError):
+    """The store holds something that is no log entry."""
+
+
 def log_key(revision):
     """Return the store key of a revision."""
     return f"config/log/{revision % LOG_SLOTS:04d}"
 
 
-def accept(*, store, replica, proposal, now_ms):
+def accept(*, store, replica, proposal, now_ms, policies=None):
     """Write a proposal as the next revision.
 
     Args:
@@ -84,48 +103,46 @@
       replica: a Replica; it is brought up to date.
       proposal: a Proposal.
       now_ms: time of the entry, milliseconds since the epoch.
+      policies: names of the known policies, or None to accept any.
     Returns:
-      Success(settings_pb2.LogEntry), or Failure of Conflict, StoreDown,
-      Undetermined or TooLarge.
+      Success(settings_pb2.LogEntry), or Failure of Conflict, InvalidChange,
+      StoreDown, Undetermined or TooLarge.
     """
+    # Revision of an own write whose reply was lost. It stays in doubt until
+    # a newer version of the slot is seen, since it may be delayed.
+    doubtful = None
     for _ in range(_MAX_RACES):
         try:
             occupant = catch_up(store=store, replica=replica)
+            full = _is_log_full(store, replica)
         except store_api.StoreError as error:
-            return result.Failure(StoreDown(detail=str(error)))
+            return _failed(proposal, doubtful, str(error))
         accepted = replica.find_change(proposal.change_id)
         if accepted is not None:
             return result.Success(accepted)
-        conflict = _find_conflict(replica, proposal)
-        if conflict is not None:
-            return result.Failure(conflict)
+        if doubtful is not None and replica.revision >= doubtful:
+            doubtful = None
+        if full:
+            return _failed(proposal, doubtful, "the log needs a snapshot")
+        refusal = _find_refusal(replica, proposal, policies)
+        if refusal is not None:
+            return result.Failure(refusal)
         entry = _entry(replica, proposal, now_ms)
-        value = entry.SerializeToString()
-        if len(value) > MAX_ENTRY_BYTES:
-            return result.Failure(
-                TooLarge(size=len(value), limit=MAX_ENTRY_BYTES)
-            )
         try:
             swapped = store.compare_and_swap(
                 key=log_key(entry.revision),
                 expected_version=occupant.version if occupant else 0,
-                value=value,
+                value=entry.SerializeToString(),
             )
         except store_api.StoreUnavailable as error:
-            return result.Failure(StoreDown(detail=str(error)))
+            return _failed(proposal, doubtful, str(error))
         except store_api.StoreReplyLost:
-            found = _read_back(store, replica, proposal)
-            if found is None:
-                return result.Failure(
-                    Undetermined(
-                        change_id=proposal.change_id, revision=entry.revision
-                    )
-                )
+            doubtful = entry.revision
             continue
         if swapped:
             replica.apply_entries((entry,))
             return result.Success(entry)
-    return result.Failure(StoreDown(detail="too many concurrent changes"))
+    return _failed(proposal, doubtful, "too many concurrent changes")
 
 
 def catch_up(*, store, replica):
@@ -139,29 +156,57 @@
     if replica.revision == 0:
         _snapshots.load(store=store, replica=replica)
     while True:
-        item = store.get(log_key(replica.revision + 1))
+        revision = replica.revision + 1
+        item = store.get(log_key(revision))
+        if replica.revision + 1 != revision:
+            # Peers delivered revisions meanwhile; this is another slot.
+            continue
         if item is None:
             return None
-        entry = settings_pb2.LogEntry.FromString(item.value)
+        entry = _parse(item)
         if entry.revision <= replica.revision:
             return item
-        if entry.revision == replica.revision + 1:
+        if entry.revision == revision:
             replica.apply_entries((entry,))
         elif not _snapshots.load(store=store, replica=replica):
-            raise store_api.StoreUnavailable("the log has no older snapshot")
-
+            if replica.revision + 1 == revision:
+                raise LogUnreadable("the log has no older snapshot")
 
-def _read_back(store, replica, proposal):
-    """Find out after a lost reply who wrote the next revision.
 
-    Returns:
-      True where the store answered, None where it did not.
-    """
+def _parse(item):
     try:
-        catch_up(store=store, replica=replica)
-    except store_api.StoreError:
-        return None
-    return True
+        return settings_pb2.LogEntry.FromString(item.value)
+    except protobuf_message.DecodeError as error:
+        raise LogUnreadable(f"{item.key} holds no log entry") from error
+
+
+def _is_log_full(store, replica):
+    """Return whether the next entry could overwrite what is not saved."""
+    if replica.revision - replica.snapshot_revision < MAX_UNSNAPSHOTTED:
+        return False
+    replica.note_snapshot(_snapshots.read_pointer(store).revision)
+    return replica.revision - replica.snapshot_revision >= MAX_UNSNAPSHOTTED
+
+
+def _failed(proposal, doubtful, detail):
+    if doubtful is not None:
+        return result.Failure(
+            Undetermined(change_id=proposal.change_id, revision=doubtful)
+        )
+    return result.Failure(StoreDown(detail=detail))
+
+
+def _find_refusal(replica, proposal, policies):
+    conflict = _find_conflict(replica, proposal)
+    if conflict is not None:
+        return conflict
+    size = _entry(replica, proposal, 0).ByteSize() + _TIME_BYTES
+    if size > MAX_ENTRY_BYTES:
+        return TooLarge(size=size, limit=MAX_ENTRY_BYTES)
+    errors = _checking.check_changes(
+        replica=replica, changes=proposal.changes, policies=policies
+    )
+    return InvalidChange(errors=errors) if errors else None
 
 
 def _find_conflict(replica, proposal):
--- a/wigeonrouter/configuration/_replica.py
+++ b/wigeonrouter/configuration/_replica.py
@@ -4,25 +4,25 @@
 only after N, so what it serves never reverts.
 """
 
-import collections
-
 from wigeonrouter import settings
+from wigeonrouter.configuration import _retained
 from wigeonrouter.schema import settings_pb2
 
-# Peers and operators get older revisions as a snapshot only.
-RETAINED_ENTRIES = 1024
+
+class ForkError(Exception):
+    """Two entries with one revision differ, which acceptance rules out."""
 
 
 class Replica:
     """Holds the tree at one revision and the services built from it."""
 
-    def __init__(self, *, retained=RETAINED_ENTRIES):
+    def __init__(self, *, retained=_retained.RETAINED_ENTRIES):
         self._revision = 0
         self._root = settings_pb2.Node()
         self._services = {}
-        self._entries = collections.OrderedDict()
-        self._retained = retained
+        self._log = _retained.RetainedLog(limit=retained)
         self._listeners = []
+        self._snapshot_revision = 0
 
     @property
     def revision(self):
@@ -36,9 +36,21 @@
 
     @property
     def services(self):
-        """Dict from path to core.EffectiveService."""
+        """Dict from path to core.EffectiveService; replaced by changes.
+
+        A service that a change does not alter keeps its record.
+        """
         return self._services
 
+    @property
+    def snapshot_revision(self):
+        """Revision of the newest snapshot known to be in the store."""
+        return self._snapshot_revision
+
+    def note_snapshot(self, revision):
+        """Note that the store holds a snapshot."""
+        self._snapshot_revision = max(self._snapshot_revision, revision)
+
     def subscribe(self, listener):
         """Call listener(replica) after each change."""
         self._listeners.append(listener)
@@ -53,21 +65,29 @@
           entries: an iterable of settings_pb2.LogEntry.
         Returns:
           The list of entries that were applied.
+        Raises:
+          ForkError: an applied entry of the same revision differs; nothing
+            after it is applied.
         """
         applied = []
-        for entry in entries:
-            if entry.revision <= self._revision:
-                continue
-            if entry.revision != self._revision + 1:
-                break
-            settings.apply_in_place(root=self._root, changes=entry.changes)
-            self._revision = entry.revision
-            self._remember(entry)
-            applied.append(entry)
-        if applied:
-            self._rebuild(
-                [change.path for entry in applied for change in entry.changes]
-            )
+        try:
+            for entry in entries:
+                if entry.revision <= self._revision:
+                    self._check_fork(entry)
+                    continue
+                if entry.revision != self._revision + 1:
+                    break
+                self._apply(entry)
+                applied.append(entry)
+        finally:
+            if applied:
+                self._rebuild(
+                    {
+                        change.path
+                        for entry in applied
+                        for change in entry.changes
+                    }
+                )
         return applied
 
     def load_snapshot(self, snapshot):
@@ -80,14 +100,17 @@
             return False
         self._root.CopyFrom(snapshot.root)
         self._revision = snapshot.revision
-        self._entries.clear()
-        self._services = {}
-        self._rebuild(["/"])
+        self._log.reset(snapshot.applied)
+        self._rebuild({"/"})
         return True
 
     def snapshot(self):
         """Return the tree as a settings_pb2.Snapshot."""
-        return settings_pb2.Snapshot(revision=self._revision, root=self._root)
+        return settings_pb2.Snapshot(
+            revision=self._revision,
+            root=self._root,
+            applied=self._log.applied,
+        )
 
     def entries_after(self, revision):
         """Return the entries after a revision.
@@ -96,42 +119,75 @@
           A tuple of settings_pb2.LogEntry, or None where the oldest of them
           is no longer retained.
         """
-        if revision >= self._revision:
-            return ()
-        if revision + 1 not in self._entries:
-            return None
-        return tuple(
-            self._entries[number]
-            for number in range(revision + 1, self._revision + 1)
-        )
+        return self._log.after(revision, newest=self._revision)
 
     def history(self):
         """Return the retained entries, oldest first."""
-        return tuple(self._entries.values())
+        return self._log.entries
 
     def find_change(self, change_id):
-        """Return the retained entry with a change id, or None."""
-        for entry in reversed(self._entries.values()):
-            if entry.change_id == change_id:
-                return entry
-        return None
+        """Return the entry with a change id, or None.
 
-    def _remember(self, entry):
-        self._entries[entry.revision] = entry
-        while len(self._entries) > self._retained:
-            self._entries.popitem(last=False)
+        Only revision and change id are set where the entry itself is no
+        longer retained.
+        """
+        return self._log.find_change(change_id)
+
+    def node_at(self, *, path, revision):
+        """Return a node as it was at an older revision, for a rollback.
+
+        Returns:
+          A pair (retained, node): whether the revision can still be
+          restored, and a copy of the settings_pb2.Node, or None where there
+          was none.
+        """
+        tree = self._log.tree_at(
+            revision, root=self._root, newest=self._revision
+        )
+        if tree is None:
+            return False, None
+        return True, settings.find_node(root=tree, path=path)
+
+    def _apply(self, entry):
+        undo = []
+        for change in entry.changes:
+            undo_change = settings.undo_change(root=self._root, change=change)
+            if undo_change is not None:
+                undo.insert(0, undo_change)
+            settings.apply_in_place(root=self._root, changes=(change,))
+        self._revision = entry.revision
+        self._log.add(entry, undo)
+
+    def _check_fork(self, entry):
+        known = self._log.find(entry.revision)
+        if known is not None and known.change_id != entry.change_id:
+            raise ForkError(
+                f"revision {entry.revision} is {known.change_id} here and "
+                f"{entry.change_id} elsewhere"
+            )
 
     def _rebuild(self, paths):
+        """Build the services at and below the changed paths anew.
+
+        Settings are inherited downwards only, so no other service changes.
+        """
+        old = self._services
+        paths = {
+            settings.join_path(settings.split_path(path)) for path in paths
+        }
+        prefixes = tuple(f"{path.rstrip('/')}/" for path in paths)
         services = {
             path: service
-            for path, service in self._services.items()
-            if not any(settings.paths_overlap(path, p) for p in paths)
+            for path, service in old.items()
+            if not f"{path}/".startswith(prefixes)
         }
-        for path, _ in settings.walk_services(self._root):
-            if path not in services:
-                services[path] = settings.build_service(
-                    root=self._root, path=path
-                )
+        for changed in paths:
+            for path, _ in settings.walk_services(self._root, changed):
+                if path in services:
+                    continue
+                service = settings.build_service(root=self._root, path=path)
+                known = old.get(path)
+                services[path] = known if known == service else service
         self._services = services
         for listener in self._listeners:
             listener(self)
--- a/wigeonrouter/settings/__init__.py
+++ b/wigeonrouter/settings/__init__.py
@@ -21,4 +21,5 @@
 parse_document = _checker.parse_document
 paths_overlap = _tree.paths_overlap
 split_path = _tree.split_path
+undo_change = _tree.undo_change
 walk_services = _tree.walk_services
--- a/wigeonrouter/settings/_tree.py
+++ b/wigeonrouter/settings/_tree.py
@@ -76,6 +76,32 @@
             node.CopyFrom(change.node)
 
 
+def undo_change(*, root, change):
+    """Return the Change that takes back a change, or None.
+
+    Args:
+      root: settings_pb2.Node before the change.
+      change: settings_pb2.Change.
+    Returns:
+      A settings_pb2.Change, or None where the change does nothing.
+    """
+    names = split_path(change.path)
+    removal = change.WhichOneof("action") == "remove"
+    node = root
+    for depth, name in enumerate(names):
+        if name not in node.children:
+            if removal:
+                return None
+            # The change creates this node and all below it.
+            return settings_pb2.Change(
+                path=join_path(names[: depth + 1]), remove=True
+            )
+        node = node.children[name]
+    if change.WhichOneof("action") == "settings":
+        return settings_pb2.Change(path=change.path, settings=node.settings)
+    return settings_pb2.Change(path=change.path, node=node)
+
+
 def paths_overlap(first, second):
     """Return whether one path is that of the other or of its ancestor."""
     first, second = split_path(first), split_path(second)
@@ -105,9 +131,13 @@
     return merged, origins
 
 
-def walk_services(root):
-    """Yield (path, node) of each service, depth first by name."""
-    pending = [((), root)]
+def walk_services(root, path="/"):
+    """Yield (path, node) of each service at or below a path.
+
+    The order is depth first by name; a missing node has no services.
+    """
+    start = find_node(root=root, path=path)
+    pending = [] if start is None else [(split_path(path), start)]
     while pending:
         names, node = pending.pop()
         if node.settings.HasField("match"):
