Spread members, facts and revisions by SWIM-style gossip

Replaces the exchange of whole tables with a random peer by the design's state machine: round-robin over shuffled lists, four of five exchanges in the own region, indirect probes, suspicion, refutation, bounded piggybacking, retries of dead members, and repair by digest. Facts on backend servers ride on the same exchanges. Only one daemon of a region watches the store. An acceptance is answered after two peers in other failure domains have acknowledged it.

A refuted suspicion raises a counter of its own instead of the incarnation: request ids name the incarnation, so a new one would have turned every repeat of a recorded request into the refusal "unknown".

A statement by a third party that a live member is dead only makes it suspect, so that a region that rejoins cannot take away live members.

--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -224,7 +224,8 @@
     """A daemon as another one knows it.
 
     Attributes:
-      incarnation: grows with each start and each refuted suspicion.
+      incarnation: grows with each start; request ids name it.
+      refutations: grows with each refuted suspicion since the start.
     """
 
     daemon_id: str
@@ -234,6 +235,7 @@
     caller_address: Address
     admin_address: Address
     peer_address: Address
+    refutations: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -6,8 +6,6 @@
 import gevent
 from gevent import pywsgi
 from gevent import socket
-from returns import pipeline
-from returns import result
 
 from wigeonrouter import administration
 from wigeonrouter import configuration
@@ -15,11 +13,11 @@
 from wigeonrouter import membership
 from wigeonrouter import observability
 from wigeonrouter import request_path
+from wigeonrouter import selection
 from wigeonrouter import store as store_api
 from wigeonrouter.schema import peer_pb2
 
 _MAX_BODY_BYTES = 64 << 20
-_WATCH_TIMEOUT_S = 5.0
 _HOUSEKEEPING_INTERVAL_S = 1.0
 _DRAIN_POLL_S = 0.05
 
@@ -61,12 +59,20 @@
             rng=self._rng,
             claims=self._answer_claim,
         )
+        self._replication = membership.Replication(
+            store=self._store,
+            replica=self._replica,
+            gossip=self._gossip,
+            seeds=settings.seeds,
+            rng=self._rng,
+            policies=selection.policy_names(),
+        )
         self._peer_server = membership.PeerServer(
             address=settings.peer_address, servicer=self._gossip
         )
         self._handler = request_path.RequestHandler(
             place=settings.place,
-            own_member=lambda: own,
+            own_member=lambda: self._gossip.table.own,
             claim_from_peer=self._claim_from_peer,
             observe=self._metrics.observe,
             rng=self._rng,
@@ -85,7 +91,6 @@
         self._replica.subscribe(
             lambda replica: self._handler.reconfigure(replica.services)
         )
-        self._ready = False
         self._tasks = []
 
     @property
@@ -103,6 +108,11 @@
         """membership.MemberTable."""
         return self._gossip.table
 
+    @property
+    def gossip(self):
+        """membership.Gossip."""
+        return self._gossip
+
     @property
     def metrics(self):
         """observability.Metrics."""
@@ -116,7 +126,7 @@
     @property
     def ready(self):
         """Whether the newest configuration that can be found is in force."""
-        return self._ready
+        return self._replication.ready
 
     def start(self):
         """Start all servers and tasks."""
@@ -124,10 +134,8 @@
         self._admin.start()
         self._callers.start()
         self._gossip.start()
-        self._tasks = [
-            gevent.spawn(self._follow_store),
-            gevent.spawn(self._housekeep),
-        ]
+        self._replication.start()
+        self._tasks = [gevent.spawn(self._housekeep)]
 
     def stop(self):
         """Stop gracefully: no request is cut.
@@ -142,45 +150,15 @@
             gevent.sleep(_DRAIN_POLL_S)
         self._callers.stop()
         gevent.killall(self._tasks)
+        self._replication.stop()
         self._gossip.stop()
         self._admin.stop(timeout=1)
         self._peer_server.stop(grace=1)
         self._store.close()
 
     def accept(self, proposal):
-        """Accept a change and spread it.
-
-        Returns:
-          Success of a pair (LogEntry, ids of the peers that acknowledged
-          it), or the Failure of configuration.accept.
-        """
-        accepted = configuration.accept(
-            store=self._store,
-            replica=self._replica,
-            proposal=proposal,
-            now_ms=administration.now_ms(),
-        )
-        if not pipeline.is_successful(accepted):
-            return accepted
-        entry = accepted.unwrap()
-        return result.Success((entry, self._gossip.push((entry,))))
-
-    def _follow_store(self):
-        while True:
-            try:
-                configuration.catch_up(
-                    store=self._store, replica=self._replica
-                )
-                self._ready = True
-                key = configuration.log_key(self._replica.revision + 1)
-                item = self._store.get(key)
-                self._store.watch(
-                    key,
-                    known_version=item.version if item else 0,
-                    timeout=_WATCH_TIMEOUT_S,
-                )
-            except store_api.StoreError:
-                gevent.sleep(self._rng.uniform(0.5, 1.5))
+        """Accept a change and spread it; see Replication.accept."""
+        return self._replication.accept(proposal)
 
     def _housekeep(self):
         while True:
--- a/wigeonrouter/membership/__init__.py
+++ b/wigeonrouter/membership/__init__.py
@@ -1,9 +1,14 @@
-"""Membership: the member table, gossip between daemons, peer transport."""
+"""Membership: members, facts about backend servers, peer transport."""
 
+from wigeonrouter.membership import _facts
 from wigeonrouter.membership import _gossip
+from wigeonrouter.membership import _replication
 from wigeonrouter.membership import _table
 from wigeonrouter.membership import _transport
 
+FactTable = _facts.FactTable
 Gossip = _gossip.Gossip
 MemberTable = _table.MemberTable
 PeerServer = _transport.PeerServer
+Replication = _replication.Replication
+ServerFact = _facts.ServerFact
--- a/wigeonrouter/membership/_gossip.py
+++ b/wigeonrouter/membership/_gossip.py
@@ -1,75 +1,156 @@
-"""The gossip task: exchanges with peers and spreads revisions."""
+"""The gossip task: exchanges members, facts and revisions with peers."""
+
+import time
 
 import gevent
+from gevent import event
 import grpc
+from returns import pipeline
 
-from wigeonrouter import core
+from wigeonrouter.membership import _client
 from wigeonrouter.membership import _codec
+from wigeonrouter.membership import _facts
+from wigeonrouter.membership import _schedule
+from wigeonrouter.membership import _spread
 from wigeonrouter.membership import _table
-from wigeonrouter.membership import _transport
 from wigeonrouter.schema import peer_pb2
 from wigeonrouter.schema import peer_pb2_grpc
-from wigeonrouter.schema import settings_pb2
 
 EXCHANGE_INTERVAL_S = 1.0
-CALL_TIMEOUT_S = 0.5
-PUSH_FANOUT = 3
+# The exchange task is never late by this much unless the process was paused.
+PAUSE_S = 2.0
+# Whole tables are exchanged at most this often with a peer whose table
+# differs although nothing is left to be sent.
+FULL_INTERVAL_S = 30.0
+REPAIR_INTERVAL_S = 5.0
+JOIN_REPAIR_ROUNDS = 300
+# Exchanges that hurry, because of news, are at least this far apart.
+HURRY_INTERVAL_S = 0.5
+LEAVE_PEERS = 16
+LEAVE_TIMEOUT_S = 1.0
 
 
 class Gossip(peer_pb2_grpc.PeerServicer):
-    """Owns the member table and the peer channels of one daemon."""
+    """Owns the member table, the facts and the peer channels."""
 
-    def __init__(self, *, own, seeds, replica, rng, claims):
+    def __init__(
+        self,
+        *,
+        own,
+        seeds,
+        replica,
+        rng,
+        claims,
+        clock=time.monotonic,
+        wall_clock=time.time,
+    ):
         self._table = _table.MemberTable(own=own)
-        self._seeds = seeds
+        self._facts = _facts.FactTable()
+        self._schedule = _schedule.Schedule(table=self._table, rng=rng)
+        self._client = _client.PeerClient(daemon_id=own.daemon_id)
+        self._spread = _spread.ConfigSpread(
+            table=self._table,
+            schedule=self._schedule,
+            client=self._client,
+            replica=replica,
+        )
+        self._seeds = tuple(seeds)
         self._replica = replica
         self._rng = rng
         self._claims = claims
-        self._channels = _transport.PeerChannels()
-        self._task = None
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._fact_listeners = []
+        self._pause_listeners = []
+        self._joined = self._ready = False
+        self._rounds = 0
+        self._last_full = self._last_repair = self._last_seed = 0.0
+        self._news = event.Event()
+        self._tasks = []
 
     @property
     def table(self):
         """The MemberTable."""
         return self._table
 
+    @property
+    def facts(self):
+        """Tuple of all known ServerFact."""
+        return self._facts.facts
+
+    @property
+    def joined(self):
+        """Whether a peer's whole member table was received."""
+        return self._joined
+
+    @property
+    def rounds(self):
+        """Number of times that exchange_once ran."""
+        return self._rounds
+
+    @property
+    def counts(self):
+        """Counter of calls, failures, malformed messages and bytes."""
+        return self._client.counts
+
+    def assert_fact(self, *, address, state, source):
+        """State a fact about a backend server and spread it at once.
+
+        Args:
+          address: core.Address of the server.
+          state: for instance ``draining``.
+          source: who says so, for instance ``operator``; a later statement
+            of the same source replaces this one.
+        Returns:
+          The ServerFact.
+        """
+        fact = self._facts.assert_fact(
+            address=address, state=state, source=source, now_ms=self._now_ms()
+        )
+        self._notify_facts([fact])
+        return fact
+
+    def subscribe_facts(self, listener):
+        """Call listener(facts) after changes, with the tuple of all facts."""
+        self._fact_listeners.append(listener)
+
+    def subscribe_pause(self, listener):
+        """Call listener(seconds) after this process did not run so long."""
+        self._pause_listeners.append(listener)
+
+    def set_ready(self):
+        """Let new daemons rely on the revision that this one names."""
+        self._ready = True
+
+    def set_seeds(self, seeds):
+        """Replace the peer addresses that are tried besides the members."""
+        self._seeds = tuple(seeds)
+
     def start(self):
         """Start exchanging."""
-        self._task = gevent.spawn(self._run)
+        self._spread.start()
+        self._tasks = [gevent.spawn(self._run), gevent.spawn(self._hurry)]
 
     def stop(self):
         """Stop exchanging."""
-        self._task.kill()
-        self._channels.close()
+        gevent.killall(self._tasks)
+        self._spread.stop()
+        self._client.close()
 
     def leave(self):
         """Tell peers that this daemon is leaving."""
         self._table.leave()
-        for peer in self._table.peers:
-            self._exchange(peer.peer_address)
+        peers = list(self._table.peers)
+        self._rng.shuffle(peers)
+        self._exchange_all(peers[:LEAVE_PEERS], timeout=LEAVE_TIMEOUT_S)
 
     def push(self, entries):
-        """Send new entries to some peers.
+        """Push entries; see ConfigSpread.push_acknowledged."""
+        return self._spread.push_acknowledged(entries)
 
-        Returns:
-          List of ids of the peers that acknowledged them.
-        """
-        peers = list(self._table.peers)
-        self._rng.shuffle(peers)
-        request = peer_pb2.PushRequest(
-            sender=_codec.member_to_message(self._table.own), entries=entries
-        )
-        acknowledged = []
-        for peer in peers[:PUSH_FANOUT]:
-            try:
-                reply = self._channels.stub(peer.peer_address).Push(
-                    request, timeout=CALL_TIMEOUT_S
-                )
-            except grpc.RpcError:
-                continue
-            if reply.revision >= entries[-1].revision:
-                acknowledged.append(peer.daemon_id)
-        return acknowledged
+    def spread(self, entries):
+        """Push entries that came from the store in the background."""
+        self._spread.spread(entries)
 
     def claim(self, *, member, request_id):
         """Ask a member for a request id; see peer_pb2.ClaimReply.
@@ -80,47 +161,92 @@
         request = peer_pb2.ClaimRequest(
             request_id=request_id, claimant=self._table.own.daemon_id
         )
-        try:
-            return self._channels.stub(member.peer_address).Claim(
-                request, timeout=CALL_TIMEOUT_S
-            )
-        except grpc.RpcError:
-            return None
+        return self._client.call("Claim", member.peer_address, request)
+
+    def ask_revisions(self):
+        """Exchange with every known peer.
+
+        Returns:
+          Dict from the ids of the peers that answered to pairs (revision,
+          whether the peer is ready).
+        """
+        named = {}
+
+        def ask(peer):
+            reply = self._exchange(peer)
+            if reply is not None:
+                named[peer.daemon_id] = reply.revision, reply.ready
+
+        peers = list(self._table.peers)
+        while peers:
+            batch, peers = peers[:LEAVE_PEERS], peers[LEAVE_PEERS:]
+            gevent.joinall([gevent.spawn(ask, peer) for peer in batch])
+        return named
 
     def exchange_once(self):
-        """Exchange with one peer, or with each seed while none is known."""
-        peers = self._table.peers
-        if peers:
-            peer = self._rng.choice(peers)
-            if not self._exchange(peer.peer_address):
-                self._table.mark(peer.daemon_id, core.MemberState.DEAD)
-        else:
-            for seed in self._seeds:
-                self._exchange(seed)
+        """Exchange with the peer whose turn it is, and with lost ones."""
+        now = self._clock()
+        if not self._joined:
+            self._join()
+        peer = self._schedule.next_peer()
+        if peer is not None:
+            self._try_peer(peer)
+        dead = self._schedule.next_dead(now=now)
+        if dead is not None and self._exchange(dead, full=True) is not None:
+            self._schedule.hurry_dead()
+        self._try_seed(now)
+        self._table.expire(now=self._clock())
+        forgotten = self._facts.expire(now_ms=self._now_ms())
+        if forgotten:
+            self._notify_facts([])
+        self._rounds += 1
 
     # Servicer methods; gRPC fixes their names.
 
     def Exchange(self, request, context):
-        self._merge(request)
-        if request.revision > self._replica.revision:
-            sender = core.parse_address(request.sender.peer_address)
-            gevent.spawn(self._fetch, sender)
-        return self._message()
+        decoded = _codec.decode_gossip(request, now_ms=self._now_ms())
+        if not pipeline.is_successful(decoded):
+            self._reject(context, decoded.failure())
+        gossip = decoded.unwrap()
+        self._absorb(gossip)
+        if gossip.revision > self._replica.revision:
+            gevent.spawn(
+                self._spread.fetch,
+                gossip.sender.peer_address,
+                revision=gossip.revision,
+            )
+        reply = self._message(
+            receiver=gossip.sender.daemon_id, full=gossip.full
+        )
+        reply.full = gossip.full
+        if gossip.facts_parts and gossip.facts_digest != self._facts.digest:
+            reply.facts_parts.extend(self._facts.parts)
+            reply.facts.extend(self._differing(gossip.facts_parts))
+        self._client.count("bytes_in", request.ByteSize())
+        self._client.count("bytes_out", reply.ByteSize())
+        return reply
+
+    def ProbeFor(self, request, context):
+        decoded = _codec.decode_address(
+            request.target_address, field="target_address"
+        )
+        if not pipeline.is_successful(decoded):
+            self._reject(context, decoded.failure())
+        reply = self._exchange_address(decoded.unwrap())
+        return peer_pb2.ProbeForReply(
+            reached=reply is not None
+            and reply.sender.daemon_id == request.target_id
+        )
 
     def Push(self, request, context):
-        applied = self._replica.apply_entries(request.entries)
-        if applied:
-            gevent.spawn(self.push, applied)
-        return peer_pb2.PushReply(revision=self._replica.revision)
+        decoded = _codec.decode_push(request)
+        if not pipeline.is_successful(decoded):
+            self._reject(context, decoded.failure())
+        revision = self._spread.receive(*decoded.unwrap())
+        return peer_pb2.PushReply(revision=revision)
 
     def Fetch(self, request, context):
-        entries = self._replica.entries_after(request.after_revision)
-        if entries is None:
-            snapshot = self._replica.snapshot().SerializeToString()
-            yield peer_pb2.FetchChunk(snapshot=snapshot)
-            return
-        for entry in entries:
-            yield peer_pb2.FetchChunk(entry=entry)
+        yield from self._spread.serve(request.after_revision)
 
     def Claim(self, request, context):
         return self._claims(request)
@@ -128,47 +254,192 @@
     def _run(self):
         while True:
             self.exchange_once()
-            gevent.sleep(EXCHANGE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            interval = EXCHANGE_INTERVAL_S * self._rng.uniform(0.8, 1.2)
+            before = self._clock()
+            gevent.sleep(interval)
+            late = self._clock() - before - interval
+            if late > PAUSE_S:
+                self._resume(late)
+
+    def _hurry(self):
+        while True:
+            self._news.wait()
+            self._news.clear()
+            self._exchange_all(self._schedule.push_targets())
+            gevent.sleep(HURRY_INTERVAL_S)
+
+    def _resume(self, seconds):
+        """Catch up after this process did not run.
+
+        The members did not fail because this daemon did not hear them, and
+        they may believe that it has.
+        """
+        self._table.postpone(seconds)
+        self._client.count("pauses")
+        for listener in self._pause_listeners:
+            listener(seconds)
+        self._exchange_all(self._schedule.push_targets(), full=True)
+        self._news.set()
+
+    def _join(self):
+        for address in self._unknown_seeds(all_seeds=True):
+            reply = self._exchange_address(address, full=True)
+            if reply is not None:
+                self._joined = True
+                self._repair_facts(address, rounds=JOIN_REPAIR_ROUNDS)
+                return
+
+    def _try_seed(self, now):
+        if now - self._last_seed < _schedule.DEAD_RETRY_S:
+            return
+        self._last_seed = now
+        unknown = self._unknown_seeds()
+        if unknown:
+            self._exchange_address(self._rng.choice(unknown), full=True)
+        self._client.keep_only(
+            [member.peer_address for member in self._table.members]
+        )
+
+    def _unknown_seeds(self, all_seeds=False):
+        known = {self._table.own.peer_address}
+        if not all_seeds:
+            known = {member.peer_address for member in self._table.members}
+        return [seed for seed in self._seeds if seed not in known]
+
+    def _try_peer(self, peer):
+        started = self._clock()
+        full = (
+            self._table.settled and started - self._last_full > FULL_INTERVAL_S
+        )
+        reply = self._exchange(peer)
+        if reply is None:
+            if self._clock() - started < PAUSE_S:
+                gevent.spawn(self._probe_indirectly, peer)
+            return
+        if full and reply.members_digest != self._table.digest:
+            self._last_full = started
+            self._exchange(peer, full=True)
+        if (
+            reply.facts_digest != self._facts.digest
+            and self._facts.settled
+            and started - self._last_repair > REPAIR_INTERVAL_S
+        ):
+            self._last_repair = started
+            self._repair_facts(peer.peer_address, rounds=1)
 
-    def _exchange(self, address):
-        try:
-            reply = self._channels.stub(address).Exchange(
-                self._message(), timeout=CALL_TIMEOUT_S
+    def _probe_indirectly(self, peer):
+        request = peer_pb2.ProbeForRequest(
+            target_address=str(peer.peer_address), target_id=peer.daemon_id
+        )
+        probes = [
+            gevent.spawn(
+                self._client.call,
+                "ProbeFor",
+                helper.peer_address,
+                request,
+                timeout=2 * _client.CALL_TIMEOUT_S,
             )
-        except grpc.RpcError:
-            return False
-        self._merge(reply)
-        if reply.revision > self._replica.revision:
-            self._fetch(address)
-        return True
-
-    def _fetch(self, address):
-        request = peer_pb2.FetchRequest(after_revision=self._replica.revision)
-        entries = []
-        try:
-            for chunk in self._channels.stub(address).Fetch(
-                request, timeout=10 * CALL_TIMEOUT_S
-            ):
-                if chunk.WhichOneof("part") == "snapshot":
-                    self._replica.load_snapshot(
-                        settings_pb2.Snapshot.FromString(chunk.snapshot)
-                    )
-                else:
-                    entries.append(chunk.entry)
-        except grpc.RpcError:
-            pass
-        self._replica.apply_entries(entries)
-
-    def _message(self):
+            for helper in self._schedule.helpers(peer.daemon_id)
+        ]
+        gevent.joinall(probes)
+        if not any(probe.value and probe.value.reached for probe in probes):
+            self._table.suspect(peer.daemon_id, now=self._clock())
+
+    def _repair_facts(self, address, *, rounds):
+        """Exchange the facts in the parts of the table that differ."""
+        owed = []
+        for _ in range(rounds):
+            reply = self._exchange_address(address, parts=True, facts=owed)
+            if reply is None or not reply.facts_parts:
+                return
+            owed = self._differing(reply.facts_parts)
+
+    def _differing(self, parts):
+        return [
+            _codec.fact_to_message(fact)
+            for fact in self._facts.differing(parts, rng=self._rng)
+        ]
+
+    def _exchange_all(self, peers, *, full=False, timeout=None):
+        tasks = [gevent.spawn(self._exchange, p, full=full) for p in peers]
+        gevent.joinall(tasks, timeout=timeout)
+
+    def _exchange(self, peer, *, full=False):
+        reply = self._exchange_address(
+            peer.peer_address, receiver=peer.daemon_id, full=full
+        )
+        if reply is None or reply.sender.daemon_id != peer.daemon_id:
+            return None
+        return reply
+
+    def _exchange_address(
+        self, address, *, receiver=None, full=False, parts=False, facts=()
+    ):
+        """Exchange with an address.
+
+        Returns:
+          The decoded reply, or None where there was none that can be used.
+        """
+        request = self._message(receiver=receiver, full=full)
+        request.facts.extend(facts)
+        if parts:
+            request.facts_parts.extend(self._facts.parts)
+        reply = self._client.call("Exchange", address, request)
+        if reply is None:
+            return None
+        decoded = _codec.decode_gossip(reply, now_ms=self._now_ms())
+        if not pipeline.is_successful(decoded):
+            self._client.count("malformed")
+            return None
+        gossip = decoded.unwrap()
+        self._absorb(gossip)
+        if gossip.revision > self._replica.revision:
+            self._spread.fetch(address, revision=gossip.revision)
+        return gossip
+
+    def _message(self, *, receiver, full):
+        if full:
+            members = (self._table.own, *self._table.peers)
+            known = self._table.find(receiver)
+            if known is not None and known not in members:
+                members += (known,)
+        else:
+            members = self._table.take_updates(receiver=receiver)
+        facts = self._facts.take_updates(sends=self._table.max_sends)
         return peer_pb2.GossipMessage(
             sender=_codec.member_to_message(self._table.own),
             revision=self._replica.revision,
-            members=[
-                _codec.member_to_message(member)
-                for member in self._table.members
-            ],
+            members=map(_codec.member_to_message, members),
+            facts=map(_codec.fact_to_message, facts),
+            facts_digest=self._facts.digest,
+            members_digest=self._table.digest,
+            full=full,
+            ready=self._ready,
         )
 
-    def _merge(self, message):
-        for record in (message.sender, *message.members):
-            self._table.merge(_codec.member_from_message(record))
+    def _absorb(self, gossip):
+        now = self._clock()
+        own = self._table.own
+        leaving = self._table.leaving_ids
+        self._joined = self._joined or gossip.full
+        self._table.merge(gossip.sender, now=now, direct=True)
+        for member in gossip.members:
+            self._table.merge(member, now=now)
+        changed = self._facts.merge(gossip.facts, now_ms=self._now_ms())
+        if changed:
+            self._notify_facts(changed)
+        if self._table.own is not own or self._table.leaving_ids - leaving:
+            self._news.set()
+
+    def _notify_facts(self, changed):
+        for listener in self._fact_listeners:
+            listener(self.facts)
+        if changed:
+            self._news.set()
+
+    def _reject(self, context, malformed):
+        self._client.count("malformed")
+        context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(malformed))
+
+    def _now_ms(self):
+        return int(self._wall_clock() * 1000)
