--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -10,6 +10,7 @@
 from wigeonrouter import administration
 from wigeonrouter import configuration
 from wigeonrouter import core
+from wigeonrouter import health
 from wigeonrouter import membership
 from wigeonrouter import observability
 from wigeonrouter import request_path
@@ -43,9 +44,11 @@
             address=settings.store_address,
             timeout=settings.store_timeout,
         )
+        started_ms = int(time.time() * 1000)
         own = core.Member(
             daemon_id=settings.daemon_id,
-            incarnation=int(time.time() * 1000),
+            incarnation=started_ms,
+            instance=started_ms,
             state=core.MemberState.ALIVE,
             place=settings.place,
             caller_address=settings.caller_address,
@@ -77,6 +80,12 @@
             observe=self._metrics.observe,
             rng=self._rng,
         )
+        self._prober = health.Prober(
+            place=settings.place,
+            daemon_id=settings.daemon_id,
+            live_members=lambda: self.table.alive,
+            dispatchers=lambda: self._handler.dispatchers,
+        )
         self._callers = request_path.CallerServer(
             address=settings.caller_address,
             handler=self._handler,
@@ -135,7 +144,10 @@
         self._callers.start()
         self._gossip.start()
         self._replication.start()
-        self._tasks = [gevent.spawn(self._housekeep)]
+        self._tasks = [
+            gevent.spawn(self._housekeep),
+            gevent.spawn(self._prober.run),
+        ]
 
     def stop(self):
         """Stop gracefully: no request is cut.
@@ -167,7 +179,7 @@
 
     def _claim_from_peer(self, parsed, request_id):
         member = self.table.find(parsed.daemon_id)
-        if member is None or member.incarnation != parsed.incarnation:
+        if member is None or member.instance != parsed.instance:
             return None
         return self._gossip.claim(member=member, request_id=request_id)
 
--- a/wigeonrouter/membership/_codec.py
+++ b/wigeonrouter/membership/_codec.py
@@ -61,20 +61,20 @@
     return peer_pb2.MemberRecord(
         daemon_id=member.daemon_id,
         incarnation=member.incarnation,
-        refutations=member.refutations,
         state=_TO_MESSAGE[member.state],
         region=member.place.region,
         failure_domain=member.place.failure_domain,
         caller_address=str(member.caller_address),
         admin_address=str(member.admin_address),
         peer_address=str(member.peer_address),
+        instance=member.instance,
     )
 
 
 def fact_to_message(fact):
     """Return a peer_pb2.ServerFact."""
     return peer_pb2.ServerFact(
-        address=str(fact.address),
+        address=fact.address,
         state=fact.state,
         version=fact.version,
         source=fact.source,
@@ -169,7 +169,7 @@
         _require(
             _NAME.fullmatch(getattr(record, name)), f"{field}.{name}", "bad"
         )
-    for name in ("incarnation", "refutations"):
+    for name in ("incarnation", "instance"):
         _require(
             getattr(record, name) < MAX_INTEGER, f"{field}.{name}", "too large"
         )
@@ -177,7 +177,7 @@
     return core.Member(
         daemon_id=record.daemon_id,
         incarnation=record.incarnation,
-        refutations=record.refutations,
+        instance=record.instance,
         state=_FROM_MESSAGE[record.state],
         place=core.Place(
             region=record.region, failure_domain=record.failure_domain
@@ -198,7 +198,7 @@
     latest = now_ms + _facts.MAX_AHEAD_S * 1000
     _require(0 < record.version <= latest, f"{field}.version", "out of bounds")
     return _facts.ServerFact(
-        address=_address(record.address, f"{field}.address"),
+        address=str(_address(record.address, f"{field}.address")),
         state=record.state,
         version=record.version,
         source=record.source,
--- a/wigeonrouter/membership/_facts.py
+++ b/wigeonrouter/membership/_facts.py
@@ -29,13 +29,13 @@
     """A statement about a backend server.
 
     Attributes:
-      address: core.Address of the server.
+      address: IP number and port of the server, as text.
       state: for instance ``draining`` or ``active``.
       version: milliseconds since the epoch; the highest wins.
       source: who says so, for instance ``operator``.
     """
 
-    address: object
+    address: str
     state: str
     version: int
     source: str
--- a/wigeonrouter/membership/_gossip.py
+++ b/wigeonrouter/membership/_gossip.py
@@ -97,7 +97,7 @@
         """State a fact about a backend server and spread it at once.
 
         Args:
-          address: core.Address of the server.
+          address: IP number and port of the server.
           state: for instance ``draining``.
           source: who says so, for instance ``operator``; a later statement
             of the same source replaces this one.
@@ -105,7 +105,10 @@
           The ServerFact.
         """
         fact = self._facts.assert_fact(
-            address=address, state=state, source=source, now_ms=self._now_ms()
+            address=str(address),
+            state=state,
+            source=source,
+            now_ms=self._now_ms(),
         )
         self._notify_facts([fact])
         return fact
--- a/wigeonrouter/membership/_table.py
+++ b/wigeonrouter/membership/_table.py
@@ -98,7 +98,7 @@
                 leaving = member.state is core.MemberState.LEAVING
                 digest ^= xxhash.xxh3_64_intdigest(
                     f"{member.daemon_id} {member.incarnation} "
-                    f"{member.refutations} {leaving}".encode()
+                    f"{leaving}".encode()
                 )
             self._digest = digest
         return self._digest
@@ -241,21 +241,10 @@
             self._deadlines.pop(known.daemon_id, None)
 
     def _refute(self, member):
-        if member.incarnation > self._own.incarnation:
-            # An earlier process on a VM whose clock was ahead. Request ids
-            # that name its incarnation must not name this one.
-            self._set_own(
-                dataclasses.replace(
-                    self._own,
-                    incarnation=member.incarnation + 1,
-                    refutations=0,
-                )
-            )
-            return True
         if _rank(member) <= _rank(self._own):
             return False
         self._set_own(
-            dataclasses.replace(self._own, refutations=member.refutations + 1)
+            dataclasses.replace(self._own, incarnation=member.incarnation + 1)
         )
         return True
 
@@ -277,8 +266,4 @@
 
 
 def _rank(member):
-    return (
-        member.incarnation,
-        member.refutations,
-        _PRECEDENCE[member.state],
-    )
+    return member.incarnation, _PRECEDENCE[member.state]
