--- a/wigeonrouter/core/_problems.py
+++ b/wigeonrouter/core/_problems.py
@@ -77,6 +77,9 @@
 RETRY_BUDGET_SPENT = _not_run(
     "retry-budget-spent", "The retry budget is spent", 503
 )
+TOO_MANY_CONNECTIONS = _not_run(
+    "too-many-connections", "The daemon has too many connections", 503
+)
 ANSWER_LOST = _unknown(
     "answer-lost", "The connection was lost before the answer was whole", 502
 )
@@ -103,4 +106,6 @@
     "The daemon that the request id names cannot be asked",
     503,
 )
+# Appears in logs and metrics only; there is no one left to answer.
+CALLER_GONE = _unknown("caller-gone", "The caller closed its connection", 499)
 INTERNAL = _unknown("internal", "The daemon failed", 500)
--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -18,7 +18,6 @@
 from wigeonrouter import store as store_api
 from wigeonrouter.schema import peer_pb2
 
-_MAX_BODY_BYTES = 64 << 20
 _WATCH_TIMEOUT_S = 5.0
 _HOUSEKEEPING_INTERVAL_S = 1.0
 _DRAIN_POLL_S = 0.05
@@ -66,7 +65,7 @@
         )
         self._handler = request_path.RequestHandler(
             place=settings.place,
-            own_member=lambda: own,
+            own_member=lambda: self.table.own,
             claim_from_peer=self._claim_from_peer,
             observe=self._metrics.observe,
             rng=self._rng,
@@ -74,7 +73,6 @@
         self._callers = request_path.CallerServer(
             address=settings.caller_address,
             handler=self._handler,
-            max_body_bytes=_MAX_BODY_BYTES,
         )
         self._admin = pywsgi.WSGIServer(
             (settings.admin_address.host, settings.admin_address.port),
@@ -189,10 +187,12 @@
 
     def _claim_from_peer(self, parsed, request_id):
         member = self.table.find(parsed.daemon_id)
-        if member is None or member.incarnation != parsed.incarnation:
+        if member is None:
             return None
         return self._gossip.claim(member=member, request_id=request_id)
 
     def _answer_claim(self, request):
-        known = self._handler.ids.claim(request.request_id)
+        known = self._handler.ids.answer_claim(
+            request.request_id, request.claimant
+        )
         return peer_pb2.ClaimReply(seen=known is not None, outcome=known or "")
--- a/wigeonrouter/membership/_gossip.py
+++ b/wigeonrouter/membership/_gossip.py
@@ -25,6 +25,8 @@
         self._replica = replica
         self._rng = rng
         self._claims = claims
+        # A replaced daemon has lost the ids that it claimed.
+        self._claimant = f"{own.daemon_id}~{own.incarnation}"
         self._channels = _transport.PeerChannels()
         self._task = None
 
@@ -78,7 +80,7 @@
           The reply, or None where the member did not answer.
         """
         request = peer_pb2.ClaimRequest(
-            request_id=request_id, claimant=self._table.own.daemon_id
+            request_id=request_id, claimant=self._claimant
         )
         try:
             return self._channels.stub(member.peer_address).Claim(
--- a/wigeonrouter/request_path/__init__.py
+++ b/wigeonrouter/request_path/__init__.py
@@ -1,16 +1,18 @@
 """The path of a request: caller connections, forwarding, request ids."""
 
 from wigeonrouter.request_path import _handler
-from wigeonrouter.request_path import _http
+from wigeonrouter.request_path import _messages
 from wigeonrouter.request_path import _request_ids
+from wigeonrouter.request_path import _request_reader
+from wigeonrouter.request_path import _response_reader
 from wigeonrouter.request_path import _server
 
 CallerServer = _server.CallerServer
-HttpRequest = _http.HttpRequest
-HttpResponse = _http.HttpResponse
+HttpRequest = _messages.HttpRequest
+HttpResponse = _messages.HttpResponse
 RequestHandler = _handler.RequestHandler
 RequestIdTable = _request_ids.RequestIdTable
-RequestReader = _http.RequestReader
+RequestReader = _request_reader.RequestReader
 RequestRecord = _handler.RequestRecord
 
-read_response = _http.read_response
+read_response = _response_reader.read_response
--- /dev/null
+++ b/wigeonrouter/request_path/_attempt.py
@@ -0,0 +1,158 @@
+"""One attempt: sends a request to one backend server and reads the answer."""
+
+import time
+
+from wigeonrouter import core
+from wigeonrouter.request_path import _decisions
+from wigeonrouter.request_path import _messages
+from wigeonrouter.request_path import _pool
+from wigeonrouter.request_path import _render
+from wigeonrouter.request_path import _response_reader
+
+
+class AttemptSender:
+    """Sends attempts over pooled connections."""
+
+    def __init__(self, *, pool, clock=time.monotonic):
+        self._pool = pool
+        self._clock = clock
+
+    def send(self, forwarding, grant):
+        """Send a request to the granted server and release the grant.
+
+        Args:
+          forwarding: _forwarder.Forwarding; its in_doubt is kept true
+            while the server may have run the request.
+          grant: core.Grant.
+        Returns:
+          HttpResponse, or core.Refusal.
+        """
+        outcome, report, cancelled = core.Outcome.UNKNOWN, None, True
+        dispatcher = forwarding.dispatcher
+        try:
+            answer = self._send(forwarding, grant.server.address)
+            cancelled = False
+            if isinstance(answer, core.Refusal):
+                outcome = answer.problem.outcome
+            else:
+                report = self._report(answer, grant, dispatcher)
+                outcome = outcome_of(answer)
+                if outcome is core.Outcome.NOT_RUN:
+                    answer = core.Refusal(
+                        problem=core.problems.REFUSED_BY_SERVER
+                    )
+                    forwarding.in_doubt = False
+            return answer
+        finally:
+            dispatcher.release(
+                grant,
+                core.AttemptResult(
+                    outcome=outcome,
+                    latency=self._clock() - grant.granted,
+                    report=report,
+                    cancelled=cancelled,
+                ),
+            )
+
+    def _send(self, forwarding, address):
+        while True:
+            limits = forwarding.dispatcher.service.limits
+            if self._clock() >= forwarding.deadline:
+                return core.Refusal(problem=core.problems.DEADLINE_PASSED)
+            try:
+                connection = self._pool.checkout(
+                    address=address,
+                    limit=limits.connections_per_server,
+                    deadline=forwarding.deadline,
+                )
+            except _pool.ConnectFailed as error:
+                return core.Refusal(
+                    problem=core.problems.CONNECT_FAILED, detail=str(error)
+                )
+            fresh = connection.fresh
+            try:
+                return self._exchange(
+                    forwarding, address, connection, limits.max_response_bytes
+                )
+            except _pool.NotSent as error:
+                forwarding.in_doubt = False
+                if fresh:
+                    return core.Refusal(
+                        problem=core.problems.CONNECT_FAILED,
+                        detail=str(error),
+                    )
+
+    def _exchange(self, forwarding, address, connection, max_bytes):
+        reusable = False
+        try:
+            # Waiting for the connection may have taken any time, also
+            # because this process was stopped.
+            remaining = forwarding.deadline - self._clock()
+            if remaining <= 0:
+                return core.Refusal(problem=core.problems.DEADLINE_PASSED)
+            data = _render.render_request(
+                request=forwarding.request,
+                timeout_ms=max(1, int(remaining * 1000)),
+            )
+            forwarding.in_doubt = True
+            connection.send(data, remaining)
+            answer, reusable = _response_reader.read_response(
+                receive=self._receiver(connection, forwarding.deadline),
+                method=forwarding.request.method,
+                max_bytes=max_bytes,
+            )
+            if not _answers(answer, forwarding.request):
+                reusable = False
+                return core.Refusal(
+                    problem=core.problems.ANSWER_INVALID,
+                    detail="response to another request",
+                )
+            return answer
+        except TimeoutError:
+            return core.Refusal(problem=core.problems.ANSWER_LATE)
+        except OSError as error:
+            return core.Refusal(
+                problem=core.problems.ANSWER_LOST, detail=str(error)
+            )
+        except _messages.MalformedMessage as error:
+            return core.Refusal(problem=error.problem, detail=str(error))
+        finally:
+            if reusable:
+                self._pool.put_back(address, connection)
+            else:
+                self._pool.discard(address, connection)
+
+    def _receiver(self, connection, deadline):
+        def receive():
+            remaining = deadline - self._clock()
+            if remaining <= 0:
+                raise TimeoutError
+            connection.set_timeout(remaining)
+            return connection.receive()
+
+        return receive
+
+    def _report(self, answer, grant, dispatcher):
+        text = answer.header(b"backend-load")
+        if not text:
+            return None
+        return _decisions.parse_load_report(
+            text=text.decode("latin-1"),
+            now=self._clock(),
+            own_in_flight=dispatcher.in_flight(grant.server.name) - 1,
+        )
+
+
+def outcome_of(answer):
+    """Return the core.Outcome that an HttpResponse proves."""
+    if answer.status == 503 and answer.header(b"x-not-run") == b"1":
+        return core.Outcome.NOT_RUN
+    if answer.status >= 500:
+        return core.Outcome.FAILED
+    return core.Outcome.OK
+
+
+def _answers(answer, request):
+    """Return whether an answer's own request id, if any, is the request's."""
+    answered = answer.header(b"x-request-id")
+    return not answered or answered == request.header(b"x-request-id")
--- a/wigeonrouter/request_path/_forwarder.py
+++ b/wigeonrouter/request_path/_forwarder.py
@@ -1,175 +1,103 @@
 """Forwards one request: attempts, retries and their outcome."""
 
+import dataclasses
 import time
 
 from wigeonrouter import core
+from wigeonrouter.request_path import _attempt
 from wigeonrouter.request_path import _decisions
-from wigeonrouter.request_path import _http
-from wigeonrouter.request_path import _pool
+from wigeonrouter.request_path import _messages
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Forwarding:
+    """One request on its way.
+
+    Attributes:
+      request: HttpRequest of the caller.
+      kind: its core.TrafficKind.
+      tenant: text.
+      deadline: seconds on the monotonic clock.
+      dispatcher: Dispatcher of the service.
+      budget: limits.RetryBudget of the service.
+      in_doubt: whether a backend server may have run the request; valid at
+        any time, also when the task is cancelled.
+      server: name of the backend server of the last attempt.
+      excluded: names of the backend servers that were tried.
+    """
+
+    request: _messages.HttpRequest
+    kind: core.TrafficKind
+    tenant: str
+    deadline: float
+    dispatcher: object
+    budget: object
+    in_doubt: bool = False
+    server: str = ""
+    attempts: int = 0
+    excluded: frozenset[str] = frozenset()
 
 
 class Forwarder:
     """Sends requests to backend servers over pooled connections."""
 
     def __init__(self, *, pool, clock=time.monotonic):
-        self._pool = pool
         self._clock = clock
+        self._sender = _attempt.AttemptSender(pool=pool, clock=clock)
 
-    def forward(self, *, request, kind, tenant, deadline, dispatcher, budget):
+    def forward(self, forwarding):
         """Get the whole answer to a request.
 
         Args:
-          request: HttpRequest of the caller.
-          kind: its core.TrafficKind.
-          tenant: text.
-          deadline: seconds on the monotonic clock.
-          dispatcher: Dispatcher of the service.
-          budget: limits.RetryBudget of the service.
+          forwarding: Forwarding; updated on the way.
         Returns:
-          A pair: HttpResponse or core.Refusal, and the name of the backend
-          server of the last attempt.
+          HttpResponse or core.Refusal.
         """
-        budget.on_request()
-        settings = dispatcher.service
-        attempt, doubtful, server = 0, None, ""
-        excluded = frozenset()
+        forwarding.budget.on_request()
+        doubtful = None
         while True:
-            attempt += 1
-            grant = dispatcher.acquire(
-                core.DispatchRequest(
-                    kind=kind,
-                    tenant=tenant,
-                    deadline=deadline,
-                    body_bytes=len(request.body),
-                    attempt=attempt,
-                    excluded=excluded,
-                )
-            )
+            grant = self._acquire(forwarding)
             if isinstance(grant, core.Refusal):
-                return (
-                    _decisions.final_refusal(refusal=grant, doubtful=doubtful),
-                    server,
+                return _decisions.final_refusal(
+                    refusal=grant, doubtful=doubtful
                 )
-            server = grant.server.name
-            answer = self._attempt(request, grant, deadline, dispatcher)
-            if isinstance(answer, _http.HttpResponse):
-                return answer, server
+            answer = self._sender.send(forwarding, grant)
+            if isinstance(answer, _messages.HttpResponse):
+                return answer
             if answer.problem.outcome is core.Outcome.UNKNOWN:
                 doubtful = answer
-            again = _decisions.may_retry(
-                kind=kind,
-                refusal=answer,
-                attempt=attempt,
-                max_attempts=settings.retries.max_attempts,
-                now=self._clock(),
-                deadline=deadline,
-            )
-            if not again or not budget.try_spend():
-                return (
-                    _decisions.final_refusal(
-                        refusal=answer, doubtful=doubtful
-                    ),
-                    server,
+            if not self._may_retry(forwarding, answer):
+                return _decisions.final_refusal(
+                    refusal=answer, doubtful=doubtful
                 )
-            excluded |= {server}
 
-    def _attempt(self, request, grant, deadline, dispatcher):
-        outcome, report, cancelled = core.Outcome.UNKNOWN, None, True
-        try:
-            answer = self._send(request, grant, deadline, dispatcher)
-            cancelled = False
-            if isinstance(answer, core.Refusal):
-                outcome = answer.problem.outcome
-            else:
-                report = self._report(answer, grant, dispatcher)
-                outcome = _outcome_of(answer)
-                if outcome is core.Outcome.NOT_RUN:
-                    answer = core.Refusal(
-                        problem=core.problems.REFUSED_BY_SERVER
-                    )
-            return answer
-        finally:
-            dispatcher.release(
-                grant,
-                core.AttemptResult(
-                    outcome=outcome,
-                    latency=self._clock() - grant.granted,
-                    report=report,
-                    cancelled=cancelled,
-                ),
+    def _acquire(self, forwarding):
+        forwarding.attempts += 1
+        grant = forwarding.dispatcher.acquire(
+            core.DispatchRequest(
+                kind=forwarding.kind,
+                tenant=forwarding.tenant,
+                deadline=forwarding.deadline,
+                body_bytes=len(forwarding.request.body),
+                attempt=forwarding.attempts,
+                excluded=forwarding.excluded,
             )
+        )
+        if isinstance(grant, core.Grant):
+            forwarding.server = grant.server.name
+            forwarding.excluded |= {grant.server.name}
+        return grant
 
-    def _send(self, request, grant, deadline, dispatcher):
-        address = grant.server.address
-        limits = dispatcher.service.limits
-        remaining = deadline - self._clock()
-        if remaining <= 0:
-            return core.Refusal(problem=core.problems.DEADLINE_PASSED)
-        try:
-            connection = self._pool.checkout(
-                address=address,
-                limit=limits.connections_per_server,
-                timeout=remaining,
-            )
-        except _pool.ConnectFailed as error:
-            return core.Refusal(
-                problem=core.problems.CONNECT_FAILED, detail=str(error)
-            )
-        reusable = False
-        try:
-            remaining = deadline - self._clock()
-            if remaining <= 0:
-                return core.Refusal(problem=core.problems.DEADLINE_PASSED)
-            timeout_ms = max(1, int(remaining * 1000))
-            data = _http.render_request(
-                request=request,
-                headers=((b"x-request-timeout-ms", b"%d" % timeout_ms),),
-            )
-            connection.send(data, remaining)
-            answer, reusable = _http.read_response(
-                receive=self._receiver(connection, deadline),
-                method=request.method,
-                max_bytes=limits.max_response_bytes,
-            )
-            return answer
-        except TimeoutError:
-            return core.Refusal(problem=core.problems.ANSWER_LATE)
-        except OSError as error:
-            return core.Refusal(
-                problem=core.problems.ANSWER_LOST, detail=str(error)
+    def _may_retry(self, forwarding, refusal):
+        settings = forwarding.dispatcher.service.retries
+        return (
+            _decisions.may_retry(
+                kind=forwarding.kind,
+                refusal=refusal,
+                attempt=forwarding.attempts,
+                max_attempts=settings.max_attempts,
+                now=self._clock(),
+                deadline=forwarding.deadline,
             )
-        except _http.MalformedMessage as error:
-            return core.Refusal(problem=error.problem, detail=str(error))
-        finally:
-            if reusable:
-                self._pool.put_back(address, connection)
-            else:
-                self._pool.discard(address, connection)
-
-    def _receiver(self, connection, deadline):
-        def receive():
-            remaining = deadline - self._clock()
-            if remaining <= 0:
-                raise TimeoutError
-            connection.set_timeout(remaining)
-            return connection.receive()
-
-        return receive
-
-    def _report(self, answer, grant, dispatcher):
-        text = answer.header(b"backend-load")
-        if not text:
-            return None
-        return _decisions.parse_load_report(
-            text=text.decode("latin-1"),
-            now=self._clock(),
-            own_in_flight=dispatcher.in_flight(grant.server.name) - 1,
+            and forwarding.budget.try_spend()
         )
-
-
-def _outcome_of(answer):
-    if answer.status == 503 and answer.header(b"x-not-run") == b"1":
-        return core.Outcome.NOT_RUN
-    if answer.status >= 500:
-        return core.Outcome.FAILED
-    return core.Outcome.OK
--- a/wigeonrouter/request_path/_handler.py
+++ b/wigeonrouter/request_path/_handler.py
@@ -3,15 +3,24 @@
 import dataclasses
 import random
 import time
+from urllib import parse
+
+import logbook
 
 from wigeonrouter import core
 from wigeonrouter import dispatch
 from wigeonrouter import limits
+from wigeonrouter.request_path import _caller_connection
 from wigeonrouter.request_path import _decisions
 from wigeonrouter.request_path import _forwarder
-from wigeonrouter.request_path import _http
+from wigeonrouter.request_path import _messages
+from wigeonrouter.request_path import _owned_ids
 from wigeonrouter.request_path import _pool
-from wigeonrouter.request_path import _request_ids
+from wigeonrouter.request_path import _render
+
+# Tenant names become keys of queues and histograms.
+_MAX_TENANT_LENGTH = 100
+_log = logbook.Logger("request-path")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,15 +52,17 @@
         wall_clock=time.time,
     ):
         self._place = place
-        self._own_member = own_member
-        self._claim_from_peer = claim_from_peer
         self._observe = observe
         self._rng = rng or random.Random()
         self._clock = clock
-        self._wall_clock = wall_clock
         self._pool = _pool.ConnectionPool(clock=clock)
         self._forwarder = _forwarder.Forwarder(pool=self._pool, clock=clock)
-        self._ids = _request_ids.RequestIdTable(clock=clock)
+        self._ids = _owned_ids.OwnedIds(
+            own_member=own_member,
+            claim_from_peer=claim_from_peer,
+            clock=clock,
+            wall_clock=wall_clock,
+        )
         self._services = {}
         self._table = dispatch.build_routing_table({})
         self._dispatchers = {}
@@ -65,7 +76,7 @@
 
     @property
     def ids(self):
-        """The RequestIdTable."""
+        """The OwnedIds."""
         return self._ids
 
     def reconfigure(self, services):
@@ -92,31 +103,51 @@
         """Close pooled connections that were idle for too long."""
         self._pool.close_idle()
 
-    def handle(self, request):
+    def body_limit(self, request):
+        """Return the largest body of a request whose head has arrived.
+
+        Raises:
+          MalformedMessage: no service matches the request.
+        """
+        service, _ = self._route(request)
+        if service is None:
+            raise _messages.MalformedMessage(core.problems.NO_ROUTE)
+        return service.limits.max_body_bytes
+
+    def handle(self, request, arrived):
         """Answer one request.
 
         Args:
           request: HttpRequest.
+          arrived: earliest time at which it may have arrived, seconds on
+            the monotonic clock.
         Returns:
           HttpResponse for the caller.
         """
-        started = self._clock()
-        request_id = request.header(b"x-request-id").decode("latin-1")
-        tenant = request.header(b"x-tenant").decode("latin-1") or "default"
-        service, kind = self._route(request)
-        server = ""
-        if service is None:
-            answer = core.Refusal(problem=core.problems.NO_ROUTE)
-        else:
-            answer, server = self._run(
-                request, request_id, tenant, service, kind, started
-            )
-        return self._finish(
-            answer, request_id, tenant, service, kind, server, started
+        call = _Call(
+            request=request,
+            request_id=request.header(b"x-request-id").decode("latin-1"),
+            tenant=request.header(b"x-tenant").decode("latin-1") or "default",
+            arrived=arrived,
         )
+        try:
+            answer = self._run(call)
+        except _caller_connection.CallerGone:
+            self._record(
+                call, core.problems.CALLER_GONE.name, core.Outcome.UNKNOWN
+            )
+            raise
+        except Exception:
+            _log.exception("request {} failed", call.request_id)
+            answer = core.Refusal(problem=core.problems.INTERNAL)
+        return self._finish(call, answer)
 
     def _route(self, request):
         path = request.target.decode("latin-1").partition("?")[0]
+        if "%" in path:
+            # A backend server decodes the path; the kind of traffic must be
+            # that of the path which it acts on.
+            path = parse.unquote(path, "latin-1")
         host = request.header(b"host").decode("latin-1").partition(":")[0]
         name = dispatch.find_service(
             table=self._table,
@@ -132,74 +163,59 @@
         )
         return service, kind
 
-    def _run(self, request, request_id, tenant, service, kind, started):
-        if len(request.body) > service.limits.max_body_bytes:
-            return core.Refusal(problem=core.problems.BODY_TOO_LARGE), ""
+    def _run(self, call):
+        call.service, call.kind = self._route(call.request)
+        if call.service is None:
+            return core.Refusal(problem=core.problems.NO_ROUTE)
+        limits_of = call.service.limits
+        if len(call.request.body) > limits_of.max_body_bytes:
+            return core.Refusal(problem=core.problems.BODY_TOO_LARGE)
+        if len(call.tenant) > _MAX_TENANT_LENGTH:
+            return core.Refusal(
+                problem=core.problems.BAD_REQUEST,
+                detail="X-Tenant is too long",
+            )
         timeout = _decisions.parse_timeout(
-            text=request.header(b"x-request-timeout-ms").decode("latin-1"),
-            kind=kind,
-            limits=service.limits,
+            text=call.request.header(b"x-request-timeout-ms").decode(
+                "latin-1"
+            ),
+            kind=call.kind,
+            limits=limits_of,
         )
         if timeout is None:
-            return (
-                core.Refusal(
-                    problem=core.problems.BAD_REQUEST,
-                    detail="X-Request-Timeout-Ms is no positive number",
-                ),
-                "",
+            return core.Refusal(
+                problem=core.problems.BAD_REQUEST,
+                detail="X-Request-Timeout-Ms is no positive number",
             )
-        remembered = bool(request_id) and not kind.idempotent
-        if remembered:
-            refusal = self._begin(request_id)
-            if refusal is not None:
-                return refusal, ""
-        outcome = core.Outcome.UNKNOWN
+        call.forwarding = _forwarder.Forwarding(
+            request=call.request,
+            kind=call.kind,
+            tenant=call.tenant,
+            deadline=call.arrived + timeout,
+            dispatcher=self._dispatcher(call.service),
+            budget=self._budgets[call.service.name],
+        )
+        if call.request_id and not call.kind.idempotent:
+            return self._run_once(call)
+        return self._forwarder.forward(call.forwarding)
+
+    def _run_once(self, call):
+        refusal = self._ids.begin(call.request_id)
+        if refusal is not None:
+            return refusal
+        outcome = None
         try:
-            answer, server = self._forwarder.forward(
-                request=request,
-                kind=kind,
-                tenant=tenant,
-                deadline=started + timeout,
-                dispatcher=self._dispatcher(service),
-                budget=self._budgets[service.name],
-            )
+            answer = self._forwarder.forward(call.forwarding)
             outcome = _outcome_of(answer)
-            return answer, server
+            return answer
         finally:
-            if remembered:
-                self._ids.finish(request_id, outcome)
-
-    def _begin(self, request_id):
-        parsed = _request_ids.parse_request_id(request_id)
-        if parsed is not None:
-            refusal = self._check_owner(request_id, parsed)
-            if refusal is not None:
-                return refusal
-        return self._ids.begin(request_id)
-
-    def _check_owner(self, request_id, parsed):
-        age = self._wall_clock() - parsed.time_ms / 1000
-        if age > _request_ids.RETENTION_S - _request_ids.CLOCK_TOLERANCE_S:
-            return core.Refusal(problem=core.problems.ID_EXPIRED)
-        if age < -_request_ids.CLOCK_TOLERANCE_S:
-            return core.Refusal(
-                problem=core.problems.BAD_REQUEST,
-                detail="the request id is from the future",
-            )
-        own = self._own_member()
-        if parsed.daemon_id == own.daemon_id:
-            if parsed.incarnation == own.incarnation:
-                return None
-            return core.Refusal(problem=core.problems.ID_OWNER_UNREACHABLE)
-        reply = self._claim_from_peer(parsed, request_id)
-        if reply is None:
-            return core.Refusal(problem=core.problems.ID_OWNER_UNREACHABLE)
-        if reply.seen:
-            return core.Refusal(
-                problem=core.problems.DUPLICATE,
-                detail=f"first outcome: {reply.outcome}",
-            )
-        return None
+            if outcome is None:
+                # The caller has gone, or the daemon failed.
+                in_doubt = call.forwarding.in_doubt
+                outcome = (
+                    core.Outcome.UNKNOWN if in_doubt else core.Outcome.NOT_RUN
+                )
+            self._ids.finish(call.request_id, outcome)
 
     def _dispatcher(self, service):
         dispatcher = self._dispatchers.get(service.name)
@@ -217,33 +233,48 @@
             )
         return dispatcher
 
-    def _finish(
-        self, answer, request_id, tenant, service, kind, server, started
-    ):
+    def _finish(self, call, answer):
         outcome = _outcome_of(answer)
+        if outcome is core.Outcome.NOT_RUN:
+            answer = self._ids.check_not_run(call.request_id, answer)
+            outcome = _outcome_of(answer)
         problem = ""
         if isinstance(answer, core.Refusal):
             problem = answer.problem.name
-            answer = _http.problem_response(
-                refusal=answer, request_id=request_id
+            answer = _render.problem_response(
+                refusal=answer, request_id=call.request_id
             )
         elif outcome is core.Outcome.FAILED:
-            answer = dataclasses.replace(
-                answer, headers=(*answer.headers, (b"x-outcome", b"failed"))
-            )
+            answer = dataclasses.replace(answer, outcome=b"failed")
+        self._record(call, problem, outcome)
+        return answer
+
+    def _record(self, call, problem, outcome):
         self._observe(
             RequestRecord(
-                request_id=request_id,
-                service=service.name if service else "",
-                kind=kind.name,
-                tenant=tenant,
-                server=server,
+                request_id=call.request_id,
+                service=call.service.name if call.service else "",
+                kind=call.kind.name,
+                tenant=call.tenant[:_MAX_TENANT_LENGTH],
+                server=call.forwarding.server if call.forwarding else "",
                 problem=problem,
                 outcome=outcome,
-                latency=self._clock() - started,
+                latency=self._clock() - call.arrived,
             )
         )
-        return answer
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Call:
+    """What is known of a request so far. Arrival time in seconds."""
+
+    request: _messages.HttpRequest
+    request_id: str
+    tenant: str
+    arrived: float
+    service: core.EffectiveService | None = None
+    kind: core.TrafficKind = dispatch.DEFAULT_KIND
+    forwarding: _forwarder.Forwarding | None = None
 
 
 def _outcome_of(answer):
--- a/wigeonrouter/request_path/_pool.py
+++ b/wigeonrouter/request_path/_pool.py
@@ -3,7 +3,8 @@
 import collections
 import time
 
-from gevent import lock
+import gevent
+from gevent import event
 from gevent import socket
 
 # Backend servers may close idle connections at any time. A connection that
@@ -12,8 +13,12 @@
 _RECEIVE_BYTES = 1 << 16
 
 
-class ConnectFailed(Exception):
-    """No connection could be made; nothing was sent."""
+class NotSent(Exception):
+    """No byte of the request has left this daemon."""
+
+
+class ConnectFailed(NotSent):
+    """No connection could be made."""
 
 
 class Connection:
@@ -22,12 +27,18 @@
     def __init__(self, *, sock, now):
         self._sock = sock
         self._last_used = now
+        self._fresh = True
 
     @property
     def idle_since(self):
         """Time of the last use, seconds."""
         return self._last_used
 
+    @property
+    def fresh(self):
+        """Whether no request was sent on it yet."""
+        return self._fresh
+
     def is_usable(self, now):
         """Return whether the server has neither closed nor sent anything.
 
@@ -45,9 +56,20 @@
         return False
 
     def send(self, data, timeout):
-        """Send all bytes within a timeout in seconds."""
+        """Send all bytes within a timeout in seconds.
+
+        Raises:
+          NotSent: the first system call failed, so that no byte was sent.
+          OSError: some bytes may have been sent.
+        """
         self._sock.settimeout(timeout)
-        self._sock.sendall(data)
+        self._fresh = False
+        try:
+            sent = self._sock.send(data)
+        except OSError as error:
+            raise NotSent(str(error)) from error
+        if sent < len(data):
+            self._sock.sendall(memoryview(data)[sent:])
 
     def receive(self):
         """Return the next bytes, b"" at the end."""
@@ -66,69 +88,120 @@
         self._sock.close()
 
 
+class _ServerPool:
+    """Permits and idle connections of one backend server."""
+
+    __slots__ = ("idle", "in_use", "limit", "waiting")
+
+    def __init__(self):
+        self.idle = []
+        self.in_use = 0
+        self.limit = 0
+        self.waiting = collections.deque()
+
+    def acquire(self, limit, timeout):
+        """Take a permit; return whether there was one in time."""
+        self.limit = limit
+        if self.in_use < limit and not self.waiting:
+            self.in_use += 1
+            return True
+        waiter = event.AsyncResult()
+        self.waiting.append(waiter)
+        try:
+            waiter.get(timeout=timeout)
+        except gevent.Timeout:
+            return waiter.ready()
+        except BaseException:
+            if waiter.ready():
+                self.release()
+            raise
+        finally:
+            if not waiter.ready():
+                self.waiting.remove(waiter)
+        return True
+
+    def release(self):
+        """Give a permit back, to the longest waiting task if any."""
+        self.in_use -= 1
+        while self.waiting and self.in_use < self.limit:
+            self.in_use += 1
+            self.waiting.popleft().set()
+
+
 class ConnectionPool:
     """Owns the connections to all backend servers of one daemon."""
 
     def __init__(self, *, clock=time.monotonic):
         self._clock = clock
-        self._idle = collections.defaultdict(list)
-        self._permits = {}
+        self._pools = {}
 
-    def checkout(self, *, address, limit, timeout):
+    @property
+    def in_use(self):
+        """Number of connections that are checked out."""
+        return sum(pool.in_use for pool in self._pools.values())
+
+    def checkout(self, *, address, limit, deadline):
         """Return a usable Connection, a pooled one if possible.
 
         Args:
           address: core.Address of the server.
           limit: largest number of connections to it.
-          timeout: seconds to wait for a permit and for connecting.
+          deadline: seconds; bounds waiting for a permit and connecting.
         Raises:
           ConnectFailed: nothing was sent to the server.
         """
-        permits = self._permits.setdefault(address, lock.Semaphore(limit))
-        if not permits.acquire(timeout=timeout):
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = _ServerPool()
+        now = self._clock()
+        if not pool.acquire(limit, deadline - now):
             raise ConnectFailed("connection limit reached")
-        idle = self._idle[address]
         now = self._clock()
-        while idle:
-            connection = idle.pop()
+        while pool.idle:
+            connection = pool.idle.pop()
             if connection.is_usable(now):
                 return connection
             connection.close()
         try:
-            sock = socket.create_connection(
-                (address.host, address.port), timeout=timeout
-            )
-        except OSError as error:
-            permits.release()
-            raise ConnectFailed(str(error)) from error
+            return self._connect(address, now, deadline)
         except BaseException:
-            permits.release()
+            pool.release()
             raise
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return Connection(sock=sock, now=now)
 
     def put_back(self, address, connection):
         """Return a connection whose answer was read whole."""
         connection.touch(self._clock())
-        self._idle[address].append(connection)
-        self._permits[address].release()
+        pool = self._pools[address]
+        pool.idle.append(connection)
+        pool.release()
 
     def discard(self, address, connection):
         """Close a connection that cannot be used any more."""
         connection.close()
-        self._permits[address].release()
+        self._pools[address].release()
 
     def close_idle(self):
         """Close connections that were idle for too long."""
         now = self._clock()
-        for address, idle in list(self._idle.items()):
+        for address, pool in list(self._pools.items()):
             kept = []
-            for connection in idle:
+            for connection in pool.idle:
                 if now - connection.idle_since > MAX_IDLE_S:
                     connection.close()
                 else:
                     kept.append(connection)
-            if kept:
-                self._idle[address] = kept
-            else:
-                del self._idle[address]
+            pool.idle = kept
+            if not (kept or pool.in_use or pool.waiting):
+                del self._pools[address]
+
+    def _connect(self, address, now, deadline):
+        if now >= deadline:
+            raise ConnectFailed("no time left to connect")
+        try:
+            sock = socket.create_connection(
+                (address.host, address.port), timeout=deadline - now
+            )
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as error:
+            raise ConnectFailed(str(error)) from error
+        return Connection(sock=sock, now=now)
--- a/wigeonrouter/request_path/_http_test.py
+++ b/wigeonrouter/request_path/_readers_test.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from wigeonrouter.request_path import _http
+from wigeonrouter.request_path import _messages
+from wigeonrouter.request_path import _request_reader
+from wigeonrouter.request_path import _response_reader
 
 _MAX_BODY = 64
 
@@ -10,7 +12,7 @@
 def _read(data, step=None):
     step = step or len(data) or 1
     parts = [data[i : i + step] for i in range(0, len(data), step)]
-    reader = _http.RequestReader(max_body_bytes=_MAX_BODY)
+    reader = _request_reader.RequestReader(body_limit=lambda _: _MAX_BODY)
     receive = iter([*parts, b"", b""]).__next__
     return reader, reader.read(receive)
 
@@ -45,7 +47,7 @@
 )
 @pytest.mark.parametrize("step", [None, 1])
 def test_ambiguous_or_oversized_requests_are_refused(data, step):
-    with pytest.raises(_http.MalformedMessage):
+    with pytest.raises(_messages.MalformedMessage):
         _read(data, step)
 
 
@@ -75,14 +77,16 @@
 )
 def test_unfinished_or_invalid_answers_are_refused(data):
     receive = iter([data, b""]).__next__
-    with pytest.raises(_http.MalformedMessage):
-        _http.read_response(receive=receive, method=b"GET", max_bytes=1000)
+    with pytest.raises(_messages.MalformedMessage):
+        _response_reader.read_response(
+            receive=receive, method=b"GET", max_bytes=1000
+        )
 
 
 def test_surplus_bytes_forbid_reuse_of_the_connection():
     data = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200"
     receive = iter([data]).__next__
-    response, reusable = _http.read_response(
+    response, reusable = _response_reader.read_response(
         receive=receive, method=b"GET", max_bytes=1000
     )
     assert response.body == b"ab"
--- /dev/null
+++ b/wigeonrouter/request_path/_render.py
@@ -0,0 +1,106 @@
+"""Renders requests for backend servers and responses for callers."""
+
+import http
+import json
+
+from wigeonrouter.request_path import _messages
+
+_NOT_FORWARDED = _messages.HOP_BY_HOP | {
+    b"content-length",
+    b"expect",
+    b"x-request-timeout-ms",
+}
+# X-Outcome and X-Not-Run are statements of the daemon and to the daemon; a
+# backend server's own would be taken for the daemon's.
+_NOT_RETURNED = _messages.HOP_BY_HOP | {
+    b"content-length",
+    b"backend-load",
+    b"x-outcome",
+    b"x-not-run",
+}
+_STATUS_LINES = {
+    status.value: b"HTTP/1.1 %d %b" % (status, status.phrase.encode())
+    for status in http.HTTPStatus
+}
+_NO_EXTRA = frozenset((b"keep-alive", b"close"))
+
+
+def render_request(*, request, timeout_ms):
+    """Return the bytes of a request for a backend server.
+
+    Args:
+      request: HttpRequest of the caller.
+      timeout_ms: the time that is left, whole milliseconds.
+    """
+    dropped = _dropped(request.headers, _NOT_FORWARDED)
+    lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
+    lines += [
+        b"%b: %b" % header
+        for header in request.headers
+        if header[0] not in dropped
+    ]
+    lines.append(b"x-request-timeout-ms: %d" % timeout_ms)
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"content-length: %d" % len(request.body))
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines) + request.body
+
+
+def render_response(*, response, close, method):
+    """Return the bytes of a response for a caller.
+
+    Args:
+      response: HttpResponse.
+      close: whether the connection is closed afterwards.
+      method: method of the request, since HEAD has no body.
+    """
+    status = response.status
+    line = _STATUS_LINES.get(status) or b"HTTP/1.1 %d Status" % status
+    dropped = _dropped(response.headers, _NOT_RETURNED)
+    lines = [line]
+    lines += [
+        b"%b: %b" % header
+        for header in response.headers
+        if header[0] not in dropped
+    ]
+    if response.outcome:
+        lines.append(b"x-outcome: " + response.outcome)
+    body = response.body
+    if method == b"HEAD" or status in (204, 304):
+        body = b""
+        length = response.header(b"content-length")
+        if length and status != 204:
+            lines.append(b"content-length: " + length)
+    else:
+        lines.append(b"content-length: %d" % len(body))
+    if close:
+        lines.append(b"connection: close")
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines) + body
+
+
+def problem_response(*, refusal, request_id):
+    """Return the RFC 9457 HttpResponse of a refusal."""
+    problem = refusal.problem
+    body = json.dumps(
+        {
+            "type": f"urn:wigeonrouter:problem:{problem.name}",
+            "title": problem.title,
+            "status": problem.status,
+            "detail": refusal.detail,
+            "outcome": problem.outcome.value,
+            "request_id": request_id,
+        }
+    ).encode()
+    return _messages.HttpResponse(
+        status=problem.status,
+        headers=((b"content-type", b"application/problem+json"),),
+        body=body,
+        keep_alive=True,
+        outcome=problem.outcome.value.encode(),
+    )
+
+
+def _dropped(headers, always):
+    extra = _messages.connection_headers(headers) - _NO_EXTRA
+    return always | extra if extra else always
--- /dev/null
+++ b/wigeonrouter/request_path/_request_reader.py
@@ -0,0 +1,164 @@
+"""Reads the requests of one caller connection."""
+
+import re
+
+import httptools
+
+from wigeonrouter import core
+from wigeonrouter.request_path import _chunks
+from wigeonrouter.request_path import _messages
+
+# Bodies up to this size are read before their service's limit is known.
+SMALL_BODY_BYTES = 64 << 10
+# A backend server may resolve these; the routing would be that of another
+# path.
+_DOT_SEGMENT = re.compile(rb"/(?:\.|%2[eE]){1,2}(?:[/?]|$)")
+_ABSOLUTE = re.compile(rb"https?://([^/?#@]+)([/?].*)?", re.IGNORECASE)
+_MALFORMED = _messages.MalformedMessage
+_BAD = core.problems.BAD_REQUEST
+
+
+class RequestReader:
+    """Reads requests, one after another.
+
+    Args:
+      body_limit: function from an HttpRequest without its body to the
+        largest accepted body in bytes; may raise MalformedMessage. It is
+        asked before a body of more than SMALL_BODY_BYTES, of unknown length
+        or after Expect: 100-continue is read.
+      send_continue: function that tells the caller to send the body.
+    """
+
+    def __init__(self, *, body_limit, send_continue=lambda: None):
+        self._body_limit = body_limit
+        self._send_continue = send_continue
+        self._rest = b""
+
+    @property
+    def pending(self):
+        """Whether bytes of a further request have already arrived."""
+        return bool(self._rest)
+
+    def read(self, receive):
+        """Read one request.
+
+        Args:
+          receive: function that returns the next bytes, b"" at the end.
+        Returns:
+          An HttpRequest, or None where the caller closed between requests.
+        Raises:
+          MalformedMessage: the request is refused; the connection cannot be
+            used any more.
+        """
+        head = self._read_head(receive)
+        if head is None:
+            return None
+        _messages.check_request_head(head)
+        collector = _messages.HeadCollector()
+        parser = httptools.HttpRequestParser(collector)
+        try:
+            parser.feed_data(head)
+        except httptools.HttpParserUpgrade as error:
+            raise _MALFORMED(_BAD, "upgrades are not supported") from error
+        except httptools.HttpParserError as error:
+            raise _MALFORMED(_BAD, str(error)) from error
+        request = _build(parser, collector)
+        length = _messages.body_length(collector.headers, _BAD)
+        if length == 0:
+            return request
+        if length is None and parser.get_http_version() == "1.0":
+            raise _MALFORMED(_BAD, "HTTP/1.0 has no chunked bodies")
+        return _with_body(request, self._read_body(request, length, receive))
+
+    def _read_head(self, receive):
+        data = self._rest
+        while (end := data.find(b"\r\n\r\n")) < 0:
+            if len(data) > _messages.MAX_HEADER_BYTES:
+                raise _MALFORMED(core.problems.HEADERS_TOO_LARGE)
+            more = receive()
+            if not more:
+                if data:
+                    raise _MALFORMED(_BAD, "request cut short")
+                return None
+            data += more
+        if end > _messages.MAX_HEADER_BYTES:
+            raise _MALFORMED(core.problems.HEADERS_TOO_LARGE)
+        self._rest = data[end + 4 :]
+        return data[: end + 4]
+
+    def _read_body(self, request, length, receive):
+        expected = request.header(b"expect").lower()
+        if expected not in (b"", b"100-continue"):
+            raise _MALFORMED(_BAD, "unknown expectation")
+        if length is None or length > SMALL_BODY_BYTES or expected:
+            limit = self._body_limit(request)
+            if length is not None and length > limit:
+                raise _MALFORMED(core.problems.BODY_TOO_LARGE)
+        if expected and not self._rest:
+            self._send_continue()
+        if length is None:
+            return self._read_chunked(limit, receive)
+        body, self._rest = _messages.read_length(
+            length, self._rest, receive, _BAD
+        )
+        return body
+
+    def _read_chunked(self, limit, receive):
+        decoder = _chunks.ChunkDecoder(
+            max_body_bytes=limit,
+            invalid=_BAD,
+            too_large=core.problems.BODY_TOO_LARGE,
+        )
+        data = self._rest
+        while not decoder.feed(data):
+            data = receive()
+            if not data:
+                raise _MALFORMED(_BAD, "body cut short")
+        self._rest = decoder.rest
+        return bytes(decoder.body)
+
+
+def _build(parser, collector):
+    headers = collector.headers
+    _messages.check_control_headers(headers)
+    hosts = [value for name, value in headers if name == b"host"]
+    if len(hosts) > 1 or (not hosts and parser.get_http_version() == "1.1"):
+        raise _MALFORMED(_BAD, "exactly one Host header is needed")
+    method = parser.get_method()
+    return _messages.HttpRequest(
+        method=method,
+        target=_origin_form(collector.url, method, hosts),
+        headers=tuple(headers),
+        body=b"",
+        keep_alive=parser.should_keep_alive(),
+    )
+
+
+def _with_body(request, body):
+    return _messages.HttpRequest(
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=body,
+        keep_alive=request.keep_alive,
+    )
+
+
+def _origin_form(target, method, hosts):
+    if target[:1] != b"/" and not (target == b"*" and method == b"OPTIONS"):
+        absolute = _ABSOLUTE.fullmatch(target)
+        if absolute is None:
+            raise _MALFORMED(_BAD, "bad target")
+        if [absolute[1].lower()] != [host.lower() for host in hosts]:
+            raise _MALFORMED(_BAD, "the target and Host disagree")
+        target = absolute[2] or b"/"
+        if target[:1] == b"?":
+            target = b"/" + target
+    if b"#" in target or b"\\" in target or _DOT_SEGMENT.search(target):
+        if b"#" in target or _is_ambiguous(target.partition(b"?")[0]):
+            raise _MALFORMED(_BAD, "ambiguous path")
+    return target
+
+
+def _is_ambiguous(path):
+    return b"\\" in path or _DOT_SEGMENT.search(path) is not None
--- /dev/null
+++ b/wigeonrouter/request_path/_response_reader.py
@@ -0,0 +1,103 @@
+"""Reads one whole response from a backend server."""
+
+import httptools
+
+from wigeonrouter import core
+from wigeonrouter.request_path import _chunks
+from wigeonrouter.request_path import _messages
+
+# A server that sends nothing but interim responses is faulty.
+_MAX_INTERIM_RESPONSES = 8
+_SWITCHING_PROTOCOLS = 101
+_MALFORMED = _messages.MalformedMessage
+_INVALID = core.problems.ANSWER_INVALID
+
+
+def read_response(*, receive, method, max_bytes):
+    """Read one response.
+
+    Args:
+      receive: function that returns the next bytes, b"" at the end.
+      method: method of the request, since HEAD has no body.
+      max_bytes: largest accepted response, headers included.
+    Returns:
+      A pair: the HttpResponse, and whether the connection may be reused.
+    Raises:
+      MalformedMessage: the response is cut short, too large or not valid.
+    """
+    data = b""
+    for _ in range(_MAX_INTERIM_RESPONSES):
+        head, data = _read_head(data, receive)
+        collector, parser, status = _parse_head(head)
+        if status >= 200:
+            break
+    else:
+        raise _MALFORMED(_INVALID, "too many interim responses")
+    body, rest = _read_body(
+        collector.headers, status, method, data, receive, max_bytes - len(head)
+    )
+    # Surplus bytes would be taken for the response to the next request.
+    reusable = not rest and parser.should_keep_alive()
+    return (
+        _messages.HttpResponse(
+            status=status,
+            headers=tuple(collector.headers),
+            body=body,
+            keep_alive=reusable,
+        ),
+        reusable,
+    )
+
+
+def _read_head(data, receive):
+    while (end := data.find(b"\r\n\r\n")) < 0:
+        if len(data) > _messages.MAX_HEADER_BYTES:
+            raise _MALFORMED(_INVALID, "header section too large")
+        more = receive()
+        if not more:
+            raise _MALFORMED(core.problems.ANSWER_LOST)
+        data += more
+    if end > _messages.MAX_HEADER_BYTES:
+        raise _MALFORMED(_INVALID, "header section too large")
+    return data[: end + 4], data[end + 4 :]
+
+
+def _parse_head(head):
+    _messages.check_response_head(head)
+    collector = _messages.HeadCollector()
+    parser = httptools.HttpResponseParser(collector)
+    try:
+        parser.feed_data(head)
+    except httptools.HttpParserUpgrade as error:
+        raise _MALFORMED(_INVALID, "protocol upgrade") from error
+    except httptools.HttpParserError as error:
+        raise _MALFORMED(_INVALID, str(error)) from error
+    status = parser.get_status_code()
+    if status == _SWITCHING_PROTOCOLS:
+        raise _MALFORMED(_INVALID, "protocol upgrade")
+    return collector, parser, status
+
+
+def _read_body(headers, status, method, data, receive, max_bytes):
+    length = _messages.body_length(headers, _INVALID)
+    if method == b"HEAD" or status in (204, 304):
+        return b"", data
+    if length is None:
+        decoder = _chunks.ChunkDecoder(
+            max_body_bytes=max_bytes,
+            invalid=_INVALID,
+            too_large=core.problems.ANSWER_TOO_LARGE,
+        )
+        while not decoder.feed(data):
+            data = receive()
+            if not data:
+                raise _MALFORMED(core.problems.ANSWER_LOST)
+        return bytes(decoder.body), decoder.rest
+    if length == 0 and not any(n == b"content-length" for n, _ in headers):
+        # The end of such a body cannot be told from a lost connection.
+        raise _MALFORMED(_INVALID, "response without a length")
+    if length > max_bytes:
+        raise _MALFORMED(core.problems.ANSWER_TOO_LARGE)
+    return _messages.read_length(
+        length, data, receive, core.problems.ANSWER_LOST
+    )
--- a/wigeonrouter/request_path/_server.py
+++ b/wigeonrouter/request_path/_server.py
@@ -1,39 +1,37 @@
 """Accepts caller connections; one task owns each connection."""
 
+import collections
 import time
 
 import gevent
-from gevent import hub as gevent_hub
 from gevent import server as gevent_server
-from gevent import socket
 
 from wigeonrouter import core
-from wigeonrouter.request_path import _http
+from wigeonrouter.request_path import _caller_connection
+from wigeonrouter.request_path import _messages
+from wigeonrouter.request_path import _pauses
+from wigeonrouter.request_path import _render
+from wigeonrouter.request_path import _request_reader
 
-_RECEIVE_BYTES = 1 << 16
-# A caller that takes longer to send a request holds a task for nothing.
-REQUEST_ARRIVAL_TIMEOUT_S = 10.0
-IDLE_TIMEOUT_S = 75.0
 MAX_CONNECTIONS = 10_000
-
-
-class CallerGone(gevent.GreenletExit):
-    """The caller closed its connection while its request was in progress."""
+_SWEEP_INTERVAL_S = 0.5
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class CallerServer:
     """Listens for callers and hands their requests to a handler."""
 
-    def __init__(self, *, address, handler, max_body_bytes):
+    def __init__(self, *, address, handler, max_connections=MAX_CONNECTIONS):
         self._handler = handler
-        self._max_body_bytes = max_body_bytes
+        self._max_connections = max_connections
         self._draining = False
-        self._connections = {}
+        self._connections = set()
+        # Connections that wait for bytes, the longest waiting first.
+        self._waiting = collections.OrderedDict()
+        self._pauses = _pauses.PauseDetector()
+        self._sweeper = None
         self._server = gevent_server.StreamServer(
-            (address.host, address.port),
-            self._serve,
-            backlog=1024,
-            spawn=MAX_CONNECTIONS,
+            (address.host, address.port), self._serve, backlog=1024
         )
 
     @property
@@ -44,11 +42,18 @@
     @property
     def requests_in_progress(self):
         """Number of requests that have arrived and are not answered."""
-        return sum(self._connections.values())
+        return sum(c.handling for c in self._connections)
+
+    @property
+    def connections(self):
+        """Number of open connections."""
+        return len(self._connections)
 
     def start(self):
         """Listen."""
         self._server.start()
+        self._pauses.start()
+        self._sweeper = gevent.spawn(self._sweep)
 
     def drain(self):
         """Ask callers to close: each answer says Connection: close."""
@@ -57,124 +62,97 @@
     def stop(self):
         """Stop listening and close all connections."""
         self._server.close()
+        for connection in list(self._waiting):
+            connection.expire()
         self._server.stop(timeout=1)
+        self._pauses.stop()
+        gevent.kill(self._sweeper)
 
     def _serve(self, sock, _):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._connections[sock] = False
+        connection = _caller_connection.CallerConnection(sock=sock)
+        self._connections.add(connection)
         try:
-            self._serve_requests(sock)
-        except (OSError, CallerGone):
+            if self._make_room():
+                self._serve_requests(connection)
+            else:
+                self._refuse(
+                    connection,
+                    core.Refusal(problem=core.problems.TOO_MANY_CONNECTIONS),
+                )
+        except (OSError, _caller_connection.CallerGone):
             pass
         finally:
-            del self._connections[sock]
-            sock.close()
-
-    def _serve_requests(self, sock):
-        reader = _http.RequestReader(max_body_bytes=self._max_body_bytes)
+            self._connections.discard(connection)
+            self._waiting.pop(connection, None)
+            connection.close()
+
+    def _make_room(self):
+        """Close the longest waiting connection where there are too many."""
+        if len(self._connections) <= self._max_connections:
+            return True
+        if not self._waiting:
+            return False
+        connection, _ = self._waiting.popitem(last=False)
+        connection.expire()
+        return True
+
+    def _serve_requests(self, connection):
+        reader = _request_reader.RequestReader(
+            body_limit=self._handler.body_limit,
+            send_continue=lambda: connection.send(_CONTINUE),
+        )
+        arrived = 0.0
         while True:
-            receive = _Receiver(sock)
-            try:
-                request = reader.read(receive)
-            except _http.MalformedMessage as error:
-                self._refuse(sock, error)
-                return
-            except TimeoutError:
-                if receive.received:
-                    self._refuse(
-                        sock,
-                        _http.MalformedMessage(core.problems.REQUEST_TIMEOUT),
-                    )
-                return
+            pending = reader.pending
+            request = self._read(connection, reader, pending)
             if request is None:
                 return
-            self._connections[sock] = True
-            answer = self._handle(sock, request, reader)
-            close = self._draining or not request.keep_alive
-            sock.settimeout(REQUEST_ARRIVAL_TIMEOUT_S)
-            sock.sendall(
-                _http.render_response(
-                    response=answer,
-                    headers=(),
-                    close=close,
-                    method=request.method,
-                )
-            )
-            self._connections[sock] = False
+            if not pending:
+                arrived = self._pauses.earliest_arrival(time.monotonic())
+            close = self._answer(connection, reader, request, arrived)
             if close:
                 return
 
-    def _handle(self, sock, request, reader):
-        if reader.pending:
-            # A pipelined request is readable; that is no sign of leaving.
-            return self._handler.handle(request)
-        watch = _LeaveWatch(sock)
+    def _read(self, connection, reader, pending):
+        connection.begin_request(pending=pending)
+        self._waiting[connection] = None
+        try:
+            return reader.read(connection.receive)
+        except _messages.MalformedMessage as error:
+            problem = error.problem
+            if connection.expired:
+                problem = core.problems.REQUEST_TIMEOUT
+            self._refuse(
+                connection, core.Refusal(problem=problem, detail=str(error))
+            )
+            return None
+        finally:
+            self._waiting.pop(connection, None)
+
+    def _answer(self, connection, reader, request, arrived):
+        connection.begin_handling(watch=not reader.pending)
         try:
-            return self._handler.handle(request)
+            answer = self._handler.handle(request, arrived)
         finally:
-            watch.stop()
-
-    def _refuse(self, sock, error):
-        refusal = core.Refusal(problem=error.problem, detail=str(error))
-        response = _http.problem_response(refusal=refusal, request_id="")
-        sock.settimeout(1.0)
-        sock.sendall(
-            _http.render_response(
-                response=response, headers=(), close=True, method=b""
+            connection.end_handling()
+        close = self._draining or not request.keep_alive
+        connection.send(
+            _render.render_response(
+                response=answer, close=close, method=request.method
             )
         )
+        return close
 
+    def _refuse(self, connection, refusal):
+        response = _render.problem_response(refusal=refusal, request_id="")
+        connection.send_last(
+            _render.render_response(response=response, close=True, method=b"")
+        )
 
-class _Receiver:
-    """Receives a request within the arrival timeout once it has begun."""
-
-    def __init__(self, sock):
-        self._sock = sock
-        self._deadline = None
-
-    @property
-    def received(self):
-        """Whether any byte of the request has arrived."""
-        return self._deadline is not None
-
-    def __call__(self):
-        if self._deadline is None:
-            self._sock.settimeout(IDLE_TIMEOUT_S)
-        else:
-            remaining = self._deadline - time.monotonic()
-            if remaining <= 0:
-                raise TimeoutError
-            self._sock.settimeout(remaining)
-        data = self._sock.recv(_RECEIVE_BYTES)
-        if self._deadline is None:
-            self._deadline = time.monotonic() + REQUEST_ARRIVAL_TIMEOUT_S
-        return data
-
-
-class _LeaveWatch:
-    """Throws CallerGone into the current task when the caller closes."""
-
-    def __init__(self, sock):
-        self._sock = sock
-        self._task = gevent.getcurrent()
-        self._watcher = gevent_hub.get_hub().loop.io(sock.fileno(), 1)
-        self._watcher.start(self._on_readable)
-
-    def stop(self):
-        """End the watch."""
-        self._task = None
-        self._watcher.stop()
-        self._watcher.close()
-
-    def _on_readable(self):
-        self._watcher.stop()
-        try:
-            self._sock.settimeout(0)
-            gone = not self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            gone = False
-        except OSError:
-            gone = True
-        if gone and self._task is not None:
-            task, self._task = self._task, None
-            task.throw(CallerGone)
+    def _sweep(self):
+        while True:
+            gevent.sleep(_SWEEP_INTERVAL_S)
+            now = time.monotonic()
+            for connection in list(self._waiting):
+                if connection.deadline < now and not connection.expired:
+                    connection.expire()
