--- a/wigeonrouter/request_path/_handler.py
+++ b/wigeonrouter/request_path/_handler.py
@@ -79,6 +79,11 @@
         """The OwnedIds."""
         return self._ids
 
+    @property
+    def connections_in_use(self):
+        """Number of connections to backend servers with a request."""
+        return self._pool.in_use
+
     def reconfigure(self, services):
         """Take over a dict of core.EffectiveService."""
         self._services = services
--- /dev/null
+++ b/wigeonrouter/request_path/conftest.py
@@ -0,0 +1,179 @@
+"""Fixtures of the request path: a server in front of two stand-ins."""
+
+import json
+import random
+
+import gevent
+from gevent import socket
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import request_path
+from wigeonrouter import standins
+
+PLACE = core.Place(region="north", failure_domain="north-a")
+KINDS = (
+    core.TrafficKind(
+        name="read", idempotent=True, methods=frozenset(("GET", "HEAD"))
+    ),
+    core.TrafficKind(
+        name="write", idempotent=False, methods=frozenset(("POST",))
+    ),
+)
+
+
+class PathHarness:
+    """One request path of a daemon with a service of two backend servers."""
+
+    def __init__(self, backends, *, daemon_id="d1", claim=None, **server):
+        self.backends = backends
+        self.member = core.Member(
+            daemon_id=daemon_id,
+            incarnation=1,
+            state=core.MemberState.ALIVE,
+            place=PLACE,
+            caller_address=None,
+            admin_address=None,
+            peer_address=None,
+        )
+        self.records = []
+        self.handler = request_path.RequestHandler(
+            place=PLACE,
+            own_member=lambda: self.member,
+            claim_from_peer=claim or (lambda *_: None),
+            observe=self.records.append,
+            rng=random.Random(1),
+        )
+        self.server = request_path.CallerServer(
+            address=core.Address(host="127.0.0.1", port=0),
+            handler=self.handler,
+            **server,
+        )
+        self.configure()
+        self.server.start()
+
+    def configure(self, *, retries=None, **limits):
+        """Set the retries and limits of the service."""
+        service = core.EffectiveService(
+            name="/s",
+            match=core.MatchSettings(path_prefixes=("/",)),
+            kinds=KINDS,
+            servers=tuple(
+                core.BackendServer(
+                    name=f"b{number}",
+                    address=core.Address(host="127.0.0.1", port=backend.port),
+                    place=PLACE,
+                )
+                for number, backend in enumerate(self.backends)
+            ),
+            limits=core.LimitSettings(**limits),
+            retries=retries or core.RetrySettings(),
+        )
+        self.handler.reconfigure({"/s": service})
+
+    def set_faults(self, *faults):
+        """Set the faults of the backend servers, in order."""
+        for backend, fault in zip(self.backends, faults, strict=True):
+            backend.set_fault(**fault)
+
+    def runs(self, request_id):
+        """Return how often the backend servers ran a request."""
+        return sum(b.runs.get(request_id, 0) for b in self.backends)
+
+    def connect(self):
+        """Return a connected socket of a caller."""
+        return socket.create_connection(
+            ("127.0.0.1", self.server.port), timeout=10
+        )
+
+    def assert_released(self):
+        """Check that no slot, permit or in-progress id was leaked."""
+        wait_until(
+            lambda: (
+                self.handler.connections_in_use == 0
+                and all(
+                    view.in_flight == 0
+                    for dispatcher in self.handler.dispatchers.values()
+                    for view in dispatcher.views
+                )
+            )
+        )
+        for dispatcher in self.handler.dispatchers.values():
+            assert dispatcher.queue_length == 0
+
+
+class Answer:
+    """A response as a caller reads it."""
+
+    def __init__(self, response):
+        self.status = response.status
+        self.headers = dict(response.headers)
+        self.body = response.body
+        self.outcome = self.headers.get(b"x-outcome", b"ok").decode()
+
+    @property
+    def problem(self):
+        """Name of the problem type, or ""."""
+        if self.headers.get(b"content-type") != b"application/problem+json":
+            return ""
+        return json.loads(self.body)["type"].rpartition(":")[2]
+
+
+def render(method="POST", *, request_id="", body=b"x", target="/r", **headers):
+    """Return the bytes of a caller's request."""
+    lines = [f"{method} {target} HTTP/1.1", "Host: a"]
+    if request_id:
+        lines.append(f"X-Request-Id: {request_id}")
+    if method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
+    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+    return head + (body if method == "POST" else b"")
+
+
+def receive_answer(sock, method="POST"):
+    """Read one Answer from a caller's socket."""
+    response, _ = request_path.read_response(
+        receive=lambda: sock.recv(65536),
+        method=method.encode(),
+        max_bytes=1 << 24,
+    )
+    return Answer(response)
+
+
+def send(path, method="POST", **request):
+    """Send one request on a new connection and return its Answer."""
+    with path.connect() as sock:
+        sock.sendall(render(method, **request))
+        return receive_answer(sock, method)
+
+
+def wait_until(condition, seconds=10.0):
+    """Wait for a condition; fails after a time that a slow machine needs."""
+    with gevent.Timeout(seconds, AssertionError("condition never held")):
+        while not condition():
+            gevent.sleep(0.005)
+
+
+@pytest.fixture
+def backends():
+    """Two running backend stand-ins."""
+    running = [
+        standins.BackendStandin(
+            address=core.Address(host="127.0.0.1", port=0), service_ms=1
+        )
+        for _ in range(2)
+    ]
+    for backend in running:
+        backend.start()
+    yield running
+    for backend in running:
+        backend.stop()
+
+
+@pytest.fixture
+def path(backends):
+    """A PathHarness."""
+    harness = PathHarness(backends)
+    yield harness
+    harness.server.stop()
--- a/wigeonrouter/standins/_backend.py
+++ b/wigeonrouter/standins/_backend.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent import lock
 from gevent import server as gevent_server
+from gevent import socket
 import httptools
 
 _DEFAULT_FAULT = {
@@ -20,6 +21,10 @@
     "silent": False,
     "truncate": False,
     "garble": False,
+    # Bytes sent in place of the answer, as Latin-1 text.
+    "raw": "",
+    # Close the connection after this answer.
+    "close": False,
 }
 
 
@@ -64,6 +69,11 @@
         """Number of completed or started runs by request id."""
         return dict(self._runs)
 
+    @property
+    def in_flight(self):
+        """Number of requests that wait for a slot or run."""
+        return self._in_flight
+
     @property
     def port(self):
         """Port that the server listens on."""
@@ -118,24 +128,29 @@
         self._in_flight += 1
         try:
             with self._slots:
-                body = self._run(request, parser)
+                body = self._run(sock, request, parser)
         finally:
             self._in_flight -= 1
         if self._fault["silent"]:
-            gevent.sleep(3600)
+            _wait_for_close(sock, 3600)
         if self._fault["garble"]:
             sock.sendall(b"\x00\x01garbled\r\n\r\n")
             return False
+        if self._fault["raw"]:
+            sock.sendall(self._fault["raw"].encode("latin-1"))
+            return not self._fault["close"]
         if self._fault["truncate"]:
             sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\npart")
             return False
-        return _send(sock, 200, body, self._load())
+        head = parser.get_method() == b"HEAD"
+        _send(sock, 200, body, self._load(), head=head)
+        return not self._fault["close"]
 
-    def _run(self, request, parser):
+    def _run(self, sock, request, parser):
         request_id = request.headers.get(b"x-request-id", b"").decode()
         self._runs[request_id] = self._runs.get(request_id, 0) + 1
         started = time.time()
-        gevent.sleep(self._service + self._fault["delay_ms"] / 1000)
+        _wait_for_close(sock, self._service + self._fault["delay_ms"] / 1000)
         return json.dumps(
             {
                 "request_id": request_id,
@@ -154,12 +169,26 @@
         )
 
 
-def _send(sock, status, body, headers=""):
+def _wait_for_close(sock, seconds):
+    """Wait; a caller that closes its connection cancels the request."""
+    ends = time.monotonic() + seconds
+    try:
+        socket.wait_read(
+            sock.fileno(), timeout=seconds, timeout_exc=TimeoutError
+        )
+    except TimeoutError:
+        return
+    if not sock.recv(1, socket.MSG_PEEK):
+        raise ConnectionResetError("cancelled")
+    gevent.sleep(max(0.0, ends - time.monotonic()))
+
+
+def _send(sock, status, body, headers="", head=False):
     sock.sendall(
         (
             f"HTTP/1.1 {status} Status\r\nContent-Length: {len(body)}\r\n"
             f"Content-Type: application/json\r\n{headers}\r\n"
         ).encode()
-        + body
+        + (b"" if head else body)
     )
     return True
