--- a/wigeonrouter/request_path/_caller_connection.py
+++ b/wigeonrouter/request_path/_caller_connection.py
@@ -93,7 +93,12 @@
     def receive(self):
         """Return the next bytes, b"" at the end or once expired."""
         self._sock.settimeout(None)
-        data = self._sock.recv(_RECEIVE_BYTES)
+        try:
+            data = self._sock.recv(_RECEIVE_BYTES)
+        except OSError:
+            # gevent ends the wait in this way when expire() is called.
+            if not self._expired:
+                raise
         if self._expired:
             return b""
         if not self._received:
--- a/wigeonrouter/request_path/_owned_ids.py
+++ b/wigeonrouter/request_path/_owned_ids.py
@@ -9,11 +9,19 @@
 class OwnedIds:
     """Owns the request id table of this daemon."""
 
-    def __init__(self, *, own_member, claim_from_peer, clock, wall_clock):
+    def __init__(
+        self,
+        *,
+        own_member,
+        claim_from_peer,
+        clock,
+        wall_clock,
+        max_ids=_request_ids.MAX_IDS,
+    ):
         self._own_member = own_member
         self._claim_from_peer = claim_from_peer
         self._wall_clock = wall_clock
-        self._table = _request_ids.RequestIdTable(clock=clock)
+        self._table = _request_ids.RequestIdTable(clock=clock, max_ids=max_ids)
         # A refuted suspicion raises the incarnation of a running daemon; its
         # table, and so the ids with its earlier incarnations, stay valid.
         self._incarnations = {own_member().incarnation}
--- /dev/null
+++ b/wigeonrouter/request_path/_owned_ids_test.py
@@ -0,0 +1,275 @@
+"""Guards at-most-once over repeats at several daemons."""
+
+import time
+import types
+
+import gevent
+from gevent import event
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter.request_path import _owned_ids
+from wigeonrouter.request_path import _request_ids
+from wigeonrouter.request_path.conftest import PathHarness
+from wigeonrouter.request_path.conftest import render
+from wigeonrouter.request_path.conftest import send
+from wigeonrouter.request_path.conftest import wait_until
+
+_DAEMONS = 3
+_MAX_IDS = 4
+
+
+class _Cluster:
+    """Three daemons that claim ids from each other without a network."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self.incarnation = 0
+        self.members = [None] * _DAEMONS
+        self.ids = [None] * _DAEMONS
+        # "up", "frozen" (claims do not arrive) or "reply lost".
+        self.links = ["up"] * _DAEMONS
+        for number in range(_DAEMONS):
+            self.replace(number)
+
+    def replace(self, number):
+        self.incarnation += 100
+        self.members[number] = types.SimpleNamespace(
+            daemon_id=f"d{number}", incarnation=self.incarnation
+        )
+        claimant = f"d{number}~{self.incarnation}"
+        self.ids[number] = _owned_ids.OwnedIds(
+            own_member=lambda: self.members[number],
+            claim_from_peer=lambda parsed, request_id: self._claim(
+                int(parsed.daemon_id[1:]), request_id, claimant
+            ),
+            clock=lambda: self.now,
+            wall_clock=lambda: self.now,
+            max_ids=_MAX_IDS,
+        )
+
+    def mint(self, number, nonce):
+        member = self.members[number]
+        time_ms = int(self.now * 1000)
+        return f"{member.daemon_id}~{member.incarnation}.{time_ms}.{nonce}"
+
+    def _claim(self, owner, request_id, claimant):
+        if self.links[owner] == "frozen":
+            return None
+        state = self.ids[owner].answer_claim(request_id, claimant)
+        if self.links[owner] == "reply lost":
+            return None
+        return types.SimpleNamespace(
+            seen=state is not None, outcome=state or ""
+        )
+
+
+_daemon = strategies.integers(0, _DAEMONS - 1)
+
+
+class _RepeatsMachine(stateful.RuleBasedStateMachine):
+    """No id is forwarded while it runs or after it may have run."""
+
+    request_ids = stateful.Bundle("request_ids")
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = _Cluster()
+        self.running = {}
+        self.may_have_run = set()
+        self.nonce = 0
+
+    @stateful.rule(target=request_ids, number=_daemon)
+    def mint(self, number):
+        self.nonce += 1
+        return self.cluster.mint(number, self.nonce)
+
+    @stateful.rule(request_id=request_ids, number=_daemon)
+    def begin(self, request_id, number):
+        refusal = self.cluster.ids[number].begin(request_id)
+        if refusal is None:
+            assert request_id not in self.may_have_run
+            assert request_id not in self.running
+            self.running[request_id] = (number, self.cluster.ids[number])
+        elif refusal.problem.outcome is core.Outcome.NOT_RUN:
+            assert request_id not in self.may_have_run
+            assert request_id not in self.running
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(
+        index=strategies.integers(0, 99),
+        outcome=strategies.sampled_from(core.Outcome),
+    )
+    def finish(self, index, outcome):
+        request_id = sorted(self.running)[index % len(self.running)]
+        _, ids = self.running.pop(request_id)
+        ids.finish(request_id, outcome)
+        if outcome is not core.Outcome.NOT_RUN:
+            self.may_have_run.add(request_id)
+
+    @stateful.rule(number=_daemon)
+    def replace(self, number):
+        for request_id, (where, _) in list(self.running.items()):
+            if where == number:
+                del self.running[request_id]
+                self.may_have_run.add(request_id)
+        self.cluster.replace(number)
+
+    @stateful.rule(number=_daemon)
+    def refute_suspicion(self, number):
+        self.cluster.members[number].incarnation += 1
+
+    @stateful.rule(
+        number=_daemon,
+        link=strategies.sampled_from(("up", "frozen", "reply lost")),
+    )
+    def change_link(self, number, link):
+        self.cluster.links[number] = link
+
+    @stateful.rule(seconds=strategies.sampled_from((1, 30, 60, 116, 126)))
+    def wait(self, seconds):
+        self.cluster.now += seconds
+
+
+_RepeatsMachine.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=40, deadline=None, derandomize=True
+)
+test_repeats_never_run_twice = _RepeatsMachine.TestCase
+
+
+@pytest.fixture
+def cluster():
+    """Three daemons with fake clocks."""
+    return _Cluster()
+
+
+@pytest.mark.parametrize("outcome", core.Outcome)
+def test_a_repeat_at_a_third_daemon_after_a_claim(cluster, outcome):
+    request_id = cluster.mint(0, "n")
+    assert cluster.ids[1].begin(request_id) is None
+    cluster.ids[1].finish(request_id, outcome)
+    for number in (0, 2):
+        problem = cluster.ids[number].begin(request_id).problem
+        assert problem.outcome is core.Outcome.UNKNOWN
+    again = cluster.ids[1].begin(request_id)
+    assert (again is None) == (outcome is core.Outcome.NOT_RUN)
+
+
+@pytest.mark.parametrize(
+    "change, problem",
+    [
+        ("replace", "id-owner-unreachable"),
+        ("freeze", "id-owner-unreachable"),
+        ("wait", "id-expired"),
+        ("fill", "id-table-full"),
+        ("begin", "duplicate-in-progress"),
+    ],
+)
+def test_why_a_repeat_at_another_daemon_is_refused(cluster, change, problem):
+    request_id = cluster.mint(0, "n")
+    if change == "replace":
+        cluster.replace(0)
+        assert (
+            cluster.ids[0].begin(request_id).problem.name
+            == "id-owner-unreachable"
+        )
+        cluster.links[0] = "frozen"
+    elif change == "freeze":
+        cluster.links[0] = "frozen"
+    elif change == "wait":
+        cluster.now += _request_ids.RETENTION_S
+    elif change == "fill":
+        for number in range(_MAX_IDS):
+            cluster.ids[0].begin(f"other form {number}")
+    else:
+        cluster.ids[0].begin(request_id)
+    assert cluster.ids[1].begin(request_id).problem.name == problem
+
+
+def test_a_lost_claim_reply_can_be_repeated_by_the_claimant_only(cluster):
+    request_id = cluster.mint(0, "n")
+    cluster.links[0] = "reply lost"
+    assert cluster.ids[1].begin(request_id) is not None
+    cluster.links[0] = "up"
+    assert cluster.ids[2].begin(request_id).problem.name == "duplicate"
+    assert cluster.ids[1].begin(request_id) is None
+
+
+def test_a_replaced_claimant_does_not_claim_again(cluster):
+    """It has lost its table, and with it what became of the request."""
+    request_id = cluster.mint(0, "n")
+    assert cluster.ids[1].begin(request_id) is None
+    cluster.replace(1)
+    assert cluster.ids[1].begin(request_id).problem.name == "duplicate"
+
+
+def test_a_running_request_outlives_the_retention(cluster):
+    assert cluster.ids[0].begin("free form") is None
+    cluster.now += 1000
+    assert cluster.ids[0].begin("free form") is not None
+
+
+def test_ids_with_dots_in_the_daemon_id_are_recognised():
+    parsed = _request_ids.parse_request_id("a.b-1~7.123.x.y")
+    assert (parsed.daemon_id, parsed.incarnation) == ("a.b-1", 7)
+    for text in ("", "a", "a~1", "a~1.2", "a~1.2.", "~1.2.x", "a~b.2.x"):
+        assert _request_ids.parse_request_id(text) is None
+
+
+@pytest.mark.parametrize("limit", [1, 4])
+def test_a_refusal_of_a_repeat_is_true_of_the_first_request(path, limit):
+    """A repeat that is refused early must not say that nothing ran."""
+    assert send(path, request_id="w").status == 200
+    path.configure(max_body_bytes=limit)
+    answer = send(path, request_id="w", body=b"12345")
+    assert (answer.problem, answer.outcome) == ("duplicate", "unknown")
+    path.handler.reconfigure({})
+    assert send(path, request_id="w").outcome == "unknown"
+    assert send(path, request_id="new").outcome == "not-run"
+
+
+def test_simultaneous_repeats_run_once(backends):
+    """Both wait for the owner's reply before either is recorded."""
+    release = event.Event()
+
+    def claim(*_):
+        release.wait()
+        return types.SimpleNamespace(seen=False, outcome="")
+
+    path = PathHarness(backends, claim=claim)
+    request_id = f"d9~1.{_now_ms()}.n"
+    tasks = [gevent.spawn(send, path, request_id=request_id) for _ in range(4)]
+    wait_until(lambda: path.server.requests_in_progress == 4)
+    release.set()
+    statuses = [task.get(timeout=10).status for task in tasks]
+    assert sorted(statuses) == [200, 409, 409, 409]
+    assert path.runs(request_id) == 1
+    path.server.stop()
+
+
+def test_a_claim_that_outlasts_the_deadline_sends_nothing(backends):
+    def claim(*_):
+        gevent.sleep(0.1)
+        return types.SimpleNamespace(seen=False, outcome="")
+
+    path = PathHarness(backends, claim=claim)
+    request_id = f"d9~1.{_now_ms()}.n"
+    answer = send(path, request_id=request_id, X_Request_Timeout_Ms=20)
+    assert (answer.problem, path.runs(request_id)) == ("deadline-passed", 0)
+    path.server.stop()
+
+
+def test_a_repeat_while_the_first_runs_is_refused(path):
+    path.set_faults({"silent": True}, {"silent": True})
+    with path.connect() as sock:
+        sock.sendall(render(request_id="w"))
+        wait_until(lambda: path.runs("w") == 1)
+        assert send(path, request_id="w").problem == "duplicate-in-progress"
+    assert path.runs("w") == 1
+
+
+def _now_ms():
+    return int(time.time() * 1000)
--- a/wigeonrouter/request_path/_pauses.py
+++ b/wigeonrouter/request_path/_pauses.py
@@ -39,7 +39,9 @@
         """Record that the process is running."""
         now = self._clock()
         if now - self._last_tick > _MIN_PAUSE_S:
-            self._paused_from, self._resumed = self._last_tick, now
+            if now - self._resumed >= _BACKLOG_S:
+                self._paused_from = self._last_tick
+            self._resumed = now
         self._last_tick = now
 
     def earliest_arrival(self, now):
@@ -48,10 +50,10 @@
         Args:
           now: seconds on the monotonic clock.
         """
-        if now - self._last_tick > _MIN_PAUSE_S:
-            return self._last_tick
         if now - self._resumed < _BACKLOG_S:
             return self._paused_from
+        if now - self._last_tick > _MIN_PAUSE_S:
+            return self._last_tick
         return now
 
     def _run(self):
