--- a/wigeonrouter/request_path/_response_reader.py
+++ b/wigeonrouter/request_path/_response_reader.py
@@ -28,7 +28,7 @@
     data = b""
     for _ in range(_MAX_INTERIM_RESPONSES):
         head, data = _read_head(data, receive)
-        collector, parser, status = _parse_head(head)
+        collector, version, status = _parse_head(head)
         if status >= 200:
             break
     else:
@@ -37,7 +37,7 @@
         collector.headers, status, method, data, receive, max_bytes - len(head)
     )
     # Surplus bytes would be taken for the response to the next request.
-    reusable = not rest and parser.should_keep_alive()
+    reusable = not rest and _keeps_alive(collector.headers, version)
     return (
         _messages.HttpResponse(
             status=status,
@@ -75,7 +75,16 @@
     status = parser.get_status_code()
     if status == _SWITCHING_PROTOCOLS:
         raise _MALFORMED(_INVALID, "protocol upgrade")
-    return collector, parser, status
+    return collector, parser.get_http_version(), status
+
+
+def _keeps_alive(headers, version):
+    # httptools forgets the length once it has seen an empty body, and would
+    # take each empty response for one that ends with the connection.
+    tokens = _messages.connection_headers(headers)
+    return b"close" not in tokens and (
+        version == "1.1" or b"keep-alive" in tokens
+    )
 
 
 def _read_body(headers, status, method, data, receive, max_bytes):
