Authorise changes for all they replace, and check trees as a whole

The administration API gains effective settings, history, differences, rollback, several changes in one revision and drain. Each refusal is a documented problem type. Tokens are found through an index that follows the replica instead of a walk of the tree for each request. A document that leaves out access keeps the tokens; a rollback never restores them, because that would revive revoked ones.

The checker refuses addresses out of range, a default timeout above the maximum, unknown policies, the same address twice in a service, and two services with the same match. It used to crash on unpaired surrogates, and took quadratic time to name a repeated key.

--- a/wigeonrouter/administration/__init__.py
+++ b/wigeonrouter/administration/__init__.py
@@ -2,10 +2,12 @@
 
 from wigeonrouter.administration import _app
 from wigeonrouter.administration import _auth
+from wigeonrouter.administration import _problems as problems  # noqa: F401
 
 Identity = _auth.Identity
 Role = _auth.Role
+TokenIndex = _auth.TokenIndex
 
 build_app = _app.build_app
-identify = _auth.identify
+hash_token = _auth.hash_token
 now_ms = _app.now_ms
--- /dev/null
+++ b/wigeonrouter/administration/_app_test.py
@@ -0,0 +1,392 @@
+"""Guards against changes and reads that the API must refuse, or vice versa."""
+
+import gevent
+from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+import pytest
+
+from wigeonrouter import administration
+from wigeonrouter import store as store_api
+from wigeonrouter.administration import conftest
+from wigeonrouter.schema import store_pb2
+
+_TYPES = {
+    f"urn:wigeonrouter:problem:{problem.name}": problem
+    for problem in administration.problems.ALL
+}
+_LIMIT = {"settings": {"limits": {"max_queue": 3}}}
+
+
+def _problem(response):
+    """Return the name of a documented problem type, checking its form."""
+    assert response.headers["content-type"] == "application/problem+json"
+    problem = _TYPES[response.json["type"]]
+    assert response.json["status"] == response.status_code == problem.status
+    assert response.json["title"] == problem.title
+    assert response.json["detail"]
+    return problem.name
+
+
+@pytest.mark.parametrize(
+    ("token", "method", "target", "path", "status"),
+    [
+        (None, "GET", "config", "/a", 401),
+        ("wrong", "GET", "config", "/a", 401),
+        ("a-reader", "GET", "config", "/a/x", 200),
+        ("a-reader", "GET", "config", "/", 403),
+        ("a-reader", "GET", "config", "/b/x", 403),
+        ("a-reader", "GET", "config/effective", "/b/x", 403),
+        ("a-reader", "GET", "config/history", "/b", 403),
+        ("a-reader", "GET", "config/diff", "/b", 403),
+        ("a-reader", "DELETE", "config", "/a/x", 403),
+        ("a-operator", "DELETE", "config", "/a/x", 200),
+        ("a-operator", "DELETE", "config", "/a", 403),
+        ("a-admin", "DELETE", "config", "/b/x", 403),
+        ("a-operator", "POST", "config/rollback", "/b", 403),
+        ("a-operator", "GET", "status", "/", 200),
+    ],
+)
+def test_rights_end_at_the_subtree(
+    client, token, method, target, path, status
+):
+    params = {"from": 0} if target == "config/diff" else {}
+    if target == "config/rollback":
+        params["revision"] = 0
+    response = client.send(
+        method, f"/v1/{target}", token=token, path=path, **params
+    )
+    assert response.status_code == status
+    if status != 200:
+        assert _problem(response) in ("unauthenticated", "forbidden")
+
+
+@pytest.mark.parametrize(
+    ("token", "path", "document", "status"),
+    [
+        ("a-operator", "/a/x", _LIMIT, 200),
+        ("a-reader", "/a/x", _LIMIT, 403),
+        ("b-admin", "/a/x", _LIMIT, 403),
+        # The parent that does not exist yet is nobody's but the root's.
+        ("a-admin", "/c/x", _LIMIT, 403),
+        # Leaving out access keeps it; naming it needs the role admin.
+        ("a-operator", "/a", {"children": {"x": {}}}, 200),
+        ("a-operator", "/a", {"settings": {"access": {}}}, 403),
+        ("a-admin", "/a", {"settings": {"access": {}}}, 200),
+        (
+            "a-operator",
+            "/a/x",
+            {
+                "children": {
+                    "y": {
+                        "settings": {
+                            "access": {"me": conftest.access("admin", "me")}
+                        }
+                    }
+                }
+            },
+            403,
+        ),
+    ],
+)
+def test_a_change_is_authorised_for_all_that_it_replaces(
+    client, token, path, document, status
+):
+    response = client.put(path, document, token=token)
+    assert response.status_code == status, response.json
+
+
+def test_nobody_sees_the_token_hashes_of_a_subtree_without_its_admin_role(
+    client,
+):
+    targets = ("config", "config/effective", "config/history", "config/diff")
+    for target in targets:
+        for token in ("a-reader", "a-operator"):
+            params = {"from": 0} if target == "config/diff" else {}
+            reply = client.send(
+                "GET", f"/v1/{target}", token=token, path="/a", **params
+            )
+            assert reply.status_code == 200
+            assert administration.hash_token("a-admin") not in reply.text
+    reply = client.send("GET", "/v1/config", token="a-admin", path="/a")
+    assert administration.hash_token("a-operator") in reply.text
+
+
+def test_a_node_that_was_read_and_sent_back_changes_nothing(client):
+    shown = client.send("GET", "/v1/config", token="a-operator", path="/a")
+    differences = client.send(
+        "POST",
+        "/v1/config/diff",
+        token="a-operator",
+        path="/a",
+        body=shown.json["node"],
+    )
+    assert differences.json["differences"] == []
+    before = client.daemon.replica.snapshot().root
+    assert (
+        client.put("/a", shown.json["node"], token="a-operator").status_code
+        == 200
+    )
+    assert client.daemon.replica.root == before
+
+
+def test_a_revoked_token_is_refused_at_once_and_rollback_does_not_revive_it(
+    client,
+):
+    keep = {"settings": {"access": {"admin": conftest.access("admin", "a2")}}}
+    keep["children"] = {"x": {}}
+    assert client.put("/a", keep, token="a-admin").json["revision"] == 2
+    gone = client.send("GET", "/v1/config", token="a-operator", path="/a")
+    assert _problem(gone) == "unauthenticated"
+    back = client.send(
+        "POST", "/v1/config/rollback", token="a2", path="/a", revision=1
+    )
+    assert back.json["revision"] == 3
+    gone = client.send("GET", "/v1/config", token="a-operator", path="/a")
+    assert _problem(gone) == "unauthenticated"
+    assert "/a/x" in client.daemon.replica.services
+
+
+def test_a_stale_base_gives_a_conflict_with_both_revisions(client):
+    assert client.put("/a/x", _LIMIT, base=1).json["revision"] == 2
+    response = client.put("/a/x", _LIMIT, base=1)
+    assert _problem(response) == "conflict"
+    assert response.json["base_revision"] == 1
+    assert response.json["current_revision"] == 2
+
+
+def test_a_change_id_is_applied_once_and_belongs_to_one_change(client):
+    first = client.put("/a/x", _LIMIT, token="a-operator", change_id="one")
+    again = client.put("/a/x", _LIMIT, token="a-operator", change_id="one")
+    assert first.json["revision"] == again.json["revision"] == 2
+    other = client.put("/a/x", {}, token="a-operator", change_id="one")
+    assert _problem(other) == "change-id-reused"
+    other = client.put("/a/x", _LIMIT, token="a-admin", change_id="one")
+    assert _problem(other) == "change-id-reused"
+
+
+def test_an_undetermined_change_may_be_repeated(
+    client, store_standin, monkeypatch
+):
+    # The write takes effect, its reply and the reading back are lost.
+    def lose_reply_and_go_down(**kwargs):
+        swap(**kwargs)
+        store_standin.inject(store_pb2.FaultCall(down=True))
+        raise store_api.StoreReplyLost()
+
+    swap = client.daemon.store.compare_and_swap
+    monkeypatch.setattr(
+        client.daemon.store, "compare_and_swap", lose_reply_and_go_down
+    )
+    response = client.put("/a/x", _LIMIT, change_id="one")
+    assert _problem(response) == "undetermined"
+    assert response.json["change_id"] == "one"
+    monkeypatch.undo()
+    response = client.put("/a/x", _LIMIT, change_id="two")
+    assert _problem(response) == "store-unavailable"
+    store_standin.inject(store_pb2.FaultCall(down=False))
+    assert client.put("/a/x", _LIMIT, change_id="one").json["revision"] == 2
+
+
+def test_several_changes_make_one_revision(client):
+    changes = [
+        {"path": "/a/x", "settings": _LIMIT["settings"]},
+        {"path": "/a/y", "node": conftest.service("a-y", 7003)},
+        {"path": "/b/x", "remove": True},
+    ]
+    response = client.send(
+        "POST", "/v1/config/changes", body={"changes": changes}
+    )
+    assert response.json["revision"] == 2
+    assert set(client.daemon.replica.services) == {"/a/y"}
+    refused = client.send(
+        "POST",
+        "/v1/config/changes",
+        token="a-admin",
+        body={"changes": [changes[0], {"path": "/b", "remove": True}]},
+    )
+    assert _problem(refused) == "forbidden"
+
+
+@pytest.mark.parametrize(
+    ("path", "document", "where"),
+    [
+        (
+            "/a/z",
+            conftest.service("b-x", 7003),
+            "$.settings.match.path_prefixes",
+        ),
+        (
+            "/a",
+            {"settings": {"routing": {"policy": "best"}}},
+            "$.settings.routing.policy",
+        ),
+        (
+            "/" + "/".join("a" * 32),
+            {"children": {"b": {}}},
+            "$.children.b",
+        ),
+    ],
+)
+def test_errors_that_need_the_tree_name_the_place(
+    client, path, document, where
+):
+    for method, target in (
+        ("PUT", "/v1/config"),
+        ("POST", "/v1/config/validate"),
+    ):
+        response = client.send(method, target, path=path, body=document)
+        assert _problem(response) == "invalid-document"
+        assert [error["path"] for error in response.json["errors"]] == [where]
+
+
+def test_diff_and_rollback_between_retained_revisions(client):
+    client.put("/a/x", _LIMIT)
+    reply = client.send(
+        "GET", "/v1/config/diff", path="/a/x", **{"from": 1, "to": 2}
+    )
+    fields = {d["field"]: d for d in reply.json["differences"]}
+    assert fields["limits.max_queue"]["before"] is None
+    assert fields["limits.max_queue"]["after"] == 3
+    back = client.send("POST", "/v1/config/rollback", path="/a/x", revision=1)
+    assert back.json["revision"] == 3
+    reply = client.send(
+        "GET", "/v1/config/diff", path="/", **{"from": 1, "to": 3}
+    )
+    assert reply.json["differences"] == []
+    for revision in (4, 2**62):
+        refused = client.send(
+            "POST", "/v1/config/rollback", path="/", revision=revision
+        )
+        assert _problem(refused) == "revision-not-retained"
+
+
+def test_effective_settings_name_the_origin(client):
+    client.put("/", {"limits": {"max_queue": 9}}, only="settings")
+    reply = client.send("GET", "/v1/config/effective", path="/a/x").json
+    assert reply["settings"]["limits"]["max_queue"] == 9
+    assert reply["origins"]["limits.max_queue"] == "/"
+    assert reply["origins"]["match.path_prefixes"] == "/a/x"
+
+
+def test_drain_needs_no_store_but_a_right_at_each_service(
+    client, store_standin
+):
+    store_standin.inject(store_pb2.FaultCall(down=True))
+    target = "/v1/drain"
+    address = "127.0.0.1:7001"
+    refused = client.send("POST", target, token="b-admin", address=address)
+    assert _problem(refused) == "forbidden"
+    unknown = client.send("POST", target, address="127.0.0.1:9")
+    assert _problem(unknown) == "no-backend-server"
+    reply = client.send("POST", target, token="a-operator", address=address)
+    assert reply.json["services"] == ["/a/x"]
+    assert client.daemon.drained == [(address, True, "/a#operator")]
+
+
+def test_status_shows_the_traffic_of_readable_services_only(client):
+    reply = client.send("GET", "/v1/status", token="a-reader")
+    assert [row["service"] for row in reply.json["requests"]] == ["/a/x"]
+
+
+def test_racing_operators_get_one_winner(client):
+    tasks = [
+        gevent.spawn(client.put, "/a/x", _LIMIT, change_id=name, base=1)
+        for name in ("one", "two")
+    ]
+    gevent.joinall(tasks, raise_error=True)
+    assert sorted(task.get().status_code for task in tasks) == [200, 409]
+
+
+def test_a_daemon_that_is_not_ready_does_not_call_tokens_unknown(client):
+    client.daemon.ready = False
+    response = client.send("GET", "/v1/status", token="new")
+    assert _problem(response) == "not-ready"
+
+
+@pytest.mark.parametrize(
+    ("headers", "body", "name"),
+    [
+        ({"Content-Length": str(10**9)}, b"", "too-large"),
+        ({}, b"", "length-required"),
+        ({"Content-Length": "3"}, b"[[[", "invalid-document"),
+        ({"Content-Length": "100000"}, b"[" * 100_000, "invalid-document"),
+        ({"Content-Length": "2"}, b"\xff\xfe", "invalid-document"),
+    ],
+)
+def test_bodies_are_bounded(client, headers, body, name):
+    headers["Authorization"] = "Bearer root"
+    response = client.simulate_put(
+        "/v1/config", params={"change_id": "x"}, headers=headers, body=body
+    )
+    assert _problem(response) == name
+
+
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.text(max_size=8)
+    | strategies.sampled_from(("/a/x", "/", "remove", "127.0.0.1:1")),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.sampled_from(
+                "settings children changes path node remove access match "
+                "hosts limits max_queue groups g servers kinds x".split()
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@given(
+    method=strategies.sampled_from(("GET", "PUT", "POST", "DELETE", "PATCH")),
+    target=strategies.sampled_from(
+        (
+            "/v1/config",
+            "/v1/config/changes",
+            "/v1/config/validate",
+            "/v1/config/effective",
+            "/v1/config/history",
+            "/v1/config/diff",
+            "/v1/config/rollback",
+            "/v1/drain",
+            "/v1/nothing",
+        )
+    ),
+    token=strategies.sampled_from((None, "root", "a-reader", "a-operator"))
+    | strategies.text("abc\xe9", max_size=4),
+    params=strategies.dictionaries(
+        strategies.sampled_from(
+            "path base revision change_id comment only from to limit "
+            "address draining".split()
+        ),
+        strategies.text(max_size=6)
+        | strategies.sampled_from(("/a", "/a/x", "1", "-1", "settings")),
+        max_size=5,
+    ),
+    body=_JSON,
+)
+@hypothesis_settings(
+    max_examples=150,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+def test_any_input_gets_a_reply_or_a_typed_error(
+    client, method, target, token, params, body
+):
+    response = client.simulate_request(
+        method,
+        target,
+        params=params,
+        json=body,
+        headers={"Authorization": f"Bearer {token}"} if token else {},
+    )
+    if response.status_code != 200:
+        assert _problem(response) != "internal"
--- a/wigeonrouter/administration/_auth.py
+++ b/wigeonrouter/administration/_auth.py
@@ -21,6 +21,7 @@
     """Who a token stands for.
 
     Attributes:
+      name: path and name of the token, which the log keeps as author.
       rights: tuple of (path, Role).
     """
 
@@ -37,30 +38,83 @@
         return False
 
 
-def identify(*, token, root, bootstrap_sha256):
-    """Find out whose token this is.
+class TokenIndex:
+    """Finds identities by token hash.
 
-    Args:
-      token: text that the operator sent.
-      root: settings_pb2.Node.
-      bootstrap_sha256: hexadecimal hash of the daemon settings, or "".
-    Returns:
-      An Identity, or None where the token is not known.
+    The tree of the target size has 1,700 services; walking it for each
+    request would cost milliseconds of a core that also serves callers. The
+    index follows the replica and re-reads only what changed.
     """
-    digest = hashlib.sha256(token.encode()).hexdigest()
-    if bootstrap_sha256 and hmac.compare_digest(digest, bootstrap_sha256):
-        return Identity(name="bootstrap", rights=(("/", Role.ADMIN),))
-    rights, names = [], []
-    pending = [("/", root)]
-    while pending:
-        path, node = pending.pop()
-        for name, access in node.settings.access.items():
-            if hmac.compare_digest(digest, access.sha256):
-                rights.append((path, Role[access.role.upper()]))
-                names.append(name)
-        for name, child in node.children.items():
-            names_below = (*settings.split_path(path), name)
-            pending.append((settings.join_path(names_below), child))
-    if not rights:
-        return None
-    return Identity(name=min(names), rights=tuple(rights))
+
+    def __init__(self, *, replica, bootstrap_sha256):
+        self._replica = replica
+        self._bootstrap_sha256 = bootstrap_sha256
+        self._revision = None
+        # Dict from path to the (sha256, Role, name) of the tokens there.
+        self._by_path = {}
+        # Dict from sha256 to Identity.
+        self._identities = {}
+
+    def identify(self, token):
+        """Find out whose token this is.
+
+        Args:
+          token: text that the operator sent.
+        Returns:
+          An Identity, or None where the token is not known.
+        """
+        digest = hash_token(token)
+        bootstrap = self._bootstrap_sha256
+        if bootstrap and hmac.compare_digest(digest, bootstrap):
+            return Identity(name="bootstrap", rights=(("/", Role.ADMIN),))
+        self._update()
+        return self._identities.get(digest)
+
+    def _update(self):
+        if self._revision == self._replica.revision:
+            return
+        entries = None
+        if self._revision is not None:
+            entries = self._replica.entries_after(self._revision)
+        if entries is None:
+            paths = {"/"}
+        else:
+            paths = {c.path for entry in entries for c in entry.changes}
+        for path in paths:
+            self._read(path)
+        self._revision = self._replica.revision
+        self._group()
+
+    def _read(self, path):
+        """Read the tokens at and below a path anew."""
+        above = settings.split_path(path)
+        for known in list(self._by_path):
+            if settings.split_path(known)[: len(above)] == above:
+                del self._by_path[known]
+        node = settings.find_node(root=self._replica.root, path=path)
+        pending = [] if node is None else [(above, node)]
+        while pending:
+            names, node = pending.pop()
+            if node.HasField("settings") and node.settings.access:
+                self._by_path[settings.join_path(names)] = tuple(
+                    (access.sha256, Role[access.role.upper()], name)
+                    for name, access in sorted(node.settings.access.items())
+                )
+            for name, child in node.children.items():
+                pending.append(((*names, name), child))
+
+    def _group(self):
+        rights, names = {}, {}
+        for path, tokens in sorted(self._by_path.items()):
+            for digest, role, name in tokens:
+                rights.setdefault(digest, []).append((path, role))
+                names.setdefault(digest, f"{path}#{name}")
+        self._identities = {
+            digest: Identity(name=names[digest], rights=tuple(granted))
+            for digest, granted in rights.items()
+        }
+
+
+def hash_token(token):
+    """Return the SHA-256 of a token, as settings hold it."""
+    return hashlib.sha256(token.encode(errors="replace")).hexdigest()
--- /dev/null
+++ b/wigeonrouter/administration/_changes.py
@@ -0,0 +1,189 @@
+"""Reads the changes of a request from its body and checks them."""
+
+from returns import pipeline
+from returns import result
+
+from wigeonrouter import selection
+from wigeonrouter import settings
+from wigeonrouter.administration import _access
+from wigeonrouter.administration import _auth
+from wigeonrouter.administration import _registry
+from wigeonrouter.schema import settings_pb2
+
+# One revision has to fit into one value of the store.
+MAX_CHANGES = 1000
+_ACTIONS = ("node", "settings", "remove")
+
+
+def read_change(call, path):
+    """Read the change of a body that holds one node or its settings.
+
+    The parameter ``only=settings`` says that the document holds settings.
+
+    Returns:
+      Success(settings_pb2.Change) with the tokens that the node keeps, or
+      Failure(Problem).
+    """
+    settings_only = call.req.get_param("only", default="node") == "settings"
+    anchor = settings.Anchor(path=path, settings_only=settings_only)
+    document = call.document()
+    if not pipeline.is_successful(document):
+        return document
+    return _build_change(call, anchor, document.unwrap()).bind(
+        lambda change: check_changes(call, (change,), (anchor,)).map(
+            lambda _: change
+        )
+    )
+
+
+def read_changes(call):
+    """Read a body that holds several changes of one revision.
+
+    Returns:
+      Success(tuple of settings_pb2.Change), or Failure(Problem).
+    """
+    decoded = call.document()
+    if not pipeline.is_successful(decoded):
+        return decoded
+    items = decoded.unwrap()
+    items = items.get("changes") if isinstance(items, dict) else None
+    if not (isinstance(items, list) and 0 < len(items) <= MAX_CHANGES):
+        return _invalid(
+            "$.changes", "no list of changes", f"1 to {MAX_CHANGES} changes"
+        )
+    changes, anchors = [], []
+    for index, item in enumerate(items):
+        prefix = f"$.changes[{index}]"
+        built = _build_item(call, item, prefix)
+        if not pipeline.is_successful(built):
+            return built
+        anchor, change = built.unwrap()
+        changes.append(change)
+        anchors.append(anchor)
+    changes = tuple(changes)
+    return (
+        call.authorize(
+            [(_auth.Role.OPERATOR, change.path) for change in changes]
+        )
+        .bind(lambda _: check_changes(call, changes, anchors))
+        .map(lambda _: changes)
+    )
+
+
+def check_changes(call, changes, anchors):
+    """Check what a tree would be after the changes.
+
+    Args:
+      changes: tuple of settings_pb2.Change.
+      anchors: the settings.Anchors that locate errors.
+    Returns:
+      Success(None), or Failure(Problem).
+    """
+    paths = [change.path for change in changes]
+    root = settings.excerpt_tree(root=call.context.replica.root, paths=paths)
+    settings.apply_in_place(root=root, changes=changes)
+    errors = settings.check_rules(
+        root=root,
+        policies=selection.policy_names(),
+        matches=_matches_elsewhere(call.context.matches, paths),
+    )
+    if not errors:
+        return result.Success(None)
+    return result.Failure(
+        _registry.invalid_document(
+            tuple(
+                settings.locate_error(error=error, anchors=anchors)
+                for error in errors
+            )
+        )
+    )
+
+
+def _matches_elsewhere(matches, paths):
+    """Return the matches of services that no change can alter."""
+    changed = [settings.split_path(path) for path in paths]
+    if () in changed:
+        return {}
+    return {
+        key: service
+        for key, service in matches.items()
+        if not any(
+            settings.split_path(service)[: len(names)] == names
+            for names in changed
+        )
+    }
+
+
+def _build_item(call, item, prefix):
+    """Return Success((Anchor, Change)) of one item, or Failure(Problem)."""
+    if not isinstance(item, dict) or not isinstance(item.get("path"), str):
+        return _invalid(prefix, "no object with a path", "path and one action")
+    given = sorted(key for key in item if key != "path")
+    if len(given) != 1 or given[0] not in _ACTIONS:
+        return _invalid(
+            prefix,
+            f"{len(given)} further keys",
+            "exactly one of " + ", ".join(_ACTIONS),
+        )
+    path = call.check_path(item["path"], f"{prefix}.path")
+    name = given[0]
+    anchor = settings.Anchor(
+        path=path,
+        prefix=f"{prefix}.{name}",
+        settings_only=name == "settings",
+    )
+    if name == "remove":
+        if item["remove"] is not True:
+            return _invalid(f"{prefix}.remove", "not true", "true")
+        return result.Success(
+            (anchor, settings_pb2.Change(path=path, remove=True))
+        )
+    return _build_change(call, anchor, item[name]).map(
+        lambda change: (anchor, change)
+    )
+
+
+def _build_change(call, anchor, document):
+    current = settings.find_node(
+        root=call.context.replica.root, path=anchor.path
+    )
+    if anchor.settings_only:
+        message_type = settings_pb2.Settings
+    else:
+        message_type = settings_pb2.Node
+    built = settings.build_message(
+        document=document, message_type=message_type
+    )
+    if not pipeline.is_successful(built):
+        return result.Failure(
+            _registry.invalid_document(
+                tuple(
+                    settings.DocumentError(
+                        path=anchor.prefix + error.path[1:],
+                        problem=error.problem,
+                        allowed=error.allowed,
+                    )
+                    for error in built.failure()
+                )
+            )
+        )
+    message = built.unwrap()
+    if not anchor.settings_only:
+        _access.keep_access(
+            message=message, document=document, current=current
+        )
+        return result.Success(
+            settings_pb2.Change(path=anchor.path, node=message)
+        )
+    if current is not None:
+        _access.keep_settings_access(
+            message=message, document=document, current=current.settings
+        )
+    return result.Success(
+        settings_pb2.Change(path=anchor.path, settings=message)
+    )
+
+
+def _invalid(path, problem, allowed):
+    error = settings.DocumentError(path=path, problem=problem, allowed=allowed)
+    return result.Failure(_registry.invalid_document((error,)))
--- /dev/null
+++ b/wigeonrouter/administration/_entries.py
@@ -0,0 +1,72 @@
+"""The entry query of callers, and health: no token is needed."""
+
+import falcon
+
+from wigeonrouter import core
+from wigeonrouter import entries
+from wigeonrouter.administration import _problems
+from wigeonrouter.administration import _registry
+
+
+class Health:
+    """Says that the process answers."""
+
+    def on_get(self, req, resp):
+        resp.media = {"status": "ok"}
+
+
+class Ready:
+    """Says whether the daemon has a configuration and serves."""
+
+    def __init__(self, *, daemon):
+        self._daemon = daemon
+
+    def on_get(self, req, resp):
+        resp.media = {"ready": self._daemon.ready}
+        if not self._daemon.ready:
+            resp.status = falcon.HTTP_503
+
+
+class Entries:
+    """Tells callers which addresses to use."""
+
+    def __init__(self, *, daemon):
+        self._daemon = daemon
+
+    def on_get(self, req, resp):
+        name = req.get_param("service")
+        service = self._daemon.replica.services.get(name) if name else None
+        if name and service is None:
+            _registry.write_problem(
+                resp,
+                _problems.Problem(
+                    problem=_problems.NO_SERVICE, detail=f"no service {name}"
+                ),
+            )
+            return
+        own = self._daemon.settings.place
+        place = core.Place(
+            region=req.get_param("region", default=own.region),
+            failure_domain=req.get_param(
+                "failure_domain", default=own.failure_domain
+            ),
+        )
+        chosen = entries.choose_entries(
+            service=service,
+            place=place,
+            members=self._daemon.table.alive,
+            rng=self._daemon.rng,
+        )
+        resp.media = {
+            "ttl_ms": int(self._daemon.settings.entry_ttl * 1000),
+            "entries": [
+                {
+                    "address": str(entry.address),
+                    "request_id_prefix": entry.request_id_prefix,
+                    "region": entry.place.region,
+                    "failure_domain": entry.place.failure_domain,
+                    "home": entry.home,
+                }
+                for entry in chosen
+            ],
+        }
--- /dev/null
+++ b/wigeonrouter/administration/_read.py
@@ -0,0 +1,235 @@
+"""Actions that read: settings, history, differences and status."""
+
+import dataclasses
+
+from google.protobuf import json_format
+from returns import pipeline
+from returns import result
+
+from wigeonrouter import settings
+from wigeonrouter.administration import _access
+from wigeonrouter.administration import _auth
+from wigeonrouter.administration import _changes
+from wigeonrouter.administration import _diff
+from wigeonrouter.administration import _problems
+from wigeonrouter.administration import _registry
+
+MAX_HISTORY = 1024
+_READER = _auth.Role.READER
+
+
+@_registry.action(method="GET", target="/v1/config")
+def show(call):
+    """Return the node at a path."""
+    return _node_at(call).map(
+        lambda node: {
+            "revision": call.context.replica.revision,
+            "path": call.path,
+            "node": _to_dict(
+                _access.redact_node(
+                    node=node, path=call.path, identity=call.identity
+                )
+            ),
+        }
+    )
+
+
+@_registry.action(method="GET", target="/v1/config/effective")
+def effective(call):
+    """Return the settings of a node with all that it inherits."""
+    return _node_at(call).map(lambda _: _effective(call))
+
+
+@_registry.action(method="GET", target="/v1/config/history")
+def history(call):
+    """Return the retained revisions that concern a path, newest first."""
+    path = call.path
+    limit = call.req.get_param_as_int(
+        "limit", default=50, min_value=1, max_value=MAX_HISTORY
+    )
+    return call.authorize([(_READER, path)]).map(
+        lambda _: {
+            "revision": call.context.replica.revision,
+            "oldest_revision": call.context.history.oldest_revision,
+            "entries": _describe_entries(call, path, limit),
+        }
+    )
+
+
+@_registry.action(method="GET", target="/v1/config/diff")
+def diff_revisions(call):
+    """Return what differs at a path between two retained revisions."""
+    path = call.path
+    revisions = (
+        call.revision("from"),
+        call.revision("to", default=call.context.replica.revision),
+    )
+    authorized = call.authorize([(_READER, path)])
+    if not pipeline.is_successful(authorized):
+        return authorized
+    nodes = []
+    for revision in revisions:
+        tree = find_tree(call, revision)
+        if not pipeline.is_successful(tree):
+            return tree
+        nodes.append(settings.find_node(root=tree.unwrap(), path=path))
+    return result.Success(_render_diff(call, path, *nodes))
+
+
+@_registry.action(method="POST", target="/v1/config/diff")
+def diff_document(call):
+    """Return what a document would change at a path."""
+    path = call.path
+    authorized = call.authorize([(_READER, path)])
+    if not pipeline.is_successful(authorized):
+        return authorized
+    return _changes.read_change(call, path).map(
+        lambda change: _render_diff(
+            call,
+            path,
+            settings.find_node(root=call.context.replica.root, path=path),
+            settings.find_node(
+                root=settings.apply_changes(
+                    root=settings.excerpt_tree(
+                        root=call.context.replica.root, paths=[path]
+                    ),
+                    changes=(change,),
+                ),
+                path=path,
+            ),
+        )
+    )
+
+
+@_registry.action(method="GET", target="/v1/status")
+def status(call):
+    """Return the daemon's state and the traffic of readable services."""
+    daemon = call.context.daemon
+    return result.Success(
+        {
+            "daemon_id": daemon.settings.daemon_id,
+            "revision": daemon.replica.revision,
+            "ready": daemon.ready,
+            "members": [
+                {
+                    "daemon_id": member.daemon_id,
+                    "state": member.state.value,
+                    "region": member.place.region,
+                    "failure_domain": member.place.failure_domain,
+                    "caller_address": str(member.caller_address),
+                }
+                for member in daemon.table.members
+            ],
+            "requests": [
+                row
+                for row in daemon.metrics.summary()
+                if call.identity.may(role=_READER, path=row["service"] or "/")
+            ],
+        }
+    )
+
+
+def find_tree(call, revision):
+    """Return Success(tree at a revision), or Failure(Problem)."""
+    tree = call.context.history.tree_at(revision)
+    if tree is not None:
+        return result.Success(tree)
+    oldest = call.context.history.oldest_revision
+    newest = call.context.replica.revision
+    return result.Failure(
+        _problems.Problem(
+            problem=_problems.REVISION_NOT_RETAINED,
+            detail=f"revision {revision} is not retained; allowed: "
+            f"{oldest} to {newest}",
+            members={"oldest_revision": oldest, "revision": newest},
+        )
+    )
+
+
+def _node_at(call):
+    path = call.path
+    authorized = call.authorize([(_READER, path)])
+    if not pipeline.is_successful(authorized):
+        return authorized
+    node = settings.find_node(root=call.context.replica.root, path=path)
+    if node is None:
+        return result.Failure(
+            _problems.Problem(
+                problem=_problems.NO_NODE, detail=f"no node at {path}"
+            )
+        )
+    return result.Success(node)
+
+
+def _effective(call):
+    path, replica = call.path, call.context.replica
+    merged, origins = settings.effective_settings(root=replica.root, path=path)
+    _access.redact_settings(message=merged, path=path, identity=call.identity)
+    reply = {
+        "revision": replica.revision,
+        "path": path,
+        "settings": _to_dict(merged),
+        "origins": {
+            field: origin
+            for field, origin in sorted(origins.items())
+            if not field.startswith("access.") or merged.access
+        },
+    }
+    service = replica.services.get(path)
+    if service is not None:
+        # With the defaults of the code, in seconds.
+        reply["in_force"] = {
+            "routing": dataclasses.asdict(service.routing),
+            "limits": dataclasses.asdict(service.limits),
+            "retries": dataclasses.asdict(service.retries),
+            "health": dataclasses.asdict(service.health),
+        }
+    return reply
+
+
+def _describe_entries(call, path, limit):
+    described = []
+    for entry in reversed(call.context.replica.history()):
+        paths = [
+            change.path
+            for change in entry.changes
+            if settings.paths_overlap(change.path, path)
+        ]
+        if not paths:
+            continue
+        described.append(
+            {
+                "revision": entry.revision,
+                "change_id": entry.change_id,
+                "author": entry.author,
+                "time_ms": entry.time_ms,
+                "base_revision": entry.base_revision,
+                "comment": entry.comment,
+                "paths": paths,
+            }
+        )
+        if len(described) == limit:
+            break
+    return described
+
+
+def _render_diff(call, path, before, after):
+    nodes = [
+        node
+        and _access.redact_node(node=node, path=path, identity=call.identity)
+        for node in (before, after)
+    ]
+    found = _diff.compare_nodes(before=nodes[0], after=nodes[1], path=path)
+    return {
+        "path": path,
+        "revision": call.context.replica.revision,
+        "differences": [
+            dataclasses.asdict(difference)
+            for difference in found[: _diff.MAX_DIFFERENCES]
+        ],
+        "truncated": len(found) > _diff.MAX_DIFFERENCES,
+    }
+
+
+def _to_dict(message):
+    return json_format.MessageToDict(message, preserving_proto_field_name=True)
--- a/wigeonrouter/configuration/__init__.py
+++ b/wigeonrouter/configuration/__init__.py
@@ -1,12 +1,14 @@
 """The configuration log: acceptance, snapshots and each daemon's replica."""
 
 from wigeonrouter.configuration import _acceptance
+from wigeonrouter.configuration import _history
 from wigeonrouter.configuration import _replica
 from wigeonrouter.configuration import _snapshots
 
 Conflict = _acceptance.Conflict
 Proposal = _acceptance.Proposal
 Replica = _replica.Replica
+RevisionHistory = _history.RevisionHistory
 StoreDown = _acceptance.StoreDown
 TooLarge = _acceptance.TooLarge
 Undetermined = _acceptance.Undetermined
--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -87,6 +87,7 @@
         )
         self._ready = False
         self._tasks = []
+        self._draining = set()
 
     @property
     def settings(self):
@@ -165,6 +166,18 @@
         entry = accepted.unwrap()
         return result.Success((entry, self._gossip.push((entry,))))
 
+    def drain_server(self, *, address, draining, author):
+        """Start or end the drain of a backend server; needs no store.
+
+        Args:
+          address: core.Address.
+          draining: whether the server leaves or comes back.
+          author: name of the operator's token.
+        """
+        change = self._draining.add if draining else self._draining.discard
+        change(str(address))
+        self._handler.set_draining(self._draining)
+
     def _follow_store(self):
         while True:
             try:
--- a/wigeonrouter/settings/_checker.py
+++ b/wigeonrouter/settings/_checker.py
@@ -1,10 +1,12 @@
 """Checks JSON documents against the schema and its bounds.
 
 The checker collects every error with its JSON path, what is wrong and what
-is allowed, so that an operator can mend a document in one go.
+is allowed, so that an operator can correct a document in one go.
 """
 
+import collections
 import dataclasses
+import ipaddress
 import json
 import re
 
@@ -18,6 +20,10 @@
 MAX_DEPTH = 64
 # The store holds values up to 1 MB; a change has to fit with its envelope.
 MAX_DOCUMENT_BYTES = 900_000
+# More than an operator reads in one go; a large document of nothing but
+# mistakes would otherwise give a reply many times its size.
+MAX_ERRORS = 100
+_MAX_SHOWN = 40
 
 _Field = descriptor.FieldDescriptor
 _INTEGER_RANGES = {
@@ -54,28 +60,44 @@
     Returns:
       Success(message), or Failure(tuple of DocumentError).
     """
+    return decode_document(text).bind(
+        lambda document: build_message(
+            document=document, message_type=message_type
+        )
+    )
+
+
+def decode_document(text):
+    """Decode a JSON document without checking it against a schema.
+
+    Args:
+      text: the document, str or UTF-8 bytes.
+    Returns:
+      Success(decoded value), or Failure(tuple of DocumentError).
+    """
     if len(text) > MAX_DOCUMENT_BYTES:
-        return result.Failure(
-            (
-                DocumentError(
-                    path="$",
-                    problem=f"document of {len(text)} bytes is too large",
-                    allowed=f"at most {MAX_DOCUMENT_BYTES} bytes",
-                ),
-            )
+        return _failure(
+            problem=f"document of {len(text)} bytes is too large",
+            allowed=f"at most {MAX_DOCUMENT_BYTES} bytes",
         )
     try:
+        if isinstance(text, bytes):
+            text = text.decode()
         document = json.loads(text, object_pairs_hook=_unique_keys)
     except (ValueError, RecursionError) as error:
-        return result.Failure(
-            (
-                DocumentError(
-                    path="$",
-                    problem=f"not readable as JSON: {error}",
-                    allowed="one JSON object with unique keys",
-                ),
-            )
+        return _failure(
+            problem=f"not readable as JSON: {error}",
+            allowed="one JSON object in UTF-8 with unique keys",
         )
+    return result.Success(document)
+
+
+def build_message(*, document, message_type):
+    """Check a decoded document and build its message.
+
+    Returns:
+      Success(message), or Failure(tuple of DocumentError).
+    """
     errors = check_document(document=document, message_type=message_type)
     if errors:
         return result.Failure(errors)
@@ -89,19 +111,33 @@
       document: what json.loads returned.
       message_type: generated class.
     Returns:
-      A tuple of DocumentError, empty where the document is accepted.
+      A tuple of at most MAX_ERRORS DocumentError, empty where the document
+      is accepted.
     """
     errors = []
-    _check_message(document, message_type.DESCRIPTOR, "$", errors, 0)
+    try:
+        _check_message(document, message_type.DESCRIPTOR, "$", errors, 0)
+    except _EnoughErrors:
+        pass
     return tuple(errors)
 
 
+class _EnoughErrors(Exception):
+    """Ends a check that has found MAX_ERRORS errors."""
+
+
+def _failure(*, problem, allowed):
+    return result.Failure(
+        (DocumentError(path="$", problem=problem, allowed=allowed),)
+    )
+
+
 def _unique_keys(pairs):
     keys = dict(pairs)
     if len(keys) != len(pairs):
-        names = [key for key, _ in pairs]
-        repeated = next(key for key in names if names.count(key) > 1)
-        raise ValueError(f"key {repeated!r} stands twice")
+        counts = collections.Counter(key for key, _ in pairs)
+        repeated = counts.most_common(1)[0][0]
+        raise ValueError(f"key {_shorten(repr(repeated))} occurs twice")
     return keys
 
 
@@ -116,16 +152,16 @@
         field = message.fields_by_name.get(key)
         if field is None:
             known = ", ".join(sorted(message.fields_by_name))
-            _add(errors, f"{path}.{key}", "unknown key", known)
+            _add(errors, f"{path}.{_shorten(key)}", "unknown key", known)
             continue
         _check_field(item, field, f"{path}.{key}", errors, depth)
     for field in message.fields:
-        if _bounds(field).required and field.name not in value:
+        if bounds_of(field).required and field.name not in value:
             _add(
                 errors,
                 f"{path}.{field.name}",
                 "missing",
-                _describe(field),
+                describe_field(field),
             )
 
 
@@ -146,11 +182,16 @@
     if not isinstance(value, dict):
         _add(errors, path, f"{_kind(value)} found", "an object")
         return
-    pattern = _bounds(field).pattern
+    pattern = bounds_of(field).pattern
     value_field = field.message_type.fields_by_name["value"]
     for key, item in value.items():
         if pattern and not re.fullmatch(pattern, key):
-            _add(errors, path, f"bad name {key!r}", f"names like {pattern}")
+            shown = _shorten(repr(key))
+            _add(errors, path, f"bad name {shown}", f"names like {pattern}")
+            continue
+        if not _is_unicode(key):
+            _add(errors, path, "bad name", "valid Unicode text")
+            continue
         if value_field.type == _Field.TYPE_MESSAGE:
             _check_single(
                 item, value_field, f"{path}.{key}", errors, depth + 1
@@ -167,13 +208,15 @@
 
 
 def _check_scalar(value, field, bounds_field, path, errors):
-    bounds = _bounds(bounds_field)
+    bounds = bounds_of(bounds_field)
     if field.type == _Field.TYPE_STRING:
-        fits = isinstance(value, str)
+        fits = isinstance(value, str) and _is_unicode(value)
         if fits and bounds.allowed:
             fits = value in bounds.allowed
         elif fits and bounds.pattern:
             fits = re.fullmatch(bounds.pattern, value) is not None
+            if fits and bounds.pattern == _ADDRESS_PATTERN:
+                fits = is_address(value)
     elif field.type == _Field.TYPE_BOOL:
         fits = isinstance(value, bool)
     elif field.type in _INTEGER_RANGES:
@@ -183,10 +226,12 @@
     else:
         fits = type(value) in (int, float) and _within(value, bounds)
     if not fits:
-        shown = json.dumps(value)
-        if len(shown) > 40:
-            shown = f"{shown[:40]}…"
-        _add(errors, path, f"{shown} found", _describe(field, bounds))
+        _add(
+            errors,
+            path,
+            f"{_kind(value)} found",
+            describe_field(field, bounds),
+        )
 
 
 def _within(value, bounds):
@@ -197,11 +242,14 @@
     return not (bounds.HasField("max") and value > bounds.max)
 
 
-def _describe(field, bounds=None):
-    bounds = bounds or _bounds(field)
+def describe_field(field, bounds=None):
+    """Return in words what a field accepts."""
+    bounds = bounds or bounds_of(field)
     if field.type == _Field.TYPE_STRING:
         if bounds.allowed:
             return "one of " + ", ".join(bounds.allowed)
+        if bounds.pattern == _ADDRESS_PATTERN:
+            return "an IPv4 address and a port from 1 to 65535"
         if bounds.pattern:
             return f"text like {bounds.pattern}"
         return "text"
@@ -213,7 +261,8 @@
     return kind
 
 
-def _bounds(field):
+def bounds_of(field):
+    """Return the Bounds option of a field."""
     return field.GetOptions().Extensions[settings_pb2.bounds]
 
 
@@ -229,8 +278,37 @@
         return "an object"
     if isinstance(value, list):
         return "a list"
-    return json.dumps(value)[:40]
+    return _shorten(json.dumps(value))
+
+
+def _shorten(text):
+    return text if len(text) <= _MAX_SHOWN else f"{text[:_MAX_SHOWN]}…"
+
+
+def _is_unicode(text):
+    # JSON can escape half of a surrogate pair, which UTF-8 cannot encode.
+    return not any("\ud800" <= character <= "\udfff" for character in text)
+
+
+def is_address(text):
+    """Return whether a text is an IPv4 address with a port from 1 to 65535."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return re.fullmatch("[0-9]{1,5}", port) is not None and (
+        1 <= int(port) <= 65535
+    )
 
 
 def _add(errors, path, problem, allowed):
     errors.append(DocumentError(path=path, problem=problem, allowed=allowed))
+    if len(errors) >= MAX_ERRORS:
+        raise _EnoughErrors()
+
+
+# Every field with this pattern holds an address.
+_ADDRESS_PATTERN = bounds_of(
+    settings_pb2.Server.DESCRIPTOR.fields_by_name["address"]
+).pattern
--- a/wigeonrouter/settings/_checker_test.py
+++ b/wigeonrouter/settings/_checker_test.py
@@ -1,5 +1,7 @@
 """Guards against settings that are accepted although they are wrong."""
 
+import json
+
 from hypothesis import given
 from hypothesis import strategies
 import pytest
@@ -69,6 +71,61 @@
         assert errors
 
 
+def _servers(*addresses):
+    server = {"region": "r", "failure_domain": "f"}
+    return json.dumps(
+        {
+            "settings": {
+                "groups": {
+                    "g": {
+                        "servers": {
+                            f"s{index}": {"address": address, **server}
+                            for index, address in enumerate(addresses)
+                        }
+                    }
+                }
+            }
+        }
+    )
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "300.1.1.1:80",
+        "1.1.1.1:0",
+        "1.1.1.1:70000",
+        "1.1.1.1",
+        "\u0661.1.1.1:80",
+        "01.1.1.1:80",
+    ],
+)
+def test_addresses_out_of_range_are_errors(address):
+    error = _check(_servers(address)).failure()[0]
+    assert error.path == "$.settings.groups.g.servers.s0.address"
+    assert "65535" in error.allowed
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"settings": {"routing": {"policy": "\\ud800"}}}',
+        '{"settings": {"limits": {"tenant_weights": {"\\udfff": 1}}}}',
+        b"\xff\xfe{}",
+        '{"settings": {"limits": {"max_queue": %s}}}'
+        % ("[" * 900 + "]" * 900),
+        '{"settings": {"limits": {"max_queue": %s}}}' % ("1" * 5000),
+        "{" + ", ".join(f'"k{n}": 1' for n in range(60_000)) + "}",
+        "{" + ", ".join(f'"k{n // 2}": 1' for n in range(60_000)) + "}",
+        "[" + "{}," * 200_000 + "{}]",
+    ],
+)
+def test_hostile_documents_give_few_and_short_errors(text):
+    errors = _check(text).failure()
+    assert 1 <= len(errors) <= 100
+    assert all(len(str(error)) < 400 for error in errors)
+
+
 def test_a_correct_document_is_accepted():
     assert pipeline.is_successful(
         _check('{"settings": {"limits": {"max_queue": 5}}}')
--- a/wigeonrouter/settings/_tree.py
+++ b/wigeonrouter/settings/_tree.py
@@ -116,6 +116,66 @@
             pending.append((names + (name,), node.children[name]))
 
 
+def walk_effective(root):
+    """Yield (path, merged settings, origins) of each node, parents first.
+
+    Merging along the way costs one merge per node, where calling
+    effective_settings for each would repeat those of the ancestors.
+    """
+    pending = [((), root, settings_pb2.Settings(), {})]
+    while pending:
+        names, node, inherited, origins_above = pending.pop()
+        path = join_path(names)
+        merged = settings_pb2.Settings()
+        merged.CopyFrom(inherited)
+        origins = dict(origins_above)
+        _merge(merged, node.settings, path, origins, "")
+        yield path, merged, origins
+        if not node.children:
+            continue
+        below = settings_pb2.Settings()
+        below.CopyFrom(merged)
+        for name in NOT_INHERITED:
+            below.ClearField(name)
+        origins = {
+            field: origin
+            for field, origin in origins.items()
+            if field.partition(".")[0] not in NOT_INHERITED
+        }
+        for name in sorted(node.children, reverse=True):
+            pending.append(
+                (names + (name,), node.children[name], below, origins)
+            )
+
+
+def excerpt_tree(*, root, paths):
+    """Copy the part of a tree that a change at the given paths concerns.
+
+    Copying and checking a tree of 15,000 backend servers for each change
+    would cost more than the change.
+
+    Returns:
+      A settings_pb2.Node with all at and below each path, and the settings
+      of the nodes above.
+    """
+    excerpt = settings_pb2.Node()
+    whole = set()
+    for path in sorted(paths, key=lambda path: len(split_path(path))):
+        names = split_path(path)
+        if any(names[:depth] in whole for depth in range(len(names) + 1)):
+            continue
+        source, target = root, excerpt
+        for name in names:
+            target.settings.CopyFrom(source.settings)
+            if name not in source.children:
+                break
+            source, target = source.children[name], target.children[name]
+        else:
+            target.CopyFrom(source)
+            whole.add(names)
+    return excerpt
+
+
 def _remove(tree, names):
     if not names:
         tree.Clear()
