Complete the operator's command

Every action of the API has a command, with output for people or as JSON, documented exit codes and encoded arguments. Reads go on to the next server; a write does so only while nothing of it was sent, and a write whose reply is lost ends with its own exit code and the change id to repeat.

--- a/wigeonrouter/administration/_read.py
+++ b/wigeonrouter/administration/_read.py
@@ -69,10 +69,10 @@
         return authorized
     nodes = []
     for revision in revisions:
-        tree = find_tree(call, revision)
-        if not pipeline.is_successful(tree):
-            return tree
-        nodes.append(settings.find_node(root=tree.unwrap(), path=path))
+        found = find_earlier_node(call, path, revision)
+        if not pipeline.is_successful(found):
+            return found
+        nodes.append(found.unwrap())
     return result.Success(_render_diff(call, path, *nodes))
 
 
@@ -129,19 +129,24 @@
     )
 
 
-def find_tree(call, revision):
-    """Return Success(tree at a revision), or Failure(Problem)."""
-    tree = call.context.history.tree_at(revision)
+def find_earlier_node(call, path, revision):
+    """Find a node as it was at a retained revision.
+
+    Returns:
+      Success(settings_pb2.Node that the caller owns, or None where there was
+      no node), or Failure(Problem).
+    """
+    history = call.context.history
+    tree = history.tree_at(revision)
     if tree is not None:
-        return result.Success(tree)
-    oldest = call.context.history.oldest_revision
-    newest = call.context.replica.revision
+        return result.Success(settings.find_node(root=tree, path=path))
+    oldest, newest = history.oldest_revision, call.context.replica.revision
     return result.Failure(
         _problems.Problem(
             problem=_problems.REVISION_NOT_RETAINED,
             detail=f"revision {revision} is not retained; allowed: "
             f"{oldest} to {newest}",
-            members={"oldest_revision": oldest, "revision": newest},
+            members={"oldest_revision": oldest, "current_revision": newest},
         )
     )
 
--- a/wigeonrouter/administration/_write.py
+++ b/wigeonrouter/administration/_write.py
@@ -82,10 +82,10 @@
     authorized = call.authorize([(_OPERATOR, path)])
     if not pipeline.is_successful(authorized):
         return authorized
-    tree = _read.find_tree(call, revision)
-    if not pipeline.is_successful(tree):
-        return tree
-    node = settings.find_node(root=tree.unwrap(), path=path)
+    found = _read.find_earlier_node(call, path, revision)
+    if not pipeline.is_successful(found):
+        return found
+    node = found.unwrap()
     change = settings_pb2.Change(path=path)
     if node is None:
         change.remove = True
@@ -179,10 +179,16 @@
 
 
 def _check_repeat(call, entry, changes, acknowledged):
-    """Make sure that the entry of a change id is this operator's change."""
-    if entry.author != call.identity.name or _access.without_access(
-        entry.changes
-    ) != _access.without_access(changes):
+    """Make sure that the entry of a change id is this operator's change.
+
+    An entry without an author is no longer retained; only its id is known.
+    """
+    foreign = entry.author and (
+        entry.author != call.identity.name
+        or _access.without_access(entry.changes)
+        != _access.without_access(changes)
+    )
+    if foreign:
         return result.Failure(
             _problems.Problem(
                 problem=_problems.CHANGE_ID_REUSED,
--- /dev/null
+++ b/wigeonrouter/cli/_output.py
@@ -0,0 +1,193 @@
+"""Prints replies and failures, for people or as JSON, and ends the command.
+
+Exit codes are part of the interface; docs/operations.md lists them.
+"""
+
+import datetime
+import json
+import sys
+
+import click
+
+from wigeonrouter.cli import _client
+
+EXIT_REFUSED = 1
+# click ends with 2 for wrong arguments.
+EXIT_INVALID = 3
+EXIT_UNREACHABLE = 4
+EXIT_CONFLICT = 5
+EXIT_UNDETERMINED = 6
+EXIT_UNAUTHORIZED = 7
+EXIT_UNAVAILABLE = 8
+EXIT_NOT_FOUND = 9
+EXIT_DIFFERENT = 10
+
+_EXIT_BY_PROBLEM = {
+    "invalid-document": EXIT_INVALID,
+    "conflict": EXIT_CONFLICT,
+    "change-id-reused": EXIT_CONFLICT,
+    "undetermined": EXIT_UNDETERMINED,
+    "unauthenticated": EXIT_UNAUTHORIZED,
+    "forbidden": EXIT_UNAUTHORIZED,
+    "store-unavailable": EXIT_UNAVAILABLE,
+    "not-ready": EXIT_UNAVAILABLE,
+    "no-node": EXIT_NOT_FOUND,
+    "no-service": EXIT_NOT_FOUND,
+    "no-backend-server": EXIT_NOT_FOUND,
+    "revision-not-retained": EXIT_NOT_FOUND,
+}
+
+
+def print_reply(media, *, as_json, render):
+    """Print a reply.
+
+    Args:
+      media: the reply as a dict.
+      as_json: whether to print the reply itself.
+      render: function that yields lines for people from the reply.
+    """
+    if as_json:
+        click.echo(json.dumps(media, indent=2))
+        return
+    for line in render(media):
+        click.echo(line)
+
+
+def fail(failure, *, as_json, change_id=None):
+    """Print a failure of the Client to standard error and exit."""
+    if isinstance(failure, _client.Refused):
+        media = failure.problem
+        name = str(media.get("type", "")).rpartition(":")[2]
+        code = _EXIT_BY_PROBLEM.get(name, EXIT_REFUSED)
+        lines = _refusal_lines(name, media)
+    elif isinstance(failure, _client.ReplyLost):
+        name, code = "reply-lost", EXIT_UNDETERMINED
+        media = {"server": failure.server, "detail": failure.detail}
+        lines = [
+            f"{failure.server}: the reply was lost ({failure.detail}); the "
+            "request may have taken effect"
+        ]
+    else:
+        name, code = "unreachable", EXIT_UNREACHABLE
+        media = {"attempts": dict(failure.attempts)}
+        lines = [f"{server}: {why}" for server, why in failure.attempts]
+    if change_id is not None:
+        media = {**media, "change_id": change_id}
+        if code in (EXIT_UNDETERMINED, EXIT_UNAVAILABLE, EXIT_UNREACHABLE):
+            lines.append(f"to repeat it safely: --change-id {change_id}")
+    if as_json:
+        click.echo(json.dumps({"error": name, **media}, indent=2), err=True)
+    else:
+        for line in lines:
+            click.echo(f"wigeonrouter: {line}", err=True)
+    sys.exit(code)
+
+
+def fail_document(name, errors, *, as_json):
+    """Print the DocumentErrors of a local file and exit."""
+    if as_json:
+        media = {
+            "error": "invalid-document",
+            "errors": [
+                {
+                    "path": error.path,
+                    "problem": error.problem,
+                    "allowed": error.allowed,
+                }
+                for error in errors
+            ],
+        }
+        click.echo(json.dumps(media, indent=2), err=True)
+    else:
+        for error in errors:
+            click.echo(f"{name}: {error}", err=True)
+    sys.exit(EXIT_INVALID)
+
+
+def render_change(media):
+    """Yield lines on an accepted change."""
+    count = len(media["acknowledged_by"])
+    yield f"revision {media['revision']}, acknowledged by {count} daemons"
+    yield f"change id {media['change_id']}"
+
+
+def render_effective(media):
+    """Yield lines on effective settings, each value with its origin."""
+    yield f"{media['path']} at revision {media['revision']}"
+    origins = media["origins"]
+    for field, value in _leaves(media["settings"], "", origins):
+        yield f"{field} = {json.dumps(value)}  ({origins.get(field, '/')})"
+
+
+def render_differences(media):
+    """Yield lines on differences."""
+    if not media["differences"]:
+        yield "no differences"
+    for item in media["differences"]:
+        place = f"{item['path']} {item['field']}".strip()
+        if item["before"] is not None:
+            yield f"- {place}: {json.dumps(item['before'])}"
+        if item["after"] is not None:
+            yield f"+ {place}: {json.dumps(item['after'])}"
+    if media["truncated"]:
+        yield "(more differences are not shown)"
+
+
+def render_history(media):
+    """Yield lines on revisions."""
+    for entry in media["entries"]:
+        yield (
+            f"{entry['revision']:>8}  {format_time(entry['time_ms'])}  "
+            f"{entry['author']}  {' '.join(entry['paths'])}  "
+            f"{entry['comment']}"
+        ).rstrip()
+
+
+def render_status(media):
+    """Yield lines on the state of a daemon."""
+    ready = "ready" if media["ready"] else "not ready"
+    yield f"{media['daemon_id']}: {ready}, revision {media['revision']}"
+    for member in media["members"]:
+        yield (
+            f"  {member['daemon_id']:24} {member['state']:8} "
+            f"{member['region']}/{member['failure_domain']} "
+            f"{member['caller_address']}"
+        )
+    for row in media["requests"]:
+        yield "  " + " ".join(f"{key}={value}" for key, value in row.items())
+
+
+def render_entries(media):
+    """Yield lines on entries."""
+    for entry in media["entries"]:
+        home = "home" if entry["home"] else "-"
+        yield (
+            f"{entry['address']:22} {home:5} "
+            f"{entry['region']}/{entry['failure_domain']} "
+            f"{entry['request_id_prefix']}"
+        )
+
+
+def format_time(time_ms):
+    """Return a time as ISO 8601 in UTC, in whole seconds."""
+    moment = datetime.datetime.fromtimestamp(time_ms / 1000, datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def _refusal_lines(name, media):
+    lines = [f"{name}: {media.get('detail', '')}"]
+    for error in media.get("errors", ()):
+        lines.append(
+            f"{error['path']}: {error['problem']}; allowed: {error['allowed']}"
+        )
+    return lines
+
+
+def _leaves(value, prefix, origins):
+    """Yield (dotted field, value) down to the fields that have an origin."""
+    for key, item in value.items():
+        name = f"{prefix}{key}"
+        if isinstance(item, dict) and name not in origins:
+            yield from _leaves(item, f"{name}.", origins)
+        else:
+            yield name, item
