--- a/wigeonrouter/administration/_read.py
+++ b/wigeonrouter/administration/_read.py
@@ -41,7 +41,7 @@
     return call.authorize([(_READER, path)]).map(
         lambda _: {
             "revision": call.context.replica.revision,
-            "oldest_revision": call.context.history.oldest_revision,
+            "oldest_revision": _oldest_revision(call.context.replica),
             "entries": _describe_entries(call, path, limit),
         }
     )
@@ -127,11 +127,11 @@
       Success(settings_pb2.Node that the caller owns, or None where there was
       no node), or Failure(Problem).
     """
-    history = call.context.history
-    tree = history.tree_at(revision)
-    if tree is not None:
-        return result.Success(settings.find_node(root=tree, path=path))
-    oldest, newest = history.oldest_revision, call.context.replica.revision
+    replica = call.context.replica
+    retained, node = replica.node_at(path=path, revision=revision)
+    if retained:
+        return result.Success(node)
+    oldest, newest = _oldest_revision(replica), replica.revision
     return result.Failure(
         _problems.Problem(
             problem=_problems.REVISION_NOT_RETAINED,
@@ -142,6 +142,12 @@
     )
 
 
+def _oldest_revision(replica):
+    """Return the oldest revision that can be compared and restored."""
+    entries = replica.history()
+    return entries[0].revision - 1 if entries else replica.revision
+
+
 def _node_at(call):
     path = call.path
     authorized = call.authorize([(_READER, path)])
--- a/wigeonrouter/administration/_registry.py
+++ b/wigeonrouter/administration/_registry.py
@@ -9,7 +9,6 @@
 import gevent
 from returns import result
 
-from wigeonrouter import configuration
 from wigeonrouter import settings
 from wigeonrouter.administration import _auth
 from wigeonrouter.administration import _problems
@@ -30,7 +29,6 @@
             replica=daemon.replica,
             bootstrap_sha256=daemon.settings.bootstrap_token_sha256,
         )
-        self._history = configuration.RevisionHistory(replica=daemon.replica)
         self._matches_of = None
         self._matches = {}
 
@@ -49,11 +47,6 @@
         """The TokenIndex."""
         return self._tokens
 
-    @property
-    def history(self):
-        """The configuration.RevisionHistory."""
-        return self._history
-
     @property
     def matches(self):
         """Dict from match key to service path, see settings.match_keys."""
--- a/wigeonrouter/administration/_write.py
+++ b/wigeonrouter/administration/_write.py
@@ -228,6 +228,9 @@
             detail="repeat the change with the same change id",
             members={"change_id": failure.change_id},
         )
+    if isinstance(failure, configuration.InvalidChange):
+        # Only a change that came after the check above leads here.
+        return _registry.invalid_document(failure.errors)
     if isinstance(failure, configuration.TooLarge):
         return _registry.too_large(size=failure.size, limit=failure.limit)
     return _problems.Problem(
--- a/wigeonrouter/administration/conftest.py
+++ b/wigeonrouter/administration/conftest.py
@@ -10,6 +10,7 @@
 from wigeonrouter import administration
 from wigeonrouter import configuration
 from wigeonrouter import core
+from wigeonrouter import selection
 from wigeonrouter import settings
 
 TOKENS = ("root", "a-reader", "a-operator", "a-admin", "b-admin")
@@ -49,6 +50,7 @@
             replica=self.replica,
             proposal=proposal,
             now_ms=0,
+            policies=selection.policy_names(),
         ).bind(lambda entry: result.Success((entry, ["peer"])))
 
     def drain_server(self, *, address, draining, author):
--- a/wigeonrouter/settings/__init__.py
+++ b/wigeonrouter/settings/__init__.py
@@ -36,5 +36,6 @@
 paths_overlap = _tree.paths_overlap
 render_reference = _reference.render_reference
 split_path = _tree.split_path
+undo_change = _tree.undo_change
 walk_effective = _tree.walk_effective
 walk_services = _tree.walk_services
