--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -98,6 +98,11 @@
         self._replica.subscribe(
             lambda replica: self._handler.reconfigure(replica.services)
         )
+        self._gossip.subscribe_facts(
+            lambda facts: self._handler.set_draining(
+                health.draining_addresses(facts)
+            )
+        )
         self._tasks = []
 
     @property
@@ -170,6 +175,20 @@
         """Accept a change and spread it; see Replication.accept."""
         return self._replication.accept(proposal)
 
+    def drain_server(self, *, address, draining, author):
+        """Start or end the drain of a backend server; needs no store.
+
+        Args:
+          address: core.Address.
+          draining: whether the server leaves or comes back.
+          author: name of the operator's token.
+        """
+        self._gossip.assert_fact(
+            address=address,
+            state="draining" if draining else "active",
+            source="operator",
+        )
+
     def _housekeep(self):
         while True:
             gevent.sleep(_HOUSEKEEPING_INTERVAL_S)
