--- /dev/null
+++ b/wigeonrouter/bench/_policy_main.py
@@ -0,0 +1,93 @@
+"""The subcommand policy: compares selection policies over a fake clock."""
+
+import click
+
+from wigeonrouter import selection
+from wigeonrouter.bench import _policy_bound
+from wigeonrouter.bench import _policy_load
+from wigeonrouter.bench import _policy_report
+from wigeonrouter.bench import _policy_run
+
+_LOADS = (0.5, 0.7, 0.85, 0.95, 1.0, 1.2, 2.0)
+_SEEDS = (11, 12, 13)
+
+
+def run_cell(
+    *, deployment, service, policy, shape, seeds=_SEEDS, **run_settings
+):
+    """Run one cell of the experiment.
+
+    Args:
+      deployment: _policy_load.Deployment.
+      service: name of one of its services.
+      policy: name of a policy, or "central" for the bound.
+      shape: _policy_load.LoadShape.
+      seeds: whole numbers.
+      run_settings: further fields of _policy_run.RunSettings.
+    Returns:
+      A list of _policy_run.RunResult, one for each seed.
+    """
+    count, idempotent = next(
+        (count, idempotent)
+        for name, count, idempotent in deployment.services
+        if name == service
+    )
+    servers = _policy_load.make_servers(count)
+    results = []
+    for seed in seeds:
+        arrivals = _policy_load.make_arrivals(
+            servers=servers, shape=shape, seed=seed
+        )
+        if policy == "central":
+            result = _policy_bound.run_central_queue(
+                deployment=deployment, servers=servers, arrivals=arrivals
+            )
+        else:
+            settings = _policy_run.RunSettings(
+                deployment=deployment,
+                server_count=count,
+                idempotent=idempotent,
+                policy=policy,
+                **run_settings,
+            )
+            result = _policy_run.Run(
+                settings=settings,
+                servers=servers,
+                arrivals=arrivals,
+                seed=seed,
+            ).run()
+        results.append(result)
+    return results
+
+
+@click.command("policy")
+@click.option("--deployment", default="carril-azul", show_default=True)
+@click.option("--service", default="availability", show_default=True)
+@click.option("--policy", "policies", multiple=True)
+@click.option("--load", "loads", type=float, multiple=True)
+@click.option("--seed", "seeds", type=int, multiple=True)
+@click.option("--steering", default="region", show_default=True)
+@click.option("--seconds", default=5.0, show_default=True)
+@click.option("--burst", default=2.0, show_default=True)
+def policy_command(
+    deployment, service, policies, loads, seeds, steering, seconds, burst
+):
+    """Compare selection policies over a fake clock."""
+    rows = []
+    for load in loads or _LOADS:
+        shape = _policy_load.LoadShape(
+            load=load, duration=seconds, burst=burst
+        )
+        for policy in policies or ("central", *selection.policy_names()):
+            results = run_cell(
+                deployment=_policy_load.DEPLOYMENTS[deployment],
+                service=service,
+                policy=policy,
+                shape=shape,
+                seeds=seeds or _SEEDS,
+                steering=steering,
+            )
+            rows.append(
+                (f"{load:.0%} {policy}", _policy_report.summarise(results))
+            )
+    click.echo(_policy_report.markdown_table(rows))
--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -2,11 +2,16 @@
 
 import click
 
+from wigeonrouter.bench import _policy_main
+
 
 @click.group()
 def main():
     """Measure wigeonrouter."""
 
 
+main.add_command(_policy_main.policy_command)
+
+
 if __name__ == "__main__":
     main()
--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -18,14 +18,33 @@
 _COLD_ANSWERS = 10
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ticket:
+    """Stands for a request that waits in the queue."""
+
+    handle: list
+
+
 class Dispatcher:
     """Owns the backend views and the queue of one service."""
 
-    def __init__(self, *, service, place, rng, clock=time.monotonic):
+    def __init__(
+        self,
+        *,
+        service,
+        place,
+        rng,
+        clock=time.monotonic,
+        call_later=gevent.spawn_later,
+        share=(0, 1),
+    ):
         self._place = place
         self._rng = rng
         self._clock = clock
+        self._call_later = call_later
+        self._share = share
         self._sequence = 0
+        self._memory = None
         self._views = {}
         self._eligible = ()
         self._draining_facts = frozenset()
@@ -59,6 +78,7 @@
         """Take over new settings; views of remaining servers are kept."""
         self._service = service
         self._policy = selection.find_policy(service.routing.policy)
+        self._memory = None
         now = self._clock()
         views = {}
         for server in service.servers:
@@ -87,6 +107,35 @@
         Returns:
           core.Grant, which must be released, or core.Refusal.
         """
+        waiter = event.AsyncResult()
+        result = self.submit(request, waiter.set)
+        if not isinstance(result, Ticket):
+            return result
+        try:
+            return waiter.get(timeout=request.deadline - self._clock())
+        except gevent.Timeout:
+            # set() only schedules the wake-up, so a grant may be there
+            # already when the timeout comes first.
+            if waiter.ready():
+                return waiter.value
+            return core.Refusal(problem=core.problems.DEADLINE_PASSED)
+        except BaseException:
+            if waiter.ready() and isinstance(waiter.value, core.Grant):
+                self._return_unused(waiter.value)
+            raise
+        finally:
+            self.withdraw(result)
+
+    def submit(self, request, deliver):
+        """Ask for a slot without waiting.
+
+        Args:
+          request: core.DispatchRequest.
+          deliver: called once with a core.Grant or core.Refusal where the
+            request has to wait, unless withdraw() comes first.
+        Returns:
+          core.Grant, core.Refusal, or the Ticket of a waiting request.
+        """
         now = self._clock()
         if request.deadline <= now:
             return core.Refusal(problem=core.problems.DEADLINE_PASSED)
@@ -98,7 +147,17 @@
                 return grant
         if len(self._queue) >= self._service.limits.max_queue:
             return core.Refusal(problem=core.problems.QUEUE_FULL)
-        return self._wait(request, now)
+        handle = self._queue.push(
+            tenant=request.tenant,
+            deadline=request.deadline,
+            item=(request, deliver),
+        )
+        self._schedule_pump()
+        return Ticket(handle=handle)
+
+    def withdraw(self, ticket):
+        """Take a waiting request out of the queue; no effect afterwards."""
+        self._queue.remove(ticket.handle)
 
     def release(self, grant, attempt):
         """Give a slot back and learn from how the attempt ended."""
@@ -113,25 +172,6 @@
         self._refresh()
         self._pump()
 
-    def _wait(self, request, now):
-        waiter = event.AsyncResult()
-        handle = self._queue.push(
-            tenant=request.tenant,
-            deadline=request.deadline,
-            item=(request, waiter),
-        )
-        self._schedule_pump()
-        try:
-            return waiter.get(timeout=request.deadline - now)
-        except gevent.Timeout:
-            return core.Refusal(problem=core.problems.DEADLINE_PASSED)
-        except BaseException:
-            if waiter.ready() and isinstance(waiter.value, core.Grant):
-                self._return_unused(waiter.value)
-            raise
-        finally:
-            self._queue.remove(handle)
-
     def _return_unused(self, grant):
         self.release(
             grant,
@@ -146,19 +186,17 @@
             handle = self._queue.peek()
             if handle is None:
                 return
-            request, waiter = handle[3]
+            request, deliver = handle[3]
             grant = self._choose(request, now) if self._eligible else None
             if grant is None:
                 self._schedule_pump()
                 return
             self._queue.take(handle)
-            waiter.set(grant)
+            deliver(grant)
 
     def _schedule_pump(self):
         if self._timer is None:
-            self._timer = gevent.spawn_later(
-                _REPUMP_INTERVAL_S, self._run_timer
-            )
+            self._timer = self._call_later(_REPUMP_INTERVAL_S, self._run_timer)
 
     def _run_timer(self):
         self._timer = None
@@ -184,10 +222,13 @@
                 now=now,
                 rng=self._rng,
                 sequence=self._sequence,
+                memory=self._memory,
+                share=self._share,
             ),
         )
         if not isinstance(choice, selection.Choice):
             return None
+        self._memory = choice.memory
         name = choice.server.name
         view = self._views[name]
         self._views[name] = dataclasses.replace(
--- a/wigeonrouter/selection/_registry.py
+++ b/wigeonrouter/selection/_registry.py
@@ -7,9 +7,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Choice:
-    """The policy chose a backend server."""
+    """The policy chose a backend server.
+
+    Attributes:
+      memory: what the policy finds as PolicyContext.memory next time; never
+        changed in place.
+    """
 
     server: core.BackendServer
+    memory: object = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,6 +33,9 @@
       now: seconds on the monotonic clock.
       rng: random.Random.
       sequence: number of this choice, counted by the dispatcher.
+      memory: memory of the last Choice, None at first.
+      share: this daemon's index among the daemons that divide the slots,
+        and their number.
     """
 
     place: core.Place
@@ -34,6 +43,8 @@
     now: float
     rng: object
     sequence: int
+    memory: object = None
+    share: tuple[int, int] = (0, 1)
 
 
 _POLICIES = {}
