Keep requests in their region until the wait exceeds the price

Cause: free_slot left the region whenever no local slot was free, and each remote request held a slot for 20 ms of travel. Spill-over now starts when the expected wait exceeds the price of leaving, stops at half of it, and is capped at 30 % of another region's slots, shared by all other regions.

--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -16,6 +16,9 @@
 # again after this time even when nothing was released.
 _REPUMP_INTERVAL_S = 0.005
 _COLD_ANSWERS = 10
+# Taken for the time a slot is held until the first answer.
+_FIRST_HOLD_S = 0.01
+_HOLD_WEIGHT = 0.02
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,6 +50,11 @@
         self._memory = None
         self._views = {}
         self._eligible = ()
+        self._local = ()
+        self._foreign = {}
+        self._allowances = {}
+        self._hold = _FIRST_HOLD_S
+        self._spilling = False
         self._draining_facts = frozenset()
         self._timer = None
         self._service = service
@@ -91,6 +99,7 @@
                 known = dataclasses.replace(known, server=server)
             views[server.name] = known
         self._views = views
+        self._allowances = self._foreign_allowances()
         self._refresh()
         self._pump()
 
@@ -142,7 +151,11 @@
         if not self._eligible:
             return core.Refusal(problem=core.problems.NO_SERVER)
         if not self._queue:
-            grant = self._choose(request, now)
+            grant = self._choose(request, now, self._candidates())
+            if grant is not None:
+                return grant
+        if self._spills(request):
+            grant = self._choose(request, now, self._foreign_candidates())
             if grant is not None:
                 return grant
         if len(self._queue) >= self._service.limits.max_queue:
@@ -168,6 +181,10 @@
         changes = {"in_flight": max(0, view.in_flight - 1)}
         if not attempt.cancelled:
             changes.update(_learn(view, attempt))
+            if attempt.outcome is core.Outcome.OK:
+                self._hold = _average(
+                    self._hold, attempt.latency, _HOLD_WEIGHT
+                )
         self._views[grant.server.name] = dataclasses.replace(view, **changes)
         self._refresh()
         self._pump()
@@ -187,7 +204,7 @@
             if handle is None:
                 return
             request, deliver = handle[3]
-            grant = self._choose(request, now) if self._eligible else None
+            grant = self._choose(request, now, self._candidates())
             if grant is None:
                 self._schedule_pump()
                 return
@@ -202,16 +219,64 @@
         self._timer = None
         self._pump()
 
-    def _choose(self, request, now):
-        views = self._eligible
+    def _spills(self, request):
+        if not self._foreign or not self._local:
+            return False
+        price = selection.region_price(request, self._service.routing) / 1000
+        self._spilling = limits.next_spilling(
+            spilling=self._spilling,
+            expected_wait=self._expected_wait(),
+            price=price,
+        )
+        return self._spilling
+
+    def _expected_wait(self):
+        slots = sum(selection.capacity(view) for view in self._local)
+        return (len(self._queue) + 1) * self._hold / max(1, slots)
+
+    def _candidates(self):
+        if self._local:
+            return self._local
+        return self._foreign_candidates()
+
+    def _foreign_candidates(self):
+        if not self._allowances:
+            return self._eligible
+        found = []
+        for region, views in self._foreign.items():
+            taken = sum(
+                view.in_flight
+                for view in self._views.values()
+                if view.server.place.region == region
+            )
+            if taken < self._allowances[region]:
+                found.extend(views)
+        return tuple(found)
+
+    def _foreign_allowances(self):
+        slots = {}
+        for server in self._service.servers:
+            region = server.place.region
+            slots[region] = slots.get(region, 0) + server.slots
+        if self._place.region not in slots:
+            return {}
+        return {
+            region: limits.foreign_allowance(slots=count, regions=len(slots))
+            for region, count in slots.items()
+            if region != self._place.region
+        }
+
+    def _choose(self, request, now, candidates):
+        views = candidates
         if request.excluded:
             views = tuple(
                 view
                 for view in views
                 if view.server.name not in request.excluded
             )
-            if not views:
-                views = self._eligible
+        views = views or candidates
+        if not views:
+            return None
         self._sequence += 1
         choice = self._policy(
             views=views,
@@ -241,12 +306,22 @@
         self._eligible = tuple(
             view for view in self._views.values() if self._may_get_work(view)
         )
+        local, foreign = [], {}
+        for view in self._eligible:
+            region = view.server.place.region
+            if region == self._place.region:
+                local.append(view)
+            else:
+                foreign.setdefault(region, []).append(view)
+        self._local, self._foreign = tuple(local), foreign
 
     def _may_get_work(self, view):
         if view.server.draining:
             return False
         if view.report is not None and view.report.draining:
             return False
+        if not self._draining_facts:
+            return True
         return str(view.server.address) not in self._draining_facts
 
 
--- a/wigeonrouter/selection/__init__.py
+++ b/wigeonrouter/selection/__init__.py
@@ -15,3 +15,4 @@
 place_price = _load.place_price
 policy = _registry.policy
 policy_names = _registry.policy_names
+region_price = _load.region_price
--- a/wigeonrouter/selection/_load.py
+++ b/wigeonrouter/selection/_load.py
@@ -32,11 +32,16 @@
     """Return the price of leaving the own place, ms-equivalents."""
     place, routing = view.server.place, context.routing
     if place.region != context.place.region:
-        kilobytes = request.body_bytes / 1024
-        return (
-            routing.price_region_ms
-            + routing.price_per_kilobyte_region_ms * kilobytes
-        )
+        return region_price(request, routing)
     if place.failure_domain != context.place.failure_domain:
         return routing.price_failure_domain_ms
     return 0.0
+
+
+def region_price(request, routing):
+    """Return the price of leaving the region, ms-equivalents."""
+    kilobytes = request.body_bytes / 1024
+    return (
+        routing.price_region_ms
+        + routing.price_per_kilobyte_region_ms * kilobytes
+    )
