Refuse at once what cannot finish in time

Cause: the queue served requests with too little time left, so slots were spent on answers nobody waits for. A request is now refused when the expected wait (its place in the queue, from weights and keys, times the mean time a slot is held) and one hold time exceed what remains; the same is asked again when it is next.

--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -256,10 +256,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Grant:
-    """Permission to send one request to one backend server."""
+    """Permission to send one request to one backend server.
+
+    Attributes:
+      granted: seconds on the monotonic clock.
+      tenant: tenant that was charged for the slot, if any.
+      charged: seconds of slot time that it was charged, an estimate.
+    """
 
     server: BackendServer
     granted: float
+    tenant: str = ""
+    charged: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -16,16 +16,13 @@
 # again after this time even when nothing was released.
 _REPUMP_INTERVAL_S = 0.005
 _COLD_ANSWERS = 10
-# Taken for the time a slot is held until the first answer.
-_FIRST_HOLD_S = 0.01
-_HOLD_WEIGHT = 0.02
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Ticket:
     """Stands for a request that waits in the queue."""
 
-    handle: list
+    handle: limits.Handle
 
 
 class Dispatcher:
@@ -53,7 +50,8 @@
         self._local = ()
         self._foreign = {}
         self._allowances = {}
-        self._hold = _FIRST_HOLD_S
+        self._hold = limits.HoldTime()
+        self._slots = 0
         self._spilling = False
         self._draining_facts = frozenset()
         self._timer = None
@@ -85,6 +83,7 @@
     def reconfigure(self, service):
         """Take over new settings; views of remaining servers are kept."""
         self._service = service
+        self._queue.set_weights(service.limits.tenant_weights)
         self._policy = selection.find_policy(service.routing.policy)
         self._memory = None
         now = self._clock()
@@ -154,15 +153,29 @@
             grant = self._choose(request, now, self._candidates())
             if grant is not None:
                 return grant
-        if self._spills(request):
+        wait = limits.expected_wait(
+            ahead=self._queue.ahead(
+                tenant=request.tenant, key=request.deadline
+            ),
+            slots=self._slots,
+            hold=self._hold,
+        )
+        if self._spills(request, wait):
             grant = self._choose(request, now, self._foreign_candidates())
             if grant is not None:
                 return grant
+        if not limits.can_finish(
+            remaining=request.deadline - now, wait=wait, hold=self._hold
+        ):
+            return core.Refusal(problem=core.problems.DEADLINE_TOO_SHORT)
         if len(self._queue) >= self._service.limits.max_queue:
-            return core.Refusal(problem=core.problems.QUEUE_FULL)
+            displaced = self._queue.find_displaced(request.tenant)
+            if displaced is None:
+                return core.Refusal(problem=core.problems.QUEUE_FULL)
+            self._refuse_waiting(displaced, core.problems.QUEUE_FULL)
         handle = self._queue.push(
             tenant=request.tenant,
-            deadline=request.deadline,
+            key=request.deadline,
             item=(request, deliver),
         )
         self._schedule_pump()
@@ -174,6 +187,8 @@
 
     def release(self, grant, attempt):
         """Give a slot back and learn from how the attempt ended."""
+        if grant.charged:
+            self._queue.settle(grant.tenant, attempt.latency - grant.charged)
         view = self._views.get(grant.server.name)
         if view is None or view.server.address != grant.server.address:
             self._pump()
@@ -182,8 +197,8 @@
         if not attempt.cancelled:
             changes.update(_learn(view, attempt))
             if attempt.outcome is core.Outcome.OK:
-                self._hold = _average(
-                    self._hold, attempt.latency, _HOLD_WEIGHT
+                self._hold = limits.learn_hold_time(
+                    self._hold, attempt.latency
                 )
         self._views[grant.server.name] = dataclasses.replace(view, **changes)
         self._refresh()
@@ -203,14 +218,26 @@
             handle = self._queue.peek()
             if handle is None:
                 return
-            request, deliver = handle[3]
+            request, deliver = handle.item
+            if not limits.can_finish(
+                remaining=request.deadline - now, wait=0.0, hold=self._hold
+            ):
+                self._refuse_waiting(handle, core.problems.DEADLINE_TOO_SHORT)
+                continue
             grant = self._choose(request, now, self._candidates())
             if grant is None:
                 self._schedule_pump()
                 return
-            self._queue.take(handle)
+            grant = dataclasses.replace(
+                grant, tenant=request.tenant, charged=self._hold.mean
+            )
+            self._queue.take(handle, cost=grant.charged)
             deliver(grant)
 
+    def _refuse_waiting(self, handle, problem):
+        self._queue.remove(handle)
+        handle.item[1](core.Refusal(problem=problem))
+
     def _schedule_pump(self):
         if self._timer is None:
             self._timer = self._call_later(_REPUMP_INTERVAL_S, self._run_timer)
@@ -219,21 +246,17 @@
         self._timer = None
         self._pump()
 
-    def _spills(self, request):
+    def _spills(self, request, wait):
         if not self._foreign or not self._local:
             return False
         price = selection.region_price(request, self._service.routing) / 1000
         self._spilling = limits.next_spilling(
             spilling=self._spilling,
-            expected_wait=self._expected_wait(),
+            expected_wait=wait,
             price=price,
         )
         return self._spilling
 
-    def _expected_wait(self):
-        slots = sum(selection.capacity(view) for view in self._local)
-        return (len(self._queue) + 1) * self._hold / max(1, slots)
-
     def _candidates(self):
         if self._local:
             return self._local
@@ -314,6 +337,7 @@
             else:
                 foreign.setdefault(region, []).append(view)
         self._local, self._foreign = tuple(local), foreign
+        self._slots = sum(selection.capacity(view) for view in local)
 
     def _may_get_work(self, view):
         if view.server.draining:
--- a/wigeonrouter/limits/__init__.py
+++ b/wigeonrouter/limits/__init__.py
@@ -1,11 +1,17 @@
-"""Limits: fair queue, retry budget, admission."""
+"""Limits: fair queue, admission, spill-over, retry budget."""
 
+from wigeonrouter.limits import _admission
 from wigeonrouter.limits import _queue
 from wigeonrouter.limits import _retry_budget
 from wigeonrouter.limits import _spill_over
 
 FairQueue = _queue.FairQueue
+Handle = _queue.Handle
+HoldTime = _admission.HoldTime
 RetryBudget = _retry_budget.RetryBudget
 
+can_finish = _admission.can_finish
+expected_wait = _admission.expected_wait
 foreign_allowance = _spill_over.foreign_allowance
+learn_hold_time = _admission.learn_hold_time
 next_spilling = _spill_over.next_spilling
