--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -16,16 +16,41 @@
 _REPUMP_INTERVAL_S = 0.005
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ticket:
+    """Stands for a request that waits in the queue."""
+
+    handle: limits.Handle
+
+
 class Dispatcher:
     """Owns the backend views and the queue of one service."""
 
-    def __init__(self, *, service, place, rng, clock=time.monotonic):
+    def __init__(
+        self,
+        *,
+        service,
+        place,
+        rng,
+        clock=time.monotonic,
+        call_later=gevent.spawn_later,
+        share=(0, 1),
+    ):
         self._place = place
         self._rng = rng
         self._clock = clock
+        self._call_later = call_later
+        self._share = share
         self._sequence = 0
+        self._memory = None
         self._views = {}
         self._eligible = ()
+        self._local = ()
+        self._foreign = {}
+        self._allowances = {}
+        self._hold = limits.HoldTime()
+        self._slots = 0
+        self._spilling = False
         self._draining_facts = frozenset()
         self._timer = None
         self._service = service
@@ -56,7 +81,9 @@
     def reconfigure(self, service):
         """Take over new settings; views of remaining servers are kept."""
         self._service = service
+        self._queue.set_weights(service.limits.tenant_weights)
         self._policy = selection.find_policy(service.routing.policy)
+        self._memory = None
         now = self._clock()
         views = {}
         for server in service.servers:
@@ -69,6 +96,7 @@
                 known = dataclasses.replace(known, server=server)
             views[server.name] = known
         self._views = views
+        self._allowances = self._foreign_allowances()
         self._refresh()
         self._pump()
 
@@ -85,21 +113,80 @@
         Returns:
           core.Grant, which must be released, or core.Refusal.
         """
+        waiter = event.AsyncResult()
+        result = self.submit(request, waiter.set)
+        if not isinstance(result, Ticket):
+            return result
+        try:
+            return waiter.get(timeout=request.deadline - self._clock())
+        except gevent.Timeout:
+            # set() only schedules the wake-up, so a grant may be there
+            # already when the timeout comes first.
+            if waiter.ready():
+                return waiter.value
+            return core.Refusal(problem=core.problems.DEADLINE_PASSED)
+        except BaseException:
+            if waiter.ready() and isinstance(waiter.value, core.Grant):
+                self._return_unused(waiter.value)
+            raise
+        finally:
+            self.withdraw(result)
+
+    def submit(self, request, deliver):
+        """Ask for a slot without waiting.
+
+        Args:
+          request: core.DispatchRequest.
+          deliver: called once with a core.Grant or core.Refusal where the
+            request has to wait, unless withdraw() comes first.
+        Returns:
+          core.Grant, core.Refusal, or the Ticket of a waiting request.
+        """
         now = self._clock()
         if request.deadline <= now:
             return core.Refusal(problem=core.problems.DEADLINE_PASSED)
         if not self._eligible:
             return core.Refusal(problem=core.problems.NO_SERVER)
         if not self._queue:
-            grant = self._choose(request, now)
+            grant = self._choose(request, now, self._candidates())
             if grant is not None:
                 return grant
+        wait = limits.expected_wait(
+            ahead=self._queue.ahead(
+                tenant=request.tenant, key=request.deadline
+            ),
+            slots=self._slots,
+            hold=self._hold,
+        )
+        if self._spills(request, wait):
+            grant = self._choose(request, now, self._foreign_candidates())
+            if grant is not None:
+                return grant
+        if not limits.can_finish(
+            remaining=request.deadline - now, wait=wait, hold=self._hold
+        ):
+            return core.Refusal(problem=core.problems.DEADLINE_TOO_SHORT)
         if len(self._queue) >= self._service.limits.max_queue:
-            return core.Refusal(problem=core.problems.QUEUE_FULL)
-        return self._wait(request, now)
+            displaced = self._queue.find_displaced(request.tenant)
+            if displaced is None:
+                return core.Refusal(problem=core.problems.QUEUE_FULL)
+            self._refuse_waiting(displaced, core.problems.QUEUE_FULL)
+        handle = self._queue.push(
+            tenant=request.tenant,
+            key=request.deadline,
+            item=(request, deliver),
+        )
+        self._schedule_pump()
+        return Ticket(handle=handle)
+
+    def withdraw(self, ticket):
+        """Take a waiting request out of the queue; no effect afterwards."""
+        self._queue.remove(ticket.handle)
 
     def release(self, grant, attempt):
         """Give a slot back and learn from how the attempt ended."""
+        if grant.charged:
+            self._queue.settle(grant.tenant, attempt.latency - grant.charged)
         view = self._views.get(grant.server.name)
         if view is None or view.server.address != grant.server.address:
             self._pump()
@@ -114,6 +201,8 @@
             now=self._clock(),
         )
         self._views[grant.server.name] = view
+        if attempt.outcome is core.Outcome.OK and not attempt.cancelled:
+            self._hold = limits.learn_hold_time(self._hold, attempt.latency)
         self._refresh()
         self._pump()
 
@@ -143,25 +232,6 @@
             self._refresh()
             self._pump()
 
-    def _wait(self, request, now):
-        waiter = event.AsyncResult()
-        handle = self._queue.push(
-            tenant=request.tenant,
-            deadline=request.deadline,
-            item=(request, waiter),
-        )
-        self._schedule_pump()
-        try:
-            return waiter.get(timeout=request.deadline - now)
-        except gevent.Timeout:
-            return core.Refusal(problem=core.problems.DEADLINE_PASSED)
-        except BaseException:
-            if waiter.ready() and isinstance(waiter.value, core.Grant):
-                self._return_unused(waiter.value)
-            raise
-        finally:
-            self._queue.remove(handle)
-
     def _return_unused(self, grant):
         self.release(
             grant,
@@ -176,34 +246,88 @@
             handle = self._queue.peek()
             if handle is None:
                 return
-            request, waiter = handle[3]
-            grant = self._choose(request, now) if self._eligible else None
+            request, deliver = handle.item
+            if not limits.can_finish(
+                remaining=request.deadline - now, wait=0.0, hold=self._hold
+            ):
+                self._refuse_waiting(handle, core.problems.DEADLINE_TOO_SHORT)
+                continue
+            grant = self._choose(request, now, self._candidates())
             if grant is None:
                 self._schedule_pump()
                 return
-            self._queue.take(handle)
-            waiter.set(grant)
+            grant = dataclasses.replace(
+                grant, tenant=request.tenant, charged=self._hold.mean
+            )
+            self._queue.take(handle, cost=grant.charged)
+            deliver(grant)
+
+    def _refuse_waiting(self, handle, problem):
+        self._queue.remove(handle)
+        handle.item[1](core.Refusal(problem=problem))
 
     def _schedule_pump(self):
         if self._timer is None:
-            self._timer = gevent.spawn_later(
-                _REPUMP_INTERVAL_S, self._run_timer
-            )
+            self._timer = self._call_later(_REPUMP_INTERVAL_S, self._run_timer)
 
     def _run_timer(self):
         self._timer = None
         self._pump()
 
-    def _choose(self, request, now):
-        views = self._eligible
+    def _spills(self, request, wait):
+        if not self._foreign or not self._local:
+            return False
+        price = selection.region_price(request, self._service.routing) / 1000
+        self._spilling = limits.next_spilling(
+            spilling=self._spilling,
+            expected_wait=wait,
+            price=price,
+        )
+        return self._spilling
+
+    def _candidates(self):
+        if self._local:
+            return self._local
+        return self._foreign_candidates()
+
+    def _foreign_candidates(self):
+        if not self._allowances:
+            return self._eligible
+        found = []
+        for region, views in self._foreign.items():
+            taken = sum(
+                view.in_flight
+                for view in self._views.values()
+                if view.server.place.region == region
+            )
+            if taken < self._allowances[region]:
+                found.extend(views)
+        return tuple(found)
+
+    def _foreign_allowances(self):
+        slots = {}
+        for server in self._service.servers:
+            region = server.place.region
+            slots[region] = slots.get(region, 0) + server.slots
+        if self._place.region not in slots:
+            return {}
+        return {
+            region: limits.foreign_allowance(slots=count, regions=len(slots))
+            for region, count in slots.items()
+            if region != self._place.region
+        }
+
+    def _choose(self, request, now, candidates):
+        views = candidates
         if request.excluded:
             views = tuple(
                 view
                 for view in views
                 if view.server.name not in request.excluded
             )
-            if not views:
-                views = self._eligible
+        views = views or candidates
+        if not views:
+            return None
         if not request.kind.idempotent:
             views = health.proved_views(views)
         self._sequence += 1
@@ -216,10 +340,13 @@
                 now=now,
                 rng=self._rng,
                 sequence=self._sequence,
+                memory=self._memory,
+                share=self._share,
             ),
         )
         if not isinstance(choice, selection.Choice):
             return None
+        self._memory = choice.memory
         name = choice.server.name
         view = self._views[name]
         self._views[name] = dataclasses.replace(
@@ -234,3 +361,12 @@
             for view in self._views.values()
             if health.may_get_work(view=view, draining=self._draining_facts)
         )
+        local, foreign = [], {}
+        for view in self._eligible:
+            region = view.server.place.region
+            if region == self._place.region:
+                local.append(view)
+            else:
+                foreign.setdefault(region, []).append(view)
+        self._local, self._foreign = tuple(local), foreign
+        self._slots = sum(selection.capacity(view) for view in local)
