--- a/wigeonrouter/request_path/_forwarder_test.py
+++ b/wigeonrouter/request_path/_forwarder_test.py
@@ -1,5 +1,7 @@
 """Guards at-most-once, whole answers and leaks under backend faults."""
 
+import time
+
 import gevent
 from gevent import socket
 import pytest
@@ -187,13 +189,26 @@
     assert send(path, request_id="queued").status == 200
 
 
+@pytest.mark.parametrize("waits_in", ["queue", "checkout"])
 def test_nothing_is_sent_once_the_deadline_passed_during_a_wait(
-    path, monkeypatch
+    path, monkeypatch, waits_in
 ):
-    """The daemon was frozen while it waited for a connection."""
-    now = [100.0]
-    sender = path.handler._forwarder._sender
-    monkeypatch.setattr(sender, "_clock", lambda: now[0] + 1000)
+    """The daemon was frozen while the request waited."""
+    send(path, request_id="first")
+    sender, frozen = path.handler._forwarder._sender, [0.0]
+    monkeypatch.setattr(sender, "_clock", lambda: time.monotonic() + frozen[0])
+    owner, name = {
+        "queue": (path.handler.dispatchers["/s"], "acquire"),
+        "checkout": (sender._pool, "checkout"),
+    }[waits_in]
+    wait = getattr(owner, name)
+
+    def freeze(*arguments, **named):
+        result = wait(*arguments, **named)
+        frozen[0] = 1000.0
+        return result
+
+    monkeypatch.setattr(owner, name, freeze)
     answer = send(path, request_id="w")
     assert (answer.problem, path.runs("w")) == ("deadline-passed", 0)
     path.assert_released()
