--- a/wigeonrouter/request_path/_attempt.py
+++ b/wigeonrouter/request_path/_attempt.py
@@ -28,16 +28,19 @@
           HttpResponse, or core.Refusal.
         """
         outcome, report, cancelled = core.Outcome.UNKNOWN, None, True
+        refused = False
         dispatcher = forwarding.dispatcher
         try:
             answer = self._send(forwarding, grant.server.address)
             cancelled = False
             if isinstance(answer, core.Refusal):
                 outcome = answer.problem.outcome
+                refused = answer.problem is core.problems.CONNECT_FAILED
             else:
                 report = self._report(answer, grant, dispatcher)
                 outcome = outcome_of(answer)
                 if outcome is core.Outcome.NOT_RUN:
+                    refused = True
                     answer = core.Refusal(
                         problem=core.problems.REFUSED_BY_SERVER
                     )
@@ -51,6 +54,7 @@
                     latency=self._clock() - grant.granted,
                     report=report,
                     cancelled=cancelled,
+                    refused=refused,
                 ),
             )
 
--- a/wigeonrouter/request_path/_owned_ids.py
+++ b/wigeonrouter/request_path/_owned_ids.py
@@ -22,9 +22,6 @@
         self._claim_from_peer = claim_from_peer
         self._wall_clock = wall_clock
         self._table = _request_ids.RequestIdTable(clock=clock, max_ids=max_ids)
-        # A refuted suspicion raises the incarnation of a running daemon; its
-        # table, and so the ids with its earlier incarnations, stay valid.
-        self._incarnations = {own_member().incarnation}
 
     def __len__(self):
         return len(self._table)
@@ -104,8 +101,7 @@
 
     def _is_own(self, parsed):
         own = self._own_member()
-        self._incarnations.add(own.incarnation)
         return (
             parsed.daemon_id == own.daemon_id
-            and parsed.incarnation in self._incarnations
+            and parsed.instance == own.instance
         )
--- a/wigeonrouter/request_path/_request_ids.py
+++ b/wigeonrouter/request_path/_request_ids.py
@@ -1,6 +1,6 @@
 """Remembers the ids of non-idempotent requests.
 
-The id names the daemon incarnation that remembers it, so that a repeat at
+The id names the daemon process that remembers it, so that a repeat at
 another daemon can be checked without shared state.
 """
 
@@ -26,7 +26,7 @@
     """A request id of the form prefix.milliseconds.random."""
 
     daemon_id: str
-    incarnation: int
+    instance: int
     time_ms: int
 
 
@@ -43,15 +43,15 @@
     """Return the RequestId, or None for an id of any other form."""
     # A daemon id may contain dots.
     prefix, separator, rest = text.partition("~")
-    incarnation, _, rest = rest.partition(".")
+    instance, _, rest = rest.partition(".")
     time_ms, _, nonce = rest.partition(".")
     if not (prefix and separator and nonce):
         return None
-    if not (_is_number(incarnation) and _is_number(time_ms)):
+    if not (_is_number(instance) and _is_number(time_ms)):
         return None
     return RequestId(
         daemon_id=prefix,
-        incarnation=int(incarnation),
+        instance=int(instance),
         time_ms=int(time_ms),
     )
 
@@ -143,7 +143,7 @@
 
         Args:
           request_id: text.
-          claimant: id and incarnation of the other daemon. The same one may
+          claimant: id and instance of the other daemon. The same one may
             claim again, since the first reply may have been lost.
         Returns:
           None where the id was never seen and is now the claimant's, else
--- a/wigeonrouter/settings/_tree.py
+++ b/wigeonrouter/settings/_tree.py
@@ -76,6 +76,32 @@
             node.CopyFrom(change.node)
 
 
+def undo_change(*, root, change):
+    """Return the Change that takes back a change, or None.
+
+    Args:
+      root: settings_pb2.Node before the change.
+      change: settings_pb2.Change.
+    Returns:
+      A settings_pb2.Change, or None where the change does nothing.
+    """
+    names = split_path(change.path)
+    removal = change.WhichOneof("action") == "remove"
+    node = root
+    for depth, name in enumerate(names):
+        if name not in node.children:
+            if removal:
+                return None
+            # The change creates this node and all below it.
+            return settings_pb2.Change(
+                path=join_path(names[: depth + 1]), remove=True
+            )
+        node = node.children[name]
+    if change.WhichOneof("action") == "settings":
+        return settings_pb2.Change(path=change.path, settings=node.settings)
+    return settings_pb2.Change(path=change.path, node=node)
+
+
 def paths_overlap(first, second):
     """Return whether one path is that of the other or of its ancestor."""
     first, second = split_path(first), split_path(second)
@@ -105,9 +131,13 @@
     return merged, origins
 
 
-def walk_services(root):
-    """Yield (path, node) of each service, depth first by name."""
-    pending = [((), root)]
+def walk_services(root, path="/"):
+    """Yield (path, node) of each service at or below a path.
+
+    The order is depth first by name; a missing node has no services.
+    """
+    start = find_node(root=root, path=path)
+    pending = [] if start is None else [(split_path(path), start)]
     while pending:
         names, node = pending.pop()
         if node.settings.HasField("match"):
@@ -116,6 +146,66 @@
             pending.append((names + (name,), node.children[name]))
 
 
+def walk_effective(root):
+    """Yield (path, merged settings, origins) of each node, parents first.
+
+    Merging along the way costs one merge per node, where calling
+    effective_settings for each would repeat those of the ancestors.
+    """
+    pending = [((), root, settings_pb2.Settings(), {})]
+    while pending:
+        names, node, inherited, origins_above = pending.pop()
+        path = join_path(names)
+        merged = settings_pb2.Settings()
+        merged.CopyFrom(inherited)
+        origins = dict(origins_above)
+        _merge(merged, node.settings, path, origins, "")
+        yield path, merged, origins
+        if not node.children:
+            continue
+        below = settings_pb2.Settings()
+        below.CopyFrom(merged)
+        for name in NOT_INHERITED:
+            below.ClearField(name)
+        origins = {
+            field: origin
+            for field, origin in origins.items()
+            if field.partition(".")[0] not in NOT_INHERITED
+        }
+        for name in sorted(node.children, reverse=True):
+            pending.append(
+                (names + (name,), node.children[name], below, origins)
+            )
+
+
+def excerpt_tree(*, root, paths):
+    """Copy the part of a tree that a change at the given paths concerns.
+
+    Copying and checking a tree of 15,000 backend servers for each change
+    would cost more than the change.
+
+    Returns:
+      A settings_pb2.Node with all at and below each path, and the settings
+      of the nodes above.
+    """
+    excerpt = settings_pb2.Node()
+    whole = set()
+    for path in sorted(paths, key=lambda path: len(split_path(path))):
+        names = split_path(path)
+        if any(names[:depth] in whole for depth in range(len(names) + 1)):
+            continue
+        source, target = root, excerpt
+        for name in names:
+            target.settings.CopyFrom(source.settings)
+            if name not in source.children:
+                break
+            source, target = source.children[name], target.children[name]
+        else:
+            target.CopyFrom(source)
+            whole.add(names)
+    return excerpt
+
+
 def _remove(tree, names):
     if not names:
         tree.Clear()
