--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -2,6 +2,7 @@
 
 import click
 
+from wigeonrouter.bench import _latency
 from wigeonrouter.bench import _policy_main
 
 
@@ -10,6 +11,7 @@
     """Measure wigeonrouter."""
 
 
+main.add_command(_latency.latency)
 main.add_command(_policy_main.policy_command)
 
 
