Check changes by one set of rules before and at acceptance

The acceptance and the API each had their own rules on timeouts, policies, addresses and matches, which differed on defaults: a document could pass validate and fail apply. Both now call settings.check_rules. The acceptance checks the tree that the change leads to, so of two racing services with one match only one is accepted; a test covers it.

--- a/wigeonrouter/administration/_app_test.py
+++ b/wigeonrouter/administration/_app_test.py
@@ -304,3 +304,20 @@
     response = client.put("/a", {"children": {"x": {}}}, token="a-admin")
     assert conftest.problem_name(response) in ("conflict", "forbidden")
     assert not client.daemon.replica.root.children["a"].settings.access
+
+
+def test_racing_services_with_one_match_get_one_winner(client, monkeypatch):
+    """Guards against two services that each were checked before the other."""
+    rival = conftest.service("same", 7005)
+
+    def create_rival_meanwhile(**kwargs):
+        monkeypatch.undo()
+        assert client.put("/b/y", rival).status_code == 200
+        return ()
+
+    monkeypatch.setattr(settings, "check_rules", create_rival_meanwhile)
+    response = client.put("/a/y", conftest.service("same", 7006))
+    assert conftest.problem_name(response) == "invalid-document"
+    (error,) = response.json["errors"]
+    assert error["path"] == "/a/y $.settings.match.path_prefixes"
+    assert "/b/y" in error["problem"]
--- a/wigeonrouter/configuration/_checking.py
+++ b/wigeonrouter/configuration/_checking.py
@@ -8,9 +8,7 @@
 import re
 
 from wigeonrouter import settings
-from wigeonrouter.schema import settings_pb2
 
-MAX_DEPTH = 64
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 
 
@@ -55,13 +53,12 @@
     if errors:
         return tuple(errors)
     paths = {_normalize(change.path) for change in changes}
-    tree = _copy_parts(replica.root, paths)
+    tree = settings.excerpt_tree(root=replica.root, paths=paths)
     settings.apply_in_place(root=tree, changes=changes)
-    built = {}
     for changed in sorted(paths):
         for path, _ in settings.walk_services(tree, changed):
             try:
-                built[path] = settings.build_service(root=tree, path=path)
+                settings.build_service(root=tree, path=path)
             except ValueError as error:
                 errors.append(
                     TreeError(
@@ -70,15 +67,24 @@
                         allowed="settings that a service can be built from",
                     )
                 )
-    for service in built.values():
-        errors += _check_service(service, policies)
     prefixes = tuple(f"{path.rstrip('/')}/" for path in paths)
-    others = {
-        path: service
+    matches = {
+        key: path
         for path, service in replica.services.items()
         if not f"{path}/".startswith(prefixes)
+        for _, key in settings.match_keys(service.match)
     }
-    errors += _check_matches(built, others)
+    for error in settings.check_rules(
+        root=tree, policies=policies, matches=matches
+    ):
+        located = settings.locate_error(error=error, anchors=())
+        errors.append(
+            TreeError(
+                path=located.path,
+                problem=located.problem,
+                allowed=located.allowed,
+            )
+        )
     return tuple(errors)
 
 
@@ -90,14 +96,15 @@
     names = settings.split_path(change.path)
     fits = (
         change.path.startswith("/")
-        and len(names) <= MAX_DEPTH
+        and len(names) <= settings.MAX_TREE_LEVELS
         and all(_NAME.fullmatch(name) for name in names)
     )
     if not fits:
         yield TreeError(
             path=change.path[:200],
             problem="bad path",
-            allowed=f"at most {MAX_DEPTH} names like {_NAME.pattern}",
+            allowed=f"at most {settings.MAX_TREE_LEVELS} names like "
+            f"{_NAME.pattern}",
         )
     if change.WhichOneof("action") is None:
         yield TreeError(
@@ -105,71 +112,3 @@
             problem="no action",
             allowed="node, settings or remove",
         )
-
-
-def _copy_parts(root, paths):
-    """Copy the nodes at paths, and of their parents only the settings."""
-    tree = settings_pb2.Node()
-    for path in sorted(paths):
-        source, target = root, tree
-        for name in settings.split_path(path):
-            target.settings.CopyFrom(source.settings)
-            if name not in source.children:
-                break
-            source, target = source.children[name], target.children[name]
-        else:
-            target.CopyFrom(source)
-    return tree
-
-
-def _check_service(service, policies):
-    if policies is not None and service.routing.policy not in policies:
-        yield TreeError(
-            path=service.name,
-            problem=f"unknown policy {service.routing.policy!r}",
-            allowed=", ".join(sorted(policies)),
-        )
-    if service.limits.default_timeout > service.limits.max_timeout:
-        yield TreeError(
-            path=service.name,
-            problem="default_timeout_ms is above max_timeout_ms",
-            allowed="at most max_timeout_ms",
-        )
-    seen = {}
-    for server in service.servers:
-        if server.address in seen:
-            yield TreeError(
-                path=service.name,
-                problem=f"{server.name} and {seen[server.address]} have the "
-                f"address {server.address}",
-                allowed="each address once in a service",
-            )
-        seen[server.address] = server.name
-
-
-def _check_matches(built, others):
-    taken = {}
-    for path, service in others.items():
-        for key in _match_keys(service.match):
-            taken[key] = path
-    for path, service in built.items():
-        for key in _match_keys(service.match):
-            first = taken.setdefault(key, path)
-            if first != path:
-                kind, *values = key
-                shown = " ".join(str(v) for v in values if v is not None)
-                yield TreeError(
-                    path=path,
-                    problem=f"{kind} {shown} is matched by {first} too",
-                    allowed="each request is matched by one service",
-                )
-
-
-def _match_keys(match):
-    if match.service_header:
-        yield "service_header", match.service_header
-    for host in match.hosts or (None,):
-        for prefix in match.path_prefixes:
-            yield "path_prefix", prefix, host
-        if host is not None and not match.path_prefixes:
-            yield "host", host
--- a/wigeonrouter/settings/_rules.py
+++ b/wigeonrouter/settings/_rules.py
@@ -51,7 +51,7 @@
     Args:
       root: settings_pb2.Node, a whole tree or an excerpt; see
         excerpt_tree.
-      policies: names of the known selection policies.
+      policies: names of the known selection policies, or None to accept any.
       matches: dict from match key to service path, for the services that
         are not part of root; see match_keys.
       pause: function to call between nodes. A whole tree of the target size
@@ -159,6 +159,8 @@
 
 def _check_policy(merged, origins, policies):
     routing = merged.routing
+    if policies is None:
+        return
     if routing.HasField("policy") and routing.policy not in policies:
         yield RuleError(
             node=origins["routing.policy"],
