Spread signs of leaving backend servers as facts

A server's own sign of leaving, seen by one daemon in an answer or a health report, and a VM that the platform's list shows as leaving become facts that gossip carries to all daemons, also while the store is down. A server that one daemon has seen restart comes back cold at all daemons.

--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -77,8 +77,15 @@
             own_member=lambda: self._gossip.table.own,
             claim_from_peer=self._claim_from_peer,
             observe=self._metrics.observe,
+            announce=lambda *sign: self._signs.announce(*sign),
             rng=self._rng,
         )
+        self._signs = health.ServerSigns(
+            gossip=self._gossip,
+            store=self._store,
+            replica=self._replica,
+            apply_draining=self._handler.set_draining,
+        )
         self._prober = health.Prober(
             place=settings.place,
             daemon_id=settings.daemon_id,
@@ -150,6 +157,7 @@
         self._tasks = [
             gevent.spawn(self._housekeep),
             gevent.spawn(self._prober.run),
+            gevent.spawn(self._signs.run),
         ]
 
     def stop(self):
--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -35,12 +35,14 @@
         clock=time.monotonic,
         call_later=gevent.spawn_later,
         share=(0, 1),
+        announce=lambda address, leaving: None,
     ):
         self._place = place
         self._rng = rng
         self._clock = clock
         self._call_later = call_later
         self._share = share
+        self._announce = announce
         self._sequence = 0
         self._memory = None
         self._views = {}
@@ -102,8 +104,16 @@
 
     def set_draining(self, addresses):
         """Take over the addresses that are known to be leaving."""
-        self._draining_facts = frozenset(addresses)
+        addresses = frozenset(addresses)
+        returned = self._draining_facts - addresses
+        self._draining_facts = addresses
+        for name, view in self._views.items():
+            if str(view.server.address) in returned:
+                self._views[name] = health.after_return(
+                    view=view, now=self._clock()
+                )
         self._refresh()
+        self._pump()
 
     def acquire(self, request):
         """Wait for a slot.
@@ -191,6 +201,7 @@
         if view is None or view.server.address != grant.server.address:
             self._pump()
             return
+        before = view
         view = dataclasses.replace(view, in_flight=max(0, view.in_flight - 1))
         view = health.after_attempt(view=view, attempt=attempt)
         view = health.next_state(
@@ -201,19 +212,20 @@
             now=self._clock(),
         )
         self._views[grant.server.name] = view
+        self._announce_change(before, view)
         if attempt.outcome is core.Outcome.OK and not attempt.cancelled:
             self._hold = limits.learn_hold_time(self._hold, attempt.latency)
         self._refresh()
         self._pump()
 
-    def on_probe(self, *, name, reached, healthy):
-        """Take over the result of a probe; see health.after_probe."""
+    def on_probe(self, *, name, probe):
+        """Take over a health.ProbeResult."""
         view = self._views.get(name)
         if view is None:
             return
-        self._views[name] = health.after_probe(
-            view=view, reached=reached, healthy=healthy, now=self._clock()
-        )
+        after = health.after_probe(view=view, probe=probe, now=self._clock())
+        self._views[name] = after
+        self._announce_change(view, after)
         self._refresh()
         self._pump()
 
@@ -232,6 +244,11 @@
             self._refresh()
             self._pump()
 
+    def _announce_change(self, before, after):
+        leaving = after.state is core.ServerState.DRAINING
+        if leaving != (before.state is core.ServerState.DRAINING):
+            self._announce(after.server.address, leaving)
+
     def _return_unused(self, grant):
         self.release(
             grant,
--- a/wigeonrouter/health/__init__.py
+++ b/wigeonrouter/health/__init__.py
@@ -3,13 +3,16 @@
 from wigeonrouter.health import _budget as budget  # noqa: F401
 from wigeonrouter.health import _prober
 from wigeonrouter.health import _rules
+from wigeonrouter.health import _signs
 
+ProbeResult = _rules.ProbeResult
 Prober = _prober.Prober
+ServerSigns = _signs.ServerSigns
 
 advance = _rules.advance
 after_attempt = _rules.after_attempt
+after_return = _rules.after_return
 after_probe = _rules.after_probe
-draining_addresses = _prober.draining_addresses
 may_get_work = _rules.may_get_work
 needs_probe = _rules.needs_probe
 new_view = _rules.new_view
--- a/wigeonrouter/health/_prober.py
+++ b/wigeonrouter/health/_prober.py
@@ -5,7 +5,6 @@
 import gevent
 import geventhttpclient
 
-from wigeonrouter import core
 from wigeonrouter import entries
 from wigeonrouter.health import _budget
 from wigeonrouter.health import _rules
@@ -86,11 +85,11 @@
         gevent.spawn(self._probe, dispatcher, view.server)
 
     def _probe(self, dispatcher, server):
-        reached, healthy = probe_server(
+        probe = probe_server(
             address=server.address,
             path=dispatcher.service.health.probe_path,
         )
-        dispatcher.on_probe(name=server.name, reached=reached, healthy=healthy)
+        dispatcher.on_probe(name=server.name, probe=probe)
 
 
 def probe_server(*, address, path):
@@ -100,8 +99,7 @@
       address: core.Address.
       path: path of the request.
     Returns:
-      A pair of bools: whether a connection was made, and whether the answer
-      was status 200 without a sign of leaving.
+      A ProbeResult.
     """
     client = geventhttpclient.HTTPClient(
         address.host,
@@ -114,23 +112,14 @@
         load = response.get("backend-load") or ""
         response.read()
     except ConnectionRefusedError:
-        return False, False
+        return _rules.ProbeResult(reached=False)
     except (OSError, ValueError):
-        return True, False
+        return _rules.ProbeResult(reached=True)
     finally:
         client.close()
     leaving = "state=draining" in load
-    return True, response.status_code == 200 and not leaving
-
-
-def draining_addresses(facts):
-    """Return the addresses that facts declare to be leaving.
-
-    Args:
-      facts: iterable of objects with address and state.
-    """
-    return frozenset(
-        fact.address
-        for fact in facts
-        if fact.state == core.ServerState.DRAINING.value
+    return _rules.ProbeResult(
+        reached=True,
+        healthy=response.status_code == 200 and not leaving,
+        leaving=leaving,
     )
--- a/wigeonrouter/health/_rules.py
+++ b/wigeonrouter/health/_rules.py
@@ -25,6 +25,21 @@
 _LATENCY_WEIGHT = 0.2
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeResult:
+    """What a probe found.
+
+    Attributes:
+      reached: whether a connection was made.
+      healthy: whether the answer was status 200 without a sign of leaving.
+      leaving: whether the answer carried the server's sign of leaving.
+    """
+
+    reached: bool
+    healthy: bool = False
+    leaving: bool = False
+
+
 def after_attempt(*, view, attempt):
     """Return the view after an attempt, without any change of state.
 
@@ -109,23 +124,22 @@
     return view
 
 
-def after_probe(*, view, reached, healthy, now):
+def after_probe(*, view, probe, now):
     """Return the view after a probe.
 
     Args:
-      view: core.BackendView of an ejected or draining server.
-      reached: whether a connection was made.
-      healthy: whether the probe was answered with status 200 and without a
-        sign of leaving.
+      view: core.BackendView of an ejected, cold or draining server.
+      probe: ProbeResult.
       now: seconds on the monotonic clock.
     """
+    healthy = probe.healthy
+    if probe.leaving:
+        return _drain(view)
     if view.state is core.ServerState.DRAINING:
-        if not reached:
+        if not probe.reached:
             return dataclasses.replace(view, stopped=True)
         if view.stopped and healthy:
-            return _make_cold(
-                dataclasses.replace(view, report=None, stopped=False), now
-            )
+            return after_return(view=view, now=now)
         return view
     if view.state is core.ServerState.EJECTED and healthy:
         view = _make_cold(view, now)
@@ -134,6 +148,20 @@
     return view
 
 
+def after_return(*, view, now):
+    """Return the view of a server that is known to be back.
+
+    Args:
+      view: core.BackendView.
+      now: seconds on the monotonic clock.
+    """
+    if view.state is not core.ServerState.DRAINING:
+        return view
+    return _make_cold(
+        dataclasses.replace(view, report=None, stopped=False), now
+    )
+
+
 def may_get_work(*, view, draining):
     """Return whether a server may get new requests.
 
--- a/wigeonrouter/health/_rules_test.py
+++ b/wigeonrouter/health/_rules_test.py
@@ -48,6 +48,12 @@
     )
 
 
+def _probe(view, now, **result):
+    return health.after_probe(
+        view=view, probe=health.ProbeResult(**result), now=now
+    )
+
+
 def _run(outcomes, count=4):
     group = _group(count)
     view = group[0]
@@ -101,17 +107,22 @@
     group = _group()
     attempt = _attempt(core.Outcome.OK, report=_report(draining=True))
     view = _step(group[0], attempt, group)
-    view = health.after_probe(view=view, reached=True, healthy=True, now=2.0)
+    view = _probe(view, reached=True, healthy=True, now=2.0)
     view = health.advance(view=view, settings=_SETTINGS, now=1000.0)
     assert not health.may_get_work(view=view, draining=frozenset())
 
 
+def test_a_sign_of_leaving_in_a_health_report_is_believed():
+    view = _probe(_group()[0], reached=True, leaving=True, now=1.0)
+    assert not health.may_get_work(view=view, draining=frozenset())
+
+
 def test_a_restarted_server_comes_back_cold():
     group = _group()
     attempt = _attempt(core.Outcome.OK, report=_report(draining=True))
     view = _step(group[0], attempt, group)
-    view = health.after_probe(view=view, reached=False, healthy=False, now=2.0)
-    view = health.after_probe(view=view, reached=True, healthy=True, now=3.0)
+    view = _probe(view, reached=False, now=2.0)
+    view = _probe(view, reached=True, healthy=True, now=3.0)
     assert view.state is core.ServerState.COLD
     assert health.may_get_work(view=view, draining=frozenset())
 
@@ -123,9 +134,7 @@
     assert view.state is core.ServerState.COLD
     assert health.proved_views((view, *others)) == others
     assert health.proved_views((view,)) == (view,)
-    probed = health.after_probe(
-        view=view, reached=True, healthy=True, now=101.0
-    )
+    probed = _probe(view, reached=True, healthy=True, now=101.0)
     assert probed in health.proved_views((probed, *others))
 
 
@@ -173,8 +182,8 @@
     def probe(self, index, reached, healthy):
         if not reached:
             self.said_leaving.discard(index)
-        self.group[index] = health.after_probe(
-            view=self.group[index],
+        self.group[index] = _probe(
+            self.group[index],
             reached=reached,
             healthy=healthy and reached,
             now=self.now,
--- a/wigeonrouter/request_path/_handler.py
+++ b/wigeonrouter/request_path/_handler.py
@@ -47,12 +47,14 @@
         own_member,
         claim_from_peer,
         observe,
+        announce=lambda address, leaving: None,
         rng=None,
         clock=time.monotonic,
         wall_clock=time.time,
     ):
         self._place = place
         self._observe = observe
+        self._announce = announce
         self._rng = rng or random.Random()
         self._clock = clock
         self._pool = _pool.ConnectionPool(clock=clock)
@@ -230,6 +232,7 @@
                 place=self._place,
                 rng=self._rng,
                 clock=self._clock,
+                announce=self._announce,
             )
             dispatcher.set_draining(self._draining)
             self._dispatchers[service.name] = dispatcher
