--- /dev/null
+++ b/wigeonrouter/health/_processes_test.py
@@ -0,0 +1,140 @@
+"""Guards against drains that do not reach every daemon.
+
+Real daemons; the test plays callers, backend servers and the VM list.
+"""
+
+import json
+import signal
+import time
+
+import gevent
+import geventhttpclient
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import standins
+from wigeonrouter.bench import _ports
+from wigeonrouter.bench import _processes
+
+# "A backend server that is leaving gets no new work after a few seconds."
+_FEW_SECONDS = 5.0
+_BACKENDS = 3
+
+
+@pytest.fixture
+def backends():
+    """Three backend server stand-ins in this process."""
+    made = [
+        standins.BackendStandin(
+            address=core.Address(host="127.0.0.1", port=port), service_ms=20
+        )
+        for port in _ports.free_ports(_BACKENDS)
+    ]
+    for standin in made:
+        standin.start()
+    yield made
+    for standin in made:
+        standin.stop()
+
+
+@pytest.fixture
+def fleet(backends, tmp_path):
+    """A store and two daemons of two failure domains, configured."""
+    (store,) = _ports.free_addresses(1)
+    ports = [_ports.free_ports(3) for _ in range(2)]
+    with _processes.Fleet() as made:
+        made.start_store(store)
+        for number, own in enumerate(ports):
+            made.start_daemon(
+                daemon_id=f"d{number}",
+                place=core.Place(region="r", failure_domain=f"r-{number}"),
+                ports=own,
+                store=store,
+                seeds=[f"127.0.0.1:{ports[0][2]}"],
+            )
+        made.admins = [f"127.0.0.1:{own[1]}" for own in ports]
+        made.callers = [own[0] for own in ports]
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps(_document(backends)))
+        _processes.run_cli("apply", "/s", str(path), server=made.admins[0])
+        for port in made.callers:
+            _wait(lambda port=port: _send(port, 1) == [200])
+        yield made
+
+
+def _document(backends):
+    servers = {
+        f"s{number}": {
+            "address": f"127.0.0.1:{standin.port}",
+            "region": "r",
+            "failure_domain": "r-0",
+        }
+        for number, standin in enumerate(backends)
+    }
+    return {
+        "settings": {
+            "match": {"path_prefixes": ["/"]},
+            "groups": {"g": {"servers": servers}},
+        }
+    }
+
+
+def _send(port, count):
+    client = geventhttpclient.HTTPClient("127.0.0.1", port, concurrency=count)
+
+    def call():
+        response = client.post("/x", b"x")
+        response.read()
+        return response.status_code
+
+    tasks = [gevent.spawn(call) for _ in range(count)]
+    gevent.joinall(tasks, raise_error=True)
+    client.close()
+    return [task.value for task in tasks]
+
+
+def _wait(condition):
+    ends = time.monotonic() + 30
+    while not condition():
+        assert time.monotonic() < ends, "condition not reached in 30 s"
+        gevent.sleep(0.1)
+
+
+def _assert_gets_no_work(fleet, backend):
+    """Load all slots through both daemons; the backend must not run any."""
+    gevent.sleep(_FEW_SECONDS)
+    before = sum(backend.runs.values())
+    for _ in range(5):
+        for port in fleet.callers:
+            assert set(_send(port, 2 * _BACKENDS)) == {200}
+    assert sum(backend.runs.values()) == before
+
+
+def test_a_drain_action_reaches_all_daemons_while_the_store_is_down(
+    fleet, backends
+):
+    fleet.send_signal("store", signal.SIGSTOP)
+    _processes.run_cli(
+        "drain", f"127.0.0.1:{backends[0].port}", server=fleet.admins[0]
+    )
+    _assert_gets_no_work(fleet, backends[0])
+
+
+def test_a_sign_that_one_daemon_sees_stops_work_of_all(fleet, backends):
+    backends[0].set_fault(draining=True)
+    _wait(lambda: set(_send(fleet.callers[0], 2 * _BACKENDS)) == {200})
+    # From now on its answers and its health report hide that it leaves.
+    backends[0].set_fault()
+    _assert_gets_no_work(fleet, backends[0])
+
+
+def test_a_drain_in_the_settings_reaches_all_daemons(
+    fleet, backends, tmp_path
+):
+    document = _document(backends)
+    servers = document["settings"]["groups"]["g"]["servers"]
+    servers["s0"]["state"] = "draining"
+    path = tmp_path / "drain.json"
+    path.write_text(json.dumps(document))
+    _processes.run_cli("apply", "/s", str(path), server=fleet.admins[1])
+    _assert_gets_no_work(fleet, backends[0])
