--- a/wigeonrouter/configuration/_replica.py
+++ b/wigeonrouter/configuration/_replica.py
@@ -5,12 +5,16 @@
 """
 
 from wigeonrouter import settings
+from wigeonrouter import store as store_api
 from wigeonrouter.configuration import _retained
 from wigeonrouter.schema import settings_pb2
 
 
-class ForkError(Exception):
-    """Two entries with one revision differ, which acceptance rules out."""
+class ForkError(store_api.StoreError):
+    """Two entries with one revision differ, which acceptance rules out.
+
+    The store contradicts itself or a peer; neither can be followed.
+    """
 
 
 class Replica:
--- a/wigeonrouter/membership/_spread.py
+++ b/wigeonrouter/membership/_spread.py
@@ -7,6 +7,7 @@
 from gevent import lock
 from google.protobuf import message as protobuf_message
 
+from wigeonrouter import configuration
 from wigeonrouter import core
 from wigeonrouter.membership import _client
 from wigeonrouter.membership import _codec
@@ -90,7 +91,7 @@
         """
         if entries[0].revision > self._replica.revision + 1:
             self.fetch(sender.peer_address, revision=entries[-1].revision)
-        applied = self._replica.apply_entries(entries)
+        applied = self._apply(entries)
         self.spread(applied, excluded=(sender.daemon_id,))
         return self._replica.revision
 
@@ -128,12 +129,19 @@
                     continue
                 entries.append(chunk.entry)
                 if len(entries) >= FETCH_BATCH:
-                    self._replica.apply_entries(entries)
+                    self._apply(entries)
                     entries = []
         except protobuf_message.DecodeError:
             self._client.count("malformed")
             return
-        self._replica.apply_entries(entries)
+        self._apply(entries)
+
+    def _apply(self, entries):
+        try:
+            return self._replica.apply_entries(entries)
+        except configuration.ForkError:
+            self._client.count("forks")
+            return []
 
     def _push_pending(self):
         while True:
