--- /dev/null
+++ b/wigeonrouter/membership/_table_test.py
@@ -0,0 +1,282 @@
+"""Guards against wrong beliefs about members."""
+
+import dataclasses
+import random
+
+from hypothesis import settings as hypothesis_settings
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter.membership import _schedule
+from wigeonrouter.membership import _table
+
+_STATES = core.MemberState
+_NODES = 6
+
+
+def member(number, *, regions=2, state=_STATES.ALIVE, incarnation=1):
+    region = f"r{number % regions}"
+    address = core.Address(host="127.0.0.1", port=1000 + number)
+    return core.Member(
+        daemon_id=f"d{number}",
+        incarnation=incarnation,
+        state=state,
+        place=core.Place(region=region, failure_domain=f"{region}-a"),
+        caller_address=address,
+        admin_address=address,
+        peer_address=address,
+    )
+
+
+def _table_with(*members):
+    table = _table.MemberTable(own=member(0))
+    for other in members:
+        table.merge(other, now=0.0)
+    return table
+
+
+@pytest.mark.parametrize(
+    ("known", "heard", "after"),
+    [
+        ((_STATES.ALIVE, 1), (_STATES.SUSPECT, 1), (_STATES.SUSPECT, 1)),
+        ((_STATES.SUSPECT, 1), (_STATES.ALIVE, 1), (_STATES.SUSPECT, 1)),
+        ((_STATES.SUSPECT, 1), (_STATES.ALIVE, 2), (_STATES.ALIVE, 2)),
+        ((_STATES.ALIVE, 2), (_STATES.SUSPECT, 1), (_STATES.ALIVE, 2)),
+        ((_STATES.ALIVE, 2), (_STATES.DEAD, 1), (_STATES.ALIVE, 2)),
+        # A third party's word alone does not remove a live member.
+        ((_STATES.ALIVE, 1), (_STATES.DEAD, 1), (_STATES.SUSPECT, 1)),
+        ((_STATES.SUSPECT, 1), (_STATES.DEAD, 1), (_STATES.DEAD, 1)),
+        ((_STATES.DEAD, 1), (_STATES.ALIVE, 1), (_STATES.DEAD, 1)),
+        ((_STATES.DEAD, 1), (_STATES.ALIVE, 2), (_STATES.ALIVE, 2)),
+        ((_STATES.ALIVE, 1), (_STATES.LEAVING, 1), (_STATES.LEAVING, 1)),
+        ((_STATES.SUSPECT, 1), (_STATES.LEAVING, 1), (_STATES.LEAVING, 1)),
+        ((_STATES.LEAVING, 1), (_STATES.SUSPECT, 1), (_STATES.LEAVING, 1)),
+        ((_STATES.LEAVING, 1), (_STATES.DEAD, 1), (_STATES.DEAD, 1)),
+    ],
+)
+def test_the_newer_statement_wins(known, heard, after):
+    table = _table_with(member(1, state=known[0], incarnation=known[1]))
+    table.merge(member(1, state=heard[0], incarnation=heard[1]), now=0.0)
+    found = table.find("d1")
+    assert (found.state, found.incarnation) == after
+
+
+@pytest.mark.parametrize("state", [_STATES.SUSPECT, _STATES.DEAD])
+def test_a_daemon_refutes_its_own_failure(state):
+    table = _table_with()
+    assert table.merge(member(0, state=state, incarnation=5), now=0.0)
+    assert table.own.state is _STATES.ALIVE
+    assert table.own.incarnation == 6
+    assert table.own in table.take_updates()
+
+
+def test_a_leaving_daemon_stays_leaving_when_it_refutes():
+    table = _table_with()
+    table.leave()
+    table.merge(member(0, state=_STATES.DEAD), now=0.0)
+    assert table.own.state is _STATES.LEAVING
+
+
+def test_a_suspect_is_declared_dead_after_its_time_and_then_forgotten():
+    table = _table_with(member(1))
+    table.suspect("d1", now=10.0)
+    assert not table.expire(now=12.9)
+    assert "d1" not in [m.daemon_id for m in table.alive]
+    assert table.expire(now=13.0)
+    assert table.find("d1").state is _STATES.DEAD
+    assert not table.expire(now=612.9)
+    table.expire(now=613.0)
+    assert table.find("d1") is None
+
+
+def test_a_leaving_member_that_does_not_answer_is_declared_dead():
+    table = _table_with(member(1, state=_STATES.LEAVING))
+    table.suspect("d1", now=0.0)
+    table.expire(now=3.0)
+    assert table.find("d1").state is _STATES.DEAD
+
+
+def test_a_pause_of_this_daemon_does_not_kill_suspects():
+    table = _table_with(member(1))
+    table.suspect("d1", now=0.0)
+    table.postpone(60.0)
+    table.expire(now=60.0)
+    assert table.find("d1").state is _STATES.SUSPECT
+
+
+def test_an_update_rides_a_bounded_number_of_times():
+    table = _table_with(*(member(number) for number in range(1, 8)))
+    sent = [m.daemon_id for _ in range(100) for m in table.take_updates()]
+    assert {sent.count(m.daemon_id) for m in table.members} == {12}
+
+
+def test_a_suspect_always_hears_that_it_is_suspected():
+    table = _table_with(member(1))
+    table.suspect("d1", now=0.0)
+    for _ in range(100):
+        sent = table.take_updates(receiver="d1")
+    assert [m.state for m in sent] == [_STATES.SUSPECT]
+
+
+def test_exchanges_reach_each_peer_in_turn_and_mostly_the_own_region():
+    table = _table_with(*(member(number) for number in range(1, 9)))
+    schedule = _schedule.Schedule(table=table, rng=random.Random(1))
+    chosen = [schedule.next_peer() for _ in range(100)]
+    local = [m for m in chosen if m.place.region == "r0"]
+    assert len(local) == 80
+    for start in range(0, 80, 4):
+        assert len({m.daemon_id for m in local[start : start + 4]}) == 4
+
+
+def test_a_push_leaves_the_region_and_one_dead_member_is_tried_each_time():
+    dead = [member(n, state=_STATES.DEAD) for n in range(9, 12)]
+    table = _table_with(*(member(n) for n in range(1, 9)), *dead)
+    schedule = _schedule.Schedule(table=table, rng=random.Random(1))
+    regions = [m.place.region for m in schedule.push_targets()]
+    assert sorted(regions) == ["r0", "r0", "r1"]
+    tried = [schedule.next_dead(now=now) for now in range(1, 16)]
+    assert {m.daemon_id for m in tried if m} == {"d9", "d10", "d11"}
+    assert sum(m is not None for m in tried) == 3
+
+
+class GossipMachine(stateful.RuleBasedStateMachine):
+    """Daemons exchange while some are frozen, replaced or cut off."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1.0
+        self.rng = random.Random(1)
+        self.tables = [
+            _table.MemberTable(own=member(number)) for number in range(_NODES)
+        ]
+        for table in self.tables:
+            for other in self.tables:
+                table.merge(other.own, now=self.now)
+        self.schedules = [
+            _schedule.Schedule(table=table, rng=self.rng)
+            for table in self.tables
+        ]
+        self.frozen = set()
+        self.cut = False
+        self.ranks = {}
+
+    numbers = strategies.integers(0, _NODES - 1)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 1.0, 3.0, 20.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+        for number, table in enumerate(self.tables):
+            if number not in self.frozen:
+                table.expire(now=self.now)
+
+    @stateful.rule()
+    def round(self):
+        for number in range(_NODES):
+            self._turn(number)
+
+    @stateful.rule(number=numbers)
+    def freeze_or_resume(self, number):
+        self.frozen ^= {number}
+
+    @stateful.rule(number=numbers)
+    def replace(self, number):
+        """A new process with the id of the old one knows one peer."""
+        own = dataclasses.replace(
+            member(number), incarnation=int(self.now * 1000)
+        )
+        self.tables[number] = _table.MemberTable(own=own)
+        self.schedules[number] = _schedule.Schedule(
+            table=self.tables[number], rng=self.rng
+        )
+        self.frozen.discard(number)
+        for seed in range(_NODES):
+            if self._exchange(number, seed, full=True):
+                break
+
+    @stateful.rule(cut=strategies.booleans())
+    def cut_regions(self, cut):
+        self.cut = cut
+
+    @stateful.invariant()
+    def own_record_is_never_failed_and_incarnations_never_fall(self):
+        for number, table in enumerate(self.tables):
+            assert table.own.state is _STATES.ALIVE
+            assert table.find(table.own.daemon_id) == table.own
+            for other in table.members:
+                key = (id(table), other.daemon_id)
+                assert other.incarnation >= self.ranks.get(key, 0)
+                self.ranks[key] = other.incarnation
+            assert number in range(_NODES)
+
+    def teardown(self):
+        """Once all is well again, all agree within a bounded time."""
+        self.cut = False
+        self.frozen.clear()
+        for _ in range(120):
+            self.now += 1.0
+            for number in range(_NODES):
+                self._turn(number)
+                self.tables[number].expire(now=self.now)
+        for table in self.tables:
+            assert {m.daemon_id for m in table.alive} == {
+                f"d{number}" for number in range(_NODES)
+            }
+        assert len({table.digest for table in self.tables}) == 1
+
+    def _turn(self, number):
+        """What Gossip.exchange_once does, without its calls."""
+        if number in self.frozen:
+            return
+        schedule, table = self.schedules[number], self.tables[number]
+        peer = schedule.next_peer()
+        if peer is None:
+            self._exchange(number, (number + 1) % _NODES, full=True)
+        elif not self._exchange(number, int(peer.daemon_id[1:])):
+            helped = any(
+                self._reaches(number, int(h.daemon_id[1:]))
+                and self._reaches(
+                    int(h.daemon_id[1:]), int(peer.daemon_id[1:])
+                )
+                for h in schedule.helpers(peer.daemon_id)
+            )
+            if not helped:
+                table.suspect(peer.daemon_id, now=self.now)
+        dead = schedule.next_dead(now=self.now)
+        if dead and self._exchange(number, int(dead.daemon_id[1:]), full=True):
+            schedule.hurry_dead()
+
+    def _reaches(self, first, second):
+        return not (
+            {first, second} & self.frozen
+            or (self.cut and first % 2 != second % 2)
+        )
+
+    def _exchange(self, first, second, full=False):
+        if not self._reaches(first, second) or first == second:
+            return False
+        self._send(first, second, full)
+        self._send(second, first, full)
+        return True
+
+    def _send(self, sender, receiver, full):
+        source, target = self.tables[sender], self.tables[receiver]
+        updates = source.take_updates(receiver=target.own.daemon_id)
+        if full:
+            updates += [m for m in source.peers if m not in updates]
+        target.merge(source.own, now=self.now, direct=True)
+        for update in updates:
+            target.merge(update, now=self.now)
+
+
+def test_members_agree_again_after_any_sequence_of_failures():
+    stateful.run_state_machine_as_test(
+        GossipMachine,
+        settings=hypothesis_settings(
+            max_examples=60,
+            stateful_step_count=30,
+            derandomize=True,
+            deadline=None,
+        ),
+    )
