--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -114,6 +114,7 @@
       ready_since: time since which it may get work, seconds.
       last_used: time of the last request sent to it, seconds.
       failures_in_row: failed attempts since the last good answer.
+      refusals_in_row: refusals since the last answer.
       ejections: ejections since the server last proved itself.
       ejected_until: end of the ejection, seconds.
       stopped: whether a server that announced its leaving has been seen to
@@ -131,6 +132,7 @@
     ready_since: float = 0.0
     last_used: float = 0.0
     failures_in_row: int = 0
+    refusals_in_row: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
     stopped: bool = False
@@ -268,10 +270,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Grant:
-    """Permission to send one request to one backend server."""
+    """Permission to send one request to one backend server.
+
+    Attributes:
+      granted: seconds on the monotonic clock.
+      tenant: tenant that was charged for the slot, if any.
+      charged: seconds of slot time that it was charged, an estimate.
+    """
 
     server: BackendServer
     granted: float
+    tenant: str = ""
+    charged: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -283,9 +293,11 @@
       latency: seconds from grant to the whole answer or the failure.
       report: the load report that rode on the answer, if any.
       cancelled: whether the caller went away; says nothing of the server.
+      refused: whether the server refused the connection or the request.
     """
 
     outcome: Outcome
     latency: float
     report: LoadReport | None = None
     cancelled: bool = False
+    refused: bool = False
--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -18,7 +18,6 @@
 from wigeonrouter import store as store_api
 from wigeonrouter.schema import peer_pb2
 
-_MAX_BODY_BYTES = 64 << 20
 _HOUSEKEEPING_INTERVAL_S = 1.0
 _DRAIN_POLL_S = 0.05
 
@@ -78,8 +77,15 @@
             own_member=lambda: self._gossip.table.own,
             claim_from_peer=self._claim_from_peer,
             observe=self._metrics.observe,
+            announce=lambda *sign: self._signs.announce(*sign),
             rng=self._rng,
         )
+        self._signs = health.ServerSigns(
+            gossip=self._gossip,
+            store=self._store,
+            replica=self._replica,
+            apply_draining=self._handler.set_draining,
+        )
         self._prober = health.Prober(
             place=settings.place,
             daemon_id=settings.daemon_id,
@@ -89,7 +95,6 @@
         self._callers = request_path.CallerServer(
             address=settings.caller_address,
             handler=self._handler,
-            max_body_bytes=_MAX_BODY_BYTES,
         )
         self._admin = pywsgi.WSGIServer(
             (settings.admin_address.host, settings.admin_address.port),
@@ -147,6 +152,7 @@
         self._tasks = [
             gevent.spawn(self._housekeep),
             gevent.spawn(self._prober.run),
+            gevent.spawn(self._signs.run),
         ]
 
     def stop(self):
@@ -172,6 +178,20 @@
         """Accept a change and spread it; see Replication.accept."""
         return self._replication.accept(proposal)
 
+    def drain_server(self, *, address, draining, author):
+        """Start or end the drain of a backend server; needs no store.
+
+        Args:
+          address: core.Address.
+          draining: whether the server leaves or comes back.
+          author: name of the operator's token.
+        """
+        self._gossip.assert_fact(
+            address=address,
+            state="draining" if draining else "active",
+            source="operator",
+        )
+
     def _housekeep(self):
         while True:
             gevent.sleep(_HOUSEKEEPING_INTERVAL_S)
@@ -179,10 +199,12 @@
 
     def _claim_from_peer(self, parsed, request_id):
         member = self.table.find(parsed.daemon_id)
-        if member is None or member.instance != parsed.instance:
+        if member is None:
             return None
         return self._gossip.claim(member=member, request_id=request_id)
 
     def _answer_claim(self, request):
-        known = self._handler.ids.claim(request.request_id)
+        known = self._handler.ids.answer_claim(
+            request.request_id, request.claimant
+        )
         return peer_pb2.ClaimReply(seen=known is not None, outcome=known or "")
--- a/wigeonrouter/health/_rules.py
+++ b/wigeonrouter/health/_rules.py
@@ -17,10 +17,29 @@
 EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
 ANSWERS_TO_PROVE = 10
+# A server that refuses looks idle and would attract every request, so it is
+# left alone for a short time that doubles.
+REFUSAL_BACKOFF_S = 0.1
+MAX_REFUSAL_BACKOFF_S = 5.0
 _FAILURE_WEIGHT = 0.1
 _LATENCY_WEIGHT = 0.2
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeResult:
+    """What a probe found.
+
+    Attributes:
+      reached: whether a connection was made.
+      healthy: whether the answer was status 200 without a sign of leaving.
+      leaving: whether the answer carried the server's sign of leaving.
+    """
+
+    reached: bool
+    healthy: bool = False
+    leaving: bool = False
+
+
 def after_attempt(*, view, attempt):
     """Return the view after an attempt, without any change of state.
 
@@ -36,6 +55,7 @@
             view.failure_ratio, float(failed), _FAILURE_WEIGHT
         ),
         "failures_in_row": view.failures_in_row + 1 if failed else 0,
+        "refusals_in_row": view.refusals_in_row + 1 if attempt.refused else 0,
     }
     if attempt.report is not None:
         changes["report"] = attempt.report
@@ -63,6 +83,12 @@
         return _drain(view)
     if view.state is core.ServerState.DRAINING:
         return view
+    if attempt.refused:
+        if view.state is core.ServerState.READY and _may_eject(
+            view, group, settings
+        ):
+            return _back_off(view, now)
+        return view
     if _is_outlier(view, attempt) and _may_eject(view, group, settings):
         return _eject(view, now)
     if view.answers >= ANSWERS_TO_PROVE and (
@@ -87,6 +113,8 @@
       now: seconds on the monotonic clock.
     """
     if view.state is core.ServerState.EJECTED and now >= view.ejected_until:
+        if view.refusals_in_row:
+            return dataclasses.replace(view, state=core.ServerState.READY)
         return _make_cold(view, now)
     if (
         view.state is core.ServerState.COLD
@@ -96,23 +124,22 @@
     return view
 
 
-def after_probe(*, view, reached, healthy, now):
+def after_probe(*, view, probe, now):
     """Return the view after a probe.
 
     Args:
-      view: core.BackendView of an ejected or draining server.
-      reached: whether a connection was made.
-      healthy: whether the probe was answered with status 200 and without a
-        sign of leaving.
+      view: core.BackendView of an ejected, cold or draining server.
+      probe: ProbeResult.
       now: seconds on the monotonic clock.
     """
+    healthy = probe.healthy
+    if probe.leaving:
+        return _drain(view)
     if view.state is core.ServerState.DRAINING:
-        if not reached:
+        if not probe.reached:
             return dataclasses.replace(view, stopped=True)
         if view.stopped and healthy:
-            return _make_cold(
-                dataclasses.replace(view, report=None, stopped=False), now
-            )
+            return after_return(view=view, now=now)
         return view
     if view.state is core.ServerState.EJECTED and healthy:
         view = _make_cold(view, now)
@@ -121,6 +148,20 @@
     return view
 
 
+def after_return(*, view, now):
+    """Return the view of a server that is known to be back.
+
+    Args:
+      view: core.BackendView.
+      now: seconds on the monotonic clock.
+    """
+    if view.state is not core.ServerState.DRAINING:
+        return view
+    return _make_cold(
+        dataclasses.replace(view, report=None, stopped=False), now
+    )
+
+
 def may_get_work(*, view, draining):
     """Return whether a server may get new requests.
 
@@ -198,7 +239,7 @@
 
 
 def _eject(view, now):
-    duration = min(MAX_EJECTION_S, EJECTION_S * 2**view.ejections)
+    duration = min(MAX_EJECTION_S, EJECTION_S * 2 ** min(view.ejections, 10))
     return dataclasses.replace(
         view,
         state=core.ServerState.EJECTED,
@@ -208,6 +249,16 @@
     )
 
 
+def _back_off(view, now):
+    duration = min(
+        MAX_REFUSAL_BACKOFF_S,
+        REFUSAL_BACKOFF_S * 2 ** min(view.refusals_in_row - 1, 10),
+    )
+    return dataclasses.replace(
+        view, state=core.ServerState.EJECTED, ejected_until=now + duration
+    )
+
+
 def _drain(view):
     if view.state is core.ServerState.DRAINING:
         return view
@@ -222,6 +273,7 @@
         state=core.ServerState.COLD,
         answers=0,
         failures_in_row=0,
+        refusals_in_row=0,
         failure_ratio=0.0,
         ready_since=now,
         limit=view.server.slots,
--- a/wigeonrouter/membership/_gossip.py
+++ b/wigeonrouter/membership/_gossip.py
@@ -60,6 +60,8 @@
         self._claims = claims
         self._clock = clock
         self._wall_clock = wall_clock
+        # A replaced daemon has lost the ids that it claimed.
+        self._claimant = f"{own.daemon_id}~{own.instance}"
         self._fact_listeners = []
         self._pause_listeners = []
         self._joined = self._ready = False
@@ -162,7 +164,7 @@
           The reply, or None where the member did not answer.
         """
         request = peer_pb2.ClaimRequest(
-            request_id=request_id, claimant=self._table.own.daemon_id
+            request_id=request_id, claimant=self._claimant
         )
         return self._client.call("Claim", member.peer_address, request)
 
