--- a/wigeonrouter/request_path/_attempt.py
+++ b/wigeonrouter/request_path/_attempt.py
@@ -2,6 +2,8 @@
 
 import time
 
+import gevent
+
 from wigeonrouter import core
 from wigeonrouter.request_path import _decisions
 from wigeonrouter.request_path import _messages
@@ -98,13 +100,14 @@
                 request=forwarding.request,
                 timeout_ms=max(1, int(remaining * 1000)),
             )
-            forwarding.in_doubt = True
-            connection.send(data, remaining)
-            answer, reusable = _response_reader.read_response(
-                receive=self._receiver(connection, forwarding.deadline),
-                method=forwarding.request.method,
-                max_bytes=max_bytes,
-            )
+            with gevent.Timeout(remaining, TimeoutError):
+                forwarding.in_doubt = True
+                connection.send(data)
+                answer, reusable = _response_reader.read_response(
+                    receive=connection.receive,
+                    method=forwarding.request.method,
+                    max_bytes=max_bytes,
+                )
             if not _answers(answer, forwarding.request):
                 reusable = False
                 return core.Refusal(
@@ -126,16 +129,6 @@
             else:
                 self._pool.discard(address, connection)
 
-    def _receiver(self, connection, deadline):
-        def receive():
-            remaining = deadline - self._clock()
-            if remaining <= 0:
-                raise TimeoutError
-            connection.set_timeout(remaining)
-            return connection.receive()
-
-        return receive
-
     def _report(self, answer, grant, dispatcher):
         text = answer.header(b"backend-load")
         if not text:
--- a/wigeonrouter/request_path/_caller_connection.py
+++ b/wigeonrouter/request_path/_caller_connection.py
@@ -3,10 +3,10 @@
 import time
 
 import gevent
-from gevent import hub as gevent_hub
 from gevent import socket
 
-_RECEIVE_BYTES = 1 << 16
+from wigeonrouter.request_path import _sockets
+
 # A caller that takes longer to send a request holds a task for nothing.
 REQUEST_ARRIVAL_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
@@ -15,7 +15,6 @@
 # connection and lose the refusal.
 _LINGER_S = 1.0
 _LINGER_BYTES = 1 << 20
-_READABLE = 1
 _NEVER = float("inf")
 
 
@@ -27,14 +26,12 @@
     """Owns the socket of one caller. Times are on the monotonic clock."""
 
     def __init__(self, *, sock):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._sock = sock
+        self._sock = _sockets.TaskSocket(sock)
         self._deadline = time.monotonic() + IDLE_TIMEOUT_S
         self._received = False
         self._expired = False
         self._handling = False
         self._task = None
-        self._watcher = gevent_hub.get_hub().loop.io(sock.fileno(), _READABLE)
 
     @property
     def deadline(self):
@@ -75,12 +72,12 @@
         self._deadline = _NEVER
         if watch:
             self._task = gevent.getcurrent()
-            self._watcher.start(self._on_readable)
+            self._sock.watch(self._on_readable)
 
     def end_handling(self):
         """End the watch."""
         self._task = None
-        self._watcher.stop()
+        self._sock.end_watch()
 
     def expire(self):
         """End the wait for bytes; bytes that still arrive are not read."""
@@ -92,13 +89,7 @@
 
     def receive(self):
         """Return the next bytes, b"" at the end or once expired."""
-        self._sock.settimeout(None)
-        try:
-            data = self._sock.recv(_RECEIVE_BYTES)
-        except OSError:
-            # gevent ends the wait in this way when expire() is called.
-            if not self._expired:
-                raise
+        data = self._sock.receive()
         if self._expired:
             return b""
         if not self._received:
@@ -108,37 +99,23 @@
 
     def send(self, data):
         """Send all bytes within SEND_TIMEOUT_S."""
-        self._sock.settimeout(SEND_TIMEOUT_S)
-        self._sock.sendall(data)
+        self._sock.send(data, SEND_TIMEOUT_S)
 
     def send_last(self, data):
         """Send a refusal and wait briefly until the caller has read it."""
         self.send(data)
         self._sock.shutdown(socket.SHUT_WR)
-        ends = time.monotonic() + _LINGER_S
         left = _LINGER_BYTES
-        while left > 0 and (remaining := ends - time.monotonic()) > 0:
-            self._sock.settimeout(remaining)
-            data = self._sock.recv(_RECEIVE_BYTES)
-            if not data:
-                return
-            left -= len(data)
+        with gevent.Timeout(_LINGER_S, False):
+            while left > 0 and (received := self._sock.receive()):
+                left -= len(received)
 
     def close(self):
         """Close the connection."""
-        self._watcher.stop()
-        self._watcher.close()
         self._sock.close()
 
     def _on_readable(self):
-        self._watcher.stop()
-        try:
-            self._sock.settimeout(0)
-            gone = not self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            gone = False
-        except OSError:
-            gone = True
-        if gone and self._task is not None:
+        self._sock.end_watch()
+        if self._sock.has_ended() and self._task is not None:
             task, self._task = self._task, None
             task.throw(CallerGone)
--- a/wigeonrouter/request_path/_forwarder_test.py
+++ b/wigeonrouter/request_path/_forwarder_test.py
@@ -32,6 +32,7 @@
     "other id": {"raw": _OK + "X-Request-Id: other\r\n\r\nabcd"},
     "bare line feed": {"raw": _OK + "X: a\nX-Outcome: ok\r\n\r\nabcd"},
     "folded": {"raw": _OK + "X: a\r\n b\r\n\r\nabcd"},
+    "switching": {"raw": f"HTTP/1.1 101 Switching\r\n\r\n{_OK}\r\nabcd"},
     "upgrade": {"raw": "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"},
     "endless interim": {"raw": "HTTP/1.1 102 Processing\r\n\r\n" * 50},
 }
--- a/wigeonrouter/request_path/_pool.py
+++ b/wigeonrouter/request_path/_pool.py
@@ -7,10 +7,11 @@
 from gevent import event
 from gevent import socket
 
+from wigeonrouter.request_path import _sockets
+
 # Backend servers may close idle connections at any time. A connection that
 # was idle for longer is not trusted with a request.
 MAX_IDLE_S = 4.0
-_RECEIVE_BYTES = 1 << 16
 
 
 class NotSent(Exception):
@@ -44,40 +45,26 @@
 
         Unasked bytes would be taken for the answer to the next request.
         """
-        if now - self._last_used > MAX_IDLE_S:
-            return False
-        try:
-            self._sock.settimeout(0)
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return now - self._last_used <= MAX_IDLE_S and self._sock.is_silent()
 
-    def send(self, data, timeout):
-        """Send all bytes within a timeout in seconds.
+    def send(self, data):
+        """Send all bytes.
 
         Raises:
           NotSent: the first system call failed, so that no byte was sent.
           OSError: some bytes may have been sent.
         """
-        self._sock.settimeout(timeout)
         self._fresh = False
         try:
-            sent = self._sock.send(data)
+            sent = self._sock.send_now(data)
         except OSError as error:
             raise NotSent(str(error)) from error
         if sent < len(data):
-            self._sock.sendall(memoryview(data)[sent:])
+            self._sock.send_rest(memoryview(data)[sent:])
 
     def receive(self):
         """Return the next bytes, b"" at the end."""
-        return self._sock.recv(_RECEIVE_BYTES)
-
-    def set_timeout(self, timeout):
-        """Bound each following receive, seconds."""
-        self._sock.settimeout(timeout)
+        return self._sock.receive()
 
     def touch(self, now):
         """Record the time of use."""
@@ -201,7 +188,6 @@
             sock = socket.create_connection(
                 (address.host, address.port), timeout=deadline - now
             )
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
             raise ConnectFailed(str(error)) from error
-        return Connection(sock=sock, now=now)
+        return Connection(sock=_sockets.TaskSocket(sock), now=now)
