Index headers once per message

The tests of HEAD refusals and of encoded paths passed without their mechanisms; they now check surplus bytes and a kind with a path prefix.

--- a/wigeonrouter/request_path/_decisions.py
+++ b/wigeonrouter/request_path/_decisions.py
@@ -1,5 +1,7 @@
 """What follows from a failed attempt: pure functions."""
 
+import functools
+
 from wigeonrouter import core
 
 
@@ -75,18 +77,33 @@
       A core.LoadReport, or None where the text is malformed; a report is
       never worth failing a request.
     """
+    values = _load_values(text)
+    if values is None:
+        return None
+    in_flight, slots, draining = values
+    return core.LoadReport(
+        in_flight=in_flight,
+        slots=slots,
+        draining=draining,
+        received=now,
+        own_in_flight=own_in_flight,
+    )
+
+
+# Loads are small numbers, so that the same texts come again and again.
+@functools.lru_cache(maxsize=1024)
+def _load_values(text):
     values = {}
     for part in text.split(","):
         name, separator, value = part.strip().partition("=")
         if separator:
             values[name] = value
     in_flight, slots = values.get("in_flight", ""), values.get("slots", "")
-    if not (in_flight.isdecimal() and slots.isdecimal()):
+    if not (_is_number(in_flight) and _is_number(slots)):
         return None
-    return core.LoadReport(
-        in_flight=int(in_flight[:9]),
-        slots=int(slots[:9]),
-        draining=values.get("state") == "draining",
-        received=now,
-        own_in_flight=own_in_flight,
-    )
+    draining = values.get("state") == "draining"
+    return int(in_flight[:9]), int(slots[:9]), draining
+
+
+def _is_number(text):
+    return text.isascii() and text.isdigit()
--- a/wigeonrouter/request_path/_messages.py
+++ b/wigeonrouter/request_path/_messages.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import itertools
 import re
 
 from wigeonrouter import core
@@ -42,6 +41,7 @@
 _RESPONSE_HEAD = re.compile(
     rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [\t -~\x80-\xff]*+)?\r\n" + _FIELDS
 )
+_NO_NAMES = frozenset()
 _LENGTH = re.compile(rb"[0-9]{1,12}")
 
 
@@ -55,17 +55,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HttpRequest:
-    """A request. Header names are in lower case, the target in origin form."""
+    """A request. Header names are in lower case, the target in origin form.
+
+    Attributes:
+      fields: what index_headers() returns.
+    """
 
     method: bytes
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
+    fields: dict[bytes, bytes]
     body: bytes
     keep_alive: bool
 
     def header(self, name):
         """Return the first value of a header, or b""."""
-        return _find(self.headers, name)
+        return self.fields.get(name, b"")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -73,18 +78,19 @@
     """A whole response. Header names are in lower case.
 
     Attributes:
+      fields: what index_headers() returns.
       outcome: what the daemon says of the request in X-Outcome, or b"".
     """
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
+    fields: dict[bytes, bytes]
     body: bytes
-    keep_alive: bool
     outcome: bytes = b""
 
     def header(self, name):
         """Return the first value of a header, or b""."""
-        return _find(self.headers, name)
+        return self.fields.get(name, b"")
 
 
 class HeadCollector:
@@ -117,42 +123,65 @@
         )
 
 
-def check_control_headers(headers):
+def index_headers(headers):
+    """Return a dict from header names to values.
+
+    The first value of a repeated header counts, but those of Connection are
+    joined.
+    """
+    fields = dict(headers)
+    if len(fields) < len(headers):
+        fields = {}
+        for name, value in headers:
+            if name not in fields:
+                fields[name] = value
+            elif name == b"connection":
+                fields[name] += b"," + value
+    return fields
+
+
+def check_control_headers(headers, fields):
     """Raise MalformedMessage where a header could be read in two ways."""
-    seen = set()
-    for name, _ in headers:
-        if name in _SINGLE:
-            if name in seen:
-                raise MalformedMessage(
-                    core.problems.BAD_REQUEST, "repeated header"
-                )
-            seen.add(name)
-        elif b"_" in name and name.replace(b"_", b"-") in _SINGLE:
+    if len(fields) < len(headers):
+        names = [name for name, _ in headers]
+        if any(names.count(name) > 1 for name in _SINGLE):
+            raise MalformedMessage(
+                core.problems.BAD_REQUEST, "repeated header"
+            )
+    for name in fields:
+        if b"_" in name and name.replace(b"_", b"-") in _SINGLE:
             raise MalformedMessage(
                 core.problems.BAD_REQUEST, "underscore in a header name"
             )
 
 
-def body_length(headers, problem):
+def body_length(headers, fields, problem):
     """Return the length of the body, or None for a chunked one.
 
     Args:
       headers: (name, value) pairs, names in lower case.
+      fields: what index_headers() returns.
       problem: core.ProblemType where the length is not clear.
     """
-    lengths = [v for name, v in headers if name == b"content-length"]
-    codings = [v for name, v in headers if name == b"transfer-encoding"]
-    if codings:
-        if lengths or len(codings) > 1 or codings[0].lower() != b"chunked":
+    length = fields.get(b"content-length")
+    coding = fields.get(b"transfer-encoding")
+    if len(fields) < len(headers):
+        names = [name for name, _ in headers]
+        if (
+            names.count(b"content-length")
+            + (names.count(b"transfer-encoding"))
+            > 1
+        ):
+            raise MalformedMessage(problem, "ambiguous body length")
+    if coding is not None:
+        if length is not None or coding.lower() != b"chunked":
             raise MalformedMessage(problem, "ambiguous body length")
         return None
-    if len(lengths) > 1:
-        raise MalformedMessage(problem, "ambiguous body length")
-    if not lengths:
+    if length is None:
         return 0
-    if not _LENGTH.fullmatch(lengths[0]):
+    if not _LENGTH.fullmatch(length):
         raise MalformedMessage(problem, "bad Content-Length")
-    return int(lengths[0])
+    return int(length)
 
 
 def read_length(length, data, receive, problem):
@@ -172,21 +201,13 @@
     return bytes(whole[:length]), bytes(whole[length:])
 
 
-def connection_headers(headers):
+def connection_headers(fields):
     """Return the header names that Connection restricts to one hop."""
-    values = [v for name, v in headers if name == b"connection"]
-    if not values:
-        return frozenset()
-    names = itertools.chain.from_iterable(v.split(b",") for v in values)
+    value = fields.get(b"connection")
+    if value is None:
+        return _NO_NAMES
     return (
-        frozenset(name.strip(b" \t").lower() for name in names)
+        frozenset(name.strip(b" \t").lower() for name in value.split(b","))
         - CONTROL_HEADERS
         - {b"host", b"content-length", b"content-type"}
     )
-
-
-def _find(headers, name):
-    for key, value in headers:
-        if key == name:
-            return value
-    return b""
--- a/wigeonrouter/request_path/_owned_ids.py
+++ b/wigeonrouter/request_path/_owned_ids.py
@@ -39,9 +39,6 @@
                 problem=core.problems.BAD_REQUEST,
                 detail="X-Request-Id is too long",
             )
-        refusal = self._table.check(request_id)
-        if refusal is not None:
-            return refusal
         parsed = _request_ids.parse_request_id(request_id)
         if parsed is not None:
             refusal = self._check_owner(request_id, parsed)
@@ -94,6 +91,9 @@
         if parsed.daemon_id == self._own_member().daemon_id:
             # The daemon that remembered the id was replaced by this one.
             return core.Refusal(problem=core.problems.ID_OWNER_UNREACHABLE)
+        refusal = self._table.check(request_id)
+        if refusal is not None:
+            return refusal
         reply = self._claim_from_peer(parsed, request_id)
         if reply is None:
             return core.Refusal(problem=core.problems.ID_OWNER_UNREACHABLE)
--- a/wigeonrouter/request_path/_render.py
+++ b/wigeonrouter/request_path/_render.py
@@ -22,6 +22,7 @@
     status.value: b"HTTP/1.1 %d %b" % (status, status.phrase.encode())
     for status in http.HTTPStatus
 }
+_PROBLEM_FIELDS = {b"content-type": b"application/problem+json"}
 _NO_EXTRA = frozenset((b"keep-alive", b"close"))
 
 
@@ -32,7 +33,7 @@
       request: HttpRequest of the caller.
       timeout_ms: the time that is left, whole milliseconds.
     """
-    dropped = _dropped(request.headers, _NOT_FORWARDED)
+    dropped = _dropped(request.fields, _NOT_FORWARDED)
     lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
     lines += [
         b"%b: %b" % header
@@ -56,7 +57,7 @@
     """
     status = response.status
     line = _STATUS_LINES.get(status) or b"HTTP/1.1 %d Status" % status
-    dropped = _dropped(response.headers, _NOT_RETURNED)
+    dropped = _dropped(response.fields, _NOT_RETURNED)
     lines = [line]
     lines += [
         b"%b: %b" % header
@@ -94,13 +95,13 @@
     ).encode()
     return _messages.HttpResponse(
         status=problem.status,
-        headers=((b"content-type", b"application/problem+json"),),
+        headers=tuple(_PROBLEM_FIELDS.items()),
+        fields=_PROBLEM_FIELDS,
         body=body,
-        keep_alive=True,
         outcome=problem.outcome.value.encode(),
     )
 
 
-def _dropped(headers, always):
-    extra = _messages.connection_headers(headers) - _NO_EXTRA
+def _dropped(fields, always):
+    extra = _messages.connection_headers(fields) - _NO_EXTRA
     return always | extra if extra else always
--- a/wigeonrouter/request_path/_request_reader.py
+++ b/wigeonrouter/request_path/_request_reader.py
@@ -62,13 +62,19 @@
             raise _MALFORMED(_BAD, "upgrades are not supported") from error
         except httptools.HttpParserError as error:
             raise _MALFORMED(_BAD, str(error)) from error
-        request = _build(parser, collector)
-        length = _messages.body_length(collector.headers, _BAD)
+        fields = _messages.index_headers(collector.headers)
+        _check(parser, collector, fields)
+        length = _messages.body_length(collector.headers, fields, _BAD)
         if length == 0:
-            return request
+            return _build(parser, collector, fields, b"")
         if length is None and parser.get_http_version() == "1.0":
             raise _MALFORMED(_BAD, "HTTP/1.0 has no chunked bodies")
-        return _with_body(request, self._read_body(request, length, receive))
+        limit = None
+        if length is None or length > SMALL_BODY_BYTES or b"expect" in fields:
+            request = _build(parser, collector, fields, b"")
+            limit = self._ask_limit(request, length)
+        body = self._read_body(length, limit, receive)
+        return _build(parser, collector, fields, body)
 
     def _read_head(self, receive):
         data = self._rest
@@ -86,16 +92,18 @@
         self._rest = data[end + 4 :]
         return data[: end + 4]
 
-    def _read_body(self, request, length, receive):
+    def _ask_limit(self, request, length):
         expected = request.header(b"expect").lower()
         if expected not in (b"", b"100-continue"):
             raise _MALFORMED(_BAD, "unknown expectation")
-        if length is None or length > SMALL_BODY_BYTES or expected:
-            limit = self._body_limit(request)
-            if length is not None and length > limit:
-                raise _MALFORMED(core.problems.BODY_TOO_LARGE)
+        limit = self._body_limit(request)
+        if length is not None and length > limit:
+            raise _MALFORMED(core.problems.BODY_TOO_LARGE)
         if expected and not self._rest:
             self._send_continue()
+        return limit
+
+    def _read_body(self, length, limit, receive):
         if length is None:
             return self._read_chunked(limit, receive)
         body, self._rest = _messages.read_length(
@@ -118,38 +126,35 @@
         return bytes(decoder.body)
 
 
-def _build(parser, collector):
+def _check(parser, collector, fields):
     headers = collector.headers
-    _messages.check_control_headers(headers)
-    hosts = [value for name, value in headers if name == b"host"]
-    if len(hosts) > 1 or (not hosts and parser.get_http_version() == "1.1"):
+    _messages.check_control_headers(headers, fields)
+    if len(fields) < len(headers):
+        hosts = sum(name == b"host" for name, _ in headers)
+    else:
+        hosts = b"host" in fields
+    if hosts > 1 or (not hosts and parser.get_http_version() == "1.1"):
         raise _MALFORMED(_BAD, "exactly one Host header is needed")
-    method = parser.get_method()
-    return _messages.HttpRequest(
-        method=method,
-        target=_origin_form(collector.url, method, hosts),
-        headers=tuple(headers),
-        body=b"",
-        keep_alive=parser.should_keep_alive(),
-    )
 
 
-def _with_body(request, body):
+def _build(parser, collector, fields, body):
+    method = parser.get_method()
     return _messages.HttpRequest(
-        method=request.method,
-        target=request.target,
-        headers=request.headers,
+        method=method,
+        target=_origin_form(collector.url, method, fields.get(b"host", b"")),
+        headers=tuple(collector.headers),
+        fields=fields,
         body=body,
-        keep_alive=request.keep_alive,
+        keep_alive=parser.should_keep_alive(),
     )
 
 
-def _origin_form(target, method, hosts):
+def _origin_form(target, method, host):
     if target[:1] != b"/" and not (target == b"*" and method == b"OPTIONS"):
         absolute = _ABSOLUTE.fullmatch(target)
         if absolute is None:
             raise _MALFORMED(_BAD, "bad target")
-        if [absolute[1].lower()] != [host.lower() for host in hosts]:
+        if absolute[1].lower() != host.lower():
             raise _MALFORMED(_BAD, "the target and Host disagree")
         target = absolute[2] or b"/"
         if target[:1] == b"?":
--- a/wigeonrouter/request_path/_response_reader.py
+++ b/wigeonrouter/request_path/_response_reader.py
@@ -33,17 +33,24 @@
             break
     else:
         raise _MALFORMED(_INVALID, "too many interim responses")
-    body, rest = _read_body(
-        collector.headers, status, method, data, receive, max_bytes - len(head)
-    )
+    headers = tuple(collector.headers)
+    fields = _messages.index_headers(headers)
+    length = _messages.body_length(headers, fields, _INVALID)
+    if method == b"HEAD" or status in (204, 304):
+        body, rest = b"", data
+    else:
+        if length == 0 and b"content-length" not in fields:
+            # The end of such a body cannot be told from a lost connection.
+            raise _MALFORMED(_INVALID, "response without a length")
+        body, rest = _read_body(length, data, receive, max_bytes - len(head))
     # Surplus bytes would be taken for the response to the next request.
-    reusable = not rest and _keeps_alive(collector.headers, version)
+    reusable = not rest and _keeps_alive(fields, version)
     return (
         _messages.HttpResponse(
             status=status,
-            headers=tuple(collector.headers),
+            headers=headers,
+            fields=fields,
             body=body,
-            keep_alive=reusable,
         ),
         reusable,
     )
@@ -78,19 +85,16 @@
     return collector, parser.get_http_version(), status
 
 
-def _keeps_alive(headers, version):
+def _keeps_alive(fields, version):
     # httptools forgets the length once it has seen an empty body, and would
     # take each empty response for one that ends with the connection.
-    tokens = _messages.connection_headers(headers)
+    tokens = _messages.connection_headers(fields)
     return b"close" not in tokens and (
         version == "1.1" or b"keep-alive" in tokens
     )
 
 
-def _read_body(headers, status, method, data, receive, max_bytes):
-    length = _messages.body_length(headers, _INVALID)
-    if method == b"HEAD" or status in (204, 304):
-        return b"", data
+def _read_body(length, data, receive, max_bytes):
     if length is None:
         decoder = _chunks.ChunkDecoder(
             max_body_bytes=max_bytes,
@@ -102,9 +106,6 @@
             if not data:
                 raise _MALFORMED(core.problems.ANSWER_LOST)
         return bytes(decoder.body), decoder.rest
-    if length == 0 and not any(n == b"content-length" for n, _ in headers):
-        # The end of such a body cannot be told from a lost connection.
-        raise _MALFORMED(_INVALID, "response without a length")
     if length > max_bytes:
         raise _MALFORMED(core.problems.ANSWER_TOO_LARGE)
     return _messages.read_length(
--- a/wigeonrouter/request_path/_server_test.py
+++ b/wigeonrouter/request_path/_server_test.py
@@ -121,8 +121,10 @@
 def test_encoded_paths_get_the_kind_of_the_decoded_path(path):
     """A write must not be retried because its path was spelled oddly."""
     path.set_faults(*[{"raw": " ", "close": True}] * 2)
-    send(path, request_id="w", target="/%72")
+    send(path, request_id="w", target="/s/%77")
     assert path.runs("w") == 1
+    send(path, request_id="r", target="/s/r")
+    assert path.runs("r") > 1
 
 
 def test_pipelined_requests_are_answered_in_order(path):
@@ -143,7 +145,8 @@
     with path.connect() as sock:
         for _ in range(2):
             sock.sendall(render("HEAD"))
-            assert receive_answer(sock, "HEAD").status == 404
+            answer = receive_answer(sock, "HEAD")
+            assert (answer.status, answer.whole) == (404, True)
 
 
 @pytest.mark.parametrize(
--- a/wigeonrouter/request_path/conftest.py
+++ b/wigeonrouter/request_path/conftest.py
@@ -19,6 +19,8 @@
     core.TrafficKind(
         name="write", idempotent=False, methods=frozenset(("POST",))
     ),
+    core.TrafficKind(name="search", idempotent=True, path_prefixes=("/s",)),
+    core.TrafficKind(name="sell", idempotent=False, path_prefixes=("/s/w",)),
 )
 
 
@@ -103,9 +105,14 @@
 
 
 class Answer:
-    """A response as a caller reads it."""
+    """A response as a caller reads it.
 
-    def __init__(self, response):
+    Attributes:
+      whole: whether it ended where its header says, without surplus bytes.
+    """
+
+    def __init__(self, response, whole):
+        self.whole = whole
         self.status = response.status
         self.headers = dict(response.headers)
         self.body = response.body
@@ -133,12 +140,12 @@
 
 def receive_answer(sock, method="POST"):
     """Read one Answer from a caller's socket."""
-    response, _ = request_path.read_response(
+    response, whole = request_path.read_response(
         receive=lambda: sock.recv(65536),
         method=method.encode(),
         max_bytes=1 << 24,
     )
-    return Answer(response)
+    return Answer(response, whole)
 
 
 def send(path, method="POST", **request):
