Hedge slow idempotent requests within the retry budget

After the hedge_quantile of the latest 500 latencies of the kind of traffic a second attempt goes to another backend server. The first answer below 500 wins, the other attempt is cancelled by closing its connection.

--- a/wigeonrouter/request_path/_forwarder.py
+++ b/wigeonrouter/request_path/_forwarder.py
@@ -6,6 +6,7 @@
 from wigeonrouter import core
 from wigeonrouter.request_path import _attempt
 from wigeonrouter.request_path import _decisions
+from wigeonrouter.request_path import _hedging
 from wigeonrouter.request_path import _messages
 
 
@@ -44,6 +45,7 @@
     def __init__(self, *, pool, clock=time.monotonic):
         self._clock = clock
         self._sender = _attempt.AttemptSender(pool=pool, clock=clock)
+        self._hedger = _hedging.Hedger(clock=clock)
 
     def forward(self, forwarding):
         """Get the whole answer to a request.
@@ -61,7 +63,7 @@
                 return _decisions.final_refusal(
                     refusal=grant, doubtful=doubtful
                 )
-            answer = self._sender.send(forwarding, grant)
+            answer = self._send(forwarding, grant)
             if isinstance(answer, _messages.HttpResponse):
                 return answer
             if answer.problem.outcome is core.Outcome.UNKNOWN:
@@ -71,6 +73,23 @@
                     refusal=answer, doubtful=doubtful
                 )
 
+    def _send(self, forwarding, grant):
+        hedged = forwarding.dispatcher.service.retries.hedge_quantile > 0
+        if not (hedged and forwarding.kind.idempotent):
+            return self._sender.send(forwarding, grant)
+
+        def send_again():
+            further = self._acquire(forwarding)
+            if isinstance(further, core.Refusal):
+                return further
+            return self._sender.send(forwarding, further)
+
+        return self._hedger.run(
+            forwarding,
+            lambda: self._sender.send(forwarding, grant),
+            send_again,
+        )
+
     def _acquire(self, forwarding):
         forwarding.attempts += 1
         grant = forwarding.dispatcher.acquire(
--- /dev/null
+++ b/wigeonrouter/request_path/_hedging_test.py
@@ -0,0 +1,92 @@
+"""Guards hedging: only reads, only within the budget, no leaked attempts."""
+
+import gevent
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter.request_path import _hedging
+from wigeonrouter.request_path.conftest import receive_answer
+from wigeonrouter.request_path.conftest import render
+from wigeonrouter.request_path.conftest import send
+from wigeonrouter.request_path.conftest import wait_until
+
+_HANGS = {"delay_ms": 60_000}
+
+
+@pytest.fixture
+def hedged_path(path):
+    """A path that has seen enough reads to hedge them."""
+    path.configure(
+        retries=core.RetrySettings(hedge_quantile=0.9, max_attempts=1)
+    )
+    with path.connect() as sock:
+        for _ in range(60):
+            sock.sendall(render("GET"))
+            assert receive_answer(sock, "GET").status == 200
+    return path
+
+
+def test_a_hanging_read_is_answered_by_another_server(hedged_path):
+    hedged_path.set_faults(_HANGS, {})
+    slow = hedged_path.backends[0]
+    # A server without any latency yet is the cheapest, so that the slow one
+    # gets one of the first requests.
+    hedged_path.handler.reconfigure({})
+    hedged_path.configure(
+        retries=core.RetrySettings(hedge_quantile=0.9, max_attempts=1)
+    )
+    before = len(slow.runs)
+    for number in range(3):
+        answer = send(hedged_path, "GET", request_id=f"r{number}")
+        assert answer.status == 200
+    assert len(slow.runs) > before
+    wait_until(lambda: slow.in_flight == 0)
+    hedged_path.assert_released()
+
+
+def test_writes_are_never_hedged(hedged_path):
+    hedged_path.set_faults(_HANGS, _HANGS)
+    answer = send(hedged_path, request_id="w", X_Request_Timeout_Ms=200)
+    assert (answer.outcome, hedged_path.runs("w")) == ("unknown", 1)
+
+
+def test_hedges_stay_within_the_retry_budget(hedged_path):
+    hedged_path.configure(
+        retries=core.RetrySettings(
+            hedge_quantile=0.9, max_attempts=1, budget_ratio=0.0
+        )
+    )
+    hedged_path.set_faults(_HANGS, _HANGS)
+    answer = send(hedged_path, "GET", request_id="r", X_Request_Timeout_Ms=200)
+    assert (answer.problem, hedged_path.runs("r")) == ("answer-late", 1)
+
+
+def test_a_caller_that_leaves_cancels_both_attempts(hedged_path):
+    hedged_path.set_faults(_HANGS, _HANGS)
+    sock = hedged_path.connect()
+    sock.sendall(render("GET", request_id="r"))
+    wait_until(lambda: hedged_path.runs("r") == 2)
+    sock.close()
+    for backend in hedged_path.backends:
+        wait_until(lambda backend=backend: backend.in_flight == 0)
+    hedged_path.assert_released()
+
+
+@pytest.mark.parametrize(
+    "first, second, expected",
+    [
+        ("ANSWER_LOST", "CONNECT_FAILED", "answer-lost"),
+        ("CONNECT_FAILED", "ANSWER_LATE", "answer-late"),
+    ],
+)
+def test_two_failed_attempts_never_hide_the_doubtful_one(
+    first, second, expected
+):
+    """A refusal that says "not run" would be false."""
+
+    def fail(name):
+        gevent.sleep(0.01)
+        return core.Refusal(problem=getattr(core.problems, name))
+
+    tasks = [gevent.spawn(fail, name) for name in (first, second)]
+    assert _hedging._first_success(tasks).problem.name == expected
--- a/wigeonrouter/request_path/_owned_ids_test.py
+++ b/wigeonrouter/request_path/_owned_ids_test.py
@@ -28,6 +28,8 @@
     def __init__(self):
         self.now = 1000.0
         self.incarnation = 0
+        # What each daemon's wall clock is ahead, seconds.
+        self.skews = [0.0] * _DAEMONS
         self.members = [None] * _DAEMONS
         self.ids = [None] * _DAEMONS
         # "up", "frozen" (claims do not arrive) or "reply lost".
@@ -49,7 +51,7 @@
                 int(parsed.daemon_id[1:]), request_id, claimant
             ),
             clock=lambda: self.now,
-            wall_clock=lambda: self.now,
+            wall_clock=lambda: self.now + self.skews[number],
             max_ids=_MAX_IDS,
         )
 
@@ -191,6 +193,17 @@
     assert cluster.ids[1].begin(request_id).problem.name == problem
 
 
+def test_a_claim_is_refused_once_the_owner_may_have_forgotten(cluster):
+    """The claimant's clock is behind and takes the id for a young one."""
+    request_id = cluster.mint(0, "n")
+    assert cluster.ids[0].begin(request_id) is None
+    cluster.ids[0].finish(request_id, core.Outcome.OK)
+    cluster.now += 126
+    cluster.ids[0].begin("another, which expires the first")
+    cluster.skews[1] = -60
+    assert cluster.ids[1].begin(request_id).problem.name == "id-expired"
+
+
 def test_a_lost_claim_reply_can_be_repeated_by_the_claimant_only(cluster):
     request_id = cluster.mint(0, "n")
     cluster.links[0] = "reply lost"
