Spread an operator's drain as a fact

The daemon states the fact and hands all facts to the dispatchers. Stating a fact failed with a TypeError, because the hash library accepts bytes only; no test had stated one. A test of the daemon covers it now.

--- a/wigeonrouter/administration/_write.py
+++ b/wigeonrouter/administration/_write.py
@@ -3,6 +3,7 @@
 import re
 
 import falcon
+import logbook
 from returns import pipeline
 from returns import result
 
@@ -17,6 +18,7 @@
 from wigeonrouter.administration import _registry
 from wigeonrouter.schema import settings_pb2
 
+_LOG = logbook.Logger(__name__)
 MAX_COMMENT_CHARACTERS = 1000
 _CHANGE_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 _OPERATOR = _auth.Role.OPERATOR
@@ -127,6 +129,10 @@
     authorized = call.authorize([(_OPERATOR, path) for path in services])
     if not pipeline.is_successful(authorized):
         return authorized
+    # The log of changes does not hold drains; the daemon's log does.
+    _LOG.info(
+        "{} sets draining={} for {}", call.identity.name, draining, address
+    )
     call.context.daemon.drain_server(
         address=address, draining=draining, author=call.identity.name
     )
--- /dev/null
+++ b/wigeonrouter/daemon/_drain_test.py
@@ -0,0 +1,30 @@
+"""Guards against drains that are accepted but reach no dispatcher."""
+
+from wigeonrouter import core
+from wigeonrouter import daemon as daemon_api
+from wigeonrouter import health
+from wigeonrouter import settings
+
+
+def test_a_drain_is_a_fact_that_the_operator_can_take_back(store_standin):
+    free = core.Address(host="127.0.0.1", port=0)
+    daemon = daemon_api.Daemon(
+        settings=settings.DaemonSettings(
+            daemon_id="d",
+            place=core.Place(region="r", failure_domain="f"),
+            caller_address=free,
+            admin_address=free,
+            peer_address=free,
+            store_address=core.Address(
+                host="127.0.0.1", port=store_standin.port
+            ),
+        )
+    )
+    seen = []
+    daemon.gossip.subscribe_facts(
+        lambda facts: seen.append(health.draining_addresses(facts))
+    )
+    server = core.Address(host="127.0.0.1", port=7001)
+    daemon.drain_server(address=server, draining=True, author="a")
+    daemon.drain_server(address=server, draining=False, author="b")
+    assert seen == [{"127.0.0.1:7001"}, frozenset()]
--- a/wigeonrouter/membership/_facts.py
+++ b/wigeonrouter/membership/_facts.py
@@ -165,7 +165,8 @@
     def _toggle(self, fact):
         """Add a fact to the digests, or take it out again."""
         digest = xxhash.xxh3_64_intdigest(
-            f"{fact.address} {fact.source} {fact.version} {fact.state}"
+            f"{fact.address} {fact.source} {fact.version} "
+            f"{fact.state}".encode()
         )
         self._digest ^= digest
         self._parts[_part(fact.key)] ^= digest
@@ -173,7 +174,7 @@
 
 def _part(key):
     address, source = key
-    return xxhash.xxh3_64_intdigest(f"{address} {source}") % PARTS
+    return xxhash.xxh3_64_intdigest(f"{address} {source}".encode()) % PARTS
 
 
 def _rank(fact):
