--- a/wigeonrouter/cli/_output.py
+++ b/wigeonrouter/cli/_output.py
@@ -60,6 +60,9 @@
         name = str(media.get("type", "")).rpartition(":")[2]
         code = _EXIT_BY_PROBLEM.get(name, EXIT_REFUSED)
         lines = _refusal_lines(name, media)
+        if change_id is not None and name == "internal":
+            # The daemon may have failed after it wrote the change.
+            code = EXIT_UNDETERMINED
     elif isinstance(failure, _client.ReplyLost):
         name, code = "reply-lost", EXIT_UNDETERMINED
         media = {"server": failure.server, "detail": failure.detail}
--- a/wigeonrouter/cli/main_test.py
+++ b/wigeonrouter/cli/main_test.py
@@ -1,6 +1,8 @@
 """Guards against commands that misreport, or repeat what is not safe."""
 
 import json
+import pathlib
+import re
 import socket
 
 from click import testing
@@ -10,6 +12,7 @@
 
 from wigeonrouter import administration
 from wigeonrouter.administration import conftest
+from wigeonrouter.cli import _output
 from wigeonrouter.cli import main as cli
 from wigeonrouter.schema import store_pb2
 
@@ -141,6 +144,13 @@
     assert "--change-id c1" in outcome.stderr
 
 
+def test_a_daemon_that_fails_leaves_a_change_undetermined(run, monkeypatch):
+    monkeypatch.setattr(run.daemon, "accept", None)
+    outcome = run("apply", "/a", "-", "--change-id", "c1", stdin={})
+    assert outcome.exit_code == 6
+    assert "--change-id c1" in outcome.stderr
+
+
 def test_reads_go_on_to_the_next_server(run, silent_server, closed_address):
     servers = f"{closed_address},{silent_server[0]},{run.address}"
     assert run("status", servers=servers).exit_code == 0
@@ -193,3 +203,24 @@
 @pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
 def test_completion_scripts_name_the_command(run, shell):
     assert "wigeonrouter" in run("completion", shell).stdout
+
+
+_DOCS = pathlib.Path(__file__).parents[2] / "docs"
+
+
+def test_the_committed_settings_reference_is_current(run):
+    page = (_DOCS / "configuration.md").read_text(encoding="utf-8")
+    assert run("reference").stdout == page
+
+
+def test_the_operations_page_lists_all_commands_and_exit_codes():
+    page = (_DOCS / "operations.md").read_text(encoding="utf-8")
+    commands = set(re.findall(r"^\| `([a-z]+)[ `]", page, re.MULTILINE))
+    assert set(cli.main.commands) <= commands
+    codes = set(re.findall(r"^\| (\d+) \|", page, re.MULTILINE))
+    known = {
+        str(value)
+        for name, value in vars(_output).items()
+        if name.startswith("EXIT_")
+    }
+    assert codes == known | {"0", "2"}
