--- a/wigeonrouter/settings/__init__.py
+++ b/wigeonrouter/settings/__init__.py
@@ -32,6 +32,7 @@
 load_daemon_settings = _daemon.load_daemon_settings
 locate_error = _rules.locate_error
 match_keys = _rules.match_keys
+merge_settings = _tree.merge_settings
 parse_document = _checker.parse_document
 paths_overlap = _tree.paths_overlap
 render_reference = _reference.render_reference
--- a/wigeonrouter/settings/_effective.py
+++ b/wigeonrouter/settings/_effective.py
@@ -22,7 +22,7 @@
 
 def build_service(*, root, path):
     """Build the service at a path; see build_services."""
-    merged, _ = _tree.effective_settings(root=root, path=path)
+    merged = _tree.merge_settings(root=root, path=path)
     return core.EffectiveService(
         name=path,
         match=core.MatchSettings(
--- a/wigeonrouter/settings/_rules.py
+++ b/wigeonrouter/settings/_rules.py
@@ -62,14 +62,17 @@
     """
     matches = dict(matches or {})
     errors = {}
-    for path, merged, origins in _tree.walk_effective(root):
+    for path, merged in _tree.walk_effective(root):
         found = [
             *_check_depth(path),
-            *_check_timeouts(merged, origins),
-            *_check_policy(merged, origins, policies),
-            *_check_addresses(merged, origins),
+            *_check_timeouts(merged),
+            *_check_policy(merged, policies),
+            *_check_addresses(merged),
             *_check_match(path, merged, matches),
         ]
+        if found:
+            _, origins = _tree.effective_settings(root=root, path=path)
+            found = [_name_origins(error, path, origins) for error in found]
         # Nodes that inherit a mistake would report it once more each.
         errors.update(((e.node, e.field), e) for e in found)
         if len(errors) >= _checker.MAX_ERRORS:
@@ -129,18 +132,44 @@
     )
 
 
+def _name_origins(broken, path, origins):
+    """Return the RuleError of a _Broken rule of the node at a path."""
+    allowed = broken.allowed
+    if broken.cause:
+        allowed = f"{allowed}, which {origins.get(broken.cause, path)} sets"
+    return RuleError(
+        node=origins.get(broken.field, path),
+        field=broken.field,
+        problem=broken.problem,
+        allowed=allowed,
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Broken:
+    """A rule that the merged settings of a node break.
+
+    Attributes:
+      cause: dotted name of the field that sets the bound, or "".
+    """
+
+    field: str
+    problem: str
+    allowed: str
+    cause: str = ""
+
+
 def _check_depth(path):
     levels = len(_tree.split_path(path))
     if levels > MAX_TREE_LEVELS:
-        yield RuleError(
-            node=path,
+        yield _Broken(
             field="",
             problem=f"node at level {levels} of the tree",
             allowed=f"at most {MAX_TREE_LEVELS} levels",
         )
 
 
-def _check_timeouts(merged, origins):
+def _check_timeouts(merged):
     limits = merged.limits
     if not (
         limits.HasField("default_timeout_ms")
@@ -148,38 +177,34 @@
     ):
         return
     if limits.default_timeout_ms > limits.max_timeout_ms:
-        yield RuleError(
-            node=origins["limits.default_timeout_ms"],
+        yield _Broken(
             field="limits.default_timeout_ms",
             problem=f"{limits.default_timeout_ms} is above max_timeout_ms",
-            allowed=f"at most {limits.max_timeout_ms}, which "
-            f"{origins['limits.max_timeout_ms']} sets",
+            allowed=f"at most {limits.max_timeout_ms}",
+            cause="limits.max_timeout_ms",
         )
 
 
-def _check_policy(merged, origins, policies):
+def _check_policy(merged, policies):
     routing = merged.routing
     if policies is None:
         return
     if routing.HasField("policy") and routing.policy not in policies:
-        yield RuleError(
-            node=origins["routing.policy"],
+        yield _Broken(
             field="routing.policy",
             problem=f"unknown policy {routing.policy[:64]!r}",
             allowed="one of " + ", ".join(policies),
         )
 
 
-def _check_addresses(merged, origins):
+def _check_addresses(merged):
     seen = {}
     for group_name, group in sorted(merged.groups.items()):
         for name, server in sorted(group.servers.items()):
-            field = f"groups.{group_name}.servers.{name}.address"
             first = seen.setdefault(server.address, f"{group_name}/{name}")
             if first != f"{group_name}/{name}":
-                yield RuleError(
-                    node=origins.get(field, "/"),
-                    field=field,
+                yield _Broken(
+                    field=f"groups.{group_name}.servers.{name}.address",
                     problem=f"{server.address} is already {first}",
                     allowed="each address once in a service",
                 )
@@ -191,8 +216,7 @@
     for field, key in match_keys(merged.match):
         owner = matches.setdefault(key, path)
         if owner != path:
-            yield RuleError(
-                node=path,
+            yield _Broken(
                 field=f"match.{field}",
                 problem=f"service {owner} has the same match: {key}",
                 allowed="a match that no other service has",
--- a/wigeonrouter/settings/_rules_test.py
+++ b/wigeonrouter/settings/_rules_test.py
@@ -93,13 +93,11 @@
 def test_merging_along_the_way_equals_merging_each_node():
     root = _tree()
     root.children["a"].children["x"].settings.limits.max_queue = 1
-    walked = {
-        path: (merged, origins)
-        for path, merged, origins in settings.walk_effective(root)
-    }
+    walked = dict(settings.walk_effective(root))
     assert set(walked) == {"/", "/a", "/a/x", "/b"}
-    for path, found in walked.items():
-        assert found == settings.effective_settings(root=root, path=path)
+    for path, merged in walked.items():
+        assert merged == settings.merge_settings(root=root, path=path)
+        assert merged == settings.effective_settings(root=root, path=path)[0]
 
 
 def test_an_excerpt_holds_what_a_change_concerns():
--- a/wigeonrouter/settings/_tree.py
+++ b/wigeonrouter/settings/_tree.py
@@ -1,6 +1,7 @@
 """The settings tree: paths, changes and inheritance."""
 
 import dataclasses
+import functools
 
 from google.protobuf import descriptor
 
@@ -121,16 +122,24 @@
     """
     merged = settings_pb2.Settings()
     origins = {}
-    node, names = root, split_path(path)
-    for depth in range(len(names) + 1):
-        if depth:
-            node = node.children[names[depth - 1]]
-        origin = join_path(names[:depth])
-        skipped = NOT_INHERITED if depth < len(names) else frozenset()
-        _merge(merged, node.settings, origin, origins, "", skipped)
+    for origin, node, skipped in _inheritance(root, path):
+        _merge(merged, node.settings, skipped)
+        _note_origins(node.settings, origin, origins, "", skipped)
     return merged, origins
 
 
+def merge_settings(*, root, path):
+    """Merge the settings of a node without origins; see effective_settings.
+
+    Noting origins takes most of the time, which a change of the root would
+    need for each of its services.
+    """
+    merged = settings_pb2.Settings()
+    for _, node, skipped in _inheritance(root, path):
+        _merge(merged, node.settings, skipped)
+    return merged
+
+
 def walk_services(root, path="/"):
     """Yield (path, node) of each service at or below a path.
 
@@ -147,35 +156,26 @@
 
 
 def walk_effective(root):
-    """Yield (path, merged settings, origins) of each node, parents first.
+    """Yield (path, merged settings) of each node, parents first.
 
     Merging along the way costs one merge per node, where calling
-    effective_settings for each would repeat those of the ancestors.
+    merge_settings for each would repeat those of the ancestors.
     """
-    pending = [((), root, settings_pb2.Settings(), {})]
+    pending = [((), root, settings_pb2.Settings())]
     while pending:
-        names, node, inherited, origins_above = pending.pop()
-        path = join_path(names)
+        names, node, inherited = pending.pop()
         merged = settings_pb2.Settings()
         merged.CopyFrom(inherited)
-        origins = dict(origins_above)
-        _merge(merged, node.settings, path, origins, "")
-        yield path, merged, origins
+        _merge(merged, node.settings, frozenset())
+        yield join_path(names), merged
         if not node.children:
             continue
         below = settings_pb2.Settings()
         below.CopyFrom(merged)
         for name in NOT_INHERITED:
             below.ClearField(name)
-        origins = {
-            field: origin
-            for field, origin in origins.items()
-            if field.partition(".")[0] not in NOT_INHERITED
-        }
         for name in sorted(node.children, reverse=True):
-            pending.append(
-                (names + (name,), node.children[name], below, origins)
-            )
+            pending.append((names + (name,), node.children[name], below))
 
 
 def excerpt_tree(*, root, paths):
@@ -219,38 +219,71 @@
         del node.children[names[-1]]
 
 
-def _merge(target, source, origin, origins, prefix, skipped=frozenset()):
+def _inheritance(root, path):
+    """Yield (path, node, names of skipped fields) from the root to a node."""
+    node, names = root, split_path(path)
+    for depth in range(len(names) + 1):
+        if depth:
+            node = node.children[names[depth - 1]]
+        skipped = NOT_INHERITED if depth < len(names) else frozenset()
+        yield join_path(names[:depth]), node, skipped
+
+
+def _merge(target, source, skipped=frozenset()):
+    """Override fields of a message by those that another one sets.
+
+    A part that the target does not have is copied as a whole.
+    """
     for field, value in source.ListFields():
-        if field.name in skipped:
+        name = field.name
+        if name in skipped:
             continue
-        name = f"{prefix}{field.name}"
         if _is_map(field):
-            _merge_map(
-                getattr(target, field.name), value, origin, origins, name
-            )
+            _merge_map(getattr(target, name), value)
         elif field.is_repeated:
-            target.ClearField(field.name)
-            getattr(target, field.name).extend(value)
-            origins[name] = origin
+            target.ClearField(name)
+            getattr(target, name).extend(value)
         elif field.type == descriptor.FieldDescriptor.TYPE_MESSAGE:
-            submessage = getattr(target, field.name)
-            submessage.SetInParent()
-            _merge(submessage, value, origin, origins, f"{name}.")
+            if target.HasField(name):
+                _merge(getattr(target, name), value)
+            else:
+                getattr(target, name).CopyFrom(value)
         else:
-            setattr(target, field.name, value)
-            origins[name] = origin
+            setattr(target, name, value)
 
 
-def _merge_map(target, source, origin, origins, name):
-    for key in source:
-        if hasattr(source[key], "ListFields"):
-            target[key].SetInParent()
-            _merge(target[key], source[key], origin, origins, f"{name}.{key}.")
+def _merge_map(target, source):
+    for key, value in source.items():
+        if not hasattr(value, "ListFields"):
+            target[key] = value
+        elif key in target:
+            _merge(target[key], value)
         else:
-            target[key] = source[key]
-            origins[f"{name}.{key}"] = origin
+            target[key].CopyFrom(value)
+
+
+def _note_origins(source, origin, origins, prefix, skipped=frozenset()):
+    """Note the origin of each field that a message sets."""
+    for field, value in source.ListFields():
+        if field.name in skipped:
+            continue
+        name = f"{prefix}{field.name}"
+        if _is_map(field):
+            for key, item in value.items():
+                if hasattr(item, "ListFields"):
+                    _note_origins(item, origin, origins, f"{name}.{key}.")
+                else:
+                    origins[f"{name}.{key}"] = origin
+        elif (
+            field.type == descriptor.FieldDescriptor.TYPE_MESSAGE
+            and not field.is_repeated
+        ):
+            _note_origins(value, origin, origins, f"{name}.")
+        else:
+            origins[name] = origin
 
 
+@functools.cache
 def _is_map(field):
     return (
         field.type == descriptor.FieldDescriptor.TYPE_MESSAGE
