Leave draining facts to health.ServerSigns

The previous merge left two listeners that hand draining addresses to the dispatchers; the daemon's own one used a function that was removed, so that a drain failed.

--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -105,11 +105,6 @@
         self._replica.subscribe(
             lambda replica: self._handler.reconfigure(replica.services)
         )
-        self._gossip.subscribe_facts(
-            lambda facts: self._handler.set_draining(
-                health.draining_addresses(facts)
-            )
-        )
         self._tasks = []
 
     @property
--- a/wigeonrouter/daemon/_drain_test.py
+++ b/wigeonrouter/daemon/_drain_test.py
@@ -1,8 +1,7 @@
-"""Guards against drains that are accepted but reach no dispatcher."""
+"""Guards against drains that are accepted but not stated to peers."""
 
 from wigeonrouter import core
 from wigeonrouter import daemon as daemon_api
-from wigeonrouter import health
 from wigeonrouter import settings
 
 
@@ -22,9 +21,11 @@
     )
     seen = []
     daemon.gossip.subscribe_facts(
-        lambda facts: seen.append(health.draining_addresses(facts))
+        lambda facts: seen.append([(f.address, f.state) for f in facts])
     )
     server = core.Address(host="127.0.0.1", port=7001)
     daemon.drain_server(address=server, draining=True, author="a")
     daemon.drain_server(address=server, draining=False, author="b")
-    assert seen == [{"127.0.0.1:7001"}, frozenset()]
+    # health.ServerSigns hands the addresses of draining facts on.
+    address = "127.0.0.1:7001"
+    assert seen == [[(address, "draining")], [(address, "active")]]
