--- a/wigeonrouter/configuration/_replica.py
+++ b/wigeonrouter/configuration/_replica.py
@@ -176,15 +176,18 @@
         Settings are inherited downwards only, so no other service changes.
         """
         old = self._services
+        # "" stands for the root, of which every path is a continuation.
         paths = {
-            settings.join_path(settings.split_path(path)) for path in paths
-        }
-        prefixes = tuple(f"{path.rstrip('/')}/" for path in paths)
-        services = {
-            path: service
-            for path, service in old.items()
-            if not f"{path}/".startswith(prefixes)
+            settings.join_path(settings.split_path(path)).rstrip("/")
+            for path in paths
         }
+        bases = tuple(paths)
+        services = dict(old)
+        for path in old:
+            if path.startswith(bases) and any(
+                f"{path}/".startswith(f"{base}/") for base in bases
+            ):
+                del services[path]
         for changed in paths:
             for path, _ in settings.walk_services(self._root, changed):
                 if path in services:
--- a/wigeonrouter/membership/_gossip_test.py
+++ b/wigeonrouter/membership/_gossip_test.py
@@ -5,6 +5,7 @@
 
 from wigeonrouter import configuration
 from wigeonrouter import core
+from wigeonrouter.bench import _nodes
 from wigeonrouter.membership import _codec
 from wigeonrouter.membership import conftest
 from wigeonrouter.schema import peer_pb2
@@ -44,7 +45,7 @@
     domains = {fleet[0].gossip.table.find(name).place for name in acknowledged}
     assert len(domains) >= 2
     assert fleet[0].gossip.table.own.place not in domains
-    conftest.wait_for(
+    _nodes.wait_for(
         lambda: all(n.replica.revision == entry.revision for n in fleet)
     )
 
@@ -55,7 +56,7 @@
     fleet = nodes.start_fleet(_FLEET)
     fleet[0].replication.accept(_proposal("a")).unwrap()
     store_standin.inject(store_pb2.FaultCall(down=True))
-    conftest.wait_for(lambda: all(n.replica.revision == 1 for n in fleet))
+    _nodes.wait_for(lambda: all(n.replica.revision == 1 for n in fleet))
     refused = fleet[1].replication.accept(_proposal("b"))
     assert isinstance(refused.failure(), configuration.StoreDown)
     late = nodes.start(seeds=[fleet[3].gossip.table.own.peer_address])
@@ -70,12 +71,12 @@
     second = nodes.start(
         seeds=[first.gossip.table.own.peer_address], ready=False
     )
-    conftest.wait_for(lambda: second.gossip.joined)
-    conftest.wait_for(lambda: first.gossip.rounds > 2)
+    _nodes.wait_for(lambda: second.gossip.joined)
+    _nodes.wait_for(lambda: first.gossip.rounds > 2)
     assert not first.replication.ready
     assert not second.replication.ready
     store_standin.inject(store_pb2.FaultCall())
-    conftest.wait_for(lambda: second.replication.ready)
+    _nodes.wait_for(lambda: second.replication.ready)
 
 
 def test_only_one_daemon_of_a_region_watches_the_store(nodes, store_standin):
@@ -92,7 +93,7 @@
         expected_version=0,
         value=entry.SerializeToString(),
     )
-    conftest.wait_for(lambda: all(n.replica.revision == 1 for n in fleet))
+    _nodes.wait_for(lambda: all(n.replica.revision == 1 for n in fleet))
 
 
 def test_regions_that_lost_contact_rejoin_with_the_higher_revision(
@@ -102,7 +103,7 @@
     north, south = fleet[:2], fleet[2:]
     conftest.cut(north, south)
     dead = core.MemberState.DEAD
-    conftest.wait_for(
+    _nodes.wait_for(
         lambda: all(
             _states(node)[other.daemon_id] is dead
             for side, others in ((north, south), (south, north))
@@ -116,11 +117,9 @@
     )
     store_standin.inject(store_pb2.FaultCall(down=True))
     conftest.heal(fleet)
-    conftest.wait_for(
-        lambda: all(len(n.gossip.table.alive) == 4 for n in fleet)
-    )
-    conftest.wait_for(lambda: all(n.replica.revision == 1 for n in fleet))
-    conftest.wait_for(lambda: all(n.gossip.facts for n in fleet))
+    _nodes.wait_for(lambda: all(len(n.gossip.table.alive) == 4 for n in fleet))
+    _nodes.wait_for(lambda: all(n.replica.revision == 1 for n in fleet))
+    _nodes.wait_for(lambda: all(n.gossip.facts for n in fleet))
 
 
 def test_a_leaving_daemon_is_known_to_all(nodes):
@@ -148,7 +147,7 @@
         address=address, state="draining", source="vm-list"
     )
     wanted = {("operator", "ready"), ("vm-list", "draining")}
-    conftest.wait_for(
+    _nodes.wait_for(
         lambda: all(
             {(f.source, f.state) for f in n.gossip.facts} == wanted
             for n in fleet
@@ -181,7 +180,7 @@
         now_ms=first.gossip._now_ms(),
     )
     first.gossip._facts.take_updates(sends=1)
-    conftest.wait_for(lambda: second.gossip.facts)
+    _nodes.wait_for(lambda: second.gossip.facts)
 
 
 _GOOD = core.Member(
