--- a/wigeonrouter/request_path/_owned_ids_test.py
+++ b/wigeonrouter/request_path/_owned_ids_test.py
@@ -227,6 +227,15 @@
     assert cluster.ids[0].begin("free form") is not None
 
 
+def test_a_full_table_refuses_rather_than_forgets(cluster):
+    for number in range(_MAX_IDS):
+        assert cluster.ids[0].begin(f"n{number}") is None
+        cluster.ids[0].finish(f"n{number}", core.Outcome.OK)
+    assert cluster.ids[0].begin("new").problem.name == "id-table-full"
+    assert cluster.ids[0].begin("n0").problem.name == "duplicate"
+    assert len(cluster.ids[0]) == _MAX_IDS
+
+
 def test_ids_with_dots_in_the_daemon_id_are_recognised():
     parsed = _request_ids.parse_request_id("a.b-1~7.123.x.y")
     assert (parsed.daemon_id, parsed.instance) == ("a.b-1", 7)
