--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -3,6 +3,7 @@
 import click
 
 from wigeonrouter.bench import _latency
+from wigeonrouter.bench import _policy_main
 
 
 @click.group()
@@ -11,6 +12,7 @@
 
 
 main.add_command(_latency.latency)
+main.add_command(_policy_main.policy_command)
 
 
 if __name__ == "__main__":
--- a/wigeonrouter/request_path/__init__.py
+++ b/wigeonrouter/request_path/__init__.py
@@ -1,5 +1,6 @@
 """The path of a request: caller connections, forwarding, request ids."""
 
+from wigeonrouter.request_path import _decisions
 from wigeonrouter.request_path import _handler
 from wigeonrouter.request_path import _messages
 from wigeonrouter.request_path import _request_ids
@@ -15,4 +16,5 @@
 RequestReader = _request_reader.RequestReader
 RequestRecord = _handler.RequestRecord
 
+may_retry = _decisions.may_retry
 read_response = _response_reader.read_response
