--- a/wigeonrouter/administration/_app.py
+++ b/wigeonrouter/administration/_app.py
@@ -109,7 +109,11 @@
 
 
 def _handle_failure(req, resp, error, params):
-    _LOG.error("{} {} failed", req.method, req.path, exc_info=error)
+    _LOG.error(
+        "request failed",
+        exc_info=error,
+        extra={"method": req.method, "path": req.path},
+    )
     _registry.write_problem(
         resp,
         _problems.Problem(
--- a/wigeonrouter/administration/_write.py
+++ b/wigeonrouter/administration/_write.py
@@ -131,7 +131,12 @@
         return authorized
     # The log of changes does not hold drains; the daemon's log does.
     _LOG.info(
-        "{} sets draining={} for {}", call.identity.name, draining, address
+        "drain",
+        extra={
+            "author": call.identity.name,
+            "address": str(address),
+            "draining": draining,
+        },
     )
     call.context.daemon.drain_server(
         address=address, draining=draining, author=call.identity.name
--- a/wigeonrouter/administration/conftest.py
+++ b/wigeonrouter/administration/conftest.py
@@ -12,6 +12,7 @@
 from wigeonrouter import core
 from wigeonrouter import selection
 from wigeonrouter import settings
+from wigeonrouter.schema import settings_pb2
 
 TOKENS = ("root", "a-reader", "a-operator", "a-admin", "b-admin")
 _TYPES = {
@@ -53,6 +54,17 @@
             policies=selection.policy_names(),
         ).bind(lambda entry: result.Success((entry, ["peer"])))
 
+    def restore(self, root):
+        """Make a tree the newest revision, without any checks."""
+        self.accept(
+            configuration.Proposal(
+                change_id=f"restore-{self.replica.revision}",
+                author="test",
+                base_revision=self.replica.revision,
+                changes=(settings_pb2.Change(path="/", node=root),),
+            )
+        ).unwrap()
+
     def drain_server(self, *, address, draining, author):
         self.drained.append((str(address), draining, author))
 
