--- a/wigeonrouter/administration/__init__.py
+++ b/wigeonrouter/administration/__init__.py
@@ -10,4 +10,3 @@
 
 build_app = _app.build_app
 hash_token = _auth.hash_token
-now_ms = _app.now_ms
--- a/wigeonrouter/administration/_app.py
+++ b/wigeonrouter/administration/_app.py
@@ -1,7 +1,6 @@
 """The administration API and the entry query, as a falcon application."""
 
 import functools
-import time
 
 import falcon
 import logbook
@@ -120,8 +119,3 @@
             problem=_problems.INTERNAL, detail=type(error).__name__
         ),
     )
-
-
-def now_ms():
-    """Return the time in milliseconds since the epoch."""
-    return int(time.time() * 1000)
--- a/wigeonrouter/cli/_output.py
+++ b/wigeonrouter/cli/_output.py
@@ -109,8 +109,8 @@
 
 def render_change(media):
     """Yield lines on an accepted change."""
-    count = len(media["acknowledged_by"])
-    yield f"revision {media['revision']}, acknowledged by {count} daemons"
+    others = ", ".join(media["acknowledged_by"]) or "no other daemon"
+    yield f"revision {media['revision']}, acknowledged by {others}"
     yield f"change id {media['change_id']}"
 
 
