--- a/wigeonrouter/cli/main.py
+++ b/wigeonrouter/cli/main.py
@@ -193,10 +193,13 @@
 @click.pass_obj
 def show(state, path):
     """Print the node at PATH as a document that apply accepts."""
-    state.finish(
+    media = state.finish(
         state.client.read("/v1/config", path=path),
         lambda media: (json.dumps(media["node"], indent=2),),
     )
+    if not state.as_json:
+        base = media["revision"]
+        click.echo(f"revision {base}: apply with --base {base}", err=True)
 
 
 @main.command()
--- a/wigeonrouter/cli/main_test.py
+++ b/wigeonrouter/cli/main_test.py
@@ -174,6 +174,17 @@
     assert outcome.exit_code == 4
 
 
+def test_show_names_the_base_that_prevents_a_lost_update(run):
+    run("apply", "/a", "-", stdin={})
+    shown = run("show", "/a")
+    assert json.loads(shown.stdout) == {}
+    assert "--base 1" in shown.stderr
+    run("apply", "/a", "-", stdin=_NODE)
+    outcome = run("apply", "/a", "-", "--base", "1", stdin={})
+    assert outcome.exit_code == 5
+    assert "/a was changed by revision 2, after revision 1" in outcome.stderr
+
+
 def test_arguments_are_encoded(run):
     comment = "ä & base=9 #1?%"
     assert (
