--- /dev/null
+++ b/wigeonrouter/configuration/_checking.py
@@ -0,0 +1,114 @@
+"""Checks a change as a whole before it is accepted.
+
+A document may be valid by itself and still contradict the rest of the tree,
+for instance by matching the requests of another service.
+"""
+
+import dataclasses
+import re
+
+from wigeonrouter import settings
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TreeError:
+    """One mistake in a changed tree.
+
+    Attributes:
+      path: path of the node.
+      problem: what is wrong.
+      allowed: what would be accepted.
+    """
+
+    path: str
+    problem: str
+    allowed: str
+
+    def __str__(self):
+        return f"{self.path}: {self.problem}; allowed: {self.allowed}"
+
+
+def check_changes(*, replica, changes, policies=None):
+    """Check the tree that changes would lead to.
+
+    Only the changed nodes and their parents are copied and built, because a
+    copy of the whole tree would cost more than the change.
+
+    Args:
+      replica: a Replica; it is not modified.
+      changes: sequence of settings_pb2.Change.
+      policies: names of the known policies, or None to accept any.
+    Returns:
+      A tuple of TreeError, empty where the changes are accepted.
+    """
+    errors = []
+    if not changes:
+        errors.append(
+            TreeError(path="/", problem="no change", allowed="at least one")
+        )
+    for change in changes:
+        errors += _check_path(change)
+    if errors:
+        return tuple(errors)
+    paths = {_normalize(change.path) for change in changes}
+    tree = settings.excerpt_tree(root=replica.root, paths=paths)
+    settings.apply_in_place(root=tree, changes=changes)
+    for changed in sorted(paths):
+        for path, _ in settings.walk_services(tree, changed):
+            try:
+                settings.build_service(root=tree, path=path)
+            except ValueError as error:
+                errors.append(
+                    TreeError(
+                        path=path,
+                        problem=str(error),
+                        allowed="settings that a service can be built from",
+                    )
+                )
+    prefixes = tuple(f"{path.rstrip('/')}/" for path in paths)
+    matches = {
+        key: path
+        for path, service in replica.services.items()
+        if not f"{path}/".startswith(prefixes)
+        for _, key in settings.match_keys(service.match)
+    }
+    for error in settings.check_rules(
+        root=tree, policies=policies, matches=matches
+    ):
+        located = settings.locate_error(error=error, anchors=())
+        errors.append(
+            TreeError(
+                path=located.path,
+                problem=located.problem,
+                allowed=located.allowed,
+            )
+        )
+    return tuple(errors)
+
+
+def _normalize(path):
+    return settings.join_path(settings.split_path(path))
+
+
+def _check_path(change):
+    names = settings.split_path(change.path)
+    fits = (
+        change.path.startswith("/")
+        and len(names) <= settings.MAX_TREE_LEVELS
+        and all(_NAME.fullmatch(name) for name in names)
+    )
+    if not fits:
+        yield TreeError(
+            path=change.path[:200],
+            problem="bad path",
+            allowed=f"at most {settings.MAX_TREE_LEVELS} names like "
+            f"{_NAME.pattern}",
+        )
+    if change.WhichOneof("action") is None:
+        yield TreeError(
+            path=change.path[:200],
+            problem="no action",
+            allowed="node, settings or remove",
+        )
--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -6,20 +6,18 @@
 import gevent
 from gevent import pywsgi
 from gevent import socket
-from returns import pipeline
-from returns import result
 
 from wigeonrouter import administration
 from wigeonrouter import configuration
 from wigeonrouter import core
+from wigeonrouter import health
 from wigeonrouter import membership
 from wigeonrouter import observability
 from wigeonrouter import request_path
+from wigeonrouter import selection
 from wigeonrouter import store as store_api
 from wigeonrouter.schema import peer_pb2
 
-_MAX_BODY_BYTES = 64 << 20
-_WATCH_TIMEOUT_S = 5.0
 _HOUSEKEEPING_INTERVAL_S = 1.0
 _DRAIN_POLL_S = 0.05
 
@@ -45,9 +43,11 @@
             address=settings.store_address,
             timeout=settings.store_timeout,
         )
+        started_ms = int(time.time() * 1000)
         own = core.Member(
             daemon_id=settings.daemon_id,
-            incarnation=int(time.time() * 1000),
+            incarnation=started_ms,
+            instance=started_ms,
             state=core.MemberState.ALIVE,
             place=settings.place,
             caller_address=settings.caller_address,
@@ -61,20 +61,40 @@
             rng=self._rng,
             claims=self._answer_claim,
         )
+        self._replication = membership.Replication(
+            store=self._store,
+            replica=self._replica,
+            gossip=self._gossip,
+            seeds=settings.seeds,
+            rng=self._rng,
+            policies=selection.policy_names(),
+        )
         self._peer_server = membership.PeerServer(
             address=settings.peer_address, servicer=self._gossip
         )
         self._handler = request_path.RequestHandler(
             place=settings.place,
-            own_member=lambda: own,
+            own_member=lambda: self._gossip.table.own,
             claim_from_peer=self._claim_from_peer,
             observe=self._metrics.observe,
+            announce=lambda *sign: self._signs.announce(*sign),
             rng=self._rng,
         )
+        self._signs = health.ServerSigns(
+            gossip=self._gossip,
+            store=self._store,
+            replica=self._replica,
+            apply_draining=self._handler.set_draining,
+        )
+        self._prober = health.Prober(
+            place=settings.place,
+            daemon_id=settings.daemon_id,
+            live_members=lambda: self.table.alive,
+            dispatchers=lambda: self._handler.dispatchers,
+        )
         self._callers = request_path.CallerServer(
             address=settings.caller_address,
             handler=self._handler,
-            max_body_bytes=_MAX_BODY_BYTES,
         )
         self._admin = pywsgi.WSGIServer(
             (settings.admin_address.host, settings.admin_address.port),
@@ -85,7 +105,6 @@
         self._replica.subscribe(
             lambda replica: self._handler.reconfigure(replica.services)
         )
-        self._ready = False
         self._tasks = []
 
     @property
@@ -103,6 +122,11 @@
         """membership.MemberTable."""
         return self._gossip.table
 
+    @property
+    def gossip(self):
+        """membership.Gossip."""
+        return self._gossip
+
     @property
     def metrics(self):
         """observability.Metrics."""
@@ -116,7 +140,7 @@
     @property
     def ready(self):
         """Whether the newest configuration that can be found is in force."""
-        return self._ready
+        return self._replication.ready
 
     def start(self):
         """Start all servers and tasks."""
@@ -124,9 +148,11 @@
         self._admin.start()
         self._callers.start()
         self._gossip.start()
+        self._replication.start()
         self._tasks = [
-            gevent.spawn(self._follow_store),
             gevent.spawn(self._housekeep),
+            gevent.spawn(self._prober.run),
+            gevent.spawn(self._signs.run),
         ]
 
     def stop(self):
@@ -142,45 +168,29 @@
             gevent.sleep(_DRAIN_POLL_S)
         self._callers.stop()
         gevent.killall(self._tasks)
+        self._replication.stop()
         self._gossip.stop()
         self._admin.stop(timeout=1)
         self._peer_server.stop(grace=1)
         self._store.close()
 
     def accept(self, proposal):
-        """Accept a change and spread it.
+        """Accept a change and spread it; see Replication.accept."""
+        return self._replication.accept(proposal)
 
-        Returns:
-          Success of a pair (LogEntry, ids of the peers that acknowledged
-          it), or the Failure of configuration.accept.
+    def drain_server(self, *, address, draining, author):
+        """Start or end the drain of a backend server; needs no store.
+
+        Args:
+          address: core.Address.
+          draining: whether the server leaves or comes back.
+          author: name of the operator's token.
         """
-        accepted = configuration.accept(
-            store=self._store,
-            replica=self._replica,
-            proposal=proposal,
-            now_ms=administration.now_ms(),
+        self._gossip.assert_fact(
+            address=address,
+            state="draining" if draining else "active",
+            source="operator",
         )
-        if not pipeline.is_successful(accepted):
-            return accepted
-        entry = accepted.unwrap()
-        return result.Success((entry, self._gossip.push((entry,))))
-
-    def _follow_store(self):
-        while True:
-            try:
-                configuration.catch_up(
-                    store=self._store, replica=self._replica
-                )
-                self._ready = True
-                key = configuration.log_key(self._replica.revision + 1)
-                item = self._store.get(key)
-                self._store.watch(
-                    key,
-                    known_version=item.version if item else 0,
-                    timeout=_WATCH_TIMEOUT_S,
-                )
-            except store_api.StoreError:
-                gevent.sleep(self._rng.uniform(0.5, 1.5))
 
     def _housekeep(self):
         while True:
@@ -189,10 +199,12 @@
 
     def _claim_from_peer(self, parsed, request_id):
         member = self.table.find(parsed.daemon_id)
-        if member is None or member.incarnation != parsed.incarnation:
+        if member is None:
             return None
         return self._gossip.claim(member=member, request_id=request_id)
 
     def _answer_claim(self, request):
-        known = self._handler.ids.claim(request.request_id)
+        known = self._handler.ids.answer_claim(
+            request.request_id, request.claimant
+        )
         return peer_pb2.ClaimReply(seen=known is not None, outcome=known or "")
--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -7,15 +7,13 @@
 from gevent import event
 
 from wigeonrouter import core
+from wigeonrouter import health
 from wigeonrouter import limits
 from wigeonrouter import selection
 
-_LATENCY_WEIGHT = 0.2
-_FAILURE_WEIGHT = 0.1
 # Foreign load decays without any event of ours, so a queue is looked at
 # again after this time even when nothing was released.
 _REPUMP_INTERVAL_S = 0.005
-_COLD_ANSWERS = 10
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,12 +35,14 @@
         clock=time.monotonic,
         call_later=gevent.spawn_later,
         share=(0, 1),
+        announce=lambda address, leaving: None,
     ):
         self._place = place
         self._rng = rng
         self._clock = clock
         self._call_later = call_later
         self._share = share
+        self._announce = announce
         self._sequence = 0
         self._memory = None
         self._views = {}
@@ -91,8 +91,8 @@
         for server in service.servers:
             known = self._views.get(server.name)
             if known is None or known.server.address != server.address:
-                known = core.BackendView(
-                    server=server, limit=server.slots, ready_since=now
+                known = health.new_view(
+                    server=server, now=now, known_group=bool(self._views)
                 )
             else:
                 known = dataclasses.replace(known, server=server)
@@ -104,8 +104,16 @@
 
     def set_draining(self, addresses):
         """Take over the addresses that are known to be leaving."""
-        self._draining_facts = frozenset(addresses)
+        addresses = frozenset(addresses)
+        returned = self._draining_facts - addresses
+        self._draining_facts = addresses
+        for name, view in self._views.items():
+            if str(view.server.address) in returned:
+                self._views[name] = health.after_return(
+                    view=view, now=self._clock()
+                )
         self._refresh()
+        self._pump()
 
     def acquire(self, request):
         """Wait for a slot.
@@ -191,18 +199,56 @@
         if view is None or view.server.address != grant.server.address:
             self._pump()
             return
-        changes = {"in_flight": max(0, view.in_flight - 1)}
-        if not attempt.cancelled:
-            changes.update(_learn(view, attempt))
-            local = view.server.place.region == self._place.region
-            if local and attempt.outcome is core.Outcome.OK:
-                self._hold = limits.learn_hold_time(
-                    self._hold, attempt.latency
-                )
-        self._views[grant.server.name] = dataclasses.replace(view, **changes)
+        before = view
+        view = dataclasses.replace(view, in_flight=max(0, view.in_flight - 1))
+        view = health.after_attempt(view=view, attempt=attempt)
+        view = health.next_state(
+            view=view,
+            attempt=attempt,
+            group=self._views.values(),
+            settings=self._service.health,
+            now=self._clock(),
+        )
+        self._views[grant.server.name] = view
+        self._announce_change(before, view)
+        local = view.server.place.region == self._place.region
+        answered = attempt.outcome is core.Outcome.OK
+        if local and answered and not attempt.cancelled:
+            self._hold = limits.learn_hold_time(self._hold, attempt.latency)
+        self._refresh()
+        self._pump()
+
+    def on_probe(self, *, name, probe):
+        """Take over a health.ProbeResult."""
+        view = self._views.get(name)
+        if view is None:
+            return
+        after = health.after_probe(view=view, probe=probe, now=self._clock())
+        self._views[name] = after
+        self._announce_change(view, after)
         self._refresh()
         self._pump()
 
+    def advance(self):
+        """Let the states of servers follow the time."""
+        now = self._clock()
+        changed = False
+        for name, view in self._views.items():
+            advanced = health.advance(
+                view=view, settings=self._service.health, now=now
+            )
+            if advanced is not view:
+                self._views[name] = advanced
+                changed = True
+        if changed:
+            self._refresh()
+            self._pump()
+
+    def _announce_change(self, before, after):
+        leaving = after.state is core.ServerState.DRAINING
+        if leaving != (before.state is core.ServerState.DRAINING):
+            self._announce(after.server.address, leaving)
+
     def _return_unused(self, grant):
         self.release(
             grant,
@@ -301,6 +347,8 @@
         views = views or candidates
         if not views:
             return None
+        if not request.kind.idempotent:
+            views = health.proved_views(views)
         self._sequence += 1
         choice = self._policy(
             views=views,
@@ -329,7 +377,9 @@
 
     def _refresh(self):
         self._eligible = tuple(
-            view for view in self._views.values() if self._may_get_work(view)
+            view
+            for view in self._views.values()
+            if health.may_get_work(view=view, draining=self._draining_facts)
         )
         local, foreign = [], {}
         for view in self._eligible:
@@ -340,36 +390,3 @@
                 foreign.setdefault(region, []).append(view)
         self._local, self._foreign = tuple(local), foreign
         self._slots = sum(selection.capacity(view) for view in local)
-
-    def _may_get_work(self, view):
-        if view.server.draining:
-            return False
-        if view.report is not None and view.report.draining:
-            return False
-        if not self._draining_facts:
-            return True
-        return str(view.server.address) not in self._draining_facts
-
-
-def _learn(view, attempt):
-    failed = attempt.outcome is not core.Outcome.OK
-    changes = {
-        "failure_ratio": _average(
-            view.failure_ratio, float(failed), _FAILURE_WEIGHT
-        )
-    }
-    if attempt.report is not None:
-        changes["report"] = attempt.report
-    if not failed:
-        changes["answers"] = view.answers + 1
-        if view.answers:
-            changes["latency"] = _average(
-                view.latency, attempt.latency, _LATENCY_WEIGHT
-            )
-        else:
-            changes["latency"] = attempt.latency
-    return changes
-
-
-def _average(old, new, weight):
-    return old + weight * (new - old)
