--- a/wigeonrouter/administration/_changes.py
+++ b/wigeonrouter/administration/_changes.py
@@ -148,7 +148,9 @@
     else:
         message_type = settings_pb2.Node
     built = settings.build_message(
-        document=document, message_type=message_type
+        document=document,
+        message_type=message_type,
+        pause=_registry.Pacer().pause,
     )
     if not pipeline.is_successful(built):
         return result.Failure(
--- a/wigeonrouter/settings/_checker.py
+++ b/wigeonrouter/settings/_checker.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import functools
 import ipaddress
 import json
 import re
@@ -26,6 +27,7 @@
 _MAX_SHOWN = 40
 
 _Field = descriptor.FieldDescriptor
+_SURROGATE = re.compile("[\ud800-\udfff]")
 _INTEGER_RANGES = {
     _Field.TYPE_UINT32: (0, 2**32 - 1),
     _Field.TYPE_UINT64: (0, 2**64 - 1),
@@ -92,34 +94,64 @@
     return result.Success(document)
 
 
-def build_message(*, document, message_type):
+def build_message(*, document, message_type, pause=None):
     """Check a decoded document and build its message.
 
+    Args:
+      document: what decode_document returned.
+      message_type: generated class.
+      pause: function to call now and then. The largest documents take a
+        third of a second, in which a daemon has to serve others.
     Returns:
       Success(message), or Failure(tuple of DocumentError).
     """
-    errors = check_document(document=document, message_type=message_type)
+    errors = check_document(
+        document=document, message_type=message_type, pause=pause
+    )
     if errors:
         return result.Failure(errors)
-    return result.Success(json_format.ParseDict(document, message_type()))
+    message = message_type()
+    if pause is not None and message_type is settings_pb2.Node:
+        _build_node(document, message, pause)
+    else:
+        json_format.ParseDict(document, message)
+    return result.Success(message)
 
 
-def check_document(*, document, message_type):
+def _build_node(document, node, pause):
+    pause()
+    if "settings" in document:
+        json_format.ParseDict(document["settings"], node.settings)
+        node.settings.SetInParent()
+    for name, child in document.get("children", {}).items():
+        _build_node(child, node.children[name], pause)
+
+
+def check_document(*, document, message_type, pause=None):
     """Check a decoded document.
 
     Args:
       document: what json.loads returned.
       message_type: generated class.
+      pause: see build_message.
     Returns:
       A tuple of at most MAX_ERRORS DocumentError, empty where the document
       is accepted.
     """
-    errors = []
+    errors = _Errors(pause=pause or (lambda: None))
     try:
         _check_message(document, message_type.DESCRIPTOR, "$", errors, 0)
     except _EnoughErrors:
         pass
-    return tuple(errors)
+    return tuple(errors.found)
+
+
+class _Errors:
+    """Collects the errors of one check."""
+
+    def __init__(self, *, pause):
+        self.found = []
+        self.pause = pause
 
 
 class _EnoughErrors(Exception):
@@ -148,6 +180,7 @@
     if not isinstance(value, dict):
         _add(errors, path, f"{_kind(value)} found", "an object")
         return
+    errors.pause()
     for key, item in value.items():
         field = message.fields_by_name.get(key)
         if field is None:
@@ -155,8 +188,8 @@
             _add(errors, f"{path}.{_shorten(key)}", "unknown key", known)
             continue
         _check_field(item, field, f"{path}.{key}", errors, depth)
-    for field in message.fields:
-        if bounds_of(field).required and field.name not in value:
+    for field in _required_fields(message):
+        if field.name not in value:
             _add(
                 errors,
                 f"{path}.{field.name}",
@@ -165,6 +198,11 @@
             )
 
 
+@functools.cache
+def _required_fields(message):
+    return tuple(f for f in message.fields if bounds_of(f).required)
+
+
 def _check_field(value, field, path, errors, depth):
     if _is_map(field):
         _check_map(value, field, path, errors, depth)
@@ -261,11 +299,17 @@
     return kind
 
 
+@functools.cache
 def bounds_of(field):
-    """Return the Bounds option of a field."""
+    """Return the Bounds option of a field; it must not be modified.
+
+    Reading an option from the schema takes longer than all other checks of a
+    value together.
+    """
     return field.GetOptions().Extensions[settings_pb2.bounds]
 
 
+@functools.cache
 def _is_map(field):
     return (
         field.type == _Field.TYPE_MESSAGE
@@ -287,7 +331,7 @@
 
 def _is_unicode(text):
     # JSON can escape half of a surrogate pair, which UTF-8 cannot encode.
-    return not any("\ud800" <= character <= "\udfff" for character in text)
+    return _SURROGATE.search(text) is None
 
 
 def is_address(text):
@@ -303,8 +347,10 @@
 
 
 def _add(errors, path, problem, allowed):
-    errors.append(DocumentError(path=path, problem=problem, allowed=allowed))
-    if len(errors) >= MAX_ERRORS:
+    errors.found.append(
+        DocumentError(path=path, problem=problem, allowed=allowed)
+    )
+    if len(errors.found) >= MAX_ERRORS:
         raise _EnoughErrors()
 
 
--- a/wigeonrouter/settings/_checker_test.py
+++ b/wigeonrouter/settings/_checker_test.py
@@ -126,6 +126,25 @@
     assert all(len(str(error)) < 400 for error in errors)
 
 
+@pytest.mark.parametrize(
+    "document",
+    [
+        {},
+        {"settings": {}},
+        {"settings": {"limits": {}}, "children": {}},
+        {"children": {"a": {"children": {"b": {"settings": {}}}}}},
+    ],
+)
+def test_building_with_pauses_gives_the_same_message(document):
+    built = [
+        settings.build_message(
+            document=document, message_type=settings_pb2.Node, pause=pause
+        ).unwrap()
+        for pause in (None, lambda: None)
+    ]
+    assert built[0] == built[1]
+
+
 def test_a_correct_document_is_accepted():
     assert pipeline.is_successful(
         _check('{"settings": {"limits": {"max_queue": 5}}}')
