--- a/wigeonrouter/health/_processes_test.py
+++ b/wigeonrouter/health/_processes_test.py
@@ -19,6 +19,8 @@
 # "A backend server that is leaving gets no new work after a few seconds."
 _FEW_SECONDS = 5.0
 _BACKENDS = 3
+_PROBES_PER_SECOND = 2.0
+_WINDOW_S = 5.0
 
 
 @pytest.fixture
@@ -74,6 +76,7 @@
     return {
         "settings": {
             "match": {"path_prefixes": ["/"]},
+            "health": {"probes_per_second": _PROBES_PER_SECOND},
             "groups": {"g": {"servers": servers}},
         }
     }
@@ -138,3 +141,37 @@
     path.write_text(json.dumps(document))
     _processes.run_cli("apply", "/s", str(path), server=fleet.admins[1])
     _assert_gets_no_work(fleet, backends[0])
+
+
+def test_probes_stay_in_the_budget_while_the_prober_dies(fleet, backends):
+    """Counted at the backend servers, over a change of the prober."""
+    for standin in backends:
+        standin.set_fault(fail=True)
+    callers = [gevent.spawn(_keep_sending, port) for port in fleet.callers]
+    # Both daemons have been up for longer than the hold-off by then.
+    gevent.sleep(10)
+    times = sorted(t for standin in backends for t in standin.probes)
+    assert times, "no probe was sent, so the test shows nothing"
+    for name in ("d0", "d1"):
+        fleet.send_signal(name, signal.SIGSTOP)
+        gevent.sleep(4)
+        fleet.send_signal(name, signal.SIGCONT)
+        gevent.sleep(1)
+    gevent.killall(callers)
+    times = sorted(t for standin in backends for t in standin.probes)
+    for start in times:
+        window = [t for t in times if start <= t < start + _WINDOW_S]
+        assert len(window) <= _PROBES_PER_SECOND * _WINDOW_S + 1
+
+
+def _keep_sending(port):
+    while True:
+        client = geventhttpclient.HTTPClient(
+            "127.0.0.1", port, network_timeout=1, connection_timeout=1
+        )
+        try:
+            client.post("/x", b"x").read()
+        except OSError:
+            pass
+        client.close()
+        gevent.sleep(0.05)
--- a/wigeonrouter/standins/_backend.py
+++ b/wigeonrouter/standins/_backend.py
@@ -59,6 +59,7 @@
         self._service = service_ms / 1000
         self._in_flight = 0
         self._runs = {}
+        self._probes = []
         self._fault = dict(_DEFAULT_FAULT)
         self._server = gevent_server.StreamServer(
             (address.host, address.port), self._serve
@@ -74,6 +75,11 @@
         """Number of requests that wait for a slot or run."""
         return self._in_flight
 
+    @property
+    def probes(self):
+        """Times at which probes arrived, seconds on the monotonic clock."""
+        return tuple(self._probes)
+
     @property
     def port(self):
         """Port that the server listens on."""
@@ -119,6 +125,9 @@
             self.set_fault(**json.loads(request.body))
             return _send(sock, 200, b"{}")
         if path == "/healthz":
+            self._probes.append(time.monotonic())
+            if self._fault["fail"]:
+                return _send(sock, 500, b"", self._load())
             return _send(sock, 200, b"{}", self._load())
         if self._fault["refuse"] or self._fault["draining"]:
             load = self._load() + "X-Not-Run: 1\r\n"
