Cut no request at a planned stop and serve none too early

A daemon that leaves tells its peers at once and concurrently, answers with Connection: close, serves for the lifetime of entry answers plus the time in which gossip reaches a peer that missed the announcement, and then until callers pause for a second. When it stops, requests that have begun to arrive are answered, including those still in the socket's receive buffer.

A daemon announces itself, and listens for callers, only once it has a configuration (state starting); until then its entry queries get not-ready.

Shutting down only the receiving side of idle connections was tried first: bytes in the receive buffer were then answered with a reset instead of being read, so stop() looks at the buffer and closes only connections where nothing has arrived.

--- a/wigeonrouter/administration/_app.py
+++ b/wigeonrouter/administration/_app.py
@@ -54,6 +54,9 @@
         self._daemon = daemon
 
     def on_get(self, req, resp):
+        if not self._daemon.configured:
+            _problem(resp, 503, "not-ready", "ask another daemon")
+            return
         name = req.get_param("service")
         service = self._daemon.replica.services.get(name) if name else None
         if name and service is None:
--- a/wigeonrouter/bench/_processes.py
+++ b/wigeonrouter/bench/_processes.py
@@ -27,6 +27,7 @@
     def __init__(self):
         self._directory = tempfile.TemporaryDirectory()
         self._processes = {}
+        self._documents = {}
 
     def __enter__(self):
         return self
@@ -53,7 +54,7 @@
     def start_daemon(
         self, *, daemon_id, place, ports, store, seeds=(), **more
     ):
-        """Start a daemon.
+        """Start a daemon and wait until it is ready.
 
         Args:
           daemon_id: its name.
@@ -78,15 +79,43 @@
             ).hexdigest(),
             **more,
         }
-        path = os.path.join(self._directory.name, f"{daemon_id}.json")
-        with open(path, "w", encoding="utf-8") as file:
-            json.dump(document, file)
+        self.write_settings(daemon_id, document)
+        self.restart_daemon(daemon_id)
+
+    def restart_daemon(self, daemon_id):
+        """Start a daemon with its settings file and wait until it is ready."""
+        path = self.settings_path(daemon_id)
         self._start(
             daemon_id,
             ["-m", "wigeonrouter.daemon.main", "--settings", path],
         )
+        admin = self._documents[daemon_id]["admin_address"]
         wait_ready(core.parse_address(admin))
 
+    def settings_path(self, daemon_id):
+        """Return the name of a daemon's settings file."""
+        return os.path.join(self._directory.name, f"{daemon_id}.json")
+
+    def change_settings(self, daemon_id, **changes):
+        """Change the settings file of a daemon."""
+        self.write_settings(
+            daemon_id, {**self._documents[daemon_id], **changes}
+        )
+
+    def write_settings(self, daemon_id, document):
+        """Write the settings file of a daemon."""
+        self._documents[daemon_id] = document
+        with open(
+            self.settings_path(daemon_id), "w", encoding="utf-8"
+        ) as file:
+            json.dump(document, file)
+
+    def output(self, name):
+        """Return what a process has written so far."""
+        path = os.path.join(self._directory.name, f"{name}.log")
+        with open(path, encoding="utf-8") as file:
+            return file.read()
+
     def pid(self, name):
         """Return the process id of a process."""
         return self._processes[name].pid
@@ -109,7 +138,13 @@
         self._directory.cleanup()
 
     def _start(self, name, arguments):
-        self._processes[name] = subprocess.Popen([sys.executable, *arguments])
+        path = os.path.join(self._directory.name, f"{name}.log")
+        with open(path, "ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
 
 
 def wait_ready(address):
--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -29,6 +29,8 @@
 class MemberState(enum.Enum):
     """What a daemon believes about another one."""
 
+    # Runs, but has no configuration yet; callers must not be sent to it.
+    STARTING = "starting"
     ALIVE = "alive"
     SUSPECT = "suspect"
     LEAVING = "leaving"
--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -16,12 +16,24 @@
 from wigeonrouter import observability
 from wigeonrouter import request_path
 from wigeonrouter import store as store_api
+from wigeonrouter.daemon import _failures
+from wigeonrouter.daemon import _reload
 from wigeonrouter.schema import peer_pb2
 
 _MAX_BODY_BYTES = 64 << 20
 _WATCH_TIMEOUT_S = 5.0
 _HOUSEKEEPING_INTERVAL_S = 1.0
 _DRAIN_POLL_S = 0.05
+# A peer that missed the announcement learns of it by gossip, and until then
+# still names this daemon to callers.
+_SPREAD_S = 2.0
+# While callers still come after the lifetime of entry answers, the daemon
+# waits for a pause of this length, up to a bound.
+_QUIET_S = 1.0
+_MAX_STRAGGLERS_S = 60.0
+_ADMIN_STOP_TIMEOUT_S = 3.0
+
+_log = observability.logger("daemon")
 
 
 class _AdminHandler(pywsgi.WSGIHandler):
@@ -35,11 +47,17 @@
 class Daemon:
     """One wigeonrouterd process."""
 
-    def __init__(self, *, settings, rng=None):
+    def __init__(self, *, settings, log_output=None, rng=None):
         self._settings = settings
+        self._log_output = log_output
+        # Callers may hold answers from before a reload shortened their life.
+        self._longest_entry_ttl = settings.entry_ttl
         self._rng = rng or random.Random()
         self._replica = configuration.Replica()
         self._metrics = observability.Metrics()
+        self._request_log = observability.RequestLog(
+            lines_per_second=settings.log_lines_per_second
+        )
         self._store = store_api.open_store(
             name=settings.store_adapter,
             address=settings.store_address,
@@ -48,7 +66,7 @@
         own = core.Member(
             daemon_id=settings.daemon_id,
             incarnation=int(time.time() * 1000),
-            state=core.MemberState.ALIVE,
+            state=core.MemberState.STARTING,
             place=settings.place,
             caller_address=settings.caller_address,
             admin_address=settings.admin_address,
@@ -61,21 +79,23 @@
             rng=self._rng,
             claims=self._answer_claim,
         )
-        self._peer_server = membership.PeerServer(
-            address=settings.peer_address, servicer=self._gossip
-        )
+        with _failures.listening("peer_address", settings.peer_address):
+            self._peer_server = membership.PeerServer(
+                address=settings.peer_address, servicer=self._gossip
+            )
         self._handler = request_path.RequestHandler(
             place=settings.place,
             own_member=lambda: own,
             claim_from_peer=self._claim_from_peer,
-            observe=self._metrics.observe,
+            observe=self._observe,
             rng=self._rng,
         )
-        self._callers = request_path.CallerServer(
-            address=settings.caller_address,
-            handler=self._handler,
-            max_body_bytes=_MAX_BODY_BYTES,
-        )
+        with _failures.listening("caller_address", settings.caller_address):
+            self._callers = request_path.CallerServer(
+                address=settings.caller_address,
+                handler=self._handler,
+                max_body_bytes=_MAX_BODY_BYTES,
+            )
         self._admin = pywsgi.WSGIServer(
             (settings.admin_address.host, settings.admin_address.port),
             administration.build_app(daemon=self),
@@ -85,7 +105,10 @@
         self._replica.subscribe(
             lambda replica: self._handler.reconfigure(replica.services)
         )
+        self._replica.subscribe(_log_revision)
         self._ready = False
+        self._leaving = False
+        self._member_states = {}
         self._tasks = []
 
     @property
@@ -114,20 +137,43 @@
         return self._rng
 
     @property
-    def ready(self):
+    def configured(self):
         """Whether the newest configuration that can be found is in force."""
         return self._ready
 
+    @property
+    def ready(self):
+        """Whether callers may be sent here."""
+        return self._ready and not self._leaving
+
     def start(self):
-        """Start all servers and tasks."""
+        """Start all servers and tasks.
+
+        Callers are served, and peers name this daemon to them, only once it
+        has a configuration; until then connections are refused.
+
+        Raises:
+          CannotListen: an address is in use or not of this VM.
+        """
+        settings = self._settings
+        with _failures.listening("admin_address", settings.admin_address):
+            self._admin.start()
         self._peer_server.start()
-        self._admin.start()
-        self._callers.start()
         self._gossip.start()
         self._tasks = [
             gevent.spawn(self._follow_store),
             gevent.spawn(self._housekeep),
         ]
+        _log.info(
+            "started",
+            extra={
+                "daemon_id": settings.daemon_id,
+                "incarnation": self.table.own.incarnation,
+                "caller_address": str(settings.caller_address),
+                "admin_address": str(settings.admin_address),
+                "peer_address": str(settings.peer_address),
+            },
+        )
 
     def stop(self):
         """Stop gracefully: no request is cut.
@@ -135,17 +181,46 @@
         Callers may keep an entry answer for its lifetime, so the daemon
         serves at least as long after it has left the answers.
         """
-        self._gossip.leave()
+        self._leaving = True
+        served = self._ready
+        told, asked = self._gossip.leave()
+        _log.info("leaving", extra={"peers_told": told, "peers": asked})
         self._callers.drain()
-        gevent.sleep(self._settings.entry_ttl)
-        while self._callers.requests_in_progress:
-            gevent.sleep(_DRAIN_POLL_S)
+        if served:
+            self._serve_last_requests()
         self._callers.stop()
         gevent.killall(self._tasks)
         self._gossip.stop()
-        self._admin.stop(timeout=1)
+        self._admin.stop(timeout=_ADMIN_STOP_TIMEOUT_S)
         self._peer_server.stop(grace=1)
         self._store.close()
+        _log.info("stopped")
+
+    def reload(self, wanted):
+        """Take over what a running daemon can change.
+
+        Args:
+          wanted: settings.DaemonSettings from the changed file.
+        """
+        plan = _reload.plan_reload(current=self._settings, wanted=wanted)
+        self._settings = plan.settings
+        self._longest_entry_ttl = max(
+            self._longest_entry_ttl, plan.settings.entry_ttl
+        )
+        if self._log_output is not None:
+            self._log_output.configure(
+                log_format=plan.settings.log_format,
+                level=plan.settings.log_level,
+            )
+        self._request_log.configure(
+            lines_per_second=plan.settings.log_lines_per_second
+        )
+        _log.info("settings reloaded", extra={"changed": list(plan.changed)})
+        if plan.kept:
+            _log.warning(
+                "settings need a restart and were kept",
+                extra={"kept": list(plan.kept)},
+            )
 
     def accept(self, proposal):
         """Accept a change and spread it.
@@ -171,7 +246,7 @@
                 configuration.catch_up(
                     store=self._store, replica=self._replica
                 )
-                self._ready = True
+                self._become_ready()
                 key = configuration.log_key(self._replica.revision + 1)
                 item = self._store.get(key)
                 self._store.watch(
@@ -182,10 +257,63 @@
             except store_api.StoreError:
                 gevent.sleep(self._rng.uniform(0.5, 1.5))
 
+    def _become_ready(self):
+        if self._ready or self._leaving:
+            return
+        self._callers.start()
+        self._ready = True
+        told, asked = self._gossip.become_ready()
+        _log.info(
+            "ready",
+            extra={
+                "revision": self._replica.revision,
+                "services": len(self._replica.services),
+                "peers_told": told,
+                "peers": asked,
+            },
+        )
+
+    def _serve_last_requests(self):
+        """Serve until callers no longer come."""
+        earliest = time.monotonic() + self._longest_entry_ttl + _SPREAD_S
+        latest = earliest + _MAX_STRAGGLERS_S
+        while True:
+            now = time.monotonic()
+            quiet = now - self._callers.last_arrival >= _QUIET_S
+            if now >= earliest and (quiet or now >= latest):
+                break
+            gevent.sleep(_DRAIN_POLL_S)
+
+    def _observe(self, record):
+        self._metrics.observe(record)
+        self._request_log.add(record)
+
     def _housekeep(self):
         while True:
             gevent.sleep(_HOUSEKEEPING_INTERVAL_S)
             self._handler.close_idle_connections()
+            self._metrics.rotate()
+            self._request_log.flush()
+            self._log_member_changes()
+
+    def _log_member_changes(self):
+        states = {
+            member.daemon_id: (member.state.value, member.incarnation)
+            for member in self.table.members
+        }
+        for daemon_id, (state, incarnation) in states.items():
+            if self._member_states.get(daemon_id) != (state, incarnation):
+                _log.info(
+                    "member changed",
+                    extra={
+                        "daemon_id": daemon_id,
+                        "state": state,
+                        "incarnation": incarnation,
+                    },
+                )
+        for daemon_id in self._member_states.keys() - states.keys():
+            _log.info("member forgotten", extra={"daemon_id": daemon_id})
+        self._member_states = states
 
     def _claim_from_peer(self, parsed, request_id):
         member = self.table.find(parsed.daemon_id)
@@ -196,3 +324,13 @@
     def _answer_claim(self, request):
         known = self._handler.ids.claim(request.request_id)
         return peer_pb2.ClaimReply(seen=known is not None, outcome=known or "")
+
+
+def _log_revision(replica):
+    _log.info(
+        "configuration changed",
+        extra={
+            "revision": replica.revision,
+            "services": len(replica.services),
+        },
+    )
--- /dev/null
+++ b/wigeonrouter/daemon/_daemon_test.py
@@ -0,0 +1,266 @@
+"""Graceful shutdown with real daemon processes; the test plays callers."""
+
+import contextlib
+import http.client
+import json
+import signal
+import time
+
+import gevent
+from gevent import event
+from gevent import socket
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import daemon as daemon_api
+from wigeonrouter import settings as settings_api
+from wigeonrouter import standins
+from wigeonrouter.bench import _processes
+
+_STORE = "127.0.0.1:27900"
+_FAST = [f"127.0.0.1:{port}" for port in range(27910, 27914)]
+_SLOW = "127.0.0.1:27920"
+_SLOW_MS = 1500
+_TTL_MS = 300
+_DAEMONS = {
+    f"entry-{number}": (27000 + 10 * number, 27001 + 10 * number)
+    for number in range(3)
+}
+_PLACE = core.Place(region="north", failure_domain="north-a")
+
+
+def _document():
+    def service(prefix, servers):
+        return {
+            "settings": {
+                "match": {"path_prefixes": [prefix]},
+                "kinds": {"write": {"idempotent": False}},
+                "limits": {"default_timeout_ms": 30000},
+                "groups": {
+                    "all": {
+                        "servers": {
+                            f"s{index}": {
+                                "address": address,
+                                "region": "north",
+                                "failure_domain": "north-a",
+                                "slots": 2,
+                            }
+                            for index, address in enumerate(servers)
+                        }
+                    }
+                },
+            }
+        }
+
+    return {
+        "children": {
+            "fast": service("/fast", _FAST),
+            "slow": service("/slow", [_SLOW]),
+        }
+    }
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Three daemons, a store, fast backend servers and a slow one."""
+    with _processes.Fleet() as started:
+        started.start_store(_STORE)
+        started.start_backends("fast", _FAST, service_ms=5)
+        started.start_backends("slow", [_SLOW], service_ms=_SLOW_MS)
+        seed = "127.0.0.1:27002"
+        for daemon_id, (caller, admin) in _DAEMONS.items():
+            started.start_daemon(
+                daemon_id=daemon_id,
+                place=_PLACE,
+                ports=(caller, admin, admin + 1),
+                store=_STORE,
+                seeds=[seed],
+                entry_ttl_ms=_TTL_MS,
+            )
+        path = tmp_path / "document.json"
+        path.write_text(json.dumps(_document()))
+        _processes.run_cli("apply", "/", str(path), server="127.0.0.1:27001")
+        for daemon_id in _DAEMONS:
+            _wait_for(lambda name=daemon_id: len(_entries(name)) == 3)
+            # The first answer shows that the configuration has arrived.
+            _wait_for(lambda name=daemon_id: _Connection(name).post("/fast"))
+        yield started
+
+
+def _wait_for(condition):
+    ends = time.monotonic() + 20
+    while not condition():
+        assert time.monotonic() < ends
+        gevent.sleep(0.02)
+
+
+def _get_json(daemon_id, target):
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", _DAEMONS[daemon_id][1], timeout=5
+    )
+    with contextlib.closing(connection):
+        connection.request("GET", target)
+        return json.loads(connection.getresponse().read())
+
+
+def _entries(daemon_id, service=""):
+    """Return the daemon ids that a daemon names, homes first."""
+    query = f"?service={service}" if service else ""
+    return [
+        entry["request_id_prefix"].partition("~")[0]
+        for entry in _get_json(daemon_id, f"/v1/entries{query}")["entries"]
+    ]
+
+
+class _Connection:
+    """A caller's connection; repeats nothing by itself."""
+
+    _count = 0
+
+    def __init__(self, daemon_id):
+        self.daemon_id = daemon_id
+        self._http = http.client.HTTPConnection(
+            "127.0.0.1", _DAEMONS[daemon_id][0], timeout=40
+        )
+        self.asked_to_close = False
+
+    def post(self, path):
+        """Return whether the whole answer to this very request came."""
+        _Connection._count += 1
+        request_id = f"test-{_Connection._count}"
+        self._http.request(
+            "POST", path, body=b"x", headers={"X-Request-Id": request_id}
+        )
+        response = self._http.getresponse()
+        body = response.read()
+        self.asked_to_close = response.getheader("Connection") == "close"
+        if response.status != 200:
+            return False
+        return json.loads(body)["request_id"] == request_id
+
+
+class _Load:
+    """Callers that keep an entry answer for its lifetime, and requests."""
+
+    def __init__(self, *, callers, pause=0.005):
+        self.whole = 0
+        self.lost = []
+        self._pause = pause
+        self._stopping = event.Event()
+        self._tasks = [gevent.spawn(self._call) for _ in range(callers)]
+
+    def stop(self):
+        """End the load and wait for the callers."""
+        self._stopping.set()
+        gevent.joinall(self._tasks, raise_error=True)
+
+    def _call(self):
+        expires, connection = 0.0, None
+        while not self._stopping.is_set():
+            if time.monotonic() >= expires:
+                entry = self._ask()
+                expires = time.monotonic() + _TTL_MS / 1000
+                if connection is None or connection.daemon_id != entry:
+                    connection = _Connection(entry)
+            try:
+                answered = connection.post("/fast")
+            except (OSError, http.client.HTTPException) as error:
+                self.lost.append((connection.daemon_id, repr(error)))
+                connection = _Connection(connection.daemon_id)
+                expires = 0.0
+                gevent.sleep(0.05)
+                continue
+            if answered:
+                self.whole += 1
+            else:
+                self.lost.append((connection.daemon_id, "refused"))
+            gevent.sleep(self._pause)
+
+    def _ask(self):
+        for daemon_id in _DAEMONS:
+            try:
+                return _entries(daemon_id, "/fast")[0]
+            except (OSError, http.client.HTTPException):
+                # An entry query changes nothing; ask the next daemon.
+                continue
+            except KeyError:
+                # A daemon without configuration answers not-ready.
+                continue
+        raise AssertionError("no daemon answers entry queries")
+
+
+def test_sigterm_cuts_no_request(fleet):
+    """Guards long, queued and late requests and idle connections."""
+    home = _entries("entry-0", "/fast")[0]
+    late, idle = _Connection(home), _Connection(home)
+    assert late.post("/fast") and idle.post("/fast")
+    # Two run at once and four wait: the last ends after three rounds.
+    slow = [gevent.spawn(_Connection(home).post, "/slow") for _ in range(6)]
+    load = _Load(callers=8)
+    gevent.sleep(0.3)
+    fleet.send_signal(home, signal.SIGTERM)
+    gevent.sleep(0.1)
+    assert late.post("/fast") and late.asked_to_close
+    fleet.send_signal(home, signal.SIGTERM)
+    gevent.sleep(0.1)
+    # A caller that kept its entry answer connects once more.
+    assert late.post("/fast") and late.asked_to_close
+    gevent.joinall(slow, raise_error=True)
+    assert [task.value for task in slow] == [True] * 6
+    assert fleet.wait(home) == 0
+    load.stop()
+    assert load.lost == [] and load.whole > 0
+
+
+def test_leaving_daemon_is_not_named(fleet):
+    """Guards against callers that are sent to a daemon that is leaving."""
+    leaving = "entry-1"
+    fleet.send_signal(leaving, signal.SIGTERM)
+    for asked in _DAEMONS:
+        _wait_for(lambda name=asked: leaving not in _entries(name))
+        assert len(_entries(asked, "/fast")) == 2
+    # It is still there for callers with an old entry answer.
+    assert _Connection(leaving).post("/fast")
+    assert _get_json(leaving, "/readyz") == {"ready": False}
+    assert fleet.wait(leaving) == 0
+
+
+def test_daemon_without_configuration_serves_no_caller():
+    """Guards against callers that meet a daemon that knows no service."""
+    settings = settings_api.DaemonSettings(
+        daemon_id="entry-9",
+        place=_PLACE,
+        caller_address=core.Address(host="127.0.0.1", port=27100),
+        admin_address=core.Address(host="127.0.0.1", port=27101),
+        peer_address=core.Address(host="127.0.0.1", port=27102),
+        store_address=core.Address(host="127.0.0.1", port=27990),
+        store_timeout=0.2,
+        entry_ttl=0.1,
+    )
+    daemon = daemon_api.Daemon(settings=settings)
+    daemon.start()
+    gevent.sleep(0.1)
+    assert daemon.table.own.state is core.MemberState.STARTING
+    assert daemon.table.alive == ()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", 27100))
+    store = standins.StoreStandin(address=settings.store_address)
+    store.start()
+    _wait_for(lambda: daemon.ready)
+    socket.create_connection(("127.0.0.1", 27100)).close()
+    assert daemon.table.own.state is core.MemberState.ALIVE
+    daemon.stop()
+    store.stop()
+
+
+def test_rolling_restart_loses_nothing(fleet):
+    """Guards against requests that meet a daemon too early or too late."""
+    load = _Load(callers=12)
+    for daemon_id in _DAEMONS:
+        gevent.sleep(0.5)
+        fleet.send_signal(daemon_id, signal.SIGTERM)
+        assert fleet.wait(daemon_id) == 0
+        fleet.restart_daemon(daemon_id)
+    gevent.sleep(0.5)
+    load.stop()
+    assert load.lost == [] and load.whole > 0
--- a/wigeonrouter/membership/_codec.py
+++ b/wigeonrouter/membership/_codec.py
@@ -8,6 +8,7 @@
     core.MemberState.SUSPECT: peer_pb2.SUSPECT,
     core.MemberState.LEAVING: peer_pb2.LEAVING,
     core.MemberState.DEAD: peer_pb2.DEAD,
+    core.MemberState.STARTING: peer_pb2.STARTING,
 }
 _FROM_MESSAGE = {number: state for state, number in _TO_MESSAGE.items()}
 
--- a/wigeonrouter/membership/_gossip.py
+++ b/wigeonrouter/membership/_gossip.py
@@ -1,6 +1,7 @@
 """The gossip task: exchanges with peers and spreads revisions."""
 
 import gevent
+from gevent import pool
 import grpc
 
 from wigeonrouter import core
@@ -14,6 +15,9 @@
 EXCHANGE_INTERVAL_S = 1.0
 CALL_TIMEOUT_S = 0.5
 PUSH_FANOUT = 3
+# Direct announcements of a daemon that starts or leaves; gossip does the
+# rest. Beyond this number they would cost more than they save.
+ANNOUNCE_LIMIT = 64
 
 
 class Gossip(peer_pb2_grpc.PeerServicer):
@@ -42,11 +46,23 @@
         self._task.kill()
         self._channels.close()
 
+    def become_ready(self):
+        """Tell peers that callers may be sent to this daemon.
+
+        Returns:
+          A pair: number of peers that took the message, number asked.
+        """
+        self._table.become_ready()
+        return self._announce()
+
     def leave(self):
-        """Tell peers that this daemon is leaving."""
+        """Tell peers that this daemon is leaving.
+
+        Returns:
+          A pair: number of peers that took the message, number asked.
+        """
         self._table.leave()
-        for peer in self._table.peers:
-            self._exchange(peer.peer_address)
+        return self._announce()
 
     def push(self, entries):
         """Send new entries to some peers.
@@ -130,6 +146,13 @@
             self.exchange_once()
             gevent.sleep(EXCHANGE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
 
+    def _announce(self):
+        peers = list(self._table.peers)
+        self._rng.shuffle(peers)
+        addresses = [peer.peer_address for peer in peers[:ANNOUNCE_LIMIT]]
+        taken = pool.Pool(ANNOUNCE_LIMIT).map(self._exchange, addresses)
+        return sum(taken), len(addresses)
+
     def _exchange(self, address):
         try:
             reply = self._channels.stub(address).Exchange(
--- a/wigeonrouter/membership/_table.py
+++ b/wigeonrouter/membership/_table.py
@@ -6,6 +6,7 @@
 
 # A statement with the same incarnation wins by the later of these.
 _PRECEDENCE = {
+    core.MemberState.STARTING: -1,
     core.MemberState.ALIVE: 0,
     core.MemberState.SUSPECT: 1,
     core.MemberState.LEAVING: 2,
@@ -75,6 +76,12 @@
         known = self._members[daemon_id]
         self._members[daemon_id] = dataclasses.replace(known, state=state)
 
+    def become_ready(self):
+        """Mark this daemon as one that callers may be sent to."""
+        self._set_own(
+            dataclasses.replace(self._own, state=core.MemberState.ALIVE)
+        )
+
     def leave(self):
         """Mark this daemon as leaving."""
         self._set_own(
--- a/wigeonrouter/membership/_transport.py
+++ b/wigeonrouter/membership/_transport.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 
+from gevent import socket
 import grpc
 
 from wigeonrouter.schema import peer_pb2_grpc
@@ -21,6 +22,10 @@
     """Listens for peers and passes their messages to a servicer."""
 
     def __init__(self, *, address, servicer):
+        # gRPC reports an address in use as RuntimeError without the cause.
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind((address.host, address.port))
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=_WORKERS),
             options=(("grpc.so_reuseport", 0),),
--- a/wigeonrouter/request_path/_server.py
+++ b/wigeonrouter/request_path/_server.py
@@ -15,6 +15,10 @@
 REQUEST_ARRIVAL_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
 MAX_CONNECTIONS = 10_000
+_BACKLOG = 1024
+# More than a request with the longest timeout takes to be answered.
+_STOP_TIMEOUT_S = 45.0
+_STOP_POLL_S = 0.02
 
 
 class CallerGone(gevent.GreenletExit):
@@ -29,25 +33,34 @@
         self._max_body_bytes = max_body_bytes
         self._draining = False
         self._connections = {}
+        self._last_arrival = time.monotonic()
+        # Bound here, so that an address in use is known at once; callers are
+        # refused by the kernel until start() listens.
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((address.host, address.port))
         self._server = gevent_server.StreamServer(
-            (address.host, address.port),
-            self._serve,
-            backlog=1024,
-            spawn=MAX_CONNECTIONS,
+            self._listener, self._serve, spawn=MAX_CONNECTIONS
         )
 
     @property
     def port(self):
         """Port that the server listens on."""
-        return self._server.server_port
+        return self._listener.getsockname()[1]
 
     @property
     def requests_in_progress(self):
-        """Number of requests that have arrived and are not answered."""
+        """Number of requests that have begun to arrive and lack an answer."""
         return sum(self._connections.values())
 
+    @property
+    def last_arrival(self):
+        """Time when a request last began to arrive, monotonic seconds."""
+        return self._last_arrival
+
     def start(self):
         """Listen."""
+        self._listener.listen(_BACKLOG)
         self._server.start()
 
     def drain(self):
@@ -55,8 +68,15 @@
         self._draining = True
 
     def stop(self):
-        """Stop listening and close all connections."""
+        """Stop listening, answer what has arrived, close all connections."""
+        self._draining = True
         self._server.close()
+        for sock, busy in list(self._connections.items()):
+            if not busy:
+                _close_if_nothing_arrived(sock)
+        latest = time.monotonic() + _STOP_TIMEOUT_S
+        while self._connections and time.monotonic() < latest:
+            gevent.sleep(_STOP_POLL_S)
         self._server.stop(timeout=1)
 
     def _serve(self, sock, _):
@@ -73,7 +93,9 @@
     def _serve_requests(self, sock):
         reader = _http.RequestReader(max_body_bytes=self._max_body_bytes)
         while True:
-            receive = _Receiver(sock)
+            receive = _Receiver(sock, on_first_byte=self._note_arrival)
+            if reader.pending:
+                self._note_arrival(sock)
             try:
                 request = reader.read(receive)
             except _http.MalformedMessage as error:
@@ -88,9 +110,11 @@
                 return
             if request is None:
                 return
-            self._connections[sock] = True
             answer = self._handle(sock, request, reader)
-            close = self._draining or not request.keep_alive
+            # A pipelined request has arrived already and gets its answer.
+            close = not request.keep_alive or (
+                self._draining and not reader.pending
+            )
             sock.settimeout(REQUEST_ARRIVAL_TIMEOUT_S)
             sock.sendall(
                 _http.render_response(
@@ -104,6 +128,10 @@
             if close:
                 return
 
+    def _note_arrival(self, sock):
+        self._connections[sock] = True
+        self._last_arrival = time.monotonic()
+
     def _handle(self, sock, request, reader):
         if reader.pending:
             # A pipelined request is readable; that is no sign of leaving.
@@ -125,11 +153,26 @@
         )
 
 
+def _close_if_nothing_arrived(sock):
+    timeout = sock.gettimeout()
+    try:
+        sock.settimeout(0)
+        sock.recv(1, socket.MSG_PEEK)
+        sock.settimeout(timeout)
+    except BlockingIOError:
+        # The task that waits for a request sees the end and closes.
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The caller closed at the same time.
+        pass
+
+
 class _Receiver:
     """Receives a request within the arrival timeout once it has begun."""
 
-    def __init__(self, sock):
+    def __init__(self, sock, *, on_first_byte):
         self._sock = sock
+        self._on_first_byte = on_first_byte
         self._deadline = None
 
     @property
@@ -148,6 +191,8 @@
         data = self._sock.recv(_RECEIVE_BYTES)
         if self._deadline is None:
             self._deadline = time.monotonic() + REQUEST_ARRIVAL_TIMEOUT_S
+            if data:
+                self._on_first_byte(self._sock)
         return data
 
 
