Add the subcommand capacity

It measures the configuration replica, one gossip exchange, entry answers, requests, caller connections and the start at three sizes each and fits lines, from which the capacity page is worked out.

--- /dev/null
+++ b/wigeonrouter/bench/_capacity.py
@@ -0,0 +1,215 @@
+"""The subcommand capacity: measures the slopes of docs/CAPACITY.md."""
+
+import json
+import os
+import statistics
+import subprocess
+import sys
+import time
+import urllib.request
+
+import click
+from gevent import pool
+import geventhttpclient
+from google.protobuf import json_format
+
+from wigeonrouter import core
+from wigeonrouter.bench import _capacity_parts
+from wigeonrouter.bench import _processes
+from wigeonrouter.schema import settings_pb2
+
+_STORE = "127.0.0.1:27500"
+_BACKENDS = [f"127.0.0.1:{port}" for port in range(27510, 27518)]
+_PORTS = (27520, 27521, 27522)
+_ADMIN = f"127.0.0.1:{_PORTS[1]}"
+_PLACE = core.Place(region="region-0", failure_domain="domain-0")
+_SIZES = {
+    "replica": (200, 600, 1700),
+    "gossip": (50, 200, 800),
+    "entries": (50, 200, 800),
+}
+_CONNECTIONS = (4, 16, 64)
+_LOADS = (
+    ("requests", _PORTS[0], "/load?n=1", 3000),
+    ("entry queries", _PORTS[1], "/v1/entries?service=/load", 500),
+)
+_IDLE_CONNECTIONS = (100, 300, 900)
+_TREES = (200, 600, 1700)
+_SERVICES_PER_CHANGE = 100
+_TICK_S = 1 / os.sysconf("SC_CLK_TCK")
+
+
+@click.command()
+@click.option("--repeat", default=3, show_default=True)
+def capacity(repeat):
+    """Measure the slopes that docs/CAPACITY.md is worked out from."""
+    for part, sizes in _SIZES.items():
+        rows = [_run_part(part, size, repeat) for size in sizes]
+        _print(part, sizes, rows)
+    with _processes.Fleet() as fleet:
+        _start(fleet)
+        for title, port, target, count in _LOADS:
+            rows = [
+                _best(repeat, _measure_http, fleet, port, target, n, count)
+                for n in _CONNECTIONS
+            ]
+            _print(f"{title} by connections", _CONNECTIONS, rows)
+        rows = [_measure_idle(fleet, n) for n in _IDLE_CONNECTIONS]
+        _print("idle caller connections", _IDLE_CONNECTIONS, rows)
+        rows, services = [], 0
+        for size in _TREES:
+            _grow_tree(services, size)
+            services = size
+            rows.append(_best(repeat, _measure_start, fleet))
+        _print("start by services", _TREES, rows)
+
+
+@click.command("capacity-part", hidden=True)
+@click.argument("part", type=click.Choice(sorted(_capacity_parts.PARTS)))
+@click.argument("size", type=int)
+def capacity_part(part, size):
+    """Measure one size in this process and print JSON."""
+    click.echo(json.dumps(_capacity_parts.PARTS[part](size)))
+
+
+def fit(sizes, values):
+    """Return (slope, constant) of a least-squares line."""
+    line = statistics.linear_regression(sizes, values)
+    return line.slope, line.intercept
+
+
+def _print(title, sizes, rows):
+    click.echo(f"\n{title}")
+    for size, row in zip(sizes, rows, strict=True):
+        shown = ", ".join(f"{k}={v:.6g}" for k, v in row.items())
+        click.echo(f"  {size:6}: {shown}")
+    for name in rows[0]:
+        slope, constant = fit(sizes, [row[name] for row in rows])
+        click.echo(f"  {name}: {slope:.4g} each + {constant:.4g}")
+
+
+def _run_part(part, size, repeat):
+    command = [sys.executable, "-m", "wigeonrouter.bench.main"]
+    command += ["capacity-part", part, str(size)]
+    return _best(repeat, lambda: json.loads(subprocess.check_output(command)))
+
+
+def _best(repeat, function, *arguments):
+    """Return the smallest of each number; other load only adds to them."""
+    rows = [function(*arguments) for _ in range(repeat)]
+    return {name: min(row[name] for row in rows) for name in rows[0]}
+
+
+def _start(fleet):
+    fleet.start_store(_STORE)
+    fleet.start_backends("backends", _BACKENDS, service_ms=0)
+    fleet.start_daemon(
+        daemon_id="entry-1",
+        place=_PLACE,
+        ports=_PORTS,
+        store=_STORE,
+        entry_ttl_ms=100,
+        log={"lines_per_second": 1},
+    )
+    node = settings_pb2.Node()
+    node.settings.match.path_prefixes.append("/load")
+    node.settings.kinds["read"].idempotent = True
+    node.settings.limits.connections_per_server = 64
+    for index, address in enumerate(_BACKENDS):
+        server = node.settings.groups["all"].servers[f"s{index}"]
+        server.address = address
+        server.region = _PLACE.region
+        server.failure_domain = _PLACE.failure_domain
+        server.slots = 32
+    _put("/load", node)
+
+
+def _put(path, node):
+    body = json_format.MessageToJson(node, preserving_proto_field_name=True)
+    request = urllib.request.Request(
+        f"http://{_ADMIN}/v1/config?path={path}&change_id={time.time_ns()}",
+        data=body.encode(),
+        headers={"Authorization": f"Bearer {_processes.TOKEN}"},
+        method="PUT",
+    )
+    with urllib.request.urlopen(request, timeout=60) as response:
+        response.read()
+
+
+def _measure_http(fleet, port, target, connections, count):
+    """Measure processor time of the daemon per answered request."""
+    clients = [
+        geventhttpclient.HTTPClient("127.0.0.1", port)
+        for _ in range(connections)
+    ]
+
+    def call(client):
+        for _ in range(count // connections):
+            answer = client.get(target)
+            answer.read()
+            if answer.status_code != 200:
+                raise click.ClickException(f"status {answer.status_code}")
+
+    before, started = _cpu(fleet), time.monotonic()
+    pool.Pool(connections).map(call, clients)
+    seconds, wall = _cpu(fleet) - before, time.monotonic() - started
+    for client in clients:
+        client.close()
+    answered = count // connections * connections
+    return {
+        "cpu_s_per_request": seconds / answered,
+        "wall_s_per_request": wall / answered,
+    }
+
+
+def _measure_idle(fleet, connections):
+    before = _resident(fleet)
+    clients = [
+        geventhttpclient.HTTPClient("127.0.0.1", _PORTS[0])
+        for _ in range(connections)
+    ]
+    for client in clients:
+        client.get("/load?n=1").read()
+    held = _resident(fleet) - before
+    for client in clients:
+        client.close()
+    return {"resident_bytes": held}
+
+
+def _grow_tree(first, last):
+    """Accept changes until the tree holds a number of services."""
+    for start in range(first, last, _SERVICES_PER_CHANGE):
+        node = settings_pb2.Node()
+        for number in range(start, min(last, start + _SERVICES_PER_CHANGE)):
+            _capacity_parts.fill_service(
+                node.children[f"service-{number}"], number
+            )
+        _put(f"/team-{start}", node)
+
+
+def _measure_start(fleet):
+    """Measure from the start of a process to its readiness."""
+    ports = tuple(port + 10 for port in _PORTS)
+    started = time.monotonic()
+    fleet.start_daemon(
+        daemon_id="entry-2",
+        place=_PLACE,
+        ports=ports,
+        store=_STORE,
+        entry_ttl_ms=100,
+    )
+    seconds = time.monotonic() - started
+    held = _resident(fleet, "entry-2")
+    fleet.end("entry-2")
+    return {"ready_s": seconds, "resident_bytes": held}
+
+
+def _cpu(fleet, name="entry-1"):
+    with open(f"/proc/{fleet.pid(name)}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) * _TICK_S
+
+
+def _resident(fleet, name="entry-1"):
+    with open(f"/proc/{fleet.pid(name)}/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * 4096
--- /dev/null
+++ b/wigeonrouter/bench/_capacity_parts.py
@@ -0,0 +1,212 @@
+"""Measurements behind docs/CAPACITY.md, one function for each role.
+
+Every function takes one size and returns a dict of numbers. Sizes are
+measured in processes of their own, so that memory that the allocator keeps
+from an earlier size does not count.
+"""
+
+import functools
+import random
+import time
+
+from wigeonrouter import configuration
+from wigeonrouter import core
+from wigeonrouter import entries
+from wigeonrouter import membership
+from wigeonrouter import request_path
+from wigeonrouter.schema import peer_pb2
+from wigeonrouter.schema import settings_pb2
+
+# 15,000 upstreams in 1,700 services.
+UPSTREAMS_PER_SERVICE = 9
+_TEAMS = 40
+_REGIONS = 8
+_FAILURE_DOMAINS = 30
+_CHANGES = 20
+
+
+def measure_replica(services):
+    """Measure the configuration replica with a number of services."""
+    root = build_tree(services)
+    snapshot = settings_pb2.Snapshot(revision=1, root=root)
+    data = snapshot.SerializeToString()
+    del root, snapshot
+    before = resident_bytes()
+    replica = configuration.Replica()
+    handler = request_path.RequestHandler(
+        place=_place(0),
+        own_member=lambda: _member(0),
+        claim_from_peer=None,
+        observe=lambda record: None,
+    )
+    replica.subscribe(lambda source: handler.reconfigure(source.services))
+    load = _cpu_seconds(
+        lambda: replica.load_snapshot(settings_pb2.Snapshot.FromString(data))
+    )
+    held = resident_bytes() - before
+    changes = [
+        settings_pb2.LogEntry(
+            revision=number + 2,
+            change_id=f"c{number}",
+            changes=[_change(number, services)],
+        )
+        for number in range(_CHANGES)
+    ]
+    apply = _cpu_seconds(
+        lambda: [replica.apply_entries((entry,)) for entry in changes]
+    )
+    return {
+        "upstreams": services * UPSTREAMS_PER_SERVICE,
+        "snapshot_bytes": len(data),
+        "resident_bytes": held,
+        "load_cpu_s": load,
+        "change_cpu_s": apply / _CHANGES,
+        "change_bytes": changes[0].ByteSize(),
+    }
+
+
+def measure_gossip(members):
+    """Measure one exchange between daemons that know some members."""
+    before = resident_bytes()
+    first, second = _gossip(members, 0), _gossip(members, 1)
+    held = (resident_bytes() - before) / 2
+    message = first.Exchange(_full_message(members), None)
+    repeats = 20
+    merge = _cpu_seconds(
+        lambda: [second.Exchange(message, None) for _ in range(repeats)]
+    )
+    return {
+        "message_bytes": message.ByteSize(),
+        "exchange_cpu_s": merge / repeats,
+        "resident_bytes": held,
+    }
+
+
+def measure_entries(members):
+    """Measure the choice of an entry answer among some members."""
+    known = tuple(_member(number) for number in range(members))
+    service = core.EffectiveService(
+        name="/team-1/service-1",
+        match=core.MatchSettings(),
+        routing=core.RoutingSettings(homes=2),
+    )
+    rng = random.Random(1)
+    repeats = 50
+    choose = _cpu_seconds(
+        lambda: [
+            entries.choose_entries(
+                service=service, place=_place(1), members=known, rng=rng
+            )
+            for _ in range(repeats)
+        ]
+    )
+    return {"choose_cpu_s": choose / repeats}
+
+
+def build_tree(services):
+    """Return a settings_pb2.Node with services spread over teams."""
+    root = settings_pb2.Node()
+    for number in range(services):
+        team = root.children[f"team-{number % _TEAMS}"]
+        fill_service(team.children[f"service-{number}"], number)
+    return root
+
+
+def fill_service(node, number):
+    """Make a node a service with its upstreams."""
+    settings = node.settings
+    settings.match.service_header = f"service-{number}"
+    settings.kinds["read"].idempotent = True
+    settings.kinds["read"].methods.append("GET")
+    group = settings.groups["all"]
+    for index in range(UPSTREAMS_PER_SERVICE):
+        host = number * UPSTREAMS_PER_SERVICE + index
+        place = _place(host)
+        server = group.servers[f"vm-{host}"]
+        server.address = f"10.{host >> 16}.{host >> 8 & 255}.{host & 255}:8080"
+        server.region = place.region
+        server.failure_domain = place.failure_domain
+        server.slots = 2
+
+
+def resident_bytes():
+    """Return the resident memory of this process."""
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * 4096
+
+
+def _cpu_seconds(function):
+    """Return the processor time of one call."""
+    started = time.process_time()
+    function()
+    return time.process_time() - started
+
+
+def _change(number, services):
+    path_number = number * 7 % services
+    node = settings_pb2.Node()
+    fill_service(node, path_number)
+    node.settings.limits.max_queue = 100 + number
+    return settings_pb2.Change(
+        path=f"/team-{path_number % _TEAMS}/service-{path_number}", node=node
+    )
+
+
+def _gossip(members, own):
+    gossip = membership.Gossip(
+        own=_member(own),
+        seeds=(),
+        replica=configuration.Replica(),
+        rng=random.Random(own),
+        claims=None,
+    )
+    gossip.Exchange(_full_message(members), None)
+    return gossip
+
+
+@functools.cache
+def _full_message(members):
+    records = []
+    for number in range(members):
+        member = _member(number)
+        records.append(
+            peer_pb2.MemberRecord(
+                daemon_id=member.daemon_id,
+                incarnation=member.incarnation,
+                state=peer_pb2.ALIVE,
+                region=member.place.region,
+                failure_domain=member.place.failure_domain,
+                caller_address=str(member.caller_address),
+                admin_address=str(member.admin_address),
+                peer_address=str(member.peer_address),
+            )
+        )
+    return peer_pb2.GossipMessage(sender=records[2], members=records)
+
+
+def _member(number):
+    host = f"10.200.{number >> 8}.{number & 255}"
+    return core.Member(
+        daemon_id=f"entry-{number}",
+        incarnation=1_796_367_332_663,
+        state=core.MemberState.ALIVE,
+        place=_place(number),
+        caller_address=core.Address(host=host, port=8000),
+        admin_address=core.Address(host=host, port=8001),
+        peer_address=core.Address(host=host, port=8002),
+    )
+
+
+def _place(number):
+    domain = number % _FAILURE_DOMAINS
+    return core.Place(
+        region=f"region-{domain % _REGIONS}",
+        failure_domain=f"domain-{domain}",
+    )
+
+
+PARTS = {
+    "replica": measure_replica,
+    "gossip": measure_gossip,
+    "entries": measure_entries,
+}
--- a/wigeonrouter/bench/_processes.py
+++ b/wigeonrouter/bench/_processes.py
@@ -128,6 +128,12 @@
         """Wait for the end of a process and return its exit code."""
         return self._processes.pop(name).wait(timeout=_STOP_TIMEOUT_S)
 
+    def end(self, name):
+        """Kill a process at once."""
+        process = self._processes.pop(name)
+        process.kill()
+        process.wait()
+
     def close(self):
         """End all processes."""
         for process in self._processes.values():
