--- a/wigeonrouter/bench/_processes.py
+++ b/wigeonrouter/bench/_processes.py
@@ -90,7 +90,13 @@
             ["-m", "wigeonrouter.daemon.main", "--settings", path],
         )
         admin = self._documents[daemon_id]["admin_address"]
-        wait_ready(core.parse_address(admin))
+        try:
+            wait_ready(core.parse_address(admin))
+        except StartFailed as error:
+            raise StartFailed(
+                f"{error}; its output ends with "
+                f"{self.output(daemon_id)[-1000:]!r}"
+            ) from error
 
     def settings_path(self, daemon_id):
         """Return the name of a daemon's settings file."""
--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -3,6 +3,8 @@
 import click
 
 from wigeonrouter.bench import _capacity
+from wigeonrouter.bench import _latency
+from wigeonrouter.bench import _policy_main
 
 
 @click.group()
@@ -12,6 +14,8 @@
 
 main.add_command(_capacity.capacity)
 main.add_command(_capacity.capacity_part)
+main.add_command(_latency.latency)
+main.add_command(_policy_main.policy_command)
 
 
 if __name__ == "__main__":
--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -112,9 +112,15 @@
       latency: moving average of the time to answer, seconds.
       failure_ratio: moving average of failed attempts, 0 to 1.
       limit: adaptive bound on in-flight requests.
-      answers: answers received since the server became ready.
+      answers: answers received since the server became ready or cold.
       ready_since: time since which it may get work, seconds.
       last_used: time of the last request sent to it, seconds.
+      failures_in_row: failed attempts since the last good answer.
+      refusals_in_row: refusals since the last answer.
+      ejections: ejections since the server last proved itself.
+      ejected_until: end of the ejection, seconds.
+      stopped: whether a server that announced its leaving has been seen to
+        refuse connections since.
     """
 
     server: BackendServer
@@ -127,6 +133,11 @@
     answers: int = 0
     ready_since: float = 0.0
     last_used: float = 0.0
+    failures_in_row: int = 0
+    refusals_in_row: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    stopped: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -227,6 +238,8 @@
 
     Attributes:
       incarnation: grows with each start and each refuted suspicion.
+      instance: start time of the process in ms since the epoch. Request ids
+        name it, because a new process has forgotten the ids of the old one.
     """
 
     daemon_id: str
@@ -236,6 +249,7 @@
     caller_address: Address
     admin_address: Address
     peer_address: Address
+    instance: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -258,10 +272,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Grant:
-    """Permission to send one request to one backend server."""
+    """Permission to send one request to one backend server.
+
+    Attributes:
+      granted: seconds on the monotonic clock.
+      tenant: tenant that was charged for the slot, if any.
+      charged: seconds of slot time that it was charged, an estimate.
+    """
 
     server: BackendServer
     granted: float
+    tenant: str = ""
+    charged: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -273,9 +295,11 @@
       latency: seconds from grant to the whole answer or the failure.
       report: the load report that rode on the answer, if any.
       cancelled: whether the caller went away; says nothing of the server.
+      refused: whether the server refused the connection or the request.
     """
 
     outcome: Outcome
     latency: float
     report: LoadReport | None = None
     cancelled: bool = False
+    refused: bool = False
--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -7,27 +7,52 @@
 from gevent import event
 
 from wigeonrouter import core
+from wigeonrouter import health
 from wigeonrouter import limits
 from wigeonrouter import selection
 
-_LATENCY_WEIGHT = 0.2
-_FAILURE_WEIGHT = 0.1
 # Foreign load decays without any event of ours, so a queue is looked at
 # again after this time even when nothing was released.
 _REPUMP_INTERVAL_S = 0.005
-_COLD_ANSWERS = 10
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ticket:
+    """Stands for a request that waits in the queue."""
+
+    handle: limits.Handle
 
 
 class Dispatcher:
     """Owns the backend views and the queue of one service."""
 
-    def __init__(self, *, service, place, rng, clock=time.monotonic):
+    def __init__(
+        self,
+        *,
+        service,
+        place,
+        rng,
+        clock=time.monotonic,
+        call_later=gevent.spawn_later,
+        share=(0, 1),
+        announce=lambda address, leaving: None,
+    ):
         self._place = place
         self._rng = rng
         self._clock = clock
+        self._call_later = call_later
+        self._share = share
+        self._announce = announce
         self._sequence = 0
+        self._memory = None
         self._views = {}
         self._eligible = ()
+        self._local = ()
+        self._foreign = {}
+        self._allowances = {}
+        self._hold = limits.HoldTime()
+        self._slots = 0
+        self._spilling = False
         self._draining_facts = frozenset()
         self._timer = None
         self._service = service
@@ -58,26 +83,37 @@
     def reconfigure(self, service):
         """Take over new settings; views of remaining servers are kept."""
         self._service = service
+        self._queue.set_weights(service.limits.tenant_weights)
         self._policy = selection.find_policy(service.routing.policy)
+        self._memory = None
         now = self._clock()
         views = {}
         for server in service.servers:
             known = self._views.get(server.name)
             if known is None or known.server.address != server.address:
-                known = core.BackendView(
-                    server=server, limit=server.slots, ready_since=now
+                known = health.new_view(
+                    server=server, now=now, known_group=bool(self._views)
                 )
             else:
                 known = dataclasses.replace(known, server=server)
             views[server.name] = known
         self._views = views
+        self._allowances = self._foreign_allowances()
         self._refresh()
         self._pump()
 
     def set_draining(self, addresses):
         """Take over the addresses that are known to be leaving."""
-        self._draining_facts = frozenset(addresses)
+        addresses = frozenset(addresses)
+        returned = self._draining_facts - addresses
+        self._draining_facts = addresses
+        for name, view in self._views.items():
+            if str(view.server.address) in returned:
+                self._views[name] = health.after_return(
+                    view=view, now=self._clock()
+                )
         self._refresh()
+        self._pump()
 
     def acquire(self, request):
         """Wait for a slot.
@@ -87,50 +123,131 @@
         Returns:
           core.Grant, which must be released, or core.Refusal.
         """
+        waiter = event.AsyncResult()
+        result = self.submit(request, waiter.set)
+        if not isinstance(result, Ticket):
+            return result
+        try:
+            return waiter.get(timeout=request.deadline - self._clock())
+        except gevent.Timeout:
+            # set() only schedules the wake-up, so a grant may be there
+            # already when the timeout comes first.
+            if waiter.ready():
+                return waiter.value
+            return core.Refusal(problem=core.problems.DEADLINE_PASSED)
+        except BaseException:
+            if waiter.ready() and isinstance(waiter.value, core.Grant):
+                self._return_unused(waiter.value)
+            raise
+        finally:
+            self.withdraw(result)
+
+    def submit(self, request, deliver):
+        """Ask for a slot without waiting.
+
+        Args:
+          request: core.DispatchRequest.
+          deliver: called once with a core.Grant or core.Refusal where the
+            request has to wait, unless withdraw() comes first.
+        Returns:
+          core.Grant, core.Refusal, or the Ticket of a waiting request.
+        """
         now = self._clock()
         if request.deadline <= now:
             return core.Refusal(problem=core.problems.DEADLINE_PASSED)
         if not self._eligible:
             return core.Refusal(problem=core.problems.NO_SERVER)
         if not self._queue:
-            grant = self._choose(request, now)
+            grant = self._choose(request, now, self._candidates())
+            if grant is not None:
+                return grant
+        wait = limits.expected_wait(
+            ahead=self._queue.ahead(
+                tenant=request.tenant, key=request.deadline
+            ),
+            slots=self._slots,
+            hold=self._hold,
+        )
+        if self._spills(request, wait):
+            grant = self._choose(request, now, self._foreign_candidates())
             if grant is not None:
                 return grant
+        if not limits.can_finish(
+            remaining=request.deadline - now, wait=wait, hold=self._hold
+        ):
+            return core.Refusal(problem=core.problems.DEADLINE_TOO_SHORT)
         if len(self._queue) >= self._service.limits.max_queue:
-            return core.Refusal(problem=core.problems.QUEUE_FULL)
-        return self._wait(request, now)
+            displaced = self._queue.find_displaced(request.tenant)
+            if displaced is None:
+                return core.Refusal(problem=core.problems.QUEUE_FULL)
+            self._refuse_waiting(displaced, core.problems.QUEUE_FULL)
+        handle = self._queue.push(
+            tenant=request.tenant,
+            key=request.deadline,
+            item=(request, deliver),
+        )
+        self._schedule_pump()
+        return Ticket(handle=handle)
+
+    def withdraw(self, ticket):
+        """Take a waiting request out of the queue; no effect afterwards."""
+        self._queue.remove(ticket.handle)
 
     def release(self, grant, attempt):
         """Give a slot back and learn from how the attempt ended."""
+        if grant.charged:
+            self._queue.settle(grant.tenant, attempt.latency - grant.charged)
         view = self._views.get(grant.server.name)
         if view is None or view.server.address != grant.server.address:
             self._pump()
             return
-        changes = {"in_flight": max(0, view.in_flight - 1)}
-        if not attempt.cancelled:
-            changes.update(_learn(view, attempt))
-        self._views[grant.server.name] = dataclasses.replace(view, **changes)
+        before = view
+        view = dataclasses.replace(view, in_flight=max(0, view.in_flight - 1))
+        view = health.after_attempt(view=view, attempt=attempt)
+        view = health.next_state(
+            view=view,
+            attempt=attempt,
+            group=self._views.values(),
+            settings=self._service.health,
+            now=self._clock(),
+        )
+        self._views[grant.server.name] = view
+        self._announce_change(before, view)
+        if attempt.outcome is core.Outcome.OK and not attempt.cancelled:
+            self._hold = limits.learn_hold_time(self._hold, attempt.latency)
         self._refresh()
         self._pump()
 
-    def _wait(self, request, now):
-        waiter = event.AsyncResult()
-        handle = self._queue.push(
-            tenant=request.tenant,
-            deadline=request.deadline,
-            item=(request, waiter),
-        )
-        self._schedule_pump()
-        try:
-            return waiter.get(timeout=request.deadline - now)
-        except gevent.Timeout:
-            return core.Refusal(problem=core.problems.DEADLINE_PASSED)
-        except BaseException:
-            if waiter.ready() and isinstance(waiter.value, core.Grant):
-                self._return_unused(waiter.value)
-            raise
-        finally:
-            self._queue.remove(handle)
+    def on_probe(self, *, name, probe):
+        """Take over a health.ProbeResult."""
+        view = self._views.get(name)
+        if view is None:
+            return
+        after = health.after_probe(view=view, probe=probe, now=self._clock())
+        self._views[name] = after
+        self._announce_change(view, after)
+        self._refresh()
+        self._pump()
+
+    def advance(self):
+        """Let the states of servers follow the time."""
+        now = self._clock()
+        changed = False
+        for name, view in self._views.items():
+            advanced = health.advance(
+                view=view, settings=self._service.health, now=now
+            )
+            if advanced is not view:
+                self._views[name] = advanced
+                changed = True
+        if changed:
+            self._refresh()
+            self._pump()
+
+    def _announce_change(self, before, after):
+        leaving = after.state is core.ServerState.DRAINING
+        if leaving != (before.state is core.ServerState.DRAINING):
+            self._announce(after.server.address, leaving)
 
     def _return_unused(self, grant):
         self.release(
@@ -146,34 +263,90 @@
             handle = self._queue.peek()
             if handle is None:
                 return
-            request, waiter = handle[3]
-            grant = self._choose(request, now) if self._eligible else None
+            request, deliver = handle.item
+            if not limits.can_finish(
+                remaining=request.deadline - now, wait=0.0, hold=self._hold
+            ):
+                self._refuse_waiting(handle, core.problems.DEADLINE_TOO_SHORT)
+                continue
+            grant = self._choose(request, now, self._candidates())
             if grant is None:
                 self._schedule_pump()
                 return
-            self._queue.take(handle)
-            waiter.set(grant)
+            grant = dataclasses.replace(
+                grant, tenant=request.tenant, charged=self._hold.mean
+            )
+            self._queue.take(handle, cost=grant.charged)
+            deliver(grant)
+
+    def _refuse_waiting(self, handle, problem):
+        self._queue.remove(handle)
+        handle.item[1](core.Refusal(problem=problem))
 
     def _schedule_pump(self):
         if self._timer is None:
-            self._timer = gevent.spawn_later(
-                _REPUMP_INTERVAL_S, self._run_timer
-            )
+            self._timer = self._call_later(_REPUMP_INTERVAL_S, self._run_timer)
 
     def _run_timer(self):
         self._timer = None
         self._pump()
 
-    def _choose(self, request, now):
-        views = self._eligible
+    def _spills(self, request, wait):
+        if not self._foreign or not self._local:
+            return False
+        price = selection.region_price(request, self._service.routing) / 1000
+        self._spilling = limits.next_spilling(
+            spilling=self._spilling,
+            expected_wait=wait,
+            price=price,
+        )
+        return self._spilling
+
+    def _candidates(self):
+        if self._local:
+            return self._local
+        return self._foreign_candidates()
+
+    def _foreign_candidates(self):
+        if not self._allowances:
+            return self._eligible
+        found = []
+        for region, views in self._foreign.items():
+            taken = sum(
+                view.in_flight
+                for view in self._views.values()
+                if view.server.place.region == region
+            )
+            if taken < self._allowances[region]:
+                found.extend(views)
+        return tuple(found)
+
+    def _foreign_allowances(self):
+        slots = {}
+        for server in self._service.servers:
+            region = server.place.region
+            slots[region] = slots.get(region, 0) + server.slots
+        if self._place.region not in slots:
+            return {}
+        return {
+            region: limits.foreign_allowance(slots=count, regions=len(slots))
+            for region, count in slots.items()
+            if region != self._place.region
+        }
+
+    def _choose(self, request, now, candidates):
+        views = candidates
         if request.excluded:
             views = tuple(
                 view
                 for view in views
                 if view.server.name not in request.excluded
             )
-            if not views:
-                views = self._eligible
+        views = views or candidates
+        if not views:
+            return None
+        if not request.kind.idempotent:
+            views = health.proved_views(views)
         self._sequence += 1
         choice = self._policy(
             views=views,
@@ -184,10 +357,13 @@
                 now=now,
                 rng=self._rng,
                 sequence=self._sequence,
+                memory=self._memory,
+                share=self._share,
             ),
         )
         if not isinstance(choice, selection.Choice):
             return None
+        self._memory = choice.memory
         name = choice.server.name
         view = self._views[name]
         self._views[name] = dataclasses.replace(
@@ -198,36 +374,16 @@
 
     def _refresh(self):
         self._eligible = tuple(
-            view for view in self._views.values() if self._may_get_work(view)
-        )
-
-    def _may_get_work(self, view):
-        if view.server.draining:
-            return False
-        if view.report is not None and view.report.draining:
-            return False
-        return str(view.server.address) not in self._draining_facts
-
-
-def _learn(view, attempt):
-    failed = attempt.outcome is not core.Outcome.OK
-    changes = {
-        "failure_ratio": _average(
-            view.failure_ratio, float(failed), _FAILURE_WEIGHT
+            view
+            for view in self._views.values()
+            if health.may_get_work(view=view, draining=self._draining_facts)
         )
-    }
-    if attempt.report is not None:
-        changes["report"] = attempt.report
-    if not failed:
-        changes["answers"] = view.answers + 1
-        if view.answers:
-            changes["latency"] = _average(
-                view.latency, attempt.latency, _LATENCY_WEIGHT
-            )
-        else:
-            changes["latency"] = attempt.latency
-    return changes
-
-
-def _average(old, new, weight):
-    return old + weight * (new - old)
+        local, foreign = [], {}
+        for view in self._eligible:
+            region = view.server.place.region
+            if region == self._place.region:
+                local.append(view)
+            else:
+                foreign.setdefault(region, []).append(view)
+        self._local, self._foreign = tuple(local), foreign
+        self._slots = sum(selection.capacity(view) for view in local)
--- a/wigeonrouter/request_path/_server_stop_test.py
+++ b/wigeonrouter/request_path/_server_stop_test.py
@@ -13,10 +13,13 @@
 class _Echo:
     """Handler that answers with the request's target after a while."""
 
-    def handle(self, request):
+    def body_limit(self, request):
+        return 1000
+
+    def handle(self, request, arrived):
         gevent.sleep(0.02)
         return request_path.HttpResponse(
-            status=200, headers=(), body=request.target, keep_alive=True
+            status=200, headers=(), fields={}, body=request.target
         )
 
 
@@ -26,7 +29,6 @@
     started = request_path.CallerServer(
         address=core.Address(host="127.0.0.1", port=0),
         handler=_Echo(),
-        max_body_bytes=1000,
     )
     started.start()
     yield started
