--- a/wigeonrouter/administration/_app.py
+++ b/wigeonrouter/administration/_app.py
@@ -33,6 +33,7 @@
     app.add_route("/v1/entries", _entries.Entries(daemon=daemon))
     app.add_route("/healthz", _entries.Health())
     app.add_route("/readyz", _entries.Ready(daemon=daemon))
+    app.add_route("/metrics", _entries.Metrics(daemon=daemon))
     for target, by_method in _registry.actions().items():
         app.add_route(target, _Resource(context=context, actions=by_method))
     app.add_error_handler(Exception, _handle_failure)
@@ -74,8 +75,8 @@
             resp.media = reply
 
     def _explain_unknown_token(self):
-        # A daemon that is not ready has not read all tokens.
-        if not self._context.daemon.ready:
+        # A daemon without configuration has not read all tokens.
+        if not self._context.daemon.configured:
             return _problems.Problem(
                 problem=_problems.NOT_READY,
                 detail="the daemon has not read the tokens yet",
--- a/wigeonrouter/administration/_app_test.py
+++ b/wigeonrouter/administration/_app_test.py
@@ -286,7 +286,7 @@
 
 
 def test_a_daemon_that_is_not_ready_does_not_call_tokens_unknown(client):
-    client.daemon.ready = False
+    client.daemon.ready = client.daemon.configured = False
     response = client.send("GET", "/v1/status", token="new")
     assert conftest.problem_name(response) == "not-ready"
 
--- a/wigeonrouter/administration/_entries.py
+++ b/wigeonrouter/administration/_entries.py
@@ -4,6 +4,7 @@
 
 from wigeonrouter import core
 from wigeonrouter import entries
+from wigeonrouter import observability
 from wigeonrouter.administration import _problems
 from wigeonrouter.administration import _registry
 
@@ -27,6 +28,17 @@
             resp.status = falcon.HTTP_503
 
 
+class Metrics:
+    """Shows the metrics in the Prometheus text format."""
+
+    def __init__(self, *, daemon):
+        self._daemon = daemon
+
+    def on_get(self, req, resp):
+        resp.content_type = observability.METRICS_CONTENT_TYPE
+        resp.data = self._daemon.expose_metrics()
+
+
 class Entries:
     """Tells callers which addresses to use."""
 
@@ -34,6 +46,14 @@
         self._daemon = daemon
 
     def on_get(self, req, resp):
+        if not self._daemon.configured:
+            _registry.write_problem(
+                resp,
+                _problems.Problem(
+                    problem=_problems.NOT_READY, detail="ask another daemon"
+                ),
+            )
+            return
         name = req.get_param("service")
         service = self._daemon.replica.services.get(name) if name else None
         if name and service is None:
--- a/wigeonrouter/administration/conftest.py
+++ b/wigeonrouter/administration/conftest.py
@@ -28,7 +28,7 @@
     def __init__(self, *, store):
         self.store = store
         self.replica = configuration.Replica()
-        self.ready = True
+        self.ready = self.configured = True
         self.rng = random.Random(0)
         self.drained = []
         self.table = types.SimpleNamespace(members=(), alive=())
--- a/wigeonrouter/membership/_gossip.py
+++ b/wigeonrouter/membership/_gossip.py
@@ -26,8 +26,8 @@
 JOIN_REPAIR_ROUNDS = 300
 # Exchanges that hurry, because of news, are at least this far apart.
 HURRY_INTERVAL_S = 0.5
-LEAVE_PEERS = 16
-LEAVE_TIMEOUT_S = 1.0
+ANNOUNCE_PEERS = 16
+ANNOUNCE_TIMEOUT_S = 1.0
 
 
 class Gossip(peer_pb2_grpc.PeerServicer):
@@ -142,12 +142,23 @@
         self._spread.stop()
         self._client.close()
 
+    def become_ready(self):
+        """Tell peers that callers may be sent to this daemon.
+
+        Returns:
+          A pair: number of peers that took the message, number asked.
+        """
+        self._table.become_ready()
+        return self._announce()
+
     def leave(self):
-        """Tell peers that this daemon is leaving."""
+        """Tell peers that this daemon is leaving.
+
+        Returns:
+          A pair: number of peers that took the message, number asked.
+        """
         self._table.leave()
-        peers = list(self._table.peers)
-        self._rng.shuffle(peers)
-        self._exchange_all(peers[:LEAVE_PEERS], timeout=LEAVE_TIMEOUT_S)
+        return self._announce()
 
     def push(self, entries):
         """Push entries; see ConfigSpread.push_acknowledged."""
@@ -184,7 +195,7 @@
 
         peers = list(self._table.peers)
         while peers:
-            batch, peers = peers[:LEAVE_PEERS], peers[LEAVE_PEERS:]
+            batch, peers = peers[:ANNOUNCE_PEERS], peers[ANNOUNCE_PEERS:]
             gevent.joinall([gevent.spawn(ask, peer) for peer in batch])
         return named
 
@@ -365,9 +376,18 @@
             for fact in self._facts.differing(parts, rng=self._rng)
         ]
 
+    def _announce(self):
+        peers = list(self._table.peers)
+        self._rng.shuffle(peers)
+        asked = peers[:ANNOUNCE_PEERS]
+        told = self._exchange_all(asked, timeout=ANNOUNCE_TIMEOUT_S)
+        return told, len(asked)
+
     def _exchange_all(self, peers, *, full=False, timeout=None):
+        """Exchange with peers at once; return the number that answered."""
         tasks = [gevent.spawn(self._exchange, p, full=full) for p in peers]
         gevent.joinall(tasks, timeout=timeout)
+        return sum(task.value is not None for task in tasks)
 
     def _exchange(self, peer, *, full=False):
         reply = self._exchange_address(
--- a/wigeonrouter/membership/_transport.py
+++ b/wigeonrouter/membership/_transport.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 
+from gevent import socket
 import grpc
 
 from wigeonrouter.schema import peer_pb2_grpc
@@ -47,6 +48,10 @@
           servicer: peer_pb2_grpc.PeerServicer.
           dropped: set of ids of daemons whose calls fail; for tests only.
         """
+        # gRPC reports an address in use as RuntimeError without the cause.
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind((address.host, address.port))
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=_WORKERS),
             interceptors=(() if dropped is None else (_DropCalls(dropped),)),
--- a/wigeonrouter/request_path/_server.py
+++ b/wigeonrouter/request_path/_server.py
@@ -5,6 +5,7 @@
 
 import gevent
 from gevent import server as gevent_server
+from gevent import socket
 
 from wigeonrouter import core
 from wigeonrouter.request_path import _caller_connection
@@ -14,6 +15,10 @@
 from wigeonrouter.request_path import _request_reader
 
 MAX_CONNECTIONS = 10_000
+_BACKLOG = 1024
+# More than a request with the longest timeout takes to be answered.
+_STOP_TIMEOUT_S = 45.0
+_STOP_POLL_S = 0.02
 _SWEEP_INTERVAL_S = 0.5
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -30,19 +35,28 @@
         self._waiting = collections.OrderedDict()
         self._pauses = _pauses.PauseDetector()
         self._sweeper = None
-        self._server = gevent_server.StreamServer(
-            (address.host, address.port), self._serve, backlog=1024
-        )
+        self._last_arrival = time.monotonic()
+        # Bound here, so that an address in use is known at once; callers are
+        # refused by the kernel until start() listens.
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((address.host, address.port))
+        self._server = gevent_server.StreamServer(self._listener, self._serve)
 
     @property
     def port(self):
         """Port that the server listens on."""
-        return self._server.server_port
+        return self._listener.getsockname()[1]
 
     @property
     def requests_in_progress(self):
-        """Number of requests that have arrived and are not answered."""
-        return sum(c.handling for c in self._connections)
+        """Number of requests that have begun to arrive and lack an answer."""
+        return sum(c.received for c in self._connections)
+
+    @property
+    def last_arrival(self):
+        """Time when the last request had arrived, monotonic seconds."""
+        return self._last_arrival
 
     @property
     def connections(self):
@@ -51,6 +65,7 @@
 
     def start(self):
         """Listen."""
+        self._listener.listen(_BACKLOG)
         self._server.start()
         self._pauses.start()
         self._sweeper = gevent.spawn(self._sweep)
@@ -60,13 +75,18 @@
         self._draining = True
 
     def stop(self):
-        """Stop listening and close all connections."""
+        """Stop listening, answer what has arrived, close all connections."""
+        self._draining = True
         self._server.close()
+        latest = time.monotonic() + _STOP_TIMEOUT_S
         for connection in list(self._waiting):
-            connection.expire()
+            connection.expire_if_idle()
+        while self._connections and time.monotonic() < latest:
+            gevent.sleep(_STOP_POLL_S)
         self._server.stop(timeout=1)
         self._pauses.stop()
-        gevent.kill(self._sweeper)
+        if self._sweeper is not None:
+            gevent.kill(self._sweeper)
 
     def _serve(self, sock, _):
         connection = _caller_connection.CallerConnection(sock=sock)
@@ -130,12 +150,16 @@
             self._waiting.pop(connection, None)
 
     def _answer(self, connection, reader, request, arrived):
+        self._last_arrival = time.monotonic()
         connection.begin_handling(watch=not reader.pending)
         try:
             answer = self._handler.handle(request, arrived)
         finally:
             connection.end_handling()
-        close = self._draining or not request.keep_alive
+        # A pipelined request has arrived already and gets its answer.
+        close = not request.keep_alive or (
+            self._draining and not reader.pending
+        )
         connection.send(
             _render.render_response(
                 response=answer, close=close, method=request.method
