Build the header index where a message is made without one

Callers of HttpRequest outside the package, and tests, need not know it. The test of the connection pool now also cancels a task that was just handed a permit.

--- a/wigeonrouter/request_path/_forwarder_test.py
+++ b/wigeonrouter/request_path/_forwarder_test.py
@@ -236,6 +236,11 @@
     cancelled.kill()
     pool.put_back(address, held[0])
     assert waiting.get(timeout=5) is held[0]
+    handed = gevent.spawn(
+        pool.checkout, address=address, limit=2, deadline=deadline
+    )
+    gevent.sleep(0)
     pool.discard(address, held[1])
+    handed.kill()
     pool.discard(address, held[0])
     assert pool.in_use == 0
--- a/wigeonrouter/request_path/_messages.py
+++ b/wigeonrouter/request_path/_messages.py
@@ -64,9 +64,13 @@
     method: bytes
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
-    fields: dict[bytes, bytes]
     body: bytes
     keep_alive: bool
+    fields: dict[bytes, bytes] | None = None
+
+    def __post_init__(self):
+        if self.fields is None:
+            object.__setattr__(self, "fields", index_headers(self.headers))
 
     def header(self, name):
         """Return the first value of a header, or b""."""
@@ -84,9 +88,13 @@
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
-    fields: dict[bytes, bytes]
     body: bytes
     outcome: bytes = b""
+    fields: dict[bytes, bytes] | None = None
+
+    def __post_init__(self):
+        if self.fields is None:
+            object.__setattr__(self, "fields", index_headers(self.headers))
 
     def header(self, name):
         """Return the first value of a header, or b""."""
