--- a/wigeonrouter/administration/_app.py
+++ b/wigeonrouter/administration/_app.py
@@ -1,7 +1,6 @@
 """The administration API and the entry query, as a falcon application."""
 
 import functools
-import time
 
 import falcon
 import logbook
@@ -109,15 +108,14 @@
 
 
 def _handle_failure(req, resp, error, params):
-    _LOG.error("{} {} failed", req.method, req.path, exc_info=error)
+    _LOG.error(
+        "request failed",
+        exc_info=error,
+        extra={"method": req.method, "path": req.path},
+    )
     _registry.write_problem(
         resp,
         _problems.Problem(
             problem=_problems.INTERNAL, detail=type(error).__name__
         ),
     )
-
-
-def now_ms():
-    """Return the time in milliseconds since the epoch."""
-    return int(time.time() * 1000)
