--- /dev/null
+++ b/wigeonrouter/membership/conftest.py
@@ -0,0 +1,27 @@
+"""A fleet of gossiping daemons in one process, without request path."""
+
+import pytest
+
+from wigeonrouter.bench import _nodes
+
+
+def cut(first, second):
+    """Drop all calls between two groups of nodes."""
+    for node in first:
+        node.dropped.update(other.daemon_id for other in second)
+    for node in second:
+        node.dropped.update(other.daemon_id for other in first)
+
+
+def heal(nodes):
+    """End every cut."""
+    for node in nodes:
+        node.dropped.clear()
+
+
+@pytest.fixture
+def nodes(store_standin):
+    """Starts nodes that share one store stand-in."""
+    nodes = _nodes.Nodes(store_standin.port)
+    yield nodes
+    nodes.stop()
