Give each test run ports of its own

Cause: tests with real processes used fixed ports, so two runs on one machine at the same time, as two clones have, met each other's daemons; seven tests failed so. Ports now come from a search below the range that outgoing connections use. The state machine of the member table kept numbers by the address of an object, which a later object may reuse; it now keeps the object.

--- a/wigeonrouter/bench/_failures_test.py
+++ b/wigeonrouter/bench/_failures_test.py
@@ -1,7 +1,4 @@
-"""Guards against lost or old configuration when real processes fail.
-
-Ports: 24000 to 24099.
-"""
+"""Guards against lost or old configuration when real processes fail."""
 
 from concurrent import futures
 import json
@@ -14,10 +11,12 @@
 
 from wigeonrouter import core
 from wigeonrouter import store as store_api
+from wigeonrouter.bench import _ports
 from wigeonrouter.bench import _processes
 from wigeonrouter.schema import store_pb2
 
-_STORE = "127.0.0.1:24000"
+(_STORE,) = _ports.free_addresses(1)
+_DAEMON_PORTS = tuple(_ports.free_ports(3) for _ in range(5))
 _PLACES = (
     ("north", "north-a"),
     ("north", "north-b"),
@@ -43,13 +42,12 @@
     def start(self, number):
         """Start a daemon; it is ready afterwards."""
         region, domain = _PLACES[number]
-        base = 24010 + 10 * number
         self._processes.start_daemon(
             daemon_id=f"d{number}",
             place=core.Place(region=region, failure_domain=domain),
-            ports=(base, base + 1, base + 2),
+            ports=_DAEMON_PORTS[number],
             store=_STORE,
-            seeds=["127.0.0.1:24012", "127.0.0.1:24022"],
+            seeds=[f"127.0.0.1:{ports[2]}" for ports in _DAEMON_PORTS[:2]],
         )
 
     def kill(self, number):
@@ -110,7 +108,7 @@
 
 def _call(method, number, path, document=None):
     request = urllib.request.Request(
-        f"http://127.0.0.1:{24011 + 10 * number}{path}",
+        f"http://127.0.0.1:{_DAEMON_PORTS[number][1]}{path}",
         method=method,
         data=json.dumps(document).encode() if document else None,
         headers={"Authorization": f"Bearer {_processes.TOKEN}"},
--- a/wigeonrouter/daemon/_daemon_test.py
+++ b/wigeonrouter/daemon/_daemon_test.py
@@ -15,17 +15,14 @@
 from wigeonrouter import daemon as daemon_api
 from wigeonrouter import settings as settings_api
 from wigeonrouter import standins
+from wigeonrouter.bench import _ports
 from wigeonrouter.bench import _processes
 
-_STORE = "127.0.0.1:27900"
-_FAST = [f"127.0.0.1:{port}" for port in range(27910, 27914)]
-_SLOW = "127.0.0.1:27920"
+_STORE, _SLOW = _ports.free_addresses(2)
+_FAST = _ports.free_addresses(4)
 _SLOW_MS = 1500
 _TTL_MS = 300
-_DAEMONS = {
-    f"entry-{number}": (27000 + 10 * number, 27001 + 10 * number)
-    for number in range(3)
-}
+_DAEMONS = {f"entry-{number}": _ports.free_ports(3) for number in range(3)}
 _PLACE = core.Place(region="north", failure_domain="north-a")
 
 
@@ -67,19 +64,20 @@
         started.start_store(_STORE)
         started.start_backends("fast", _FAST, service_ms=5)
         started.start_backends("slow", [_SLOW], service_ms=_SLOW_MS)
-        seed = "127.0.0.1:27002"
-        for daemon_id, (caller, admin) in _DAEMONS.items():
+        seed = f"127.0.0.1:{_DAEMONS['entry-0'][2]}"
+        for daemon_id, ports in _DAEMONS.items():
             started.start_daemon(
                 daemon_id=daemon_id,
                 place=_PLACE,
-                ports=(caller, admin, admin + 1),
+                ports=ports,
                 store=_STORE,
                 seeds=[seed],
                 entry_ttl_ms=_TTL_MS,
             )
         path = tmp_path / "document.json"
         path.write_text(json.dumps(_document()))
-        _processes.run_cli("apply", "/", str(path), server="127.0.0.1:27001")
+        admin = f"127.0.0.1:{_DAEMONS['entry-0'][1]}"
+        _processes.run_cli("apply", "/", str(path), server=admin)
         for daemon_id in _DAEMONS:
             _wait_for(lambda name=daemon_id: len(_entries(name)) == 3)
             # The first answer shows that the configuration has arrived.
@@ -243,13 +241,16 @@
 
 def test_daemon_without_configuration_serves_no_caller():
     """Guards against callers that meet a daemon that knows no service."""
+    caller, admin, peer, store = (
+        core.parse_address(address) for address in _ports.free_addresses(4)
+    )
     settings = settings_api.DaemonSettings(
         daemon_id="entry-9",
         place=_PLACE,
-        caller_address=core.Address(host="127.0.0.1", port=27100),
-        admin_address=core.Address(host="127.0.0.1", port=27101),
-        peer_address=core.Address(host="127.0.0.1", port=27102),
-        store_address=core.Address(host="127.0.0.1", port=27990),
+        caller_address=caller,
+        admin_address=admin,
+        peer_address=peer,
+        store_address=store,
         store_timeout=0.2,
         entry_ttl=0.1,
     )
@@ -259,11 +260,11 @@
     assert daemon.table.own.state is core.MemberState.STARTING
     assert daemon.table.alive == ()
     with pytest.raises(ConnectionRefusedError):
-        socket.create_connection(("127.0.0.1", 27100))
+        socket.create_connection(("127.0.0.1", caller.port))
     store = standins.StoreStandin(address=settings.store_address)
     store.start()
     _wait_for(lambda: daemon.ready)
-    socket.create_connection(("127.0.0.1", 27100)).close()
+    socket.create_connection(("127.0.0.1", caller.port)).close()
     assert daemon.table.own.state is core.MemberState.ALIVE
     daemon.stop()
     store.stop()
--- a/wigeonrouter/daemon/main_test.py
+++ b/wigeonrouter/daemon/main_test.py
@@ -12,16 +12,17 @@
 import pytest
 
 from wigeonrouter import core
+from wigeonrouter.bench import _ports
 from wigeonrouter.bench import _processes
 
-_STORE = "127.0.0.1:27950"
+_STORE, _CALLER, _ADMIN, _PEER = _ports.free_addresses(4)
 _SETTINGS = {
     "daemon_id": "entry-1",
     "region": "north",
     "failure_domain": "north-a",
-    "caller_address": "127.0.0.1:27200",
-    "admin_address": "127.0.0.1:27201",
-    "peer_address": "127.0.0.1:27202",
+    "caller_address": _CALLER,
+    "admin_address": _ADMIN,
+    "peer_address": _PEER,
     "store": {"address": _STORE},
 }
 
@@ -86,7 +87,10 @@
         started.start_daemon(
             daemon_id="entry-1",
             place=core.Place(region="north", failure_domain="north-a"),
-            ports=(27200, 27201, 27202),
+            ports=[
+                core.parse_address(address).port
+                for address in (_CALLER, _ADMIN, _PEER)
+            ],
             store=_STORE,
             log={"format": "json"},
         )
@@ -94,7 +98,7 @@
 
 
 def _ttl_ms():
-    connection = http.client.HTTPConnection("127.0.0.1", 27201, timeout=5)
+    connection = http.client.HTTPConnection(_ADMIN, timeout=5)
     with contextlib.closing(connection):
         connection.request("GET", "/v1/entries")
         return json.loads(connection.getresponse().read())["ttl_ms"]
--- a/wigeonrouter/membership/_table_test.py
+++ b/wigeonrouter/membership/_table_test.py
@@ -205,7 +205,7 @@
             assert table.own.state is _STATES.ALIVE
             assert table.find(table.own.daemon_id) == table.own
             for other in table.members:
-                key = (id(table), other.daemon_id)
+                key = (table, other.daemon_id)
                 assert other.incarnation >= self.ranks.get(key, 0)
                 self.ranks[key] = other.incarnation
             assert number in range(_NODES)
