Carry the retry budget down and up the call tree

Cause: each level could retry by itself, so that a failing leaf 15 levels down would be called up to 3 ** 15 times. X-Retry-Budget now gives the retries that are left for the tree to the calls below, a repeated attempt gives none, and a refusal reports what is left to the levels above.

--- a/wigeonrouter/limits/__init__.py
+++ b/wigeonrouter/limits/__init__.py
@@ -10,8 +10,11 @@
 HoldTime = _admission.HoldTime
 RetryBudget = _retry_budget.RetryBudget
 
+allowance_after = _retry_budget.allowance_after
+allowance_below = _retry_budget.allowance_below
 can_finish = _admission.can_finish
 expected_wait = _admission.expected_wait
 foreign_allowance = _spill_over.foreign_allowance
 learn_hold_time = _admission.learn_hold_time
 next_spilling = _spill_over.next_spilling
+parse_allowance = _retry_budget.parse_allowance
--- a/wigeonrouter/request_path/_attempt.py
+++ b/wigeonrouter/request_path/_attempt.py
@@ -5,6 +5,7 @@
 import gevent
 
 from wigeonrouter import core
+from wigeonrouter import limits
 from wigeonrouter.request_path import _decisions
 from wigeonrouter.request_path import _messages
 from wigeonrouter.request_path import _pool
@@ -43,6 +44,10 @@
                 outcome = outcome_of(answer)
                 if outcome is core.Outcome.NOT_RUN:
                     refused = True
+                    forwarding.allowance = limits.allowance_after(
+                        allowance=forwarding.allowance,
+                        text=answer.header(b"x-retry-budget"),
+                    )
                     answer = core.Refusal(
                         problem=core.problems.REFUSED_BY_SERVER
                     )
@@ -62,13 +67,13 @@
 
     def _send(self, forwarding, address):
         while True:
-            limits = forwarding.dispatcher.service.limits
+            settings = forwarding.dispatcher.service.limits
             if self._clock() >= forwarding.deadline:
                 return core.Refusal(problem=core.problems.DEADLINE_PASSED)
             try:
                 connection = self._pool.checkout(
                     address=address,
-                    limit=limits.connections_per_server,
+                    limit=settings.connections_per_server,
                     deadline=forwarding.deadline,
                 )
             except _pool.ConnectFailed as error:
@@ -78,7 +83,10 @@
             fresh = connection.fresh
             try:
                 return self._exchange(
-                    forwarding, address, connection, limits.max_response_bytes
+                    forwarding,
+                    address,
+                    connection,
+                    settings.max_response_bytes,
                 )
             except _pool.NotSent as error:
                 forwarding.in_doubt = False
@@ -99,6 +107,10 @@
             data = _render.render_request(
                 request=forwarding.request,
                 timeout_ms=max(1, int(remaining * 1000)),
+                retry_budget=limits.allowance_below(
+                    allowance=forwarding.allowance,
+                    attempt=forwarding.attempts,
+                ),
             )
             with gevent.Timeout(remaining, TimeoutError):
                 forwarding.in_doubt = True
--- a/wigeonrouter/request_path/_forwarder.py
+++ b/wigeonrouter/request_path/_forwarder.py
@@ -4,6 +4,7 @@
 import time
 
 from wigeonrouter import core
+from wigeonrouter import limits
 from wigeonrouter.request_path import _attempt
 from wigeonrouter.request_path import _decisions
 from wigeonrouter.request_path import _hedging
@@ -25,6 +26,7 @@
         any time, also when the task is cancelled.
       server: name of the backend server of the last attempt.
       excluded: names of the backend servers that were tried.
+      allowance: retries that the call tree may still make from here.
     """
 
     request: _messages.HttpRequest
@@ -37,6 +39,14 @@
     server: str = ""
     attempts: int = 0
     excluded: frozenset[str] = frozenset()
+    allowance: int = 0
+
+    def try_spend(self):
+        """Take one retry from both budgets; return whether it was there."""
+        if self.allowance <= 0 or not self.budget.try_spend():
+            return False
+        self.allowance -= 1
+        return True
 
 
 class Forwarder:
@@ -55,7 +65,14 @@
         Returns:
           HttpResponse or core.Refusal.
         """
-        forwarding.budget.on_request()
+        retries = forwarding.dispatcher.service.retries
+        # A hedge is a further attempt beyond max_attempts.
+        forwarding.allowance = limits.parse_allowance(
+            text=forwarding.request.header(b"x-retry-budget"),
+            max_attempts=retries.max_attempts + (retries.hedge_quantile > 0),
+        )
+        if forwarding.allowance:
+            forwarding.budget.on_request()
         doubtful = None
         while True:
             grant = self._acquire(forwarding)
@@ -118,5 +135,5 @@
                 now=self._clock(),
                 deadline=forwarding.deadline,
             )
-            and forwarding.budget.try_spend()
+            and forwarding.try_spend()
         )
--- a/wigeonrouter/request_path/_forwarder_test.py
+++ b/wigeonrouter/request_path/_forwarder_test.py
@@ -239,3 +239,16 @@
     pool.discard(address, held[1])
     pool.discard(address, held[0])
     assert pool.in_use == 0
+
+
+def test_a_spent_retry_budget_forbids_retries(path):
+    """Without it retries multiply at each level of the call tree."""
+    path.set_faults({"refuse": True}, {})
+    answers = [
+        send(path, request_id=f"w{number}", X_Retry_Budget="0")
+        for number in range(4)
+    ]
+    refused = [answer for answer in answers if answer.status == 503]
+    assert refused
+    assert {a.headers[b"x-retry-budget"] for a in refused} == {b"0"}
+    path.assert_released()
--- a/wigeonrouter/request_path/_handler.py
+++ b/wigeonrouter/request_path/_handler.py
@@ -250,7 +250,11 @@
         if isinstance(answer, core.Refusal):
             problem = answer.problem.name
             answer = _render.problem_response(
-                refusal=answer, request_id=call.request_id
+                refusal=answer,
+                request_id=call.request_id,
+                retry_budget=(
+                    call.forwarding.allowance if call.forwarding else None
+                ),
             )
         elif outcome is core.Outcome.FAILED:
             answer = dataclasses.replace(answer, outcome=b"failed")
--- a/wigeonrouter/request_path/_hedging.py
+++ b/wigeonrouter/request_path/_hedging.py
@@ -67,9 +67,7 @@
         if delay is None:
             answer = first()
         else:
-            answer = _race(
-                first, second, max(_MIN_DELAY_S, delay), forwarding.budget
-            )
+            answer = _race(first, second, max(_MIN_DELAY_S, delay), forwarding)
         if _is_success(answer):
             window.add(self._clock() - started)
         return answer
--- a/wigeonrouter/request_path/_render.py
+++ b/wigeonrouter/request_path/_render.py
@@ -9,6 +9,7 @@
     b"content-length",
     b"expect",
     b"x-request-timeout-ms",
+    b"x-retry-budget",
 }
 # X-Outcome and X-Not-Run are statements of the daemon and to the daemon; a
 # backend server's own would be taken for the daemon's.
@@ -26,12 +27,13 @@
 _NO_EXTRA = frozenset((b"keep-alive", b"close"))
 
 
-def render_request(*, request, timeout_ms):
+def render_request(*, request, timeout_ms, retry_budget=0):
     """Return the bytes of a request for a backend server.
 
     Args:
       request: HttpRequest of the caller.
       timeout_ms: the time that is left, whole milliseconds.
+      retry_budget: the retries that the calls below may make.
     """
     dropped = _dropped(request.fields, _NOT_FORWARDED)
     lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
@@ -41,6 +43,7 @@
         if header[0] not in dropped
     ]
     lines.append(b"x-request-timeout-ms: %d" % timeout_ms)
+    lines.append(b"x-retry-budget: %d" % retry_budget)
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
         lines.append(b"content-length: %d" % len(request.body))
     lines.append(b"\r\n")
@@ -80,8 +83,14 @@
     return b"\r\n".join(lines) + body
 
 
-def problem_response(*, refusal, request_id):
-    """Return the RFC 9457 HttpResponse of a refusal."""
+def problem_response(*, refusal, request_id, retry_budget=None):
+    """Return the RFC 9457 HttpResponse of a refusal.
+
+    Args:
+      refusal: core.Refusal.
+      request_id: text.
+      retry_budget: the retries that levels above may still make, or None.
+    """
     problem = refusal.problem
     body = json.dumps(
         {
@@ -93,10 +102,13 @@
             "request_id": request_id,
         }
     ).encode()
+    fields = _PROBLEM_FIELDS
+    if retry_budget is not None:
+        fields = {**fields, b"x-retry-budget": b"%d" % retry_budget}
     return _messages.HttpResponse(
         status=problem.status,
-        headers=tuple(_PROBLEM_FIELDS.items()),
-        fields=_PROBLEM_FIELDS,
+        headers=tuple(fields.items()),
+        fields=fields,
         body=body,
         outcome=problem.outcome.value.encode(),
     )
