Pass over servers that refuse or fail in a row, add fault scenarios

The health rules take such a server out only in the state ready; it had come back as cold, where a refusal changes nothing. free_slot now passes over a server for 50 ms, twice as long for each further failure in a row.

--- a/wigeonrouter/bench/_policy_main.py
+++ b/wigeonrouter/bench/_policy_main.py
@@ -7,6 +7,7 @@
 from wigeonrouter.bench import _policy_load
 from wigeonrouter.bench import _policy_report
 from wigeonrouter.bench import _policy_run
+from wigeonrouter.bench import _policy_scenarios
 
 _LOADS = (0.5, 0.7, 0.85, 0.95, 1.0, 1.2, 2.0)
 _SEEDS = (11, 12, 13)
@@ -101,3 +102,33 @@
                 (f"{load:.0%} {policy}", _policy_report.summarise(results))
             )
     click.echo(_policy_report.markdown_table(rows))
+
+
+@click.command("policy-scenarios")
+@click.option("--deployment", default="carril-azul", show_default=True)
+@click.option("--service", default="availability", show_default=True)
+@click.option("--policy", "policies", multiple=True, default=("free_slot",))
+@click.option("--only", default="", help="part of the scenarios' names")
+def scenarios_command(deployment, service, policies, only):
+    """Run the scenarios of tenants, overload, faults and regions."""
+    rows = []
+    for name, scenario in _policy_scenarios.SCENARIOS.items():
+        if only not in name:
+            continue
+        for policy in policies:
+            results = run_cell(
+                deployment=_policy_load.DEPLOYMENTS[deployment],
+                service=service,
+                policy=policy,
+                shape=scenario.shape,
+                faults=scenario.faults,
+            )
+            figures = _policy_report.summarise(
+                results,
+                start=scenario.start,
+                end=scenario.end,
+                tenant=scenario.tenant,
+                region=scenario.region,
+            )
+            rows.append((f"{name} / {policy}", figures))
+    click.echo(_policy_report.markdown_table(rows))
--- a/wigeonrouter/bench/_policy_run.py
+++ b/wigeonrouter/bench/_policy_run.py
@@ -10,12 +10,16 @@
 from wigeonrouter import core
 from wigeonrouter import dispatch
 from wigeonrouter import entries
+from wigeonrouter import health
 from wigeonrouter import limits
 from wigeonrouter import request_path
 from wigeonrouter.bench import _policy_clock
 from wigeonrouter.bench import _policy_load
 from wigeonrouter.bench import _policy_server
 
+# The prober advances the states of servers about this often.
+_ADVANCE_INTERVAL_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunSettings:
@@ -180,6 +184,12 @@
         self._loop.call_later(half, fake.arrive, call)
         return lambda: self._loop.call_later(half, fake.cancel, call)
 
+    def probe(self, name):
+        """Return the health.ProbeResult of a server; probes take no time."""
+        server = self._servers[name]
+        bad = server.failing or server.refusing
+        return health.ProbeResult(reached=True, healthy=not bad)
+
     def count_retry(self):
         """Note a further attempt."""
         self._retries += 1
@@ -205,6 +215,17 @@
             share=share,
         )
         self.budget = limits.RetryBudget(ratio=service.retries.budget_ratio)
+        self._advance()
+
+    def _advance(self):
+        self.dispatcher.advance()
+        for view in self.dispatcher.views:
+            if health.needs_probe(view):
+                self.dispatcher.on_probe(
+                    name=view.server.name,
+                    probe=self.run.probe(view.server.name),
+                )
+        self.loop.call_later(_ADVANCE_INTERVAL_S, self._advance)
 
     def arrive(self, arrival):
         self.budget.on_request()
@@ -311,7 +332,10 @@
         dispatcher.release(
             grant,
             core.AttemptResult(
-                outcome=outcome, latency=now - grant.granted, report=report
+                outcome=outcome,
+                latency=now - grant.granted,
+                report=report,
+                refused=outcome is core.Outcome.NOT_RUN,
             ),
         )
 
--- a/wigeonrouter/bench/_policy_server.py
+++ b/wigeonrouter/bench/_policy_server.py
@@ -33,6 +33,7 @@
     Attributes:
       slowness: factor of the service time, for each slot.
       failing: whether each call fails at once.
+      refusing: whether each call is refused at once, as not run.
       reported: in-flight count that it always reports, or None for the
         true count.
       report_loss: share of answers without a report.
@@ -45,6 +46,7 @@
         self.server = server
         self.slowness = [1.0] * server.slots
         self.failing = False
+        self.refusing = False
         self.reported = None
         self.report_loss = 0.0
         self.busy = 0.0
@@ -59,7 +61,7 @@
                 _FAILURE_TIME_S, self._answer, call, core.Outcome.FAILED
             )
             return
-        if len(self._waiting) >= SHED_LENGTH:
+        if self.refusing or len(self._waiting) >= SHED_LENGTH:
             self._answer(call, core.Outcome.NOT_RUN)
             return
         self._in_flight += 1
--- a/wigeonrouter/selection/_free_slot.py
+++ b/wigeonrouter/selection/_free_slot.py
@@ -14,7 +14,8 @@
     """Choose the cheapest server with a free slot, else wait."""
     best, best_cost = None, None
     ahead = context.waiting >= SEND_AHEAD_WAITING * len(views)
-    for view in views:
+    usable = [v for v in views if not _load.is_paused(v, context.now)]
+    for view in usable or views:
         if _load.occupied(view, context.now) + 1 > _room(view, context, ahead):
             continue
         cost = (
--- a/wigeonrouter/selection/_load.py
+++ b/wigeonrouter/selection/_load.py
@@ -8,6 +8,23 @@
 FOREIGN_HALF_LIFE_RATIO = 0.7
 # Taken for the time to answer until the first answer.
 _FIRST_LATENCY_S = 0.01
+# A server that refuses or fails at once always looks idle. It is passed over
+# for this time, which doubles with each failure in a row.
+FIRST_PAUSE_S = 0.05
+MAX_PAUSE_S = 1.0
+_MAX_DOUBLINGS = 5
+
+
+def is_paused(view, now):
+    """Return whether a server is passed over after failures in a row.
+
+    One failed answer may be the request's fault; a refusal is the server's.
+    """
+    row = max(view.refusals_in_row, view.failures_in_row - 1)
+    if row <= 0:
+        return False
+    pause = FIRST_PAUSE_S * 2 ** min(row - 1, _MAX_DOUBLINGS)
+    return now - view.last_used < min(MAX_PAUSE_S, pause)
 
 
 def capacity(view):
