--- a/wigeonrouter/limits/_queue.py
+++ b/wigeonrouter/limits/_queue.py
@@ -89,6 +89,9 @@
         if not waiting:
             del self._waiting[handle.tenant]
             self._forget_idle()
+        if not self._waiting:
+            # Nobody was kept waiting, so nobody is owed anything.
+            self._virtual.clear()
 
     def settle(self, tenant, difference):
         """Correct a charge once the cost is known.
--- /dev/null
+++ b/wigeonrouter/limits/_queue_test.py
@@ -0,0 +1,171 @@
+"""Guards the fair queue: nothing lost, nothing twice, no tenant starved."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from wigeonrouter import limits
+
+_TENANTS = strategies.sampled_from("abc")
+_WEIGHTS = (("a", 2.0), ("b", 1.0), ("c", 0.5))
+
+
+class _NaiveQueue:
+    """Looks at every item for every answer."""
+
+    def __init__(self):
+        self.items = []
+        self.virtual = {}
+        self.clock = 0.0
+
+    def push(self, tenant, key, number):
+        if all(item[0] != tenant for item in self.items):
+            self.virtual[tenant] = max(
+                self.virtual.get(tenant, 0.0), self.clock
+            )
+        self.items.append((tenant, key, number))
+
+    def next_items(self):
+        """Return all items that may be next: ties between tenants."""
+        if not self.items:
+            return []
+        low = min(self.virtual[item[0]] for item in self.items)
+        tenants = {i[0] for i in self.items if self.virtual[i[0]] == low}
+        return [
+            min((i for i in self.items if i[0] == tenant), key=lambda i: i[1:])
+            for tenant in tenants
+        ]
+
+    def take(self, item, cost):
+        self.items.remove(item)
+        self.clock = max(self.clock, self.virtual[item[0]])
+        self.virtual[item[0]] += cost / dict(_WEIGHTS)[item[0]]
+        self.forget()
+
+    def forget(self):
+        if not self.items:
+            self.virtual = {}
+
+
+class FairQueueMachine(stateful.RuleBasedStateMachine):
+    """Differential test of FairQueue against _NaiveQueue."""
+
+    def __init__(self):
+        super().__init__()
+        self.queue = limits.FairQueue(weights=_WEIGHTS)
+        self.naive = _NaiveQueue()
+        self.handles = {}
+        self.number = 0
+
+    @stateful.rule(tenant=_TENANTS, key=strategies.integers(0, 5))
+    def push(self, tenant, key):
+        self.number += 1
+        item = (tenant, key, self.number)
+        self.naive.push(*item)
+        self.handles[item] = self.queue.push(tenant=tenant, key=key, item=item)
+
+    @stateful.rule(cost=strategies.sampled_from((0.5, 1.0, 4.0)))
+    def take(self, cost):
+        handle = self.queue.peek()
+        expected = self.naive.next_items()
+        if handle is None:
+            assert not expected
+            return
+        assert handle.item in expected
+        self.queue.take(handle, cost=cost)
+        self.naive.take(handle.item, cost)
+        del self.handles[handle.item]
+
+    @stateful.precondition(lambda self: self.handles)
+    @stateful.rule(data=strategies.data())
+    def remove(self, data):
+        item = data.draw(strategies.sampled_from(sorted(self.handles)))
+        handle = self.handles.pop(item)
+        self.queue.remove(handle)
+        self.queue.remove(handle)
+        self.naive.items.remove(item)
+        self.naive.forget()
+
+    @stateful.rule(tenant=_TENANTS)
+    def displace(self, tenant):
+        """A tenant above its share must not displace another one."""
+        handle = self.queue.find_displaced(tenant)
+        if handle is None:
+            return
+        weights = dict(_WEIGHTS)
+        counts = {t: 0 for t in weights}
+        for item in self.naive.items:
+            counts[item[0]] += 1
+        assert handle.tenant != tenant
+        assert handle.item in self.handles
+        assert (
+            counts[handle.tenant] / weights[handle.tenant]
+            >= counts[tenant] / weights[tenant]
+        )
+
+    @stateful.rule(tenant=_TENANTS, key=strategies.integers(0, 5))
+    def ahead(self, tenant, key):
+        own = sum(i[0] == tenant and i[1] <= key for i in self.naive.items)
+        count = self.queue.ahead(tenant=tenant, key=key)
+        assert own <= count <= len(self.naive.items)
+
+    @stateful.invariant()
+    def sizes_agree(self):
+        assert len(self.queue) == len(self.naive.items) == len(self.handles)
+
+
+FairQueueMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestFairQueue = FairQueueMachine.TestCase
+
+
+def _served(queue, count):
+    shares = {}
+    for _ in range(count):
+        handle = queue.peek()
+        queue.take(handle)
+        shares[handle.tenant] = shares.get(handle.tenant, 0) + 1
+    return shares
+
+
+def test_a_noisy_tenant_does_not_delay_a_quiet_one():
+    queue = limits.FairQueue()
+    for number in range(200):
+        queue.push(tenant="noisy", key=number, item=None)
+    _served(queue, 50)
+    queue.push(tenant="quiet", key=1000, item=None)
+    assert "quiet" in _served(queue, 2)
+
+
+def test_weights_divide_the_slots():
+    queue = limits.FairQueue(weights=(("a", 3.0), ("b", 1.0)))
+    for number in range(100):
+        queue.push(tenant="a", key=number, item=None)
+        queue.push(tenant="b", key=number, item=None)
+    assert _served(queue, 80) == {"a": 60, "b": 20}
+
+
+def test_long_requests_are_charged_for_their_time():
+    """Else a tenant with slow requests takes more than its share."""
+    queue = limits.FairQueue()
+    for number in range(100):
+        queue.push(tenant="slow", key=number, item=None)
+        queue.push(tenant="fast", key=number, item=None)
+    served = {"slow": 0, "fast": 0}
+    for _ in range(88):
+        handle = queue.peek()
+        queue.take(handle, cost=1.0)
+        served[handle.tenant] += 1
+        if handle.tenant == "slow":
+            queue.settle("slow", 9.0)
+    assert 70 <= served["fast"] and served["slow"] <= 9
+
+
+def test_idle_tenants_are_forgotten():
+    """Tenant names come from callers, so their number has no bound."""
+    queue = limits.FairQueue()
+    for number in range(5000):
+        handle = queue.push(tenant=f"t{number}", key=number, item=None)
+        queue.take(handle)
+    assert len(queue._virtual) < 200
--- /dev/null
+++ b/wigeonrouter/limits/_rules_test.py
@@ -0,0 +1,80 @@
+"""Guards admission and spill-over against naive versions of the rules."""
+
+import random
+
+import pytest
+
+from wigeonrouter import limits
+
+_HOLD = limits.HoldTime(mean=0.010, deviation=0.005)
+
+
+@pytest.mark.parametrize(
+    ("ahead", "slots", "remaining", "admitted"),
+    [
+        (0, 2, 0.016, True),
+        (0, 2, 0.014, False),
+        (19, 2, 0.111, True),
+        (19, 2, 0.109, False),
+        (19, 20, 0.021, True),
+        (0, 0, 0.019, False),
+    ],
+)
+def test_requests_without_enough_time_are_refused(
+    ahead, slots, remaining, admitted
+):
+    wait = limits.expected_wait(ahead=ahead, slots=slots, hold=_HOLD)
+    assert admitted == limits.can_finish(
+        remaining=remaining, wait=wait, hold=_HOLD
+    )
+
+
+@pytest.mark.parametrize("slots", [1, 2, 7, 40])
+@pytest.mark.parametrize("ahead", [0, 1, 5, 100])
+def test_the_expected_wait_is_that_of_served_slots(ahead, slots):
+    """Differential: the wait against slots that serve one by one."""
+    free = [index * _HOLD.mean / slots for index in range(1, slots + 1)]
+    for _ in range(ahead):
+        free.sort()
+        free[0] += _HOLD.mean
+    wait = limits.expected_wait(ahead=ahead, slots=slots, hold=_HOLD)
+    assert wait == pytest.approx(min(free))
+
+
+def test_the_hold_time_follows_the_mean():
+    rng = random.Random(3)
+    hold = limits.HoldTime()
+    for _ in range(2000):
+        hold = limits.learn_hold_time(hold, rng.uniform(0.02, 0.04))
+    assert hold.mean == pytest.approx(0.03, rel=0.1)
+    assert hold.deviation == pytest.approx(0.005, rel=0.2)
+
+
+def test_spill_over_does_not_flap_between_the_thresholds():
+    spilling, changes = False, 0
+    for step in range(200):
+        wait = 0.030 + 0.009 * (-1) ** step
+        after = limits.next_spilling(
+            spilling=spilling, expected_wait=wait, price=0.040
+        )
+        changes += after != spilling
+        spilling = after
+    assert changes == 0
+
+
+@pytest.mark.parametrize(
+    ("waits", "expected"),
+    [
+        ((0.01, 0.03, 0.041), (False, False, True)),
+        ((0.05, 0.03, 0.021, 0.019), (True, True, True, False)),
+        ((0.05, 0.019, 0.03), (True, False, False)),
+    ],
+)
+def test_spill_over_starts_at_the_price_and_stops_at_half(waits, expected):
+    spilling, seen = False, []
+    for wait in waits:
+        spilling = limits.next_spilling(
+            spilling=spilling, expected_wait=wait, price=0.040
+        )
+        seen.append(spilling)
+    assert tuple(seen) == expected
