Cap spill-over by requests sent, send ahead only what has waited

Spilled requests of the noisy tenant queue at the servers of other regions, and send-ahead puts the quiet tenant's requests behind others. The cap now counts requests on their way as well, and only a request that has waited for one hold time is sent ahead.

--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -269,7 +269,15 @@
             ):
                 self._refuse_waiting(handle, core.problems.DEADLINE_TOO_SHORT)
                 continue
-            grant = self._choose(request, now, self._candidates())
+            # Only what has waited for long is sent ahead to a full server;
+            # the request of a quiet tenant soon gets a free slot.
+            long_wait = now - handle.rank[0] >= self._hold.mean
+            grant = self._choose(
+                request,
+                now,
+                self._candidates(),
+                waiting=len(self._queue) if long_wait else 0,
+            )
             if grant is None:
                 self._schedule_pump()
                 return
@@ -320,10 +328,8 @@
             allowance = limits.foreign_allowance(
                 slots=self._foreign_slots[region],
                 regions=len(self._foreign_slots) + 1,
-                hold=min(view.latency for view in views),
-                service_time=self._hold.mean,
             )
-            if taken + 1 <= allowance:
+            if taken < allowance:
                 found.extend(views)
         return tuple(found)
 
@@ -336,7 +342,7 @@
             return {}
         return slots
 
-    def _choose(self, request, now, candidates):
+    def _choose(self, request, now, candidates, waiting=0):
         views = candidates
         if request.excluded:
             views = tuple(
@@ -359,7 +365,7 @@
                 now=now,
                 rng=self._rng,
                 sequence=self._sequence,
-                waiting=len(self._queue),
+                waiting=waiting,
                 memory=self._memory,
                 share=self._share,
             ),
--- a/wigeonrouter/limits/_rules_test.py
+++ b/wigeonrouter/limits/_rules_test.py
@@ -78,3 +78,14 @@
         )
         seen.append(spilling)
     assert tuple(seen) == expected
+
+
+@pytest.mark.parametrize(
+    ("slots", "regions", "expected"),
+    [(14, 3, 2), (12, 3, 1), (100, 2, 30), (100, 8, 4), (2, 8, 1)],
+)
+def test_strangers_together_stay_within_their_share(slots, regions, expected):
+    """Else one region that fails takes the next one with it."""
+    allowed = limits.foreign_allowance(slots=slots, regions=regions)
+    assert allowed == expected
+    assert allowed == 1 or allowed * (regions - 1) <= 0.3 * slots
--- a/wigeonrouter/limits/_spill_over.py
+++ b/wigeonrouter/limits/_spill_over.py
@@ -23,20 +23,18 @@
     return expected_wait > price
 
 
-def foreign_allowance(*, slots, regions, hold, service_time):
+def foreign_allowance(*, slots, regions):
     """Return how many requests one region may have in another.
 
-    A request on its way takes no slot there. By Little's law the requests
-    in flight exceed the slots taken by the ratio of the two times.
+    Requests on their way count as well. Counting slots in use alone gives
+    three times the spill-over and harms the other region's tenants more than
+    it helps; see docs/POLICY.md.
 
     Args:
       slots: slots of the other region's servers.
       regions: number of regions that have servers of the service; all but
         one share the allowance.
-      hold: seconds from sending a request there to its answer, 0 if unknown.
-      service_time: seconds that it takes a slot.
     Returns:
-      A float, at least 1.
+      A whole number, at least 1.
     """
-    share = slots * MAX_FOREIGN_RATIO / max(1, regions - 1)
-    return max(1.0, share * max(1.0, hold / service_time))
+    return max(1, int(slots * MAX_FOREIGN_RATIO / max(1, regions - 1)))
