--- a/wigeonrouter/bench/_policy_main.py
+++ b/wigeonrouter/bench/_policy_main.py
@@ -1,10 +1,14 @@
 """The subcommand policy: compares selection policies over a fake clock."""
 
+import dataclasses
+import json
+
 import click
 
 from wigeonrouter import selection
 from wigeonrouter.bench import _policy_bound
 from wigeonrouter.bench import _policy_load
+from wigeonrouter.bench import _policy_plot
 from wigeonrouter.bench import _policy_report
 from wigeonrouter.bench import _policy_run
 from wigeonrouter.bench import _policy_scenarios
@@ -71,6 +75,7 @@
 @click.option("--seconds", default=5.0, show_default=True)
 @click.option("--burst", default=2.0, show_default=True)
 @click.option("--price", type=float, help="price_region_ms")
+@click.option("--output", type=click.Path(), help="JSON file for policy-plot")
 def policy_command(
     deployment,
     service,
@@ -81,9 +86,10 @@
     seconds,
     burst,
     price,
+    output,
 ):
     """Compare selection policies over a fake clock."""
-    rows = []
+    rows, cells = [], []
     for load in loads or _LOADS:
         shape = _policy_load.LoadShape(
             load=load, duration=seconds, burst=burst
@@ -98,10 +104,15 @@
                 steering=steering,
                 overrides={} if price is None else {"price_region_ms": price},
             )
-            rows.append(
-                (f"{load:.0%} {policy}", _policy_report.summarise(results))
+            figures = _policy_report.summarise(results)
+            rows.append((f"{load:.0%} {policy}", figures))
+            cells.append(
+                {"load": load, "policy": policy, **dataclasses.asdict(figures)}
             )
     click.echo(_policy_report.markdown_table(rows))
+    if output:
+        with open(output, "w", encoding="utf-8") as file:
+            json.dump(cells, file)
 
 
 @click.command("policy-scenarios")
@@ -132,3 +143,17 @@
             )
             rows.append((f"{name} / {policy}", figures))
     click.echo(_policy_report.markdown_table(rows))
+
+
+@click.command("policy-plot")
+@click.argument("data", nargs=-1, type=click.Path(exists=True))
+@click.option("--field", default="p99", show_default=True)
+@click.option("--label", default="p99, ms", show_default=True)
+@click.option("--image", required=True, type=click.Path())
+def plot_command(data, field, label, image):
+    """Plot a figure over the load from JSON files of the command policy."""
+    cells = []
+    for path in data:
+        with open(path, encoding="utf-8") as file:
+            cells += json.load(file)
+    _policy_plot.plot_cells(cells=cells, field=field, label=label, path=image)
--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -14,6 +14,7 @@
 main.add_command(_latency.latency)
 main.add_command(_policy_main.policy_command)
 main.add_command(_policy_main.scenarios_command)
+main.add_command(_policy_main.plot_command)
 
 
 if __name__ == "__main__":
