Adapt the bound of slow servers and update views in place

A server whose latency exceeds twice the service's gets fewer requests at once, unless requests wait.

--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -127,7 +127,7 @@
     report: LoadReport | None = None
     latency: float = 0.0
     failure_ratio: float = 0.0
-    limit: int = 2
+    limit: float = 2
     answers: int = 0
     ready_since: float = 0.0
     last_used: float = 0.0
--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -46,8 +46,8 @@
         self._sequence = 0
         self._memory = None
         self._views = {}
-        self._eligible = ()
-        self._local = ()
+        self._eligible = {}
+        self._local = {}
         self._foreign = {}
         self._foreign_slots = {}
         self._hold = limits.HoldTime()
@@ -98,7 +98,9 @@
                 known = dataclasses.replace(known, server=server)
             views[server.name] = known
         self._views = views
-        self._foreign_slots = self._count_foreign_slots()
+        self._foreign_slots = limits.count_foreign_slots(
+            servers=service.servers, region=self._place.region
+        )
         self._refresh()
         self._pump()
 
@@ -209,13 +211,21 @@
             settings=self._service.health,
             now=self._clock(),
         )
-        self._views[grant.server.name] = view
         self._announce_change(before, view)
         local = view.server.place.region == self._place.region
         answered = attempt.outcome is core.Outcome.OK
         if local and answered and not attempt.cancelled:
             self._hold = limits.learn_hold_time(self._hold, attempt.latency)
-        self._refresh()
+            limit = limits.next_limit(
+                limit=view.limit,
+                slots=view.server.slots,
+                latency=view.latency,
+                typical=self._hold.mean,
+                queued=len(self._queue) > 0,
+            )
+            if limit != view.limit:
+                view = dataclasses.replace(view, limit=limit)
+        self._store(view)
         self._pump()
 
     def on_probe(self, *, name, probe):
@@ -312,36 +322,23 @@
 
     def _candidates(self):
         if self._local:
-            return self._local
+            return tuple(self._local.values())
         return self._foreign_candidates()
 
     def _foreign_candidates(self):
         if not self._foreign_slots:
-            return self._eligible
+            return tuple(self._eligible.values())
         found = []
         for region, views in self._foreign.items():
-            taken = sum(
-                view.in_flight
-                for view in self._views.values()
-                if view.server.place.region == region
-            )
+            taken = sum([view.in_flight for view in views.values()])
             allowance = limits.foreign_allowance(
                 slots=self._foreign_slots[region],
                 regions=len(self._foreign_slots) + 1,
             )
             if taken < allowance:
-                found.extend(views)
+                found.extend(views.values())
         return tuple(found)
 
-    def _count_foreign_slots(self):
-        slots = {}
-        for server in self._service.servers:
-            region = server.place.region
-            slots[region] = slots.get(region, 0) + server.slots
-        if slots.pop(self._place.region, None) is None:
-            return {}
-        return slots
-
     def _choose(self, request, now, candidates, waiting=0):
         views = candidates
         if request.excluded:
@@ -375,24 +372,45 @@
         self._memory = choice.memory
         name = choice.server.name
         view = self._views[name]
-        self._views[name] = dataclasses.replace(
-            view, in_flight=view.in_flight + 1, last_used=now
+        self._store(
+            dataclasses.replace(
+                view, in_flight=view.in_flight + 1, last_used=now
+            )
         )
-        self._refresh()
         return core.Grant(server=choice.server, granted=now)
 
+    def _store(self, view):
+        """Take over a view; rebuild the groups only if it changes them."""
+        name, region = view.server.name, view.server.place.region
+        before = self._eligible.get(name)
+        eligible = health.may_get_work(
+            view=view, draining=self._draining_facts
+        )
+        self._views[name] = view
+        if eligible != (before is not None):
+            self._refresh()
+        elif eligible:
+            self._eligible[name] = view
+            if region == self._place.region:
+                self._local[name] = view
+                self._slots += selection.capacity(view)
+                self._slots -= selection.capacity(before)
+            else:
+                self._foreign[region][name] = view
+
     def _refresh(self):
-        self._eligible = tuple(
-            view
-            for view in self._views.values()
+        self._eligible = {
+            name: view
+            for name, view in self._views.items()
             if health.may_get_work(view=view, draining=self._draining_facts)
-        )
-        local, foreign = [], {}
-        for view in self._eligible:
+        }
+        self._local, self._foreign = {}, {}
+        for name, view in self._eligible.items():
             region = view.server.place.region
             if region == self._place.region:
-                local.append(view)
+                self._local[name] = view
             else:
-                foreign.setdefault(region, []).append(view)
-        self._local, self._foreign = tuple(local), foreign
-        self._slots = sum(selection.capacity(view) for view in local)
+                self._foreign.setdefault(region, {})[name] = view
+        self._slots = sum(
+            selection.capacity(view) for view in self._local.values()
+        )
--- a/wigeonrouter/limits/_rules_test.py
+++ b/wigeonrouter/limits/_rules_test.py
@@ -89,3 +89,32 @@
     allowed = limits.foreign_allowance(slots=slots, regions=regions)
     assert allowed == expected
     assert allowed == 1 or allowed * (regions - 1) <= 0.3 * slots
+
+
+@pytest.mark.parametrize(
+    ("latency", "queued", "answers", "expected"),
+    [
+        (0.05, False, 10, 1.0),
+        (0.05, True, 10, 2.0),
+        (0.019, False, 10, 2.0),
+        (0.05, False, 1, 1.5),
+    ],
+)
+def test_a_slow_server_gets_fewer_requests_at_once(
+    latency, queued, answers, expected
+):
+    limit = 2.0
+    for _ in range(answers):
+        limit = limits.next_limit(
+            limit=limit, slots=2, latency=latency, typical=0.01, queued=queued
+        )
+    assert limit == expected
+
+
+def test_the_bound_returns_to_all_slots():
+    limit = 1.0
+    for _ in range(10):
+        limit = limits.next_limit(
+            limit=limit, slots=2, latency=0.01, typical=0.01, queued=False
+        )
+    assert limit == pytest.approx(2.0)
--- a/wigeonrouter/limits/_spill_over.py
+++ b/wigeonrouter/limits/_spill_over.py
@@ -38,3 +38,16 @@
       A whole number, at least 1.
     """
     return max(1, int(slots * MAX_FOREIGN_RATIO / max(1, regions - 1)))
+
+
+def count_foreign_slots(*, servers, region):
+    """Return a dict from each other region to its number of slots.
+
+    It is empty where the region has no server: then there is no spill-over,
+    since all servers are equally far from home.
+    """
+    slots = {}
+    for server in servers:
+        name = server.place.region
+        slots[name] = slots.get(name, 0) + server.slots
+    return slots if slots.pop(region, None) is not None else {}
