--- a/wigeonrouter/selection/_free_slot.py
+++ b/wigeonrouter/selection/_free_slot.py
@@ -15,6 +15,7 @@
 
     Ties are broken at random by starting at a random server.
     """
+    views = _load.without_paused(views, context.now)
     count = len(views)
     start = int(context.rng.random() * count)
     weight = 1000 * context.routing.price_per_ms
