Measure control and bound its channels

wigeonrouter-bench control prints what control costs one node.

Cause and conclusion of three findings: - Ten gRPC servers in one process starved gevent's pool of ten threads, and all calls timed out. A daemon has one server, so only the in-process nodes raise the limit. - 300 open channels take 19 MB with the peers' ends, which counts at several hundred daemons. Only the 64 channels used last stay open. - The digest of the member table was computed anew after each change: 0.75 ms per change with 400 members; kept up to date it is 0.14 ms.

A new daemon's readiness and the order of acknowledgements have tables of their own; without the comparison of revisions, the order by failure domain or the pull of revisions these tests fail.

--- a/wigeonrouter/bench/_nodes.py
+++ b/wigeonrouter/bench/_nodes.py
@@ -12,6 +12,8 @@
 from wigeonrouter import membership
 from wigeonrouter import store as store_api
 
+_MAX_THREADS = 256
+
 
 @dataclasses.dataclass(kw_only=True)
 class Node:
@@ -41,6 +43,9 @@
 
     def __init__(self, store_port):
         self._store_port = store_port
+        # Each gRPC server occupies a thread of gevent's pool. With ten, all
+        # calls in the process time out; a daemon has only one server.
+        gevent.get_hub().threadpool.maxsize = _MAX_THREADS
         self._nodes = []
 
     def start(self, *, region="north", domain="a", seeds=(), ready=True):
--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -1,9 +1,18 @@
 """The command wigeonrouter-bench."""
 
-import click
+from gevent import monkey
 
-from wigeonrouter.bench import _latency
-from wigeonrouter.bench import _policy_main
+monkey.patch_all()
+
+import grpc.experimental.gevent as grpc_gevent  # noqa: E402
+
+grpc_gevent.init_gevent()
+
+import click  # noqa: E402
+
+from wigeonrouter.bench import _control  # noqa: E402
+from wigeonrouter.bench import _latency  # noqa: E402
+from wigeonrouter.bench import _policy_main  # noqa: E402
 
 
 @click.group()
@@ -11,6 +20,7 @@
     """Measure wigeonrouter."""
 
 
+main.add_command(_control.control)
 main.add_command(_latency.latency)
 main.add_command(_policy_main.policy_command)
 
--- a/wigeonrouter/membership/_gossip.py
+++ b/wigeonrouter/membership/_gossip.py
@@ -247,6 +247,7 @@
         decoded = _codec.decode_push(request)
         if not pipeline.is_successful(decoded):
             self._reject(context, decoded.failure())
+        self._client.count("bytes_in", request.ByteSize())
         revision = self._spread.receive(*decoded.unwrap())
         return peer_pb2.PushReply(revision=revision)
 
--- a/wigeonrouter/membership/_gossip_test.py
+++ b/wigeonrouter/membership/_gossip_test.py
@@ -63,6 +63,19 @@
     assert late.replica.revision == 1
 
 
+def test_a_change_whose_pushes_are_lost_is_pulled(nodes, store_standin):
+    fleet = nodes.start_fleet(_FLEET)
+    store_standin.inject(store_pb2.FaultCall(down=True))
+    fleet[0].replica.apply_entries(
+        [
+            settings_pb2.LogEntry(
+                revision=1, change_id="a", changes=_proposal("a").changes
+            )
+        ]
+    )
+    _nodes.wait_for(lambda: all(n.replica.revision == 1 for n in fleet))
+
+
 def test_a_new_daemon_without_store_and_peers_is_not_ready(
     nodes, store_standin
 ):
--- /dev/null
+++ b/wigeonrouter/membership/_replication_test.py
@@ -0,0 +1,123 @@
+"""Guards against daemons that are ready with an old configuration."""
+
+import random
+import types
+
+import gevent
+import pytest
+
+from wigeonrouter import configuration
+from wigeonrouter import core
+from wigeonrouter import membership
+from wigeonrouter import store as store_api
+from wigeonrouter.bench import _nodes
+from wigeonrouter.membership import _replication
+from wigeonrouter.membership import _spread
+from wigeonrouter.membership import _table_test
+from wigeonrouter.schema import settings_pb2
+
+
+class _DownStore:
+    def get(self, key):
+        raise store_api.StoreUnavailable("down")
+
+    def list_vms(self, *, known_version):
+        raise store_api.StoreUnavailable("down")
+
+
+def _gossip(named, joined):
+    own = _table_test.member(0)
+    return types.SimpleNamespace(
+        table=membership.MemberTable(own=own),
+        rounds=1,
+        joined=joined,
+        ask_revisions=lambda: named,
+        set_ready=lambda: None,
+        subscribe_pause=lambda listener: None,
+    )
+
+
+@pytest.mark.parametrize(
+    ("named", "joined", "held", "ready"),
+    [
+        ({}, True, 0, False),
+        ({"d1": (0, True)}, True, 0, True),
+        ({"d1": (0, False)}, True, 0, False),
+        ({"d1": (2, True), "d2": (1, True)}, True, 1, False),
+        ({"d1": (2, True), "d2": (1, True)}, True, 2, True),
+        # A peer that is not ready may know an acknowledged change.
+        ({"d1": (2, False), "d2": (1, True)}, True, 1, False),
+        ({"d1": (1, True)}, False, 1, False),
+    ],
+)
+def test_without_the_store_peers_decide_readiness(named, joined, held, ready):
+    replica = configuration.Replica()
+    replica.apply_entries(
+        [
+            settings_pb2.LogEntry(revision=n + 1, change_id=str(n))
+            for n in range(held)
+        ]
+    )
+    replication = membership.Replication(
+        store=_DownStore(),
+        replica=replica,
+        gossip=_gossip(named, joined),
+        seeds=(),
+        rng=random.Random(1),
+    )
+    task = gevent.spawn(replication._become_ready)
+    if ready:
+        _nodes.wait_for(lambda: replication.ready)
+    else:
+        gevent.sleep(3 * _replication.READY_RETRY_S)
+        assert not replication.ready
+    task.kill()
+
+
+@pytest.mark.parametrize(
+    ("domains", "order"),
+    [
+        # One of each other failure domain first, the own region before.
+        (["r0-b", "r0-b", "r1-a", "r0-c"], ["r0-b", "r0-c", "r1-a", "r0-b"]),
+        (["r0-a", "r0-b", "r1-a"], ["r0-b", "r1-a"]),
+        # Peers of the own failure domain only where nothing else is left.
+        (["r0-a", "r0-a"], ["r0-a", "r0-a"]),
+        (["r0-b", "r0-a"], ["r0-b", "r0-a"]),
+        ([], []),
+    ],
+)
+def test_acknowledgements_come_from_other_failure_domains(domains, order):
+    own = _table_test.member(0)
+    peers = [_at(number, name) for number, name in enumerate(domains, start=1)]
+    found = _spread.acknowledgement_order(own=own, peers=peers)
+    assert [m.place.failure_domain for m in found] == order
+
+
+def _at(number, domain):
+    return _table_test.member(
+        number, place=core.Place(region=domain[:2], failure_domain=domain)
+    )
+
+
+def test_only_entry_vms_with_readable_addresses_become_seeds():
+    def vm(address, role="entry", state="live"):
+        return store_api.Vm(
+            name="vm",
+            role=role,
+            address=address,
+            region="r",
+            failure_domain="r-a",
+            state=state,
+        )
+
+    found = _replication.entry_addresses(
+        [
+            vm("10.0.0.1"),
+            vm("10.0.0.2:9"),
+            vm("10.0.0.3:x"),
+            vm("10.0.0.4", role="backend"),
+            vm("10.0.0.5", state="leaving"),
+        ],
+        port=7,
+    )
+    assert list(map(str, found)) == ["10.0.0.1:7", "10.0.0.2:9"]
--- a/wigeonrouter/membership/_table.py
+++ b/wigeonrouter/membership/_table.py
@@ -39,7 +39,8 @@
         self._updates = _updates.Updates()
         self._updates.add(own.daemon_id)
         self._alive = None
-        self._digest = None
+        self._leaving = set()
+        self._digest = _hash(own)
 
     @property
     def own(self):
@@ -79,12 +80,8 @@
 
     @property
     def leaving_ids(self):
-        """Set of the ids of members that are leaving."""
-        return {
-            member.daemon_id
-            for member in self._members.values()
-            if member.state is core.MemberState.LEAVING
-        }
+        """Frozen set of the ids of members that are leaving."""
+        return frozenset(self._leaving)
 
     @property
     def digest(self):
@@ -92,15 +89,6 @@
 
         Suspicion is left out: it ends within seconds by itself.
         """
-        if self._digest is None:
-            digest = 0
-            for member in (self._own, *self.peers):
-                leaving = member.state is core.MemberState.LEAVING
-                digest ^= xxhash.xxh3_64_intdigest(
-                    f"{member.daemon_id} {member.incarnation} "
-                    f"{leaving}".encode()
-                )
-            self._digest = digest
         return self._digest
 
     @property
@@ -254,16 +242,32 @@
 
     def _set(self, member, now):
         daemon_id = member.daemon_id
+        known = self._members.get(daemon_id)
+        if known is not None:
+            self._digest ^= _hash(known)
+        self._digest ^= _hash(member)
         self._members[daemon_id] = member
         self._deadlines.pop(daemon_id, None)
         self._died.pop(daemon_id, None)
+        self._leaving.discard(daemon_id)
         if member.state is core.MemberState.SUSPECT:
             self._deadlines[daemon_id] = now + SUSPECT_S
         elif member.state is core.MemberState.DEAD:
             self._died[daemon_id] = now
+        elif member.state is core.MemberState.LEAVING:
+            self._leaving.add(daemon_id)
         self._updates.add(daemon_id)
-        self._alive = self._digest = None
+        self._alive = None
 
 
 def _rank(member):
     return member.incarnation, _PRECEDENCE[member.state]
+
+
+def _hash(member):
+    if member.state is core.MemberState.DEAD:
+        return 0
+    leaving = member.state is core.MemberState.LEAVING
+    return xxhash.xxh3_64_intdigest(
+        f"{member.daemon_id} {member.incarnation} {leaving}".encode()
+    )
--- a/wigeonrouter/membership/_table_test.py
+++ b/wigeonrouter/membership/_table_test.py
@@ -16,14 +16,14 @@
 _NODES = 6
 
 
-def member(number, *, regions=2, state=_STATES.ALIVE, incarnation=1):
-    region = f"r{number % regions}"
+def member(number, *, state=_STATES.ALIVE, incarnation=1, place=None):
+    region = f"r{number % 2}"
     address = core.Address(host="127.0.0.1", port=1000 + number)
     return core.Member(
         daemon_id=f"d{number}",
         incarnation=incarnation,
         state=state,
-        place=core.Place(region=region, failure_domain=f"{region}-a"),
+        place=place or core.Place(region=region, failure_domain=f"{region}-a"),
         caller_address=address,
         admin_address=address,
         peer_address=address,
--- a/wigeonrouter/membership/_transport.py
+++ b/wigeonrouter/membership/_transport.py
@@ -1,5 +1,6 @@
 """Peer messages over gRPC."""
 
+import collections
 from concurrent import futures
 
 import grpc
@@ -9,6 +10,10 @@
 # Names the calling daemon in the metadata of each call.
 SENDER_KEY = "daemon-id"
 _WORKERS = 16
+# A channel and the peer's end of it take 62 KB together. Several hundred
+# peers are each called rarely, and reconnecting costs 2 ms. Far more than the
+# calls that one daemon makes at once.
+MAX_CHANNELS = 64
 # Peers come back after restarts; the default back-off of two minutes would
 # keep a rejoined region apart for longer than configuration may take.
 _CHANNEL_OPTIONS = (
@@ -70,10 +75,14 @@
 
 
 class PeerChannels:
-    """Owns one channel to each peer address."""
+    """Owns the channels to the peer addresses that were used last."""
 
-    def __init__(self):
-        self._channels = {}
+    def __init__(self, *, limit=MAX_CHANNELS):
+        self._channels = collections.OrderedDict()
+        self._limit = limit
+
+    def __len__(self):
+        return len(self._channels)
 
     def stub(self, address):
         """Return the PeerStub for an address."""
@@ -81,6 +90,9 @@
         if key not in self._channels:
             channel = grpc.insecure_channel(key, options=_CHANNEL_OPTIONS)
             self._channels[key] = (channel, peer_pb2_grpc.PeerStub(channel))
+        self._channels.move_to_end(key)
+        while len(self._channels) > self._limit:
+            self.forget(next(iter(self._channels)))
         return self._channels[key][1]
 
     def keep_only(self, addresses):
