--- a/wigeonrouter/administration/_registry.py
+++ b/wigeonrouter/administration/_registry.py
@@ -25,10 +25,8 @@
 
     def __init__(self, *, daemon):
         self._daemon = daemon
-        self._tokens = _auth.TokenIndex(
-            replica=daemon.replica,
-            bootstrap_sha256=daemon.settings.bootstrap_token_sha256,
-        )
+        self._bootstrap_sha256 = None
+        self._tokens = None
         self._matches_of = None
         self._matches = {}
 
@@ -44,7 +42,13 @@
 
     @property
     def tokens(self):
-        """The TokenIndex."""
+        """The TokenIndex; a reload can change the bootstrap token."""
+        wanted = self._daemon.settings.bootstrap_token_sha256
+        if self._tokens is None or self._bootstrap_sha256 != wanted:
+            self._bootstrap_sha256 = wanted
+            self._tokens = _auth.TokenIndex(
+                replica=self.replica, bootstrap_sha256=wanted
+            )
         return self._tokens
 
     @property
--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -10,6 +10,7 @@
 
 import click  # noqa: E402
 
+from wigeonrouter.bench import _capacity  # noqa: E402
 from wigeonrouter.bench import _control  # noqa: E402
 from wigeonrouter.bench import _latency  # noqa: E402
 from wigeonrouter.bench import _policy_main  # noqa: E402
@@ -21,6 +22,8 @@
 
 
 main.add_command(_control.control)
+main.add_command(_capacity.capacity)
+main.add_command(_capacity.capacity_part)
 main.add_command(_latency.latency)
 main.add_command(_policy_main.policy_command)
 
--- a/wigeonrouter/cli/_output.py
+++ b/wigeonrouter/cli/_output.py
@@ -60,6 +60,9 @@
         name = str(media.get("type", "")).rpartition(":")[2]
         code = _EXIT_BY_PROBLEM.get(name, EXIT_REFUSED)
         lines = _refusal_lines(name, media)
+        if change_id is not None and name == "internal":
+            # The daemon may have failed after it wrote the change.
+            code = EXIT_UNDETERMINED
     elif isinstance(failure, _client.ReplyLost):
         name, code = "reply-lost", EXIT_UNDETERMINED
         media = {"server": failure.server, "detail": failure.detail}
@@ -106,8 +109,8 @@
 
 def render_change(media):
     """Yield lines on an accepted change."""
-    count = len(media["acknowledged_by"])
-    yield f"revision {media['revision']}, acknowledged by {count} daemons"
+    others = ", ".join(media["acknowledged_by"]) or "no other daemon"
+    yield f"revision {media['revision']}, acknowledged by {others}"
     yield f"change id {media['change_id']}"
 
 
--- a/wigeonrouter/configuration/_checking_test.py
+++ b/wigeonrouter/configuration/_checking_test.py
@@ -63,25 +63,25 @@
             "/x",
             _service(header="h"),
             "/x $.settings.match.service_header",
-            "X-Service h",
+            "service /t/header has the same match: X-Service h",
         ),
         (
             "/x",
             _service(hosts=["a.example"]),
             "/x $.settings.match.hosts",
-            "host a.example",
+            "service /t/host has the same match: host a.example",
         ),
         (
             "/x",
             _service(prefixes=["/p"]),
             "/x $.settings.match.path_prefixes",
-            "host * path /p",
+            "service /t/prefix has the same match: host * path /p",
         ),
         (
             "/x",
             _service(hosts=["b.example"], prefixes=["/p"]),
             "/x $.settings.match.path_prefixes",
-            "host b.example path /p",
+            "service /t/both has the same match: host b.example path /p",
         ),
         (
             "/x",
@@ -94,13 +94,13 @@
             "/x",
             _service(servers=[_ADDRESS] * 2),
             "/x $.settings.groups.g.servers.s1.address",
-            "is already g/s0",
+            f"{_ADDRESS} is already g/s0",
         ),
         (
             "/x",
             _TIMEOUTS,
             "/x $.settings.limits.default_timeout_ms",
-            "5000 is above",
+            "5000 is above max_timeout_ms",
         ),
         ("x", _service(), "x", "bad path"),
         ("/x/../y", _service(), "/x/../y", "bad path"),
@@ -125,8 +125,18 @@
         changes=(settings_pb2.Change(path="/t", settings=settings),),
         policies=("free_slot",),
     )
-    # The mistake is reported once, where it was made.
+    # One error at the node that sets the policy, not one per service.
     assert [error.path for error in errors] == ["/t $.settings.routing.policy"]
+    own = _change("/t/own", _service(header="own", policy="guess"))
+    errors = configuration.check_changes(
+        replica=replica,
+        changes=(settings_pb2.Change(path="/t", settings=settings), own),
+        policies=("free_slot",),
+    )
+    assert {error.path for error in errors} == {
+        "/t $.settings.routing.policy",
+        "/t/own $.settings.routing.policy",
+    }
 
 
 @pytest.mark.parametrize(
--- a/wigeonrouter/membership/_codec.py
+++ b/wigeonrouter/membership/_codec.py
@@ -22,8 +22,15 @@
     core.MemberState.SUSPECT: peer_pb2.SUSPECT,
     core.MemberState.LEAVING: peer_pb2.LEAVING,
     core.MemberState.DEAD: peer_pb2.DEAD,
+    core.MemberState.STARTING: peer_pb2.STARTING,
 }
 _FROM_MESSAGE = {number: state for state, number in _TO_MESSAGE.items()}
+# What a daemon may say of itself.
+_OWN_STATES = (
+    core.MemberState.STARTING,
+    core.MemberState.ALIVE,
+    core.MemberState.LEAVING,
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -105,7 +112,7 @@
         _require(message.revision < MAX_INTEGER, "revision", "too large")
         sender = _member(message.sender, "sender")
         _require(
-            sender.state in (core.MemberState.ALIVE, core.MemberState.LEAVING),
+            sender.state in _OWN_STATES,
             "sender.state",
             f"{sender.state.value} sender",
         )
--- a/wigeonrouter/request_path/_forwarder_test.py
+++ b/wigeonrouter/request_path/_forwarder_test.py
@@ -32,6 +32,7 @@
     "other id": {"raw": _OK + "X-Request-Id: other\r\n\r\nabcd"},
     "bare line feed": {"raw": _OK + "X: a\nX-Outcome: ok\r\n\r\nabcd"},
     "folded": {"raw": _OK + "X: a\r\n b\r\n\r\nabcd"},
+    "switching": {"raw": f"HTTP/1.1 101 Switching\r\n\r\n{_OK}\r\nabcd"},
     "upgrade": {"raw": "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"},
     "endless interim": {"raw": "HTTP/1.1 102 Processing\r\n\r\n" * 50},
 }
@@ -235,6 +236,11 @@
     cancelled.kill()
     pool.put_back(address, held[0])
     assert waiting.get(timeout=5) is held[0]
+    handed = gevent.spawn(
+        pool.checkout, address=address, limit=2, deadline=deadline
+    )
+    gevent.sleep(0)
     pool.discard(address, held[1])
+    handed.kill()
     pool.discard(address, held[0])
     assert pool.in_use == 0
