--- a/wigeonrouter/bench/_failures_test.py
+++ b/wigeonrouter/bench/_failures_test.py
@@ -1,7 +1,4 @@
-"""Guards against lost or old configuration when real processes fail.
-
-Ports: 24000 to 24099.
-"""
+"""Guards against lost or old configuration when real processes fail."""
 
 from concurrent import futures
 import json
@@ -14,10 +11,10 @@
 
 from wigeonrouter import core
 from wigeonrouter import store as store_api
+from wigeonrouter.bench import _ports
 from wigeonrouter.bench import _processes
 from wigeonrouter.schema import store_pb2
 
-_STORE = "127.0.0.1:24000"
 _PLACES = (
     ("north", "north-a"),
     ("north", "north-b"),
@@ -34,7 +31,9 @@
 
     def __init__(self, processes):
         self._processes = processes
-        processes.start_store(_STORE)
+        (self._store,) = _ports.free_addresses(1)
+        self._ports = [_ports.free_ports(3) for _ in _PLACES]
+        processes.start_store(self._store)
         _wait_for(self._store_answers)
         for number in range(4):
             self.start(number)
@@ -43,13 +42,12 @@
     def start(self, number):
         """Start a daemon; it is ready afterwards."""
         region, domain = _PLACES[number]
-        base = 24010 + 10 * number
         self._processes.start_daemon(
             daemon_id=f"d{number}",
             place=core.Place(region=region, failure_domain=domain),
-            ports=(base, base + 1, base + 2),
-            store=_STORE,
-            seeds=["127.0.0.1:24012", "127.0.0.1:24022"],
+            ports=self._ports[number],
+            store=self._store,
+            seeds=[f"127.0.0.1:{ports[2]}" for ports in self._ports[:2]],
         )
 
     def kill(self, number):
@@ -61,13 +59,13 @@
 
     def set_fault(self, **fault):
         client = store_api.open_store(
-            name="tcp", address=core.parse_address(_STORE), timeout=5.0
+            name="tcp", address=core.parse_address(self._store), timeout=5.0
         )
         client.inject(store_pb2.FaultCall(**fault))
         client.close()
 
     def status(self, number):
-        return _call("GET", number, "/v1/status")
+        return self._call("GET", number, "/v1/status")
 
     def accept(self, number, name, base=None):
         """Accept a change; return the reply."""
@@ -75,7 +73,7 @@
         path = f"/v1/config?path=/{name}&change_id={name}"
         if base is not None:
             path += f"&base={base}"
-        return _call("PUT", number, path, document)
+        return self._call("PUT", number, path, document)
 
     def wait_for_revision(self, revision, numbers):
         _wait_for(
@@ -100,6 +98,16 @@
             )
         )
 
+    def _call(self, method, number, path, document=None):
+        request = urllib.request.Request(
+            f"http://127.0.0.1:{self._ports[number][1]}{path}",
+            method=method,
+            data=json.dumps(document).encode() if document else None,
+            headers={"Authorization": f"Bearer {_processes.TOKEN}"},
+        )
+        with urllib.request.urlopen(request, timeout=20) as reply:
+            return json.load(reply)
+
     def _store_answers(self):
         try:
             self.set_fault()
@@ -108,17 +116,6 @@
         return True
 
 
-def _call(method, number, path, document=None):
-    request = urllib.request.Request(
-        f"http://127.0.0.1:{24011 + 10 * number}{path}",
-        method=method,
-        data=json.dumps(document).encode() if document else None,
-        headers={"Authorization": f"Bearer {_processes.TOKEN}"},
-    )
-    with urllib.request.urlopen(request, timeout=20) as reply:
-        return json.load(reply)
-
-
 def _wait_for(condition):
     """Wait; the time only bounds a failing test."""
     ends = time.monotonic() + 60
--- a/wigeonrouter/bench/_nodes.py
+++ b/wigeonrouter/bench/_nodes.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import random
-import socket
 import time
 
 import gevent
@@ -11,6 +10,7 @@
 from wigeonrouter import core
 from wigeonrouter import membership
 from wigeonrouter import store as store_api
+from wigeonrouter.bench import _ports
 
 _MAX_THREADS = 256
 
@@ -51,7 +51,8 @@
     def start(self, *, region="north", domain="a", seeds=(), ready=True):
         """Start a node and wait until it is ready."""
         number = len(self._nodes)
-        address = core.Address(host="127.0.0.1", port=free_port())
+        (port,) = _ports.free_ports(1)
+        address = core.Address(host="127.0.0.1", port=port)
         own = core.Member(
             daemon_id=f"node-{number}",
             incarnation=int(time.time() * 1000),
@@ -120,13 +121,6 @@
             node.stop()
 
 
-def free_port():
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def wait_for(condition, *, seconds=30.0):
     """Wait for a condition.
 
--- a/wigeonrouter/standins/_store.py
+++ b/wigeonrouter/standins/_store.py
@@ -114,6 +114,7 @@
             return
         reply.swapped = True
         self._version += 1
+        self._lease_keys.pop(call.key, None)
         if not call.HasField("value"):
             self._items.pop(call.key, None)
         else:
