--- a/wigeonrouter/bench/_control.py
+++ b/wigeonrouter/bench/_control.py
@@ -19,7 +19,10 @@
 from wigeonrouter import membership
 from wigeonrouter import settings
 from wigeonrouter import standins
+from wigeonrouter import store as store_api
 from wigeonrouter.bench import _nodes
+from wigeonrouter.bench import _ports
+from wigeonrouter.bench import _processes
 from wigeonrouter.membership import _codec
 from wigeonrouter.schema import settings_pb2
 
@@ -30,19 +33,24 @@
 # Services of one team share a parent, as operators' trees do.
 _SERVICES_PER_TEAM = 20
 _REPEATS = 100
+_START_ATTEMPTS = 100
+# Time for which the start of a daemon may still cost processor time.
+_SETTLE_S = 5.0
 
 
 @click.command()
 @click.option("--sizes", default="3,10,30", show_default=True)
 @click.option("--tables", default="20,100,400", show_default=True)
 @click.option("--trees", default="170:1500,850:7500,1700:15000")
+@click.option("--processes", default=3, show_default=True)
 @click.option("--seconds", default=20.0, show_default=True, help="per size")
 @click.option("--seed", default=1, show_default=True)
-def control(sizes, tables, trees, seconds, seed):
+def control(sizes, tables, trees, processes, seconds, seed):
     """Print processor time, memory, bytes and spreading time of control.
 
     Sizes are numbers of daemons that really call each other, tables are
-    numbers of simulated members, and trees are services:upstreams.
+    numbers of simulated members, and trees are services:upstreams. The last
+    tree is loaded into daemons that are processes of their own.
     """
     for size in map(int, sizes.split(",")):
         measure_daemons(size, seconds, seed)
@@ -54,6 +62,7 @@
         subprocess.run(
             [sys.executable, "-m", __name__, *tree.split(":")], check=True
         )
+    measure_processes(processes, *map(int, tree.split(":")), seconds)
 
 
 def emit(name, value, unit):
@@ -245,6 +254,64 @@
     )
 
 
+def measure_processes(count, services, upstreams, seconds):
+    """Measure whole daemon processes that serve no request."""
+    with _processes.Fleet() as fleet:
+        (store,) = _ports.free_addresses(1)
+        ports = [_ports.free_ports(3) for _ in range(count)]
+        fleet.start_store(store)
+        client = store_api.open_store(
+            name="tcp", address=core.parse_address(store), timeout=5.0
+        )
+        entry = settings_pb2.LogEntry(revision=1, change_id="tree")
+        entry.changes.add(path="/", node=build_tree(services, upstreams))
+        _write_first(client, entry)
+        for number in range(count):
+            fleet.start_daemon(
+                daemon_id=f"d{number}",
+                place=core.Place(
+                    region="r0", failure_domain=f"r0-{number % 2}"
+                ),
+                ports=ports[number],
+                store=store,
+                seeds=[f"127.0.0.1:{ports[0][2]}"],
+            )
+        gevent.sleep(_SETTLE_S)
+        pids = [fleet.pid(f"d{number}") for number in range(count)]
+        before = [_cpu_seconds(pid) for pid in pids]
+        gevent.sleep(seconds)
+        used = [
+            _cpu_seconds(pid) - cpu
+            for pid, cpu in zip(pids, before, strict=True)
+        ]
+        name = f"processes.{count}.{services}.{upstreams}"
+        emit(f"{name}.cpu_max", 100 * max(used) / seconds, "% of a core")
+        emit(f"{name}.memory_max", max(map(resident_bytes, pids)) / 1e6, "MB")
+
+
+def _write_first(client, entry):
+    """Write revision 1 once the store answers."""
+    for _ in range(_START_ATTEMPTS):
+        try:
+            client.compare_and_swap(
+                key=configuration.log_key(1),
+                expected_version=0,
+                value=entry.SerializeToString(),
+            )
+            return
+        except store_api.StoreUnavailable:
+            gevent.sleep(0.1)
+    raise click.ClickException("the store stand-in does not answer")
+
+
+def _cpu_seconds(pid):
+    """Return the processor time of a process."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    # Fields 14 and 15 of the whole line: user and system time.
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 def build_tree(services, upstreams):
     """Return a settings_pb2.Node like that of a large deployment."""
     root = settings_pb2.Node()
@@ -294,9 +361,9 @@
     return statistics.median(times)
 
 
-def resident_bytes():
-    """Return the resident memory of this process."""
-    with open("/proc/self/statm", encoding="ascii") as file:
+def resident_bytes(pid="self"):
+    """Return the resident memory of a process."""
+    with open(f"/proc/{pid}/statm", encoding="ascii") as file:
         return int(file.read().split()[1]) * _PAGE_BYTES
 
 
