--- a/wigeonrouter/membership/_gossip.py
+++ b/wigeonrouter/membership/_gossip.py
@@ -9,6 +9,7 @@
 
 from wigeonrouter.membership import _client
 from wigeonrouter.membership import _codec
+from wigeonrouter.membership import _exchanges
 from wigeonrouter.membership import _facts
 from wigeonrouter.membership import _schedule
 from wigeonrouter.membership import _spread
@@ -54,20 +55,28 @@
             client=self._client,
             replica=replica,
         )
+        self._news = event.Event()
+        self._exchanges = _exchanges.Exchanges(
+            table=self._table,
+            facts=self._facts,
+            client=self._client,
+            spread=self._spread,
+            replica=replica,
+            rng=rng,
+            clock=clock,
+            wall_clock=wall_clock,
+            on_news=self._news.set,
+        )
         self._seeds = tuple(seeds)
         self._replica = replica
         self._rng = rng
         self._claims = claims
         self._clock = clock
-        self._wall_clock = wall_clock
         # A replaced daemon has lost the ids that it claimed.
         self._claimant = f"{own.daemon_id}~{own.instance}"
-        self._fact_listeners = []
         self._pause_listeners = []
-        self._joined = self._ready = False
         self._rounds = 0
         self._last_full = self._last_repair = self._last_seed = 0.0
-        self._news = event.Event()
         self._tasks = []
 
     @property
@@ -83,7 +92,7 @@
     @property
     def joined(self):
         """Whether a peer's whole member table was received."""
-        return self._joined
+        return self._exchanges.joined
 
     @property
     def rounds(self):
@@ -110,14 +119,14 @@
             address=str(address),
             state=state,
             source=source,
-            now_ms=self._now_ms(),
+            now_ms=self._exchanges.now_ms(),
         )
-        self._notify_facts([fact])
+        self._exchanges.notify_facts([fact])
         return fact
 
     def subscribe_facts(self, listener):
         """Call listener(facts) after changes, with the tuple of all facts."""
-        self._fact_listeners.append(listener)
+        self._exchanges.subscribe_facts(listener)
 
     def subscribe_pause(self, listener):
         """Call listener(seconds) after this process did not run so long."""
@@ -125,7 +134,7 @@
 
     def set_ready(self):
         """Let new daemons rely on the revision that this one names."""
-        self._ready = True
+        self._exchanges.set_ready()
 
     def set_seeds(self, seeds):
         """Replace the peer addresses that are tried besides the members."""
@@ -189,7 +198,7 @@
         named = {}
 
         def ask(peer):
-            reply = self._exchange(peer)
+            reply = self._exchanges.exchange(peer)
             if reply is not None:
                 named[peer.daemon_id] = reply.revision, reply.ready
 
@@ -202,42 +211,47 @@
     def exchange_once(self):
         """Exchange with the peer whose turn it is, and with lost ones."""
         now = self._clock()
-        if not self._joined:
+        if not self._exchanges.joined:
             self._join()
         peer = self._schedule.next_peer()
         if peer is not None:
             self._try_peer(peer)
         dead = self._schedule.next_dead(now=now)
-        if dead is not None and self._exchange(dead, full=True) is not None:
+        if (
+            dead is not None
+            and self._exchanges.exchange(dead, full=True) is not None
+        ):
             self._schedule.hurry_dead()
         self._try_seed(now)
         self._table.expire(now=self._clock())
-        forgotten = self._facts.expire(now_ms=self._now_ms())
+        forgotten = self._facts.expire(now_ms=self._exchanges.now_ms())
         if forgotten:
-            self._notify_facts([])
+            self._exchanges.notify_facts([])
         self._rounds += 1
 
     # Servicer methods; gRPC fixes their names.
 
     def Exchange(self, request, context):
-        decoded = _codec.decode_gossip(request, now_ms=self._now_ms())
+        decoded = _codec.decode_gossip(
+            request, now_ms=self._exchanges.now_ms()
+        )
         if not pipeline.is_successful(decoded):
             self._reject(context, decoded.failure())
         gossip = decoded.unwrap()
-        self._absorb(gossip)
+        self._exchanges.absorb(gossip)
         if gossip.revision > self._replica.revision:
             gevent.spawn(
                 self._spread.fetch,
                 gossip.sender.peer_address,
                 revision=gossip.revision,
             )
-        reply = self._message(
+        reply = self._exchanges.message(
             receiver=gossip.sender.daemon_id, full=gossip.full
         )
         reply.full = gossip.full
         if gossip.facts_parts and gossip.facts_digest != self._facts.digest:
             reply.facts_parts.extend(self._facts.parts)
-            reply.facts.extend(self._differing(gossip.facts_parts))
+            reply.facts.extend(self._exchanges.differing(gossip.facts_parts))
         self._client.count("bytes_in", request.ByteSize())
         self._client.count("bytes_out", reply.ByteSize())
         return reply
@@ -248,7 +262,7 @@
         )
         if not pipeline.is_successful(decoded):
             self._reject(context, decoded.failure())
-        reply = self._exchange_address(decoded.unwrap())
+        reply = self._exchanges.exchange_address(decoded.unwrap())
         return peer_pb2.ProbeForReply(
             reached=reply is not None
             and reply.sender.daemon_id == request.target_id
@@ -282,7 +296,7 @@
         while True:
             self._news.wait()
             self._news.clear()
-            self._exchange_all(self._schedule.push_targets())
+            self._exchanges.exchange_all(self._schedule.push_targets())
             gevent.sleep(HURRY_INTERVAL_S)
 
     def _resume(self, seconds):
@@ -295,15 +309,16 @@
         self._client.count("pauses")
         for listener in self._pause_listeners:
             listener(seconds)
-        self._exchange_all(self._schedule.push_targets(), full=True)
+        self._exchanges.exchange_all(self._schedule.push_targets(), full=True)
         self._news.set()
 
     def _join(self):
         for address in self._unknown_seeds(all_seeds=True):
-            reply = self._exchange_address(address, full=True)
+            reply = self._exchanges.exchange_address(address, full=True)
             if reply is not None:
-                self._joined = True
-                self._repair_facts(address, rounds=JOIN_REPAIR_ROUNDS)
+                self._exchanges.repair_facts(
+                    address, rounds=JOIN_REPAIR_ROUNDS
+                )
                 return
 
     def _try_seed(self, now):
@@ -312,7 +327,9 @@
         self._last_seed = now
         unknown = self._unknown_seeds()
         if unknown:
-            self._exchange_address(self._rng.choice(unknown), full=True)
+            self._exchanges.exchange_address(
+                self._rng.choice(unknown), full=True
+            )
         self._client.keep_only(
             [member.peer_address for member in self._table.members]
         )
@@ -328,21 +345,21 @@
         full = (
             self._table.settled and started - self._last_full > FULL_INTERVAL_S
         )
-        reply = self._exchange(peer)
+        reply = self._exchanges.exchange(peer)
         if reply is None:
             if self._clock() - started < PAUSE_S:
                 gevent.spawn(self._probe_indirectly, peer)
             return
         if full and reply.members_digest != self._table.digest:
             self._last_full = started
-            self._exchange(peer, full=True)
+            self._exchanges.exchange(peer, full=True)
         if (
             reply.facts_digest != self._facts.digest
             and self._facts.settled
             and started - self._last_repair > REPAIR_INTERVAL_S
         ):
             self._last_repair = started
-            self._repair_facts(peer.peer_address, rounds=1)
+            self._exchanges.repair_facts(peer.peer_address, rounds=1)
 
     def _probe_indirectly(self, peer):
         request = peer_pb2.ProbeForRequest(
@@ -362,110 +379,13 @@
         if not any(probe.value and probe.value.reached for probe in probes):
             self._table.suspect(peer.daemon_id, now=self._clock())
 
-    def _repair_facts(self, address, *, rounds):
-        """Exchange the facts in the parts of the table that differ."""
-        owed = []
-        for _ in range(rounds):
-            reply = self._exchange_address(address, parts=True, facts=owed)
-            if reply is None or not reply.facts_parts:
-                return
-            owed = self._differing(reply.facts_parts)
-
-    def _differing(self, parts):
-        return [
-            _codec.fact_to_message(fact)
-            for fact in self._facts.differing(parts, rng=self._rng)
-        ]
-
     def _announce(self):
         peers = list(self._table.peers)
         self._rng.shuffle(peers)
         asked = peers[:ANNOUNCE_PEERS]
-        told = self._exchange_all(asked, timeout=ANNOUNCE_TIMEOUT_S)
+        told = self._exchanges.exchange_all(asked, timeout=ANNOUNCE_TIMEOUT_S)
         return told, len(asked)
 
-    def _exchange_all(self, peers, *, full=False, timeout=None):
-        """Exchange with peers at once; return the number that answered."""
-        tasks = [gevent.spawn(self._exchange, p, full=full) for p in peers]
-        gevent.joinall(tasks, timeout=timeout)
-        return sum(task.value is not None for task in tasks)
-
-    def _exchange(self, peer, *, full=False):
-        reply = self._exchange_address(
-            peer.peer_address, receiver=peer.daemon_id, full=full
-        )
-        if reply is None or reply.sender.daemon_id != peer.daemon_id:
-            return None
-        return reply
-
-    def _exchange_address(
-        self, address, *, receiver=None, full=False, parts=False, facts=()
-    ):
-        """Exchange with an address.
-
-        Returns:
-          The decoded reply, or None where there was none that can be used.
-        """
-        request = self._message(receiver=receiver, full=full)
-        request.facts.extend(facts)
-        if parts:
-            request.facts_parts.extend(self._facts.parts)
-        reply = self._client.call("Exchange", address, request)
-        if reply is None:
-            return None
-        decoded = _codec.decode_gossip(reply, now_ms=self._now_ms())
-        if not pipeline.is_successful(decoded):
-            self._client.count("malformed")
-            return None
-        gossip = decoded.unwrap()
-        self._absorb(gossip)
-        if gossip.revision > self._replica.revision:
-            self._spread.fetch(address, revision=gossip.revision)
-        return gossip
-
-    def _message(self, *, receiver, full):
-        if full:
-            members = (self._table.own, *self._table.peers)
-            known = self._table.find(receiver)
-            if known is not None and known not in members:
-                members += (known,)
-        else:
-            members = self._table.take_updates(receiver=receiver)
-        facts = self._facts.take_updates(sends=self._table.max_sends)
-        return peer_pb2.GossipMessage(
-            sender=_codec.member_to_message(self._table.own),
-            revision=self._replica.revision,
-            members=map(_codec.member_to_message, members),
-            facts=map(_codec.fact_to_message, facts),
-            facts_digest=self._facts.digest,
-            members_digest=self._table.digest,
-            full=full,
-            ready=self._ready,
-        )
-
-    def _absorb(self, gossip):
-        now = self._clock()
-        own = self._table.own
-        leaving = self._table.leaving_ids
-        self._joined = self._joined or gossip.full
-        self._table.merge(gossip.sender, now=now, direct=True)
-        for member in gossip.members:
-            self._table.merge(member, now=now)
-        changed = self._facts.merge(gossip.facts, now_ms=self._now_ms())
-        if changed:
-            self._notify_facts(changed)
-        if self._table.own is not own or self._table.leaving_ids - leaving:
-            self._news.set()
-
-    def _notify_facts(self, changed):
-        for listener in self._fact_listeners:
-            listener(self.facts)
-        if changed:
-            self._news.set()
-
     def _reject(self, context, malformed):
         self._client.count("malformed")
         context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(malformed))
-
-    def _now_ms(self):
-        return int(self._wall_clock() * 1000)
--- a/wigeonrouter/membership/_gossip_test.py
+++ b/wigeonrouter/membership/_gossip_test.py
@@ -190,7 +190,7 @@
         address="127.0.0.1:9",
         state="draining",
         source="operator",
-        now_ms=first.gossip._now_ms(),
+        now_ms=first.gossip._exchanges.now_ms(),
     )
     first.gossip._facts.take_updates(sends=1)
     _nodes.wait_for(lambda: second.gossip.facts)
