Replace one view in place rather than rebuild the lists

The lists are rebuilt only where the eligibility, the proof or the capacity of the changed server differs.

--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -46,9 +46,12 @@
         self._sequence = 0
         self._memory = None
         self._views = {}
-        self._eligible = ()
-        self._local = ()
+        self._eligible = []
+        self._local = []
         self._foreign = {}
+        # Where each eligible view stands: (list, index) pairs.
+        self._positions = {}
+        self._some_unproved = False
         self._foreign_slots = {}
         self._hold = limits.HoldTime()
         self._slots = 0
@@ -209,13 +212,12 @@
             settings=self._service.health,
             now=self._clock(),
         )
-        self._views[grant.server.name] = view
+        self._put(view)
         self._announce_change(before, view)
         local = view.server.place.region == self._place.region
         answered = attempt.outcome is core.Outcome.OK
         if local and answered and not attempt.cancelled:
             self._hold = limits.learn_hold_time(self._hold, attempt.latency)
-        self._refresh()
         self._pump()
 
     def on_probe(self, *, name, probe):
@@ -347,7 +349,7 @@
         views = views or candidates
         if not views:
             return None
-        if not request.kind.idempotent:
+        if self._some_unproved and not request.kind.idempotent:
             views = health.proved_views(views)
         self._sequence += 1
         choice = self._policy(
@@ -369,24 +371,49 @@
         self._memory = choice.memory
         name = choice.server.name
         view = self._views[name]
-        self._views[name] = dataclasses.replace(
-            view, in_flight=view.in_flight + 1, last_used=now
+        self._put(
+            dataclasses.replace(
+                view, in_flight=view.in_flight + 1, last_used=now
+            )
         )
-        self._refresh()
         return core.Grant(server=choice.server, granted=now)
 
-    def _refresh(self):
-        self._eligible = tuple(
-            view
-            for view in self._views.values()
-            if health.may_get_work(view=view, draining=self._draining_facts)
+    def _put(self, view):
+        """Replace one view; the lists are rebuilt only where they change."""
+        name = view.server.name
+        before, self._views[name] = self._views[name], view
+        if self._listing(before) != self._listing(view):
+            self._refresh()
+            return
+        for views, index in self._positions.get(name, ()):
+            views[index] = view
+
+    def _listing(self, view):
+        """Return all that _refresh() takes from a view but the view itself."""
+        return (
+            health.may_get_work(view=view, draining=self._draining_facts),
+            health.is_unproved(view),
+            selection.capacity(view),
         )
-        local, foreign = [], {}
-        for view in self._eligible:
+
+    def _refresh(self):
+        self._eligible, self._local, self._foreign = [], [], {}
+        self._positions = {}
+        for view in self._views.values():
+            if not health.may_get_work(
+                view=view, draining=self._draining_facts
+            ):
+                continue
             region = view.server.place.region
             if region == self._place.region:
-                local.append(view)
+                near = self._local
             else:
-                foreign.setdefault(region, []).append(view)
-        self._local, self._foreign = tuple(local), foreign
-        self._slots = sum(selection.capacity(view) for view in local)
+                near = self._foreign.setdefault(region, [])
+            self._positions[view.server.name] = (
+                (self._eligible, len(self._eligible)),
+                (near, len(near)),
+            )
+            self._eligible.append(view)
+            near.append(view)
+        self._some_unproved = any(map(health.is_unproved, self._eligible))
+        self._slots = sum(map(selection.capacity, self._local))
--- a/wigeonrouter/health/__init__.py
+++ b/wigeonrouter/health/__init__.py
@@ -14,6 +14,7 @@
 after_return = _rules.after_return
 after_probe = _rules.after_probe
 may_get_work = _rules.may_get_work
+is_unproved = _rules.is_unproved
 needs_probe = _rules.needs_probe
 new_view = _rules.new_view
 next_state = _rules.next_state
--- a/wigeonrouter/health/_rules.py
+++ b/wigeonrouter/health/_rules.py
@@ -181,7 +181,7 @@
     return view.state in (
         core.ServerState.DRAINING,
         core.ServerState.EJECTED,
-    ) or _is_unproved(view)
+    ) or is_unproved(view)
 
 
 def proved_views(views):
@@ -191,7 +191,7 @@
     an idempotent request, which lose nothing. Where no other server is left
     all views are returned.
     """
-    return tuple(view for view in views if not _is_unproved(view)) or views
+    return tuple(view for view in views if not is_unproved(view)) or views
 
 
 def new_view(*, server, now, known_group):
@@ -280,7 +280,8 @@
     )
 
 
-def _is_unproved(view):
+def is_unproved(view):
+    """Return whether a server is back but has not proved itself yet."""
     return (
         view.state is core.ServerState.COLD
         and view.ejections > 0
