--- a/wigeonrouter/dispatch/_view_lists_test.py
+++ b/wigeonrouter/dispatch/_view_lists_test.py
@@ -43,7 +43,7 @@
             )
             if isinstance(grant, core.Grant):
                 held.append(grant)
-        held = [grant for grant in held if isinstance(grant, core.Grant)]
+        held[:] = [each for each in held if isinstance(each, core.Grant)]
         dispatcher.advance()
         _check(dispatcher)
 
