--- a/wigeonrouter/request_path/_response_reader.py
+++ b/wigeonrouter/request_path/_response_reader.py
@@ -8,7 +8,6 @@
 
 # A server that sends nothing but interim responses is faulty.
 _MAX_INTERIM_RESPONSES = 8
-_SWITCHING_PROTOCOLS = 101
 _MALFORMED = _messages.MalformedMessage
 _INVALID = core.problems.ANSWER_INVALID
 
@@ -76,13 +75,11 @@
     try:
         parser.feed_data(head)
     except httptools.HttpParserUpgrade as error:
+        # Also raised for any status 101.
         raise _MALFORMED(_INVALID, "protocol upgrade") from error
     except httptools.HttpParserError as error:
         raise _MALFORMED(_INVALID, str(error)) from error
-    status = parser.get_status_code()
-    if status == _SWITCHING_PROTOCOLS:
-        raise _MALFORMED(_INVALID, "protocol upgrade")
-    return collector, parser.get_http_version(), status
+    return collector, parser.get_http_version(), parser.get_status_code()
 
 
 def _keeps_alive(fields, version):
