Make three tests fail without their mechanism

Each passed while its mechanism was taken out: the cancellation of a task that was just handed a permit, the rule that writes are not hedged (no write had been seen before), and the cancellation of the losing attempt (its own deadline ended it in time).

--- a/wigeonrouter/request_path/_forwarder_test.py
+++ b/wigeonrouter/request_path/_forwarder_test.py
@@ -240,7 +240,9 @@
         pool.checkout, address=address, limit=2, deadline=deadline
     )
     gevent.sleep(0)
+    # The task is cancelled between the hand-over and its wake-up.
+    gevent.get_hub().loop.run_callback(handed.throw, gevent.GreenletExit)
     pool.discard(address, held[1])
-    handed.kill()
+    handed.join(timeout=5)
     pool.discard(address, held[0])
     assert pool.in_use == 0
--- a/wigeonrouter/request_path/_hedging_test.py
+++ b/wigeonrouter/request_path/_hedging_test.py
@@ -15,14 +15,14 @@
 
 @pytest.fixture
 def hedged_path(path):
-    """A path that has seen enough reads to hedge them."""
+    """A path that has seen enough requests to hedge them."""
     path.configure(
         retries=core.RetrySettings(hedge_quantile=0.9, max_attempts=1)
     )
     with path.connect() as sock:
-        for _ in range(60):
-            sock.sendall(render("GET"))
-            assert receive_answer(sock, "GET").status == 200
+        for method in ["GET", "POST"] * 60:
+            sock.sendall(render(method))
+            assert receive_answer(sock, method).status == 200
     return path
 
 
@@ -37,7 +37,13 @@
     )
     before = len(slow.runs)
     for number in range(3):
-        answer = send(hedged_path, "GET", request_id=f"r{number}")
+        # Without the cancellation the slow attempt would last this long.
+        answer = send(
+            hedged_path,
+            "GET",
+            request_id=f"r{number}",
+            X_Request_Timeout_Ms=30_000,
+        )
         assert answer.status == 200
     assert len(slow.runs) > before
     wait_until(lambda: slow.in_flight == 0)
@@ -64,7 +70,7 @@
 def test_a_caller_that_leaves_cancels_both_attempts(hedged_path):
     hedged_path.set_faults(_HANGS, _HANGS)
     sock = hedged_path.connect()
-    sock.sendall(render("GET", request_id="r"))
+    sock.sendall(render("GET", request_id="r", X_Request_Timeout_Ms=30_000))
     wait_until(lambda: hedged_path.runs("r") == 2)
     sock.close()
     for backend in hedged_path.backends:
