--- a/wigeonrouter/administration/_app_test.py
+++ b/wigeonrouter/administration/_app_test.py
@@ -1,5 +1,7 @@
 """Guards against changes and reads that the API must refuse, or vice versa."""
 
+import dataclasses
+
 import gevent
 import pytest
 
@@ -271,6 +273,16 @@
     assert client.daemon.drained == [(address, True, "/a#operator")]
 
 
+def test_a_reload_rolls_the_bootstrap_token(client):
+    client.daemon.settings = dataclasses.replace(
+        client.daemon.settings,
+        bootstrap_token_sha256=administration.hash_token("new-root"),
+    )
+    assert client.send("GET", "/v1/config", token="root").status_code == 401
+    reply = client.send("GET", "/v1/config", token="new-root")
+    assert reply.status_code == 200
+
+
 def test_status_shows_the_traffic_of_readable_services_only(client):
     reply = client.send("GET", "/v1/status", token="a-reader")
     assert [row["service"] for row in reply.json["requests"]] == ["/a/x"]
--- a/wigeonrouter/cli/main_test.py
+++ b/wigeonrouter/cli/main_test.py
@@ -11,6 +11,7 @@
 import pytest
 
 from wigeonrouter import administration
+from wigeonrouter import observability
 from wigeonrouter.administration import conftest
 from wigeonrouter.cli import _output
 from wigeonrouter.cli import main as cli
@@ -235,3 +236,16 @@
         if name.startswith("EXIT_")
     }
     assert codes == known | {"0", "2"}
+
+
+def test_the_operations_page_lists_all_metrics():
+    page = (_DOCS / "operations.md").read_text(encoding="utf-8")
+    listed = set(re.findall(r"^\| `(wigeonrouter_\w+)`", page, re.MULTILINE))
+    text = observability.expose(
+        metrics=observability.Metrics(),
+        gauges=observability.Gauges(
+            revision=0, ready=True, members={}, services=(), arriving=0
+        ),
+    )
+    exposed = re.findall(r"^# TYPE (\w+)", text.decode(), re.MULTILINE)
+    assert set(exposed) == listed
