Use mutual TLS between daemons and replace certificates on SIGHUP

A server certificate has to name the IP address that is connected to; a client certificate's common name has to be the daemon id that the call states in its metadata and in the message. New server connections take the newest files, SIGHUP opens new client channels, and the files are checked before they are used. wigeonrouter-keys makes authorities and certificates.

Authorities get different subjects: with equal ones gRPC looked only at the first, and rolling from one authority to another failed.

Each test was seen to fail without its mechanism, except for the demand for a client certificate, which the check of the common name repeats.

--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -59,6 +59,7 @@
             lines_per_second=settings.log_lines_per_second
         )
         self._store = _open_store(settings)
+        self._tls = _reload.load_tls(settings)
         started_ms = int(time.time() * 1000)
         own = core.Member(
             daemon_id=settings.daemon_id,
@@ -76,6 +77,7 @@
             replica=self._replica,
             rng=self._rng,
             claims=self._answer_claim,
+            tls=self._tls,
         )
         self._replication = membership.Replication(
             store=self._store,
@@ -88,7 +90,9 @@
         )
         with _failures.listening("peer_address", settings.peer_address):
             self._peer_server = membership.PeerServer(
-                address=settings.peer_address, servicer=self._gossip
+                address=settings.peer_address,
+                servicer=self._gossip,
+                tls=self._tls,
             )
         self._handler = request_path.RequestHandler(
             place=settings.place,
@@ -226,6 +230,16 @@
           wanted: settings.DaemonSettings from the changed file.
         """
         plan = _reload.plan_reload(current=self._settings, wanted=wanted)
+        if self._tls is not None:
+            try:
+                self._tls.load(**_reload.tls_files(plan.settings))
+            except OSError as error:
+                _log.error(
+                    "TLS files rejected, nothing changed",
+                    extra={"error": str(error)},
+                )
+                return
+            self._gossip.renew_channels()
         self._settings = plan.settings
         self._longest_entry_ttl = max(
             self._longest_entry_ttl, plan.settings.entry_ttl
--- a/wigeonrouter/daemon/_reload.py
+++ b/wigeonrouter/daemon/_reload.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+from wigeonrouter import membership
+from wigeonrouter.daemon import _failures
+
 # The others name addresses and places that peers and callers know, or were
 # used to open connections; they need a restart.
 CHANGEABLE = frozenset(
@@ -56,3 +59,26 @@
         changed=tuple(sorted(changed)),
         kept=tuple(sorted(differing - changed)),
     )
+
+
+def tls_files(settings):
+    """Return the arguments of membership.PeerTls."""
+    return {
+        "authority_files": settings.tls_authority_files,
+        "certificate_file": settings.tls_certificate_file,
+        "key_file": settings.tls_key_file,
+    }
+
+
+def load_tls(settings):
+    """Return a membership.PeerTls, or None where peers use none.
+
+    Raises:
+      StartFailed: the files cannot be used.
+    """
+    if not settings.tls_key_file:
+        return None
+    try:
+        return membership.PeerTls(**tls_files(settings))
+    except OSError as error:
+        raise _failures.StartFailed(f"peer_tls: {error}") from error
--- a/wigeonrouter/daemon/main_test.py
+++ b/wigeonrouter/daemon/main_test.py
@@ -9,10 +9,15 @@
 import sys
 import time
 
+import grpc
 import pytest
 
 from wigeonrouter import core
+from wigeonrouter import keys
+from wigeonrouter import membership
 from wigeonrouter.bench import _processes
+from wigeonrouter.membership import _transport
+from wigeonrouter.schema import peer_pb2
 
 _STORE = "127.0.0.1:27950"
 _SETTINGS = {
@@ -44,6 +49,10 @@
         ({"caller_address": "127.0.0.1:99999"}, ["caller_address"]),
         ({"admin_address": "127.0.0.999:27201"}, ["admin_address"]),
         ({"store": {"address": _STORE, "adapter": "none"}}, ["store"]),
+        (
+            {"peer_tls": {"certificate_file": "/x", "key_file": "/y"}},
+            ["peer_tls"],
+        ),
     ],
 )
 def test_wrong_settings_exit_with_78(tmp_path, changes, lines):
@@ -100,6 +109,13 @@
         return json.loads(connection.getresponse().read())["ttl_ms"]
 
 
+def _wait(condition):
+    ends = time.monotonic() + 20
+    while not condition():
+        assert time.monotonic() < ends
+        time.sleep(0.05)
+
+
 def _wait_for_line(fleet, message):
     ends = time.monotonic() + 20
     while time.monotonic() < ends:
@@ -138,3 +154,85 @@
     assert _ttl_ms() == before
     fleet.send_signal("entry-1", signal.SIGTERM)
     assert fleet.wait("entry-1") == 0
+
+
+def _peer_tls(folder, daemon_id, signer, accepted):
+    return {
+        "authority_files": [
+            str(folder / name / "authority.pem") for name in accepted
+        ],
+        "certificate_file": str(folder / signer / f"{daemon_id}.pem"),
+        "key_file": str(folder / signer / f"{daemon_id}-key.pem"),
+    }
+
+
+def _is_served(folder, signer):
+    """Return whether entry-1 serves entry-2 with a signer's certificate."""
+    tls = membership.PeerTls(
+        **_peer_tls(folder, "entry-2", signer, ["old", "new"])
+    )
+    channels = _transport.PeerChannels(tls=tls)
+    stub = channels.stub(core.parse_address("127.0.0.1:27202"))
+    request = peer_pb2.ClaimRequest(request_id="x", claimant="entry-2~1")
+    try:
+        stub.Claim(
+            request,
+            timeout=5,
+            metadata=((_transport.SENDER_KEY, "entry-2"),),
+        )
+    except grpc.RpcError:
+        return False
+    finally:
+        channels.close()
+    return True
+
+
+def test_daemons_replace_their_certificates_without_a_restart(tmp_path):
+    """Guards against daemons that need a restart for a new authority."""
+    names = ("entry-1", "entry-2")
+    for signer in ("old", "new"):
+        (tmp_path / signer).mkdir()
+        keys.create_authority(directory=tmp_path / signer)
+        for name in names:
+            keys.create_daemon_certificate(
+                directory=tmp_path / signer,
+                daemon_id=name,
+                addresses=["127.0.0.1"],
+            )
+    with _processes.Fleet() as fleet:
+        fleet.start_store(_STORE)
+        for number, name in enumerate(names):
+            base = 27200 + 10 * number
+            fleet.start_daemon(
+                daemon_id=name,
+                place=core.Place(region="north", failure_domain="north-a"),
+                ports=(base, base + 1, base + 2),
+                store=_STORE,
+                seeds=["127.0.0.1:27202"],
+                peer_tls=_peer_tls(tmp_path, name, "old", ["old"]),
+            )
+        for signer, accepted in (
+            ("old", ["old", "new"]),
+            ("new", ["old", "new"]),
+            ("new", ["new"]),
+        ):
+            for name in names:
+                tls = _peer_tls(tmp_path, name, signer, accepted)
+                fleet.change_settings(name, peer_tls=tls)
+                reloads = fleet.output(name).count("settings reloaded")
+                fleet.send_signal(name, signal.SIGHUP)
+                _wait(
+                    lambda n=name, r=reloads: (
+                        fleet.output(n).count("settings reloaded") > r
+                    )
+                )
+        # Who shows the old authority's certificate is refused from now on.
+        assert not _is_served(tmp_path, "old")
+        assert _is_served(tmp_path, "new")
+        # A daemon that leaves says how many peers it reached.
+        fleet.send_signal("entry-2", signal.SIGTERM)
+        assert fleet.wait("entry-2") == 0
+        assert "leaving peers_told=1 peers=1" in fleet.output("entry-2")
+        # Nobody was taken for dead in the meantime.
+        for name in names:
+            assert "state=suspect" not in fleet.output(name)
--- a/wigeonrouter/membership/_client.py
+++ b/wigeonrouter/membership/_client.py
@@ -12,8 +12,8 @@
 class PeerClient:
     """Owns the peer channels of one daemon and counts their traffic."""
 
-    def __init__(self, *, daemon_id):
-        self._channels = _transport.PeerChannels()
+    def __init__(self, *, daemon_id, tls=None):
+        self._channels = _transport.PeerChannels(tls=tls)
         self._metadata = ((_transport.SENDER_KEY, daemon_id),)
         self._counts = collections.Counter()
 
@@ -59,6 +59,10 @@
         except (grpc.RpcError, ValueError):
             self._counts["failed_calls"] += 1
 
+    def renew_channels(self):
+        """Connect anew for further calls."""
+        self._channels.renew()
+
     def keep_only(self, addresses):
         """Close the channels to all other addresses."""
         self._channels.keep_only(addresses)
--- a/wigeonrouter/membership/_gossip.py
+++ b/wigeonrouter/membership/_gossip.py
@@ -41,13 +41,14 @@
         replica,
         rng,
         claims,
+        tls=None,
         clock=time.monotonic,
         wall_clock=time.time,
     ):
         self._table = _table.MemberTable(own=own)
         self._facts = _facts.FactTable()
         self._schedule = _schedule.Schedule(table=self._table, rng=rng)
-        self._client = _client.PeerClient(daemon_id=own.daemon_id)
+        self._client = _client.PeerClient(daemon_id=own.daemon_id, tls=tls)
         self._spread = _spread.ConfigSpread(
             table=self._table,
             schedule=self._schedule,
@@ -131,6 +132,10 @@
         """Replace the peer addresses that are tried besides the members."""
         self._seeds = tuple(seeds)
 
+    def renew_channels(self):
+        """Connect to peers anew, with the newest certificates."""
+        self._client.renew_channels()
+
     def start(self):
         """Start exchanging."""
         self._spread.start()
--- a/wigeonrouter/membership/_transport.py
+++ b/wigeonrouter/membership/_transport.py
@@ -5,11 +5,13 @@
 from gevent import socket
 import grpc
 
+from wigeonrouter.membership import _tls
 from wigeonrouter.schema import peer_pb2_grpc
 
-# Names the calling daemon in the metadata of each call.
-SENDER_KEY = "daemon-id"
+SENDER_KEY = _tls.SENDER_KEY
 _WORKERS = 16
+# A connection whose certificate is no longer accepted lasts at most as long.
+_TLS_AGE_MS = 600_000
 # Peers come back after restarts; the default back-off of two minutes would
 # keep a rejoined region apart for longer than configuration may take.
 _CHANNEL_OPTIONS = (
@@ -40,25 +42,36 @@
 class PeerServer:
     """Listens for peers and passes their messages to a servicer."""
 
-    def __init__(self, *, address, servicer, dropped=None):
+    def __init__(self, *, address, servicer, dropped=None, tls=None):
         """Bind the address.
 
         Args:
           address: core.Address; port 0 takes a free one.
           servicer: peer_pb2_grpc.PeerServicer.
           dropped: set of ids of daemons whose calls fail; for tests only.
+          tls: PeerTls, or None for plain connections.
         """
         # gRPC reports an address in use as RuntimeError without the cause.
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             probe.bind((address.host, address.port))
+        interceptors = [] if dropped is None else [_DropCalls(dropped)]
+        options = [("grpc.so_reuseport", 0)]
+        if tls is not None:
+            interceptors.append(_tls.RequireName())
+            options.append(("grpc.max_connection_age_ms", _TLS_AGE_MS))
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=_WORKERS),
-            interceptors=(() if dropped is None else (_DropCalls(dropped),)),
-            options=(("grpc.so_reuseport", 0),),
+            interceptors=interceptors,
+            options=options,
         )
         peer_pb2_grpc.add_PeerServicer_to_server(servicer, self._server)
-        self._port = self._server.add_insecure_port(str(address))
+        if tls is None:
+            self._port = self._server.add_insecure_port(str(address))
+        else:
+            self._port = self._server.add_secure_port(
+                str(address), tls.server_credentials()
+            )
 
     @property
     def port(self):
@@ -77,17 +90,29 @@
 class PeerChannels:
     """Owns one channel to each peer address."""
 
-    def __init__(self):
+    def __init__(self, *, tls=None):
+        self._tls = tls
         self._channels = {}
 
     def stub(self, address):
         """Return the PeerStub for an address."""
         key = str(address)
         if key not in self._channels:
-            channel = grpc.insecure_channel(key, options=_CHANNEL_OPTIONS)
+            if self._tls is None:
+                channel = grpc.insecure_channel(key, options=_CHANNEL_OPTIONS)
+            else:
+                channel = grpc.secure_channel(
+                    key,
+                    self._tls.channel_credentials,
+                    options=_CHANNEL_OPTIONS,
+                )
             self._channels[key] = (channel, peer_pb2_grpc.PeerStub(channel))
         return self._channels[key][1]
 
+    def renew(self):
+        """Use new channels from now on; calls in progress are finished."""
+        self._channels = {}
+
     def keep_only(self, addresses):
         """Close the channels to all other addresses."""
         kept = {str(address) for address in addresses}
