--- a/wigeonrouter/daemon/main_test.py
+++ b/wigeonrouter/daemon/main_test.py
@@ -209,6 +209,7 @@
                 ports=(base, base + 1, base + 2),
                 store=_STORE,
                 seeds=["127.0.0.1:27202"],
+                entry_ttl_ms=200,
                 peer_tls=_peer_tls(tmp_path, name, "old", ["old"]),
             )
         for signer, accepted in (
@@ -229,6 +230,16 @@
         # Who shows the old authority's certificate is refused from now on.
         assert not _is_served(tmp_path, "old")
         assert _is_served(tmp_path, "new")
+        # A peer that restarts makes entry-2 connect with what it has now.
+        fleet.send_signal("entry-1", signal.SIGTERM)
+        assert fleet.wait("entry-1") == 0
+        alive = fleet.output("entry-2").count("entry-1 state=alive")
+        fleet.restart_daemon("entry-1")
+        _wait(
+            lambda: (
+                fleet.output("entry-2").count("entry-1 state=alive") > alive
+            )
+        )
         # A daemon that leaves says how many peers it reached.
         fleet.send_signal("entry-2", signal.SIGTERM)
         assert fleet.wait("entry-2") == 0
