--- a/wigeonrouter/administration/_app.py
+++ b/wigeonrouter/administration/_app.py
@@ -1,7 +1,6 @@
 """The administration API and the entry query, as a falcon application."""
 
 import functools
-import time
 
 import falcon
 import logbook
@@ -34,6 +33,7 @@
     app.add_route("/v1/entries", _entries.Entries(daemon=daemon))
     app.add_route("/healthz", _entries.Health())
     app.add_route("/readyz", _entries.Ready(daemon=daemon))
+    app.add_route("/metrics", _entries.Metrics(daemon=daemon))
     for target, by_method in _registry.actions().items():
         app.add_route(target, _Resource(context=context, actions=by_method))
     app.add_error_handler(Exception, _handle_failure)
@@ -75,8 +75,8 @@
             resp.media = reply
 
     def _explain_unknown_token(self):
-        # A daemon that is not ready has not read all tokens.
-        if not self._context.daemon.ready:
+        # A daemon without configuration has not read all tokens.
+        if not self._context.daemon.configured:
             return _problems.Problem(
                 problem=_problems.NOT_READY,
                 detail="the daemon has not read the tokens yet",
@@ -109,15 +109,14 @@
 
 
 def _handle_failure(req, resp, error, params):
-    _LOG.error("{} {} failed", req.method, req.path, exc_info=error)
+    _LOG.error(
+        "request failed",
+        exc_info=error,
+        extra={"method": req.method, "path": req.path},
+    )
     _registry.write_problem(
         resp,
         _problems.Problem(
             problem=_problems.INTERNAL, detail=type(error).__name__
         ),
     )
-
-
-def now_ms():
-    """Return the time in milliseconds since the epoch."""
-    return int(time.time() * 1000)
--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -2,6 +2,7 @@
 
 import click
 
+from wigeonrouter.bench import _capacity
 from wigeonrouter.bench import _latency
 from wigeonrouter.bench import _policy_main
 
@@ -11,6 +12,8 @@
     """Measure wigeonrouter."""
 
 
+main.add_command(_capacity.capacity)
+main.add_command(_capacity.capacity_part)
 main.add_command(_latency.latency)
 main.add_command(_policy_main.policy_command)
 main.add_command(_policy_main.scenarios_command)
--- a/wigeonrouter/health/_faults_test.py
+++ b/wigeonrouter/health/_faults_test.py
@@ -82,11 +82,13 @@
     def run(task):
         for number in range(task, count, tasks):
             request_id = b"%b-%d" % (prefix, number)
+            fields = {b"host": b"a", b"x-request-id": request_id}
             response = handler.handle(
                 request_path.HttpRequest(
                     method=method,
                     target=b"/x",
-                    headers=((b"host", b"a"), (b"x-request-id", request_id)),
+                    headers=tuple(fields.items()),
+                    fields=fields,
                     body=b"",
                     keep_alive=True,
                 ),
--- a/wigeonrouter/membership/_replication.py
+++ b/wigeonrouter/membership/_replication.py
@@ -28,13 +28,24 @@
 class Replication:
     """Owns the tasks between store, replica and gossip of one daemon."""
 
-    def __init__(self, *, store, replica, gossip, seeds, rng, policies=None):
+    def __init__(
+        self,
+        *,
+        store,
+        replica,
+        gossip,
+        seeds,
+        rng,
+        policies=None,
+        on_ready=lambda: None,
+    ):
         self._store = store
         self._replica = replica
         self._gossip = gossip
         self._seeds = tuple(seeds)
         self._rng = rng
         self._policies = policies
+        self._on_ready = on_ready
         self._ready = False
         self._snapshot_task = None
         self._tasks = []
@@ -98,6 +109,7 @@
             if ready:
                 self._ready = True
                 self._gossip.set_ready()
+                self._on_ready()
                 return
             gevent.sleep(READY_RETRY_S)
 
--- a/wigeonrouter/membership/_table.py
+++ b/wigeonrouter/membership/_table.py
@@ -19,11 +19,14 @@
 
 # A statement about the same life of a daemon wins by the later of these.
 _PRECEDENCE = {
+    core.MemberState.STARTING: -1,
     core.MemberState.ALIVE: 0,
     core.MemberState.SUSPECT: 1,
     core.MemberState.LEAVING: 2,
     core.MemberState.DEAD: 3,
 }
+# States in which a member runs and is not named to callers.
+_UNNAMED = (core.MemberState.STARTING, core.MemberState.LEAVING)
 
 
 class MemberTable:
@@ -95,10 +98,9 @@
         if self._digest is None:
             digest = 0
             for member in (self._own, *self.peers):
-                leaving = member.state is core.MemberState.LEAVING
+                state = member.state if member.state in _UNNAMED else ""
                 digest ^= xxhash.xxh3_64_intdigest(
-                    f"{member.daemon_id} {member.incarnation} "
-                    f"{leaving}".encode()
+                    f"{member.daemon_id} {member.incarnation} {state}".encode()
                 )
             self._digest = digest
         return self._digest
@@ -155,8 +157,9 @@
         known = self._members.get(daemon_id)
         if known is None or daemon_id == self._own.daemon_id:
             return False
-        if known.state is core.MemberState.LEAVING:
-            # A leaving member keeps its state until it is gone.
+        if known.state in _UNNAMED:
+            # A member that callers are not sent to keeps its state until it
+            # is gone.
             self._deadlines.setdefault(daemon_id, now + SUSPECT_S)
         if known.state is not core.MemberState.ALIVE:
             return False
@@ -198,6 +201,12 @@
             for daemon_id in times:
                 times[daemon_id] += seconds
 
+    def become_ready(self):
+        """Mark this daemon as one that callers may be sent to."""
+        self._set_own(
+            dataclasses.replace(self._own, state=core.MemberState.ALIVE)
+        )
+
     def leave(self):
         """Mark this daemon as leaving."""
         self._set_own(
--- a/wigeonrouter/request_path/_caller_connection.py
+++ b/wigeonrouter/request_path/_caller_connection.py
@@ -87,6 +87,14 @@
         except OSError:
             pass
 
+    def expire_if_idle(self):
+        """End the wait unless bytes of a request have arrived.
+
+        Bytes that wait in the socket's receive buffer count as arrived.
+        """
+        if not self._received and self._sock.is_silent():
+            self.expire()
+
     def receive(self):
         """Return the next bytes, b"" at the end or once expired."""
         data = self._sock.receive()
