Let requests run while a large change is checked and applied

A change of the root's settings in a tree of 1,700 services and 15,000 upstreams builds every service. Daemons pause 1 ms after each 16 services.

Readers get the old revision with the old services until all are built, and further changes wait. The check of a change pauses as well, and is repeated where the replica advanced meanwhile: otherwise a conflicting change was written to the next slot.

--- a/wigeonrouter/configuration/_acceptance.py
+++ b/wigeonrouter/configuration/_acceptance.py
@@ -95,7 +95,7 @@
     return f"config/log/{revision % LOG_SLOTS:04d}"
 
 
-def accept(*, store, replica, proposal, now_ms, policies=None):
+def accept(*, store, replica, proposal, now_ms, policies=None, pause=None):
     """Write a proposal as the next revision.
 
     Args:
@@ -104,6 +104,7 @@
       proposal: a Proposal.
       now_ms: time of the entry, milliseconds since the epoch.
       policies: names of the known policies, or None to accept any.
+      pause: function to call while a large change is checked.
     Returns:
       Success(settings_pb2.LogEntry), or Failure of Conflict, InvalidChange,
       StoreDown, Undetermined or TooLarge.
@@ -124,7 +125,11 @@
             doubtful = None
         if full:
             return _failed(proposal, doubtful, "the log needs a snapshot")
-        refusal = _find_refusal(replica, proposal, policies)
+        checked = replica.revision
+        refusal = _find_refusal(replica, proposal, policies, pause)
+        if replica.revision != checked:
+            # Peers delivered revisions while the check paused.
+            continue
         if refusal is not None:
             return result.Failure(refusal)
         entry = _entry(replica, proposal, now_ms)
@@ -196,7 +201,7 @@
     return result.Failure(StoreDown(detail=detail))
 
 
-def _find_refusal(replica, proposal, policies):
+def _find_refusal(replica, proposal, policies, pause):
     conflict = _find_conflict(replica, proposal)
     if conflict is not None:
         return conflict
@@ -204,7 +209,10 @@
     if size > MAX_ENTRY_BYTES:
         return TooLarge(size=size, limit=MAX_ENTRY_BYTES)
     errors = _checking.check_changes(
-        replica=replica, changes=proposal.changes, policies=policies
+        replica=replica,
+        changes=proposal.changes,
+        policies=policies,
+        pause=pause,
     )
     return InvalidChange(errors=errors) if errors else None
 
--- a/wigeonrouter/configuration/_checking.py
+++ b/wigeonrouter/configuration/_checking.py
@@ -30,7 +30,7 @@
         return f"{self.path}: {self.problem}; allowed: {self.allowed}"
 
 
-def check_changes(*, replica, changes, policies=None):
+def check_changes(*, replica, changes, policies=None, pause=None):
     """Check the tree that changes would lead to.
 
     Only the changed nodes and their parents are copied and built, because a
@@ -40,10 +40,12 @@
       replica: a Replica; it is not modified.
       changes: sequence of settings_pb2.Change.
       policies: names of the known policies, or None to accept any.
+      pause: function to call between nodes; others may run meanwhile.
     Returns:
       A tuple of TreeError, empty where the changes are accepted.
     """
     errors = []
+    pause = pause or _no_pause
     if not changes:
         errors.append(
             TreeError(path="/", problem="no change", allowed="at least one")
@@ -57,6 +59,7 @@
     settings.apply_in_place(root=tree, changes=changes)
     for changed in sorted(paths):
         for path, _ in settings.walk_services(tree, changed):
+            pause()
             try:
                 settings.build_service(root=tree, path=path)
             except ValueError as error:
@@ -75,7 +78,7 @@
         for _, key in settings.match_keys(service.match)
     }
     for error in settings.check_rules(
-        root=tree, policies=policies, matches=matches
+        root=tree, policies=policies, matches=matches, pause=pause
     ):
         located = settings.locate_error(error=error, anchors=())
         errors.append(
@@ -88,6 +91,10 @@
     return tuple(errors)
 
 
+def _no_pause():
+    pass
+
+
 def _normalize(path):
     return settings.join_path(settings.split_path(path))
 
--- a/wigeonrouter/configuration/_replica.py
+++ b/wigeonrouter/configuration/_replica.py
@@ -4,11 +4,16 @@
 only after N, so what it serves never reverts.
 """
 
+from gevent import lock
+
 from wigeonrouter import settings
 from wigeonrouter import store as store_api
 from wigeonrouter.configuration import _retained
 from wigeonrouter.schema import settings_pb2
 
+# About 4 ms of processor time.
+PAUSE_SERVICES = 16
+
 
 class ForkError(store_api.StoreError):
     """Two entries with one revision differ, which acceptance rules out.
@@ -20,7 +25,19 @@
 class Replica:
     """Holds the tree at one revision and the services built from it."""
 
-    def __init__(self, *, retained=_retained.RETAINED_ENTRIES):
+    def __init__(self, *, retained=_retained.RETAINED_ENTRIES, pause=None):
+        """Start with an empty tree.
+
+        Args:
+          retained: number of entries to keep.
+          pause: function to call between services while many are built. A
+            change of the root's settings at the target size would otherwise
+            stop a daemon for half a second. Readers get the old revision
+            and services until all are built.
+        """
+        self._pause = pause
+        # Held while a change is applied, since the pauses let others run.
+        self._lock = lock.RLock()
         self._revision = 0
         self._root = settings_pb2.Node()
         self._services = {}
@@ -73,25 +90,28 @@
           ForkError: an applied entry of the same revision differs; nothing
             after it is applied.
         """
-        applied = []
-        try:
-            for entry in entries:
-                if entry.revision <= self._revision:
-                    self._check_fork(entry)
-                    continue
-                if entry.revision != self._revision + 1:
-                    break
-                self._apply(entry)
-                applied.append(entry)
-        finally:
-            if applied:
-                self._rebuild(
-                    {
-                        change.path
-                        for entry in applied
-                        for change in entry.changes
-                    }
-                )
+        with self._lock:
+            revision, applied = self._revision, []
+            try:
+                for entry in entries:
+                    if entry.revision <= revision:
+                        self._check_fork(entry)
+                        continue
+                    if entry.revision != revision + 1:
+                        break
+                    self._apply(entry)
+                    revision = entry.revision
+                    applied.append(entry)
+            finally:
+                if applied:
+                    self._rebuild(
+                        revision,
+                        {
+                            change.path
+                            for entry in applied
+                            for change in entry.changes
+                        },
+                    )
         return applied
 
     def load_snapshot(self, snapshot):
@@ -100,21 +120,22 @@
         Returns:
           Whether the snapshot was newer than the replica.
         """
-        if snapshot.revision <= self._revision:
-            return False
-        self._root.CopyFrom(snapshot.root)
-        self._revision = snapshot.revision
-        self._log.reset(snapshot.applied)
-        self._rebuild({"/"})
+        with self._lock:
+            if snapshot.revision <= self._revision:
+                return False
+            self._root.CopyFrom(snapshot.root)
+            self._log.reset(snapshot.applied)
+            self._rebuild(snapshot.revision, {"/"})
         return True
 
     def snapshot(self):
         """Return the tree as a settings_pb2.Snapshot."""
-        return settings_pb2.Snapshot(
-            revision=self._revision,
-            root=self._root,
-            applied=self._log.applied,
-        )
+        with self._lock:
+            return settings_pb2.Snapshot(
+                revision=self._revision,
+                root=self._root,
+                applied=self._log.applied,
+            )
 
     def entries_after(self, revision):
         """Return the entries after a revision.
@@ -145,9 +166,10 @@
           restored, and a copy of the settings_pb2.Node, or None where there
           was none.
         """
-        tree = self._log.tree_at(
-            revision, root=self._root, newest=self._revision
-        )
+        with self._lock:
+            tree = self._log.tree_at(
+                revision, root=self._root, newest=self._revision
+            )
         if tree is None:
             return False, None
         return True, settings.find_node(root=tree, path=path)
@@ -159,7 +181,6 @@
             if undo_change is not None:
                 undo.insert(0, undo_change)
             settings.apply_in_place(root=self._root, changes=(change,))
-        self._revision = entry.revision
         self._log.add(entry, undo)
 
     def _check_fork(self, entry):
@@ -170,8 +191,8 @@
                 f"{entry.change_id} elsewhere"
             )
 
-    def _rebuild(self, paths):
-        """Build the services at and below the changed paths anew.
+    def _rebuild(self, revision, paths):
+        """Build the services at and below the changed paths for a revision.
 
         Settings are inherited downwards only, so no other service changes.
         """
@@ -188,6 +209,7 @@
                 f"{path}/".startswith(f"{base}/") for base in bases
             ):
                 del services[path]
+        built = 0
         for changed in paths:
             for path, _ in settings.walk_services(self._root, changed):
                 if path in services:
@@ -195,6 +217,10 @@
                 service = settings.build_service(root=self._root, path=path)
                 known = old.get(path)
                 services[path] = known if known == service else service
+                built += 1
+                if self._pause is not None and built % PAUSE_SERVICES == 0:
+                    self._pause()
         self._services = services
+        self._revision = revision
         for listener in self._listeners:
             listener(self)
--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -21,6 +21,8 @@
 from wigeonrouter.schema import peer_pb2
 
 _HOUSEKEEPING_INTERVAL_S = 1.0
+# sleep(0) would run other tasks, but neither timers nor sockets.
+_BUILD_PAUSE_S = 0.001
 _DRAIN_POLL_S = 0.05
 # A peer that missed the announcement learns of it by gossip, and until then
 # still names this daemon to callers.
@@ -53,7 +55,9 @@
         self._leaving = self._was_ready = False
         self._member_states = {}
         self._rng = rng or random.Random()
-        self._replica = configuration.Replica()
+        self._replica = configuration.Replica(
+            pause=lambda: gevent.sleep(_BUILD_PAUSE_S)
+        )
         self._metrics = observability.Metrics()
         self._request_log = observability.RequestLog(
             lines_per_second=settings.log_lines_per_second
--- a/wigeonrouter/membership/_replication.py
+++ b/wigeonrouter/membership/_replication.py
@@ -21,6 +21,10 @@
 # so it is only needed to find lost ones.
 VM_LIST_INTERVAL_S = 30.0
 VM_LIST_JOIN_INTERVAL_S = 1.0
+# A change of the root's settings is checked for half a second at the target
+# size, in which a daemon has to serve others.
+CHECK_SLICE_S = 0.005
+CHECK_PAUSE_S = 0.001
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
 
@@ -83,6 +87,7 @@
             proposal=proposal,
             now_ms=int(time.time() * 1000),
             policies=self._policies,
+            pause=_pauses(),
         )
         if not pipeline.is_successful(accepted):
             return accepted
@@ -195,6 +200,19 @@
             )
 
 
+def _pauses():
+    """Return a function that lets other tasks run in each CHECK_SLICE_S."""
+    ends = time.monotonic() + CHECK_SLICE_S
+
+    def pause():
+        nonlocal ends
+        if time.monotonic() >= ends:
+            gevent.sleep(CHECK_PAUSE_S)
+            ends = time.monotonic() + CHECK_SLICE_S
+
+    return pause
+
+
 def entry_addresses(vms, *, port):
     """Return the peer addresses of the entry VMs in a VM list.
 
