--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -26,6 +26,8 @@
 main.add_command(_capacity.capacity_part)
 main.add_command(_latency.latency)
 main.add_command(_policy_main.policy_command)
+main.add_command(_policy_main.scenarios_command)
+main.add_command(_policy_main.plot_command)
 
 
 if __name__ == "__main__":
--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -83,7 +83,9 @@
         self._policy = selection.find_policy(service.routing.policy)
         self._memory = None
         self._servers.configure(servers=service.servers, now=self._clock())
-        self._foreign_slots = self._count_foreign_slots()
+        self._foreign_slots = limits.count_foreign_slots(
+            servers=service.servers, region=self._place.region
+        )
         self._pump()
 
     def set_draining(self, addresses):
@@ -187,12 +189,21 @@
             settings=self._service.health,
             now=self._clock(),
         )
-        self._servers.put(view)
-        self._announce_change(before, view)
         local = view.server.place.region == self._place.region
         answered = attempt.outcome is core.Outcome.OK
         if local and answered and not attempt.cancelled:
             self._hold = limits.learn_hold_time(self._hold, attempt.latency)
+            limit = limits.next_limit(
+                limit=view.limit,
+                slots=view.server.slots,
+                latency=view.latency,
+                typical=self._hold.mean,
+                queued=len(self._queue) > 0,
+            )
+            if limit != view.limit:
+                view = dataclasses.replace(view, limit=limit)
+        self._servers.put(view)
+        self._announce_change(before, view)
         self._pump()
 
     def on_probe(self, *, name, probe):
@@ -244,7 +255,15 @@
             ):
                 self._refuse_waiting(handle, core.problems.DEADLINE_TOO_SHORT)
                 continue
-            grant = self._choose(request, now, self._candidates())
+            # Only what has waited for long is sent ahead to a full server;
+            # the request of a quiet tenant soon gets a free slot.
+            long_wait = now - handle.rank[0] >= self._hold.mean
+            grant = self._choose(
+                request,
+                now,
+                self._candidates(),
+                waiting=len(self._queue) if long_wait else 0,
+            )
             if grant is None:
                 self._schedule_pump()
                 return
@@ -287,31 +306,16 @@
             return self._servers.eligible
         found = []
         for region, views in self._servers.foreign.items():
-            taken = sum(
-                view.in_flight
-                for view in self._servers.views
-                if view.server.place.region == region
-            )
+            taken = sum([view.in_flight for view in views])
             allowance = limits.foreign_allowance(
                 slots=self._foreign_slots[region],
                 regions=len(self._foreign_slots) + 1,
-                hold=min(view.latency for view in views),
-                service_time=self._hold.mean,
             )
-            if taken + 1 <= allowance:
+            if taken < allowance:
                 found.extend(views)
         return tuple(found)
 
-    def _count_foreign_slots(self):
-        slots = {}
-        for server in self._service.servers:
-            region = server.place.region
-            slots[region] = slots.get(region, 0) + server.slots
-        if slots.pop(self._place.region, None) is None:
-            return {}
-        return slots
-
-    def _choose(self, request, now, candidates):
+    def _choose(self, request, now, candidates, waiting=0):
         views = candidates
         if request.excluded:
             views = tuple(
@@ -334,7 +338,7 @@
                 now=now,
                 rng=self._rng,
                 sequence=self._sequence,
-                waiting=len(self._queue),
+                waiting=waiting,
                 memory=self._memory,
                 share=self._share,
             ),
