--- a/wigeonrouter/request_path/_forwarder_test.py
+++ b/wigeonrouter/request_path/_forwarder_test.py
@@ -7,6 +7,7 @@
 import pytest
 
 from wigeonrouter import core
+from wigeonrouter.request_path import _caller_connection
 from wigeonrouter.request_path import _pool
 from wigeonrouter.request_path.conftest import receive_answer
 from wigeonrouter.request_path.conftest import render
@@ -160,6 +161,33 @@
     path.assert_released()
 
 
+def test_a_caller_that_leaves_after_a_failed_send_frees_its_id(
+    path, monkeypatch
+):
+    """No byte was sent, so that a repeat may run."""
+    pool = path.handler._forwarder._sender._pool
+    checkout, count = pool.checkout, []
+
+    def leave_at_the_second(**arguments):
+        count.append(1)
+        if len(count) == 2:
+            raise _caller_connection.CallerGone
+        return checkout(**arguments)
+
+    def fail(self, data):
+        raise _pool.NotSent("closed")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(pool, "checkout", leave_at_the_second)
+        patch.setattr(_pool.Connection, "send", fail)
+        patch.setattr(_pool.Connection, "fresh", False)
+        with path.connect() as sock:
+            sock.sendall(render(request_id="w"))
+            assert sock.recv(1) == b""
+    assert send(path, request_id="w").status == 200
+    path.assert_released()
+
+
 def test_a_caller_that_leaves_cancels_its_running_request(path):
     path.set_faults({"silent": True}, {"silent": True})
     sock = path.connect()
