--- a/wigeonrouter/bench/_capacity.py
+++ b/wigeonrouter/bench/_capacity.py
@@ -31,7 +31,7 @@
 _CONNECTIONS = (4, 16, 64)
 _LOADS = (
     ("requests", _PORTS[0], "/load?n=1", 3000),
-    ("entry queries", _PORTS[1], "/v1/entries?service=/load", 500),
+    ("entry queries", _PORTS[1], "/v1/entries?service=/load", 3000),
 )
 _IDLE_CONNECTIONS = (100, 300, 900)
 _TREES = (200, 600, 1700)
