--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -1,10 +1,19 @@
 """The command wigeonrouter-bench."""
 
-import click
+from gevent import monkey
 
-from wigeonrouter.bench import _capacity
-from wigeonrouter.bench import _latency
-from wigeonrouter.bench import _policy_main
+monkey.patch_all()
+
+import grpc.experimental.gevent as grpc_gevent  # noqa: E402
+
+grpc_gevent.init_gevent()
+
+import click  # noqa: E402
+
+from wigeonrouter.bench import _capacity  # noqa: E402
+from wigeonrouter.bench import _control  # noqa: E402
+from wigeonrouter.bench import _latency  # noqa: E402
+from wigeonrouter.bench import _policy_main  # noqa: E402
 
 
 @click.group()
@@ -12,10 +21,13 @@
     """Measure wigeonrouter."""
 
 
+main.add_command(_control.control)
 main.add_command(_capacity.capacity)
 main.add_command(_capacity.capacity_part)
 main.add_command(_latency.latency)
 main.add_command(_policy_main.policy_command)
+main.add_command(_policy_main.scenarios_command)
+main.add_command(_policy_main.plot_command)
 
 
 if __name__ == "__main__":
--- a/wigeonrouter/membership/_transport.py
+++ b/wigeonrouter/membership/_transport.py
@@ -1,5 +1,6 @@
 """Peer messages over gRPC."""
 
+import collections
 from concurrent import futures
 
 from gevent import socket
@@ -10,6 +11,10 @@
 
 SENDER_KEY = _tls.SENDER_KEY
 _WORKERS = 16
+# A channel and the peer's end of it take 62 KB together. Several hundred
+# peers are each called rarely, and reconnecting costs 2 ms. Far more than the
+# calls that one daemon makes at once.
+MAX_CHANNELS = 64
 # A connection whose certificate is no longer accepted lasts at most as long.
 _TLS_AGE_MS = 600_000
 # Peers come back after restarts; the default back-off of two minutes would
@@ -88,11 +93,15 @@
 
 
 class PeerChannels:
-    """Owns one channel to each peer address."""
+    """Owns the channels to the peer addresses that were used last."""
 
-    def __init__(self, *, tls=None):
+    def __init__(self, *, tls=None, limit=MAX_CHANNELS):
         self._tls = tls
-        self._channels = {}
+        self._channels = collections.OrderedDict()
+        self._limit = limit
+
+    def __len__(self):
+        return len(self._channels)
 
     def stub(self, address):
         """Return the PeerStub for an address."""
@@ -107,11 +116,14 @@
                     options=_CHANNEL_OPTIONS,
                 )
             self._channels[key] = (channel, peer_pb2_grpc.PeerStub(channel))
+        self._channels.move_to_end(key)
+        while len(self._channels) > self._limit:
+            self.forget(next(iter(self._channels)))
         return self._channels[key][1]
 
     def renew(self):
         """Use new channels from now on; calls in progress are finished."""
-        self._channels = {}
+        self._channels = collections.OrderedDict()
 
     def keep_only(self, addresses):
         """Close the channels to all other addresses."""
