--- a/wigeonrouter/observability/_metrics.py
+++ b/wigeonrouter/observability/_metrics.py
@@ -3,7 +3,8 @@
 Each series has a total count and sum, and one histogram per slice of a
 sliding window. A request is recorded once: the pure-Python HdrHistogram takes
 2.7 microseconds to record a value, 18 to add a whole histogram and 210 to
-find three quantiles. Its mean takes several milliseconds, hence the own sum.
+find three quantiles. Its mean takes several milliseconds, so sums are kept
+apart.
 """
 
 import collections
