--- a/wigeonrouter/selection/_free_slot.py
+++ b/wigeonrouter/selection/_free_slot.py
@@ -15,8 +15,7 @@
 
     Ties are broken at random by starting at a random server.
     """
-    usable = [v for v in views if not _load.is_paused(v, context.now)]
-    views = usable or views
+    views = _load.without_paused(views, context.now)
     count = len(views)
     start = int(context.rng.random() * count)
     weight = 1000 * context.routing.price_per_ms
--- a/wigeonrouter/selection/_load.py
+++ b/wigeonrouter/selection/_load.py
@@ -27,6 +27,18 @@
     return now - view.last_used < min(MAX_PAUSE_S, pause)
 
 
+def without_paused(views, now):
+    """Return the views that are not passed over; all where none is left."""
+    usable = [
+        view
+        for view in views
+        # Most servers have no failure in a row, and this runs per request.
+        if not (view.refusals_in_row or view.failures_in_row)
+        or not is_paused(view, now)
+    ]
+    return usable or views
+
+
 def capacity(view):
     """Return how many requests a server should run at once."""
     if view.state is core.ServerState.COLD:
