--- a/wigeonrouter/daemon/main_test.py
+++ b/wigeonrouter/daemon/main_test.py
@@ -21,6 +21,8 @@
 from wigeonrouter.schema import peer_pb2
 
 _STORE, _CALLER, _ADMIN, _PEER = _ports.free_addresses(4)
+_TLS_PORTS = tuple(_ports.free_ports(3) for _ in range(2))
+_TLS_SEED = f"127.0.0.1:{_TLS_PORTS[0][2]}"
 _SETTINGS = {
     "daemon_id": "entry-1",
     "region": "north",
@@ -176,7 +178,7 @@
         **_peer_tls(folder, "entry-2", signer, ["old", "new"])
     )
     channels = _transport.PeerChannels(tls=tls)
-    stub = channels.stub(core.parse_address("127.0.0.1:27202"))
+    stub = channels.stub(core.parse_address(_TLS_SEED))
     request = peer_pb2.ClaimRequest(request_id="x", claimant="entry-2~1")
     try:
         stub.Claim(
@@ -206,13 +208,12 @@
     with _processes.Fleet() as fleet:
         fleet.start_store(_STORE)
         for number, name in enumerate(names):
-            base = 27200 + 10 * number
             fleet.start_daemon(
                 daemon_id=name,
                 place=core.Place(region="north", failure_domain="north-a"),
-                ports=(base, base + 1, base + 2),
+                ports=_TLS_PORTS[number],
                 store=_STORE,
-                seeds=["127.0.0.1:27202"],
+                seeds=[_TLS_SEED],
                 entry_ttl_ms=200,
                 peer_tls=_peer_tls(tmp_path, name, "old", ["old"]),
             )
