--- a/wigeonrouter/membership/_gossip_test.py
+++ b/wigeonrouter/membership/_gossip_test.py
@@ -1,5 +1,7 @@
 """Guards against lost news between daemons that really call each other."""
 
+import time
+
 import grpc
 import pytest
 
@@ -142,6 +144,20 @@
         assert _states(node)["node-0"] is core.MemberState.LEAVING
 
 
+def test_a_pause_is_detected_by_a_clock_jump(nodes):
+    """Others rely on the notice, for instance to hold back probes."""
+    first, second = nodes.start_fleet([("north", "a")] * 2)
+    heard = []
+    first.gossip.subscribe_pause(heard.append)
+    first.gossip.table.suspect("node-1", now=time.monotonic())
+    first.gossip._clock = lambda: time.monotonic() + 60.0
+    _nodes.wait_for(lambda: heard)
+    assert 50.0 < heard[0] < 70.0
+    assert first.gossip.counts["pauses"] == 1
+    assert _states(first)["node-1"] is not core.MemberState.DEAD
+    _nodes.wait_for(lambda: len(first.gossip.table.alive) == 2)
+
+
 def test_facts_spread_without_the_store_and_the_newest_wins(
     nodes, store_standin
 ):
