--- a/wigeonrouter/conftest.py
+++ b/wigeonrouter/conftest.py
@@ -1,6 +1,12 @@
 """Fixtures that the tests of all packages share."""
 
-from gevent import monkey
+import os
+
+# This process starts others. gRPC's fork handlers would run its polling
+# thread in the child, where closed descriptors make it abort before exec.
+os.environ["GRPC_ENABLE_FORK_SUPPORT"] = "0"
+
+from gevent import monkey  # noqa: E402
 
 monkey.patch_all()
 
