Shorten the work before a response, let cold servers back off

Cause of the added time: Python code per request, run with cold caches at low rates. The record for logs and metrics is now observed when the task next waits, so that the response goes out first; a request that gets a slot at once makes no waiter; a changed view is a copy of its fields instead of a run of the constructor; a full server is skipped by one comparison.

Ruled out: gRPC's threads and the garbage collector (docs/latency.md).

A cold server that refuses is left alone like a ready one; before, only the policy free_slot passed it over.

--- a/wigeonrouter/core/__init__.py
+++ b/wigeonrouter/core/__init__.py
@@ -26,6 +26,7 @@
 ServerState = _records.ServerState
 TrafficKind = _records.TrafficKind
 
+evolve_view = _records.evolve_view
 parse_address = _records.parse_address
 rendezvous_order = _hashing.rendezvous_order
 rendezvous_score = _hashing.rendezvous_score
--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -102,7 +102,7 @@
     own_in_flight: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True)
 class BackendView:
     """What one daemon knows of a backend server.
 
@@ -140,6 +140,24 @@
     stopped: bool = False
 
 
+def evolve_view(view, **changes):
+    """Return a copy of a BackendView with some fields changed.
+
+    Each request changes a view three times, and dataclasses.replace() runs
+    the whole constructor. This is why views have no slots.
+
+    Args:
+      view: BackendView.
+      changes: new values by field name; names are not checked.
+    Returns:
+      A BackendView.
+    """
+    copy = object.__new__(BackendView)
+    copy.__dict__.update(view.__dict__)
+    copy.__dict__.update(changes)
+    return copy
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TrafficKind:
     """A kind of traffic of one service.
--- a/wigeonrouter/dispatch/_dispatcher.py
+++ b/wigeonrouter/dispatch/_dispatcher.py
@@ -103,8 +103,12 @@
         Returns:
           core.Grant, which must be released, or core.Refusal.
         """
+        now = self._clock()
+        result = self._answer_at_once(request, now)
+        if result is not None:
+            return result
         waiter = event.AsyncResult()
-        result = self.submit(request, waiter.set)
+        result = self._enqueue(request, now, waiter.set)
         if not isinstance(result, Ticket):
             return result
         try:
@@ -133,14 +137,21 @@
           core.Grant, core.Refusal, or the Ticket of a waiting request.
         """
         now = self._clock()
+        result = self._answer_at_once(request, now)
+        if result is not None:
+            return result
+        return self._enqueue(request, now, deliver)
+
+    def _answer_at_once(self, request, now):
         if request.deadline <= now:
             return core.Refusal(problem=core.problems.DEADLINE_PASSED)
         if not self._servers.eligible:
             return core.Refusal(problem=core.problems.NO_SERVER)
-        if not self._queue:
-            grant = self._choose(request, now, self._candidates())
-            if grant is not None:
-                return grant
+        if self._queue:
+            return None
+        return self._choose(request, now, self._candidates())
+
+    def _enqueue(self, request, now, deliver):
         wait = limits.expected_wait(
             ahead=self._queue.ahead(tenant=request.tenant, key=now),
             slots=self._servers.local_slots,
@@ -180,7 +191,7 @@
             self._pump()
             return
         before = view
-        view = dataclasses.replace(view, in_flight=max(0, view.in_flight - 1))
+        view = core.evolve_view(view, in_flight=max(0, view.in_flight - 1))
         view = health.after_attempt(view=view, attempt=attempt)
         view = health.next_state(
             view=view,
@@ -201,7 +212,7 @@
                 queued=len(self._queue) > 0,
             )
             if limit != view.limit:
-                view = dataclasses.replace(view, limit=limit)
+                view = core.evolve_view(view, limit=limit)
         self._servers.put(view)
         self._announce_change(before, view)
         self._pump()
@@ -348,8 +359,6 @@
         self._memory = choice.memory
         view = self._servers.find(choice.server.name)
         self._servers.put(
-            dataclasses.replace(
-                view, in_flight=view.in_flight + 1, last_used=now
-            )
+            core.evolve_view(view, in_flight=view.in_flight + 1, last_used=now)
         )
         return core.Grant(server=choice.server, granted=now)
--- a/wigeonrouter/health/_rules.py
+++ b/wigeonrouter/health/_rules.py
@@ -66,7 +66,7 @@
             if view.latency
             else attempt.latency
         )
-    return dataclasses.replace(view, **changes)
+    return core.evolve_view(view, **changes)
 
 
 def next_state(*, view, attempt, group, settings, now):
@@ -84,7 +84,7 @@
     if view.state is core.ServerState.DRAINING:
         return view
     if attempt.refused:
-        if view.state is core.ServerState.READY and _may_eject(
+        if view.state is not core.ServerState.EJECTED and _may_eject(
             view, group, settings
         ):
             return _back_off(view, now)
@@ -113,9 +113,11 @@
       now: seconds on the monotonic clock.
     """
     if view.state is core.ServerState.EJECTED and now >= view.ejected_until:
-        if view.refusals_in_row:
-            return dataclasses.replace(view, state=core.ServerState.READY)
-        return _make_cold(view, now)
+        if not view.refusals_in_row:
+            return _make_cold(view, now)
+        proved = view.answers >= ANSWERS_TO_PROVE
+        state = core.ServerState.READY if proved else core.ServerState.COLD
+        return dataclasses.replace(view, state=state)
     if (
         view.state is core.ServerState.COLD
         and now - view.ready_since >= settings.slow_start
--- a/wigeonrouter/health/_rules_test.py
+++ b/wigeonrouter/health/_rules_test.py
@@ -80,6 +80,26 @@
     assert _run(outcomes).state is state
 
 
+@pytest.mark.parametrize(
+    "state", [core.ServerState.READY, core.ServerState.COLD]
+)
+def test_a_refusing_server_is_left_alone_for_longer_each_time(state):
+    group = _group()
+    view = dataclasses.replace(group[0], state=state)
+    refused = core.AttemptResult(
+        outcome=core.Outcome.NOT_RUN, latency=0.001, refused=True
+    )
+    now, pauses = 0.0, []
+    for _ in range(4):
+        view = _step(view, refused, group, now)
+        assert not health.may_get_work(view=view, draining=frozenset())
+        pauses.append(view.ejected_until - now)
+        now = view.ejected_until
+        view = health.advance(view=view, settings=_SETTINGS, now=now)
+        assert health.may_get_work(view=view, draining=frozenset())
+    assert pauses == pytest.approx([0.1, 0.2, 0.4, 0.8])
+
+
 def test_a_cancelled_attempt_says_nothing_of_the_server():
     group = _group()
     view = group[0]
--- a/wigeonrouter/request_path/_handler.py
+++ b/wigeonrouter/request_path/_handler.py
@@ -5,6 +5,7 @@
 import time
 from urllib import parse
 
+import gevent
 import logbook
 
 from wigeonrouter import core
@@ -53,6 +54,7 @@
         wall_clock=time.time,
     ):
         self._place = place
+        self._loop = gevent.get_hub().loop
         self._observe = observe
         self._announce = announce
         self._rng = rng or random.Random()
@@ -262,7 +264,9 @@
         return answer
 
     def _record(self, call, problem, outcome):
-        self._observe(
+        # Runs when this task next waits, so that the response goes out first.
+        self._loop.run_callback(
+            self._observe,
             RequestRecord(
                 request_id=call.request_id,
                 service=call.service.name if call.service else "",
@@ -272,7 +276,7 @@
                 problem=problem,
                 outcome=outcome,
                 latency=self._clock() - call.arrived,
-            )
+            ),
         )
 
 
--- a/wigeonrouter/selection/_free_slot.py
+++ b/wigeonrouter/selection/_free_slot.py
@@ -23,6 +23,9 @@
     best, best_price, best_load = None, 0.0, 0
     for position in range(start, start + count):
         view = views[position - count if position >= count else position]
+        # Most of a busy service's servers are full by our own count alone.
+        if view.in_flight >= view.server.slots and not ahead:
+            continue
         if _load.occupied(view, context.now) + 1 > _room(view, context, ahead):
             continue
         price = view.latency * weight + _load.place_price(
