--- a/wigeonrouter/selection/_free_slot.py
+++ b/wigeonrouter/selection/_free_slot.py
@@ -26,17 +26,17 @@
         # Most of a busy service's servers are full by our own count alone.
         if view.in_flight >= view.server.slots and not ahead:
             continue
-        if _load.occupied(view, context.now) + 1 > _room(view, context, ahead):
-            continue
         price = view.latency * weight + _load.place_price(
             view, request, context
         )
-        if (
-            best is None
-            or price < best_price
-            or (price == best_price and view.in_flight < best_load)
+        if best is not None and (
+            price > best_price
+            or (price == best_price and view.in_flight >= best_load)
         ):
-            best, best_price, best_load = view, price, view.in_flight
+            continue
+        if _load.occupied(view, context.now) + 1 > _room(view, context, ahead):
+            continue
+        best, best_price, best_load = view, price, view.in_flight
     if best is None:
         return _registry.Wait()
     return _registry.Choice(server=best.server)
