--- a/wigeonrouter/bench/_control.py
+++ b/wigeonrouter/bench/_control.py
@@ -23,6 +23,7 @@
 from wigeonrouter.bench import _nodes
 from wigeonrouter.bench import _ports
 from wigeonrouter.bench import _processes
+from wigeonrouter.bench import _result_lines
 from wigeonrouter.membership import _codec
 from wigeonrouter.schema import settings_pb2
 
@@ -67,7 +68,12 @@
 
 def emit(name, value, unit):
     """Print one result line."""
-    click.echo(f"{name}, {value:.6g}, {unit}")
+    _result_lines.write_line(
+        name=name,
+        value=value,
+        unit=unit,
+        bound=_result_lines.target_of(name),
+    )
 
 
 def measure_daemons(size, seconds, seed):
--- a/wigeonrouter/bench/_latency.py
+++ b/wigeonrouter/bench/_latency.py
@@ -12,6 +12,7 @@
 
 from wigeonrouter import core
 from wigeonrouter.bench import _processes
+from wigeonrouter.bench import _result_lines
 
 # Bound on the time added to a call for 99 in 100 calls.
 ADDED_P99_BOUND_MS = 0.42
@@ -129,11 +130,11 @@
     through, direct = (sorted(values) for values in result["latencies"])
     paired = sorted(a - b for a, b in zip(*result["latencies"], strict=True))
     name = f"{callers} callers"
-    _line(f"{name}: pairs", len(paired), "", "")
-    _line(f"{name}: failures", result["failures"], "", 0)
-    _line(f"{name}: direct p50", _quantile_ms(direct, 50), "ms", "")
-    _line(f"{name}: direct p99", _quantile_ms(direct, 99), "ms", "")
-    for percent, bound in ((50, ""), (99, ADDED_P99_BOUND_MS)):
+    _line(f"{name}: pairs", len(paired), "1")
+    _line(f"{name}: failures", result["failures"], "1", 0)
+    _line(f"{name}: direct p50", _quantile_ms(direct, 50), "ms")
+    _line(f"{name}: direct p99", _quantile_ms(direct, 99), "ms")
+    for percent, bound in ((50), (99, ADDED_P99_BOUND_MS)):
         added = _quantile_ms(through, percent) - _quantile_ms(direct, percent)
         _line(f"{name}: added p{percent}", added, "ms", bound)
     _line(
@@ -149,15 +150,14 @@
     result = _generate(daemon, (), _SATURATING_CALLERS, 0.0, seconds, seed)
     used = _processor_seconds(pid) - before
     count = len(result["latencies"][0])
-    _line("saturated: failures", result["failures"], "", 0)
-    _line("saturated: throughput", count / result["elapsed_s"], "1/s", "")
-    _line("per core: throughput", count / used, "1/s", "")
-    _line("per request: processor time", used / count * 1e6, "us", "")
+    _line("saturated: failures", result["failures"], "1", 0)
+    _line("saturated: throughput", count / result["elapsed_s"], "1/s")
+    _line("per core: throughput", count / used, "1/s")
+    _line("per request: processor time", used / count * 1e6, "us")
 
 
-def _line(name, value, unit, bound):
-    verdict = "ok" if bound == "" or value <= bound else "short"
-    click.echo(f"{name:36}{value:12.3f} {unit:4}{bound!s:>6} {verdict}")
+def _line(name, value, unit, bound=None):
+    _result_lines.write_line(name=name, value=value, unit=unit, bound=bound)
 
 
 def _quantile_ms(ordered, percent):
--- a/wigeonrouter/bench/main.py
+++ b/wigeonrouter/bench/main.py
@@ -19,6 +19,7 @@
 from wigeonrouter.bench import _capacity  # noqa: E402
 from wigeonrouter.bench import _control  # noqa: E402
 from wigeonrouter.bench import _latency  # noqa: E402
+from wigeonrouter.bench import _policy_aims  # noqa: E402
 from wigeonrouter.bench import _policy_main  # noqa: E402
 
 
@@ -27,6 +28,16 @@
     """Measure wigeonrouter."""
 
 
+@main.command(name="all")
+@click.pass_context
+def run_all(context):
+    """Run every measurement with few repetitions; takes minutes."""
+    context.invoke(_latency.latency)
+    context.invoke(_control.control)
+    context.invoke(_capacity.capacity)
+    _policy_aims.report_aims()
+
+
 main.add_command(_control.control)
 main.add_command(_capacity.capacity)
 main.add_command(_capacity.capacity_part)
