--- a/wigeonrouter/health/_signs.py
+++ b/wigeonrouter/health/_signs.py
@@ -15,6 +15,7 @@
 # One daemon per region reads the list, so this costs the store one call
 # every two seconds and region.
 POLL_INTERVAL_S = 2.0
+TASK = "vm-list-reader"
 _ACTIVE = "active"
 _DRAINING = core.ServerState.DRAINING.value
 
@@ -49,7 +50,7 @@
         version = 0
         while True:
             gevent.sleep(POLL_INTERVAL_S)
-            if not self._is_reader():
+            if not self._gossip.table.owns_in_region(TASK):
                 version = 0
                 continue
             try:
@@ -76,16 +77,6 @@
                 source=_vm_list.SOURCE,
             )
 
-    def _is_reader(self):
-        own = self._gossip.table.own
-        candidates = [
-            member.daemon_id
-            for member in self._gossip.table.alive
-            if member.place.region == own.place.region
-        ]
-        order = core.rendezvous_order("vm-list-reader", candidates)
-        return order[:1] == [own.daemon_id]
-
     def _on_facts(self, facts):
         self._apply_draining(
             frozenset(
--- a/wigeonrouter/membership/_gossip_test.py
+++ b/wigeonrouter/membership/_gossip_test.py
@@ -97,7 +97,9 @@
 def test_only_one_daemon_of_a_region_watches_the_store(nodes, store_standin):
     """Each waiting watch is a counted call, and the store's rates are low."""
     fleet = nodes.start_fleet([("north", "a")] * 4)
-    watching = [n for n in fleet if n.replication._is_watcher()]
+    watching = [
+        n for n in fleet if n.gossip.table.owns_in_region("config-watcher")
+    ]
     assert len(watching) == 1
     # An entry whose author died before its push arrives by the watch.
     entry = settings_pb2.LogEntry(
--- a/wigeonrouter/membership/_replication.py
+++ b/wigeonrouter/membership/_replication.py
@@ -15,6 +15,7 @@
 from wigeonrouter import store as store_api
 
 WATCH_TIMEOUT_S = 5.0
+WATCHER_TASK = "config-watcher"
 WATCHER_CHECK_S = 1.0
 READY_RETRY_S = 0.2
 # Each read of the VM list is counted; members learn of each other by gossip,
@@ -120,7 +121,7 @@
 
     def _watch(self):
         while True:
-            if not self._is_watcher():
+            if not self._gossip.table.owns_in_region(WATCHER_TASK):
                 gevent.sleep(WATCHER_CHECK_S)
                 continue
             try:
@@ -133,16 +134,6 @@
             except store_api.StoreError:
                 gevent.sleep(self._rng.uniform(0.5, 1.5))
 
-    def _is_watcher(self):
-        own = self._gossip.table.own
-        candidates = [
-            member.daemon_id
-            for member in self._gossip.table.alive
-            if member.place.region == own.place.region
-        ]
-        order = core.rendezvous_order("config-watcher", candidates)
-        return order[:1] == [own.daemon_id]
-
     def _read_new(self):
         """Read new revisions from the store and spread them."""
         before = self._replica.revision
--- a/wigeonrouter/membership/_table.py
+++ b/wigeonrouter/membership/_table.py
@@ -99,6 +99,24 @@
         """Whether no update waits to be sent."""
         return not self._updates
 
+    def owns_in_region(self, task):
+        """Return whether this daemon does a task for its region.
+
+        Of the daemons of a region that are alive one does it, by rendezvous
+        hash. For a moment after a change of view two may, or none.
+
+        Args:
+          task: name of the task.
+        """
+        region = self._own.place.region
+        candidates = [
+            member.daemon_id
+            for member in self.alive
+            if member.place.region == region
+        ]
+        order = core.rendezvous_order(task, candidates)
+        return order[:1] == [self._own.daemon_id]
+
     def find(self, daemon_id):
         """Return the member with an id, or None."""
         return self._members.get(daemon_id)
