--- a/wigeonrouter/administration/_entries.py
+++ b/wigeonrouter/administration/_entries.py
@@ -44,6 +44,7 @@
 
     def __init__(self, *, daemon):
         self._daemon = daemon
+        self._planner = entries.EntryPlanner()
 
     def on_get(self, req, resp):
         if not self._daemon.configured:
@@ -71,7 +72,7 @@
                 "failure_domain", default=own.failure_domain
             ),
         )
-        chosen = entries.choose_entries(
+        chosen = self._planner.choose(
             service=service,
             place=place,
             members=self._daemon.table.alive,
--- a/wigeonrouter/bench/_capacity_parts.py
+++ b/wigeonrouter/bench/_capacity_parts.py
@@ -99,12 +99,16 @@
         routing=core.RoutingSettings(homes=2),
     )
     rng = random.Random(1)
+    planner = entries.EntryPlanner()
+    query = {"service": service, "place": _place(1), "rng": rng}
     return {
         "choose_cpu_s": _cpu_seconds_each(
-            lambda: entries.choose_entries(
-                service=service, place=_place(1), members=known, rng=rng
-            )
-        )
+            lambda: entries.choose_entries(members=known, **query)
+        ),
+        # A daemon builds a new tuple of its members for each query.
+        "choose_kept_cpu_s": _cpu_seconds_each(
+            lambda: planner.choose(members=tuple(list(known)), **query)
+        ),
     }
 
 
--- a/wigeonrouter/entries/_homes.py
+++ b/wigeonrouter/entries/_homes.py
@@ -25,6 +25,19 @@
     home: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ranking:
+    """The daemons that callers of one place may use for a service.
+
+    Attributes:
+      homes: tuple of core.Member, the first home first.
+      others: tuple of core.Member, in the order in which they follow.
+    """
+
+    homes: tuple[core.Member, ...]
+    others: tuple[core.Member, ...]
+
+
 def request_id_prefix(member):
     """Return the start of request ids that name a daemon's process."""
     return f"{member.daemon_id}~{member.instance}"
@@ -62,28 +75,66 @@
     Returns:
       A tuple of Entry: the caller's region first, then other regions.
     """
-    members = list(members)
-    homes = []
     if service is None:
-        rng.shuffle(members)
-        ranked = sorted(members, key=lambda m: _distance(m.place, place))
-    else:
-        homes = home_members(service=service, place=place, members=members)
-        rng.shuffle(homes)
-        homes.sort(key=lambda m: _distance(m.place, place))
-        named = {member.daemon_id for member in homes}
-        ranked = homes + [
-            member
-            for member in _ranked(service, members)
-            if member.daemon_id not in named
-        ]
+        return _name_entries(
+            ranked=_by_distance(members=members, place=place, rng=rng),
+            place=place,
+            named=frozenset(),
+        )
+    ranking = rank_entries(service=service, place=place, members=members)
+    return entries_of(ranking=ranking, place=place, rng=rng)
+
+
+def rank_entries(*, service, place, members):
+    """Rank the daemons for a service; depends on the arguments alone.
+
+    Args:
+      service: a core.EffectiveService.
+      place: core.Place of the caller.
+      members: an iterable of the members that are alive.
+    Returns:
+      A Ranking.
+    """
+    homes = home_members(service=service, place=place, members=members)
+    named = {member.daemon_id for member in homes}
+    others = [
+        member
+        for member in _ranked(service, members)
+        if member.daemon_id not in named
+    ]
+    return Ranking(homes=tuple(homes), others=_select(others, place))
+
+
+def entries_of(*, ranking, place, rng):
+    """Turn a Ranking into the entries for one caller.
+
+    Returns:
+      A tuple of Entry; homes that are equally near come in random order.
+    """
+    homes = _by_distance(members=ranking.homes, place=place, rng=rng)
+    named = frozenset(member.daemon_id for member in homes)
+    return _name_entries(
+        ranked=[*homes, *ranking.others], place=place, named=named
+    )
+
+
+def _by_distance(*, members, place, rng):
+    members = list(members)
+    rng.shuffle(members)
+    members.sort(key=lambda member: _distance(member.place, place))
+    return members
+
+
+def _select(ranked, place):
     near = [m for m in ranked if m.place.region == place.region]
     far = [m for m in ranked if m.place.region != place.region]
-    chosen = (
-        near[:MAX_OWN_REGION_ENTRIES]
-        + (_spread_over_regions(far))[:MAX_OTHER_REGION_ENTRIES]
+    return (
+        *near[:MAX_OWN_REGION_ENTRIES],
+        *_spread_over_regions(far)[:MAX_OTHER_REGION_ENTRIES],
     )
-    named = {member.daemon_id for member in homes}
+
+
+def _name_entries(*, ranked, place, named):
     return tuple(
         Entry(
             address=member.caller_address,
@@ -91,7 +142,7 @@
             place=member.place,
             home=member.daemon_id in named,
         )
-        for member in chosen
+        for member in _select(ranked, place)
     )
 
 
