Test the upper bounds of whole numbers, repair the latency report

Cause: with the check of minimum and maximum taken out for whole numbers no test failed, since the only case was below the type's own range; four cases now fail without it. The latency command ended with a TypeError after a change of its result lines; no run had covered it.

--- a/wigeonrouter/bench/_latency.py
+++ b/wigeonrouter/bench/_latency.py
@@ -134,7 +134,7 @@
     _line(f"{name}: failures", result["failures"], "1", 0)
     _line(f"{name}: direct p50", _quantile_ms(direct, 50), "ms")
     _line(f"{name}: direct p99", _quantile_ms(direct, 99), "ms")
-    for percent, bound in ((50), (99, ADDED_P99_BOUND_MS)):
+    for percent, bound in ((50, None), (99, ADDED_P99_BOUND_MS)):
         added = _quantile_ms(through, percent) - _quantile_ms(direct, percent)
         _line(f"{name}: added p{percent}", added, "ms", bound)
     _line(
--- a/wigeonrouter/settings/_checker_test.py
+++ b/wigeonrouter/settings/_checker_test.py
@@ -20,6 +20,10 @@
     [
         ('{"settings": {"limits": {"max_queue": -1}}}', "max_queue"),
         ('{"settings": {"limits": {"max_queue": true}}}', "max_queue"),
+        ('{"settings": {"limits": {"max_queue": 100001}}}', "max_queue"),
+        ('{"settings": {"routing": {"homes": 0}}}', "homes"),
+        ('{"settings": {"routing": {"homes": 17}}}', "homes"),
+        ('{"settings": {"retries": {"budget_ratio": 1.5}}}', "budget_ratio"),
         ('{"settings": {"limits": {"max_queue": 1.5}}}', "max_queue"),
         ('{"settings": {"limitz": {}}}', "limitz"),
         ('{"settings": {"kinds": {"read": {}}}}', "read.idempotent"),
