Use the one error record, outcome rule and list of problems

A mistake in a changed tree was copied from a DocumentError into a second record of the same shape; the first now serves both. The handler asks the attempt's rule for the outcome of an answer instead of a shorter copy, which gave the same results since a refused attempt never reaches it. The problem type retry-budget-spent, which nothing sent, and a flag of caller connections, which nothing read, are gone. Behaviour is unchanged.

--- a/wigeonrouter/configuration/__init__.py
+++ b/wigeonrouter/configuration/__init__.py
@@ -13,7 +13,6 @@
 Replica = _replica.Replica
 StoreDown = _acceptance.StoreDown
 TooLarge = _acceptance.TooLarge
-TreeError = _checking.TreeError
 Undetermined = _acceptance.Undetermined
 
 accept = _acceptance.accept
--- a/wigeonrouter/configuration/_acceptance.py
+++ b/wigeonrouter/configuration/_acceptance.py
@@ -80,7 +80,7 @@
     """The tree that the change leads to is not accepted.
 
     Attributes:
-      errors: tuple of TreeError.
+      errors: tuple of settings.DocumentError.
     """
 
     errors: tuple
--- a/wigeonrouter/configuration/_checking.py
+++ b/wigeonrouter/configuration/_checking.py
@@ -4,7 +4,6 @@
 for instance by matching the requests of another service.
 """
 
-import dataclasses
 import re
 
 from wigeonrouter import settings
@@ -12,24 +11,6 @@
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TreeError:
-    """One mistake in a changed tree.
-
-    Attributes:
-      path: path of the node.
-      problem: what is wrong.
-      allowed: what would be accepted.
-    """
-
-    path: str
-    problem: str
-    allowed: str
-
-    def __str__(self):
-        return f"{self.path}: {self.problem}; allowed: {self.allowed}"
-
-
 def check_changes(*, replica, changes, policies=None, pause=None):
     """Check the tree that changes would lead to.
 
@@ -42,13 +23,15 @@
       policies: names of the known policies, or None to accept any.
       pause: function to call between nodes; others may run meanwhile.
     Returns:
-      A tuple of TreeError, empty where the changes are accepted.
+      A tuple of settings.DocumentError, empty where the changes are accepted.
     """
     errors = []
     pause = pause or _no_pause
     if not changes:
         errors.append(
-            TreeError(path="/", problem="no change", allowed="at least one")
+            settings.DocumentError(
+                path="/", problem="no change", allowed="at least one"
+            )
         )
     for change in changes:
         errors += _check_path(change)
@@ -64,7 +47,7 @@
                 settings.build_service(root=tree, path=path)
             except ValueError as error:
                 errors.append(
-                    TreeError(
+                    settings.DocumentError(
                         path=path,
                         problem=str(error),
                         allowed="settings that a service can be built from",
@@ -80,14 +63,7 @@
     for error in settings.check_rules(
         root=tree, policies=policies, matches=matches, pause=pause
     ):
-        located = settings.locate_error(error=error, anchors=())
-        errors.append(
-            TreeError(
-                path=located.path,
-                problem=located.problem,
-                allowed=located.allowed,
-            )
-        )
+        errors.append(settings.locate_error(error=error, anchors=()))
     return tuple(errors)
 
 
@@ -107,14 +83,14 @@
         and all(_NAME.fullmatch(name) for name in names)
     )
     if not fits:
-        yield TreeError(
+        yield settings.DocumentError(
             path=change.path[:200],
             problem="bad path",
             allowed=f"at most {settings.MAX_TREE_LEVELS} names like "
             f"{_NAME.pattern}",
         )
     if change.WhichOneof("action") is None:
-        yield TreeError(
+        yield settings.DocumentError(
             path=change.path[:200],
             problem="no action",
             allowed="node, settings or remove",
--- a/wigeonrouter/core/_problems.py
+++ b/wigeonrouter/core/_problems.py
@@ -74,9 +74,6 @@
 ID_TABLE_FULL = _not_run(
     "id-table-full", "The table of request ids is full", 503
 )
-RETRY_BUDGET_SPENT = _not_run(
-    "retry-budget-spent", "The retry budget is spent", 503
-)
 TOO_MANY_CONNECTIONS = _not_run(
     "too-many-connections", "The daemon has too many connections", 503
 )
--- a/wigeonrouter/request_path/_caller_connection.py
+++ b/wigeonrouter/request_path/_caller_connection.py
@@ -30,7 +30,6 @@
         self._deadline = time.monotonic() + IDLE_TIMEOUT_S
         self._received = False
         self._expired = False
-        self._handling = False
         self._task = None
 
     @property
@@ -38,11 +37,6 @@
         """Time at which the present wait for bytes must end, seconds."""
         return self._deadline
 
-    @property
-    def handling(self):
-        """Whether a request has arrived and is not answered."""
-        return self._handling
-
     @property
     def expired(self):
         """Whether expire() was called."""
@@ -55,7 +49,6 @@
 
     def begin_request(self, *, pending):
         """Wait for the next request; pending: some of it has arrived."""
-        self._handling = False
         self._received = pending
         self._deadline = time.monotonic() + (
             REQUEST_ARRIVAL_TIMEOUT_S if pending else IDLE_TIMEOUT_S
@@ -68,7 +61,6 @@
           watch: throw CallerGone into the present task when the caller
             closes. Not possible while a further request is readable.
         """
-        self._handling = True
         self._deadline = _NEVER
         if watch:
             self._task = gevent.getcurrent()
--- a/wigeonrouter/request_path/_handler.py
+++ b/wigeonrouter/request_path/_handler.py
@@ -11,6 +11,7 @@
 from wigeonrouter import core
 from wigeonrouter import dispatch
 from wigeonrouter import limits
+from wigeonrouter.request_path import _attempt
 from wigeonrouter.request_path import _caller_connection
 from wigeonrouter.request_path import _decisions
 from wigeonrouter.request_path import _forwarder
@@ -296,4 +297,4 @@
 def _outcome_of(answer):
     if isinstance(answer, core.Refusal):
         return answer.problem.outcome
-    return core.Outcome.FAILED if answer.status >= 500 else core.Outcome.OK
+    return _attempt.outcome_of(answer)
