--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -25,6 +25,12 @@
 _FAR_PROBE_MARGIN_S = 0.03
 _FAR_ROUND_TRIP_S = 0.042
 _NEAR_ROUND_TRIP_S = 0.0015
+# Share of the slots of the region in use from which on late requests do not
+# get what would slow others down.
+_PRESSED_SHARE = 0.3
+# An attempt that ended sooner than this many times the expected time says
+# nothing against its server.
+_PATIENCE = 2.0
 # Time after which callers should return where no server is known.
 _NO_SERVER_RETRY_S = 0.5
 
@@ -39,6 +45,9 @@
       full: whether the server was expected to be nearly full.
       report_age: seconds since its latest report, None where none came.
       worth: expected worth of the answer.
+      load: expected requests at the server.
+      round_trip: seconds to it and back.
+      expected: expected seconds until the answer.
     """
 
     registration: topology.Registration
@@ -49,6 +58,7 @@
     worth: float
     load: float
     round_trip: float
+    expected: float
 
 
 class Balancer:
@@ -77,6 +87,7 @@
         self._views = {}
         self._times = placement.WorkTimes()
         self._line = placement.WaitingLine()
+        self._late_rate = placement.LateRate()
         self._woken = {}
 
     @property
@@ -150,17 +161,20 @@
                 if entry in self._line.head(self._clock()):
                     grant = self._try_place(job, work)
                 if grant is not None:
+                    now = self._clock()
+                    if placement.is_late(job, work=work, now=now):
+                        self._late_rate.on_placed(now)
                     return grant
                 entry.wait(timeout=_POLL_S)
                 entry.clear()
-                now = self._clock()
-                if placement.turn_away(job, wait=0.0, work=work, now=now):
-                    return self._overloaded(work, now)
+                refused = self._give_up(job, work, self._clock())
+                if refused is not None:
+                    return refused
         finally:
             self._line.remove(entry)
             self._wake()
 
-    def release(self, grant, *, route, ended, load, latency):
+    def release(self, grant, *, route, ended, load, latency, late=False):
         """Give a slot back and learn from how the attempt ended.
 
         Args:
@@ -169,19 +183,23 @@
           ended: placement.Ended.
           load: dialect.Load of the answer, or None.
           latency: seconds from sending to the end.
+          late: whether it ended because no time was left.
         """
         instance = grant.registration.instance
         view = self._views.get(instance)
+        if late and latency < _PATIENCE * grant.expected:
+            ended = placement.Ended.LATE
         if view is not None:
             now = self._clock()
-            view = dataclasses.replace(
-                view, in_flight=max(0, view.in_flight - 1)
-            )
             if load is not None:
+                # The answered request is still among those reported.
                 view = dataclasses.replace(
                     view, report=self._report(load, view, now)
                 )
-            elif ended is placement.Ended.REFUSED:
+            view = dataclasses.replace(
+                view, in_flight=max(0, view.in_flight - 1)
+            )
+            if load is None and ended is placement.Ended.REFUSED:
                 view = dataclasses.replace(
                     view, report=_full_report(view, now)
                 )
@@ -241,38 +259,57 @@
                 problem=core.problems.NO_SERVER,
                 retry_after=_NO_SERVER_RETRY_S * self._rng.uniform(0.5, 1.5),
             )
-        wait = self._expected_wait(job, work, now)
-        if placement.turn_away(job, wait=wait, work=work, now=now):
-            return self._overloaded(work, now)
-        return None
-
-    def _expected_wait(self, job, work, now):
-        near = self._near() or self._far()
-        return placement.expected_wait(
+        wait = placement.expected_wait(
             ahead=self._line.ahead(job, work, now),
             work=work,
             slowness=self._times.slowness,
-            slots=sum(view.slots for view in near),
+            slots=self._near_slots(),
         )
+        if placement.turn_away(job, wait=wait, work=work, now=now):
+            return self._overloaded(wait)
+        return self._turn_late_away(job, work, now)
 
-    def _overloaded(self, work, now):
-        near = self._near() or self._far()
-        wait = placement.expected_wait(
-            ahead=len(self._line),
-            work=work,
-            slowness=self._times.slowness,
-            slots=sum(view.slots for view in near),
+    def _turn_late_away(self, job, work, now):
+        if not placement.is_late(job, work=work, now=now):
+            return None
+        wait = placement.late_wait(
+            ahead=self._line.count_late(now),
+            rate=self._late_rate.per_second(now),
         )
+        if placement.turn_late_away(job, wait=wait, now=now):
+            return self._overloaded(wait)
+        return None
+
+    def _give_up(self, job, work, now):
+        """Return the refusal of a request that waited in vain, if it did."""
+        if placement.turn_away(job, wait=0.0, work=work, now=now):
+            return self._overloaded(work)
+        if now - job.target + work < 2 * _POLL_S:
+            # It has just become late; from now on it waits with the others.
+            return self._turn_late_away(job, work, now)
+        return None
+
+    def _overloaded(self, wait):
         return dialect.Refused(
             problem=core.problems.DEADLINE_TOO_SHORT,
             retry_after=placement.retry_after(wait=wait, rng=self._rng),
         )
 
+    def _near_slots(self):
+        near = self._near() or self._far()
+        return sum(view.slots for view in near)
+
+    def _pressed(self):
+        """Return whether free slots are needed for requests in time."""
+        near = self._near() or self._far()
+        used = sum(view.in_flight for view in near)
+        return used > _PRESSED_SHARE * sum(view.slots for view in near)
+
     def _try_place(self, job, work):
         """Look for a server once; may ask servers for their load."""
         pick = self._look(job, work, self._near, _PROBES_NEAR, far=False)
         if pick.view is not None and not pick.wait:
-            return self._grant(pick)
+            return self._grant(pick, work)
         now = self._clock()
         pressed = (
             pick.view is None and not self._near()
@@ -280,9 +317,10 @@
         if pressed and self._far():
             far = self._look(job, work, self._far, _PROBES_FAR, far=True)
             if far.view is not None and far.worth > pick.worth:
-                return self._grant(far)
-        if pick.view is not None and now + work > job.target:
-            return self._grant(pick)
+                return self._grant(far, work)
+        late = placement.is_late(job, work=work, now=now)
+        if pick.view is not None and late:
+            return self._grant(pick, work)
         return None
 
     def _look(self, job, work, views, most, *, far):
@@ -314,6 +352,7 @@
             work=work,
             usual=self._times.slowness,
             now=self._clock(),
+            pressed=self._pressed(),
         )
 
     def _on_probe(self, instance, answer):
@@ -349,7 +388,7 @@
             own=view.in_flight,
         )
 
-    def _grant(self, pick):
+    def _grant(self, pick, work):
         now = self._clock()
         view = self._views.get(pick.view.instance)
         if view is None:
@@ -368,6 +407,9 @@
             worth=pick.worth,
             load=load,
             round_trip=view.round_trip,
+            expected=placement.expected_seconds(
+                view, work=work, usual=self._times.slowness, now=now
+            ),
         )
         self._views[view.instance] = dataclasses.replace(
             view, in_flight=view.in_flight + 1
--- /dev/null
+++ b/wigeonrouter/node/_hub.py
@@ -0,0 +1,155 @@
+"""Serves the followers of a hub: store changes, the roster, a pulse."""
+
+import time
+
+import gevent
+from gevent import queue as gevent_queue
+
+from wigeonrouter.node import _channel
+from wigeonrouter.schema import node_pb2
+
+PULSE_INTERVAL_S = 0.4
+# A peer that sends nothing for this time is taken to be dead.
+SILENCE_S = 1.2
+_SEND_TIMEOUT_S = 1.0
+# A follower that lags by more messages is dropped, and joins again.
+_MAX_QUEUED = 500
+
+
+class _Follower:
+    def __init__(self, *, state):
+        self.state = state
+        self.outbox = gevent_queue.Queue(maxsize=_MAX_QUEUED)
+        self.overrun = False
+
+    def put(self, message):
+        try:
+            self.outbox.put_nowait(message)
+        except gevent_queue.Full:
+            self.overrun = True
+
+
+class Hub:
+    """Owns the followers of this node while it is the hub.
+
+    Args:
+      mirror: Mirror.
+      own_state: function that returns this node's NodeState.
+      on_roster: called with a list of NodeState after each change.
+      before: NodeStates that were known before this node became the hub;
+        they have some time to join.
+    """
+
+    def __init__(
+        self, *, mirror, own_state, on_roster, before=(), clock=time.monotonic
+    ):
+        self._mirror = mirror
+        self._own_state = own_state
+        self._on_roster = on_roster
+        self._clock = clock
+        self._followers = {}
+        self._expected = {state.host: state for state in before}
+        self._expected_until = clock() + SILENCE_S
+        self._store_answers = True
+
+    @property
+    def store_answers(self):
+        """Whether the store answers this hub."""
+        return self._store_answers
+
+    @property
+    def followers(self):
+        """Number of followers."""
+        return len(self._followers)
+
+    def set_store_answers(self, answers):
+        """Take over whether the store answers, and tell the followers."""
+        if answers != self._store_answers:
+            self._store_answers = answers
+            self.pulse()
+
+    def roster(self):
+        """Return the NodeStates of all members of the region."""
+        members = {}
+        if self._clock() < self._expected_until:
+            members.update(self._expected)
+        for host, follower in self._followers.items():
+            members[host] = follower.state
+        own = self._own_state()
+        members[own.host] = own
+        return [members[host] for host in sorted(members)]
+
+    def serve(self, channel, join):
+        """Serve one follower until it goes; called by its own task."""
+        follower = _Follower(state=join.state)
+        host = join.state.host
+        self._followers[host] = follower
+        follower.put(
+            node_pb2.PeerMessage(
+                update=self._mirror.message_since(join.revision)
+            )
+        )
+        follower.put(self._pulse_message())
+        self.broadcast_roster()
+        writer = gevent.spawn(self._write, channel, follower)
+        try:
+            while not follower.overrun:
+                message = channel.receive(timeout=SILENCE_S)
+                if not message.HasField("state"):
+                    continue
+                if message.state != follower.state:
+                    follower.state = message.state
+                    self.broadcast_roster()
+        except _channel.ChannelClosed:
+            pass
+        finally:
+            writer.kill()
+            if self._followers.get(host) is follower:
+                del self._followers[host]
+                self._expected.pop(host, None)
+                self.broadcast_roster()
+
+    def broadcast_update(self, update):
+        """Pass an Update on to all followers."""
+        self._broadcast(node_pb2.PeerMessage(update=update))
+
+    def broadcast_roster(self):
+        """Tell all followers who is there."""
+        roster = self.roster()
+        self._broadcast(
+            node_pb2.PeerMessage(roster=node_pb2.Roster(nodes=roster))
+        )
+        self._on_roster(roster)
+
+    def pulse(self, *, leaving=False):
+        """Show all followers that this hub lives."""
+        self._broadcast(self._pulse_message(leaving=leaving))
+
+    def run_pulse(self):
+        """Send a pulse at intervals until the task is killed."""
+        expecting = bool(self._expected)
+        while True:
+            gevent.sleep(PULSE_INTERVAL_S)
+            self.pulse()
+            if expecting and self._clock() >= self._expected_until:
+                expecting = False
+                self.broadcast_roster()
+
+    def _pulse_message(self, *, leaving=False):
+        return node_pb2.PeerMessage(
+            pulse=node_pb2.Pulse(
+                store_answers=self._store_answers, leaving=leaving
+            )
+        )
+
+    def _broadcast(self, message):
+        for follower in self._followers.values():
+            follower.put(message)
+
+    def _write(self, channel, follower):
+        try:
+            while True:
+                message = follower.outbox.get()
+                channel.send(message, timeout=_SEND_TIMEOUT_S)
+        except _channel.ChannelClosed:
+            channel.close()
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -14,8 +14,8 @@
 from wigeonrouter.node import _entrance
 from wigeonrouter.node import _prober
 from wigeonrouter.node import _proxy
+from wigeonrouter.node import _region
 from wigeonrouter.node import _sender
-from wigeonrouter.node import _watcher
 from wigeonrouter.node import _world
 
 _HOUSEKEEPING_INTERVAL_S = 0.25
@@ -29,6 +29,8 @@
 _SERVE_SHARE = 0.7
 _FINISH_SHARE = 0.95
 _STOP_POLL_S = 0.02
+# Nodes of a region that serve the callers of one service.
+_HOMES = 1
 # Share of the retry budget that is used, for requests whose counting
 # differs at the edges of a window.
 _BUDGET_SHARE = 0.9
@@ -50,13 +52,19 @@
         self._wire = wire
         self._rng = rng or random.Random()
         self._stopping = False
+        self._was_ready = False
         self._pool = request_path.ConnectionPool(max_idle=_MAX_IDLE_S)
         self._prober = _prober.Prober(pool=self._pool, wire=wire)
         self._balancers = {}
         self._addresses = {}
         self._world = _world.World(events=events, on_change=self._reconfigure)
-        self._watcher = _watcher.Watcher(
-            feed=feed, world=self._world, events=events, rng=self._rng
+        self._region = _region.Region(
+            settings=settings,
+            feed=feed,
+            world=self._world,
+            is_ready=lambda: self.ready,
+            events=events,
+            rng=self._rng,
         )
         self._proxy = _proxy.Proxy(
             world=self._world,
@@ -97,8 +105,10 @@
         self._callers.start()
         for entrance in self._entrances:
             entrance.start()
+        self._region.start()
         self._tasks = [
-            gevent.spawn(self._keep_running, "watcher", self._watcher.run),
+            gevent.spawn(self._keep_running, "region", self._region.run),
+            gevent.spawn(self._register),
             gevent.spawn(self._keep_running, "housekeeping", self._housekeep),
         ]
         self._events.notice(
@@ -119,6 +129,7 @@
             "stopping", requests=self._callers.requests_in_progress
         )
         self._callers.drain()
+        self._region.leave()
         while time.monotonic() - began < grace * _SERVE_SHARE:
             gevent.sleep(_STOP_POLL_S)
         latest = began + grace * _FINISH_SHARE
@@ -157,9 +168,23 @@
         return min(_ANSWER_LIFETIME_S, self._settings.bounds.answer_lifetime)
 
     def _choose_entries(self, query):
-        if not self.ready:
+        if self._world.configuration is None:
             return ()
-        return (self._settings.caller_address,)
+        services = self._world.routes.services_of(query.host)
+        homes = topology.homes(
+            service=services[0] if services else "",
+            peers=self._region.peers,
+            count=_HOMES,
+        )
+        if homes:
+            return tuple(home.caller_address for home in homes)
+        return (self._settings.caller_address,) if self.ready else ()
+
+    def _register(self):
+        try:
+            self._region.register()
+        except Exception as error:
+            self._events.notice("task-failed", task="register", error=error)
 
     def _balancer(self, service):
         balancer = self._balancers.get(service)
@@ -184,6 +209,9 @@
         configuration = self._world.configuration
         if configuration is None:
             return
+        if not self._was_ready:
+            self._was_ready = True
+            self._region.announce()
         known = self._world.directory.known
         by_service = collections.defaultdict(list)
         for entry in known.values():
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -1,5 +1,6 @@
 """Handles one caller request from its route to the final answer."""
 
+import collections
 import dataclasses
 import time
 from urllib import parse
@@ -61,7 +62,7 @@
         self._splitter = splitter
         self._events = events
         self._clock = clock
-        self._longest_wait = {}
+        self._usual_waits = collections.defaultdict(placement.UsualWait)
 
     def body_limit(self, request):
         """Return the largest accepted body in bytes."""
@@ -124,11 +125,7 @@
         remaining = incoming.remaining
         if remaining is None:
             remaining = route.timeout
-        # A caller that tries again says that less time is left; the
-        # difference is the time since its first attempt.
-        longest = max(remaining, self._longest_wait.get(route.name, 0.0))
-        self._longest_wait[route.name] = longest
-        spent = longest - remaining
+        spent = self._usual_waits[route.name].spent(remaining)
         return placement.Job(
             priority=route.priority,
             idempotent=route.idempotent,
@@ -174,6 +171,7 @@
                 ended=ended,
                 load=load,
                 latency=latency,
+                late=attempt is not None and attempt.late,
             )
             self._log_attempt(call, grant, attempt, ended, latency)
 
--- /dev/null
+++ b/wigeonrouter/node/_region.py
@@ -0,0 +1,495 @@
+"""This node's part in its region: hub that reads the store, or follower."""
+
+import time
+
+import gevent
+from gevent import event
+from gevent import server as gevent_server
+
+from wigeonrouter import store
+from wigeonrouter import topology
+from wigeonrouter.node import _channel
+from wigeonrouter.node import _hub
+from wigeonrouter.node import _mirror
+from wigeonrouter.schema import node_pb2
+
+# A watch that brings nothing returns after this time, so that a hub that is
+# cut off from the store is noticed.
+_WATCH_S = 1.0
+# Changes in quick succession are read together.
+_PAUSE_AFTER_CHANGE_S = 0.25
+_FIRST_BACKOFF_S = 0.1
+_MAX_BACKOFF_S = 0.5
+_CONNECT_TIMEOUT_S = 0.3
+_ASK_TIMEOUT_S = 0.3
+_FIRST_MESSAGE_TIMEOUT_S = 1.0
+# Nodes that are asked for the hub; any of them knows it.
+_ASKED = 6
+# A hub that failed this node is not followed again for this time.
+_AVOID_S = 2.0
+_WAIT_FOR_HUB_S = 0.1
+# A node that does not take the role is not waited for any longer.
+_MAX_WAITS = 4
+_HUB_CHECK_INTERVAL_S = 1.5
+_STORE_CHECK_INTERVAL_S = 1.0
+_REGISTER_RETRY_S = 2.0
+_ROLES = {
+    topology.RoleKind.UNDECIDED: node_pb2.Role.UNDECIDED,
+    topology.RoleKind.HUB: node_pb2.Role.HUB,
+    topology.RoleKind.FOLLOWER: node_pb2.Role.FOLLOWER,
+}
+_KINDS = {number: kind for kind, number in _ROLES.items()}
+
+
+class Region:
+    """Owns the connections to the other nodes of the region.
+
+    Args:
+      settings: topology.NodeSettings.
+      feed: adapter's view of the store.
+      world: World.
+      is_ready: function that tells whether callers may be sent here.
+      on_roster: called without arguments after each change of `peers`.
+    """
+
+    def __init__(
+        self, *, settings, feed, world, is_ready, events, rng, clock=None
+    ):
+        self._settings = settings
+        self._feed = feed
+        self._world = world
+        self._is_ready = is_ready
+        self._events = events
+        self._rng = rng
+        self._clock = clock or time.monotonic
+        self._mirror = _mirror.Mirror(apply=self._apply)
+        self._role = topology.Role(kind=topology.RoleKind.UNDECIDED)
+        self._hub = None
+        self._states = []
+        self._peers = ()
+        self._avoided = {}
+        self._changed = event.Event()
+        self._leaving = False
+        self._waited = 0
+        self._reaches_store = False
+        self._server = gevent_server.StreamServer(
+            (settings.host, settings.peer_ports[0]), self._serve
+        )
+
+    @property
+    def peers(self):
+        """Tuple of topology.Peer of the region, this node included."""
+        return self._peers
+
+    @property
+    def role(self):
+        """topology.Role of this node."""
+        return self._role
+
+    def start(self):
+        """Accept other nodes."""
+        self._server.start()
+        self._on_roster([self._own_state()])
+
+    def announce(self):
+        """Tell the region that this node's state has changed."""
+        self._changed.set()
+        if self._hub is not None:
+            self._hub.broadcast_roster()
+        elif self._role.kind is topology.RoleKind.UNDECIDED:
+            self._on_roster([self._own_state()])
+
+    def leave(self):
+        """Give the role of the hub away before this node stops."""
+        self._leaving = True
+        self.announce()
+        if self._hub is not None:
+            self._hub.pulse(leaving=True)
+
+    def register(self):
+        """Make this node known in the store; returns once it is."""
+        region, host = self._settings.place.region, self._settings.host
+        while host not in self._world.hosts(region):
+            if self._mirror.revision:
+                try:
+                    self._feed.register(region=region, host=host)
+                    return
+                except store.StoreError as error:
+                    self._events.notice("not-registered", error=str(error))
+            gevent.sleep(_REGISTER_RETRY_S if self._mirror.revision else 0.05)
+
+    def run(self):
+        """Follow the store, directly or through a hub, until killed."""
+        while not self._mirror.revision:
+            self._load()
+        while True:
+            self._step()
+
+    def _load(self):
+        """Read everything once, from the store or else from a seed."""
+        try:
+            self._list()
+            return
+        except store.StoreError as error:
+            self._events.notice("store-lost", error=str(error))
+        for host in self._settings.seeds:
+            if host != self._settings.host and self._fetch(host):
+                return
+        gevent.sleep(_FIRST_BACKOFF_S * self._rng.uniform(0.7, 1.3))
+
+    def _list(self):
+        listing = self._feed.list()
+        self._reaches_store = True
+        self._world.on_contact()
+        self._mirror.replace(listing.items, listing.revision)
+
+    def _fetch(self, host):
+        message = node_pb2.PeerMessage(
+            fetch=node_pb2.Fetch(revision=self._mirror.revision)
+        )
+        answer = self._exchange(host, message)
+        if answer is None or not answer.HasField("update"):
+            return False
+        self._mirror.take(answer.update)
+        self._events.notice(
+            "content-from-peer", host=host, revision=self._mirror.revision
+        )
+        return self._mirror.revision > 0
+
+    def _step(self):
+        decision = topology.decide_role(
+            own=self._settings.host,
+            order=self._order(),
+            answers=self._ask(),
+            avoided=self._avoid(),
+            reaches_store=self._reaches_store,
+        )
+        waits = decision.verdict is topology.Verdict.WAIT
+        self._waited = self._waited + 1 if waits else 0
+        if waits and self._waited <= _MAX_WAITS:
+            gevent.sleep(_WAIT_FOR_HUB_S * self._rng.uniform(0.7, 1.3))
+        elif decision.verdict is topology.Verdict.FOLLOW:
+            self._follow(decision.hub)
+        else:
+            self._lead()
+
+    def _order(self):
+        hosts = self._world.hosts(self._settings.place.region)
+        return topology.candidate_order(
+            self._settings.place.region, hosts | {self._settings.host}
+        )
+
+    def _avoid(self):
+        now = self._clock()
+        self._avoided = {
+            host: until for host, until in self._avoided.items() if until > now
+        }
+        return frozenset(self._avoided)
+
+    def _ask(self):
+        """Ask some nodes for their roles; return a dict by host."""
+        avoided = self._avoid()
+        hosts = [
+            host
+            for host in self._order()
+            if host != self._settings.host and host not in avoided
+        ][:_ASKED]
+        tasks = {host: gevent.spawn(self._ask_one, host) for host in hosts}
+        gevent.joinall(list(tasks.values()), timeout=2 * _ASK_TIMEOUT_S)
+        return {
+            host: task.value
+            for host, task in tasks.items()
+            if task.ready() and task.value is not None
+        }
+
+    def _ask_one(self, host):
+        answer = self._exchange(host, node_pb2.PeerMessage(ask=node_pb2.Ask()))
+        if answer is None or not answer.HasField("role"):
+            return None
+        return topology.Role(
+            kind=_KINDS.get(answer.role.kind, topology.RoleKind.UNDECIDED),
+            hub=answer.role.hub,
+            store_answers=answer.role.store_answers,
+        )
+
+    def _exchange(self, host, message):
+        try:
+            channel = _channel.connect(
+                host=host,
+                port=self._settings.peer_ports[0],
+                timeout=_CONNECT_TIMEOUT_S,
+            )
+        except _channel.ChannelClosed:
+            return None
+        try:
+            channel.send(message, timeout=_ASK_TIMEOUT_S)
+            return channel.receive(timeout=_ASK_TIMEOUT_S)
+        except _channel.ChannelClosed:
+            return None
+        finally:
+            channel.close()
+
+    def _lead(self):
+        """Be the hub: read the store and serve followers."""
+        self._hub = _hub.Hub(
+            mirror=self._mirror,
+            own_state=self._own_state,
+            on_roster=self._on_roster,
+            before=[
+                state
+                for state in self._states
+                if state.host not in self._avoid()
+            ],
+        )
+        self._set_role(topology.RoleKind.HUB, self._settings.host, True)
+        self._hub.broadcast_roster()
+        pulse = gevent.spawn(self._hub.run_pulse)
+        reader = gevent.spawn(self._read)
+        try:
+            while not reader.ready():
+                gevent.sleep(_HUB_CHECK_INTERVAL_S)
+                if self._should_step_down():
+                    return
+        finally:
+            reader.kill()
+            pulse.kill()
+            hub, self._hub = self._hub, None
+            hub.pulse(leaving=True)
+            self._set_role(topology.RoleKind.UNDECIDED, "", False)
+
+    def _should_step_down(self):
+        order = self._order()
+        if order[0] == self._settings.host and self._reaches_store:
+            return False
+        if not self._reaches_store:
+            return self._knows_better_hub()
+        answers = self._ask()
+        return topology.steps_down(
+            own=self._settings.host, order=order, answers=answers
+        )
+
+    def _read(self):
+        failures = 0
+        while True:
+            try:
+                self._read_once()
+            except store.HistoryLost:
+                self._events.notice(
+                    "store-history-lost", after=self._mirror.revision
+                )
+                failures += self._relist()
+            except store.StoreError as error:
+                failures += 1
+                self._note_outage(error, failures)
+                backoff = min(
+                    _MAX_BACKOFF_S,
+                    _FIRST_BACKOFF_S * 2 ** min(8, failures - 1),
+                )
+                gevent.sleep(backoff * self._rng.uniform(0.7, 1.3))
+                continue
+            failures = 0
+
+    def _read_once(self):
+        events = self._feed.watch(
+            revision=self._mirror.revision, wait=_WATCH_S
+        )
+        self._note_contact()
+        if not events.changes:
+            self._mirror.update((), events.revision)
+            return
+        self._mirror.update(events.changes, events.revision)
+        self._hub.broadcast_update(
+            _mirror.render_update(
+                items=events.changes, revision=events.revision
+            )
+        )
+        gevent.sleep(_PAUSE_AFTER_CHANGE_S)
+
+    def _relist(self):
+        before = self._mirror.revision
+        try:
+            self._list()
+        except store.StoreError as error:
+            self._note_outage(error, 1)
+            return 1
+        self._note_contact()
+        self._hub.broadcast_update(self._mirror.message_since(before))
+        return 0
+
+    def _note_contact(self):
+        if not self._reaches_store:
+            self._events.notice(
+                "store-regained", revision=self._mirror.revision
+            )
+        self._reaches_store = True
+        self._world.on_contact()
+        self._hub.set_store_answers(True)
+        self._set_role(topology.RoleKind.HUB, self._settings.host, True)
+
+    def _note_outage(self, error, failures):
+        self._world.on_outage()
+        if self._reaches_store or failures == 1:
+            self._events.notice("store-lost", error=str(error))
+        self._reaches_store = False
+        self._hub.set_store_answers(False)
+        self._set_role(topology.RoleKind.HUB, self._settings.host, False)
+
+    def _follow(self, hub):
+        """Follow a hub until it fails."""
+        reason = "unreachable"
+        try:
+            channel = _channel.connect(
+                host=hub,
+                port=self._settings.peer_ports[0],
+                timeout=_CONNECT_TIMEOUT_S,
+            )
+        except _channel.ChannelClosed as error:
+            self._avoided[hub] = self._clock() + _AVOID_S
+            self._events.notice("hub-lost", hub=hub, reason=str(error))
+            return
+        writer = None
+        try:
+            channel.send(
+                node_pb2.PeerMessage(
+                    join=node_pb2.Join(
+                        state=self._own_state(),
+                        revision=self._mirror.revision,
+                    )
+                ),
+                timeout=_ASK_TIMEOUT_S,
+            )
+            writer = gevent.spawn(self._send_states, channel)
+            reason = self._receive(channel, hub)
+        except _channel.ChannelClosed as error:
+            reason = str(error)
+        finally:
+            if writer is not None:
+                writer.kill()
+            channel.close()
+            self._avoided[hub] = self._clock() + _AVOID_S
+            self._events.notice("hub-lost", hub=hub, reason=reason)
+            self._set_role(topology.RoleKind.UNDECIDED, "", False)
+
+    def _receive(self, channel, hub):
+        """Take over what the hub sends; return why it is left."""
+        checked = float("-inf")
+        while True:
+            message = channel.receive(timeout=_hub.SILENCE_S)
+            kind = message.WhichOneof("body")
+            if kind == "update":
+                self._mirror.take(message.update)
+            elif kind == "roster":
+                self._on_roster(list(message.roster.nodes))
+            elif kind == "role":
+                return "is no hub"
+            elif kind == "pulse":
+                if message.pulse.leaving:
+                    return "stops"
+                self._take_pulse(hub, message.pulse.store_answers)
+                now = self._clock()
+                if (
+                    not message.pulse.store_answers
+                    and now - checked >= _STORE_CHECK_INTERVAL_S
+                ):
+                    checked = now
+                    if self._check_store() or self._knows_better_hub():
+                        return "does not reach the store"
+
+    def _take_pulse(self, hub, store_answers):
+        if store_answers:
+            self._world.on_contact()
+        else:
+            self._world.on_outage()
+        self._reaches_store = store_answers
+        self._set_role(topology.RoleKind.FOLLOWER, hub, store_answers)
+
+    def _check_store(self):
+        try:
+            self._feed.check()
+        except store.StoreError:
+            return False
+        self._reaches_store = True
+        return True
+
+    def _knows_better_hub(self):
+        return any(
+            role.kind is topology.RoleKind.HUB and role.store_answers
+            for role in self._ask().values()
+        )
+
+    def _send_states(self, channel):
+        try:
+            while True:
+                self._changed.wait(timeout=_hub.PULSE_INTERVAL_S)
+                self._changed.clear()
+                channel.send(
+                    node_pb2.PeerMessage(state=self._own_state()),
+                    timeout=_ASK_TIMEOUT_S,
+                )
+        except _channel.ChannelClosed:
+            channel.close()
+
+    def _serve(self, sock, _):
+        channel = _channel.Channel(sock=sock)
+        try:
+            message = channel.receive(timeout=_FIRST_MESSAGE_TIMEOUT_S)
+            kind = message.WhichOneof("body")
+            if kind == "join" and self._hub is not None:
+                self._hub.serve(channel, message.join)
+            elif kind == "fetch" and self._mirror.revision:
+                channel.send(
+                    node_pb2.PeerMessage(
+                        update=self._mirror.message_since(
+                            message.fetch.revision
+                        )
+                    ),
+                    timeout=_ASK_TIMEOUT_S,
+                )
+            else:
+                channel.send(self._role_message(), timeout=_ASK_TIMEOUT_S)
+        except _channel.ChannelClosed:
+            pass
+        finally:
+            channel.close()
+
+    def _role_message(self):
+        return node_pb2.PeerMessage(
+            role=node_pb2.Role(
+                kind=_ROLES[self._role.kind],
+                hub=self._role.hub,
+                store_answers=self._role.store_answers,
+            )
+        )
+
+    def _set_role(self, kind, hub, store_answers):
+        if self._leaving:
+            kind, hub = topology.RoleKind.UNDECIDED, ""
+        role = topology.Role(kind=kind, hub=hub, store_answers=store_answers)
+        if (role.kind, role.hub) != (self._role.kind, self._role.hub):
+            self._events.notice("role", kind=kind.value, hub=hub)
+        self._role = role
+
+    def _own_state(self):
+        return node_pb2.NodeState(
+            host=self._settings.host,
+            caller_address=str(self._settings.caller_address),
+            failure_domain=self._settings.place.failure_domain,
+            ready=self._is_ready(),
+            capacity_millicores=self._settings.capacity,
+        )
+
+    def _on_roster(self, states):
+        self._states = states
+        self._peers = tuple(
+            topology.Peer(
+                host=state.host,
+                caller_address=state.caller_address,
+                failure_domain=state.failure_domain,
+                ready=state.ready,
+                capacity=state.capacity_millicores,
+            )
+            for state in states
+        )
+
+    def _apply(self, items, revision, whole):
+        self._world.apply(self._feed.decode(items, whole=whole))
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -17,6 +17,8 @@
 # use just before.
 _MAX_IDLE_ONCE_S = 0.5
 MAX_RESPONSE_BYTES = 64 << 20
+# A backend server answers so when the time that it was given has passed.
+_GATEWAY_TIMEOUT = 504
 # Answers to earlier requests that may precede the right one.
 _MAX_STRAY_ANSWERS = 4
 
@@ -30,6 +32,7 @@
       response: the server's whole HttpResponse, None where there is none.
       answer: dialect.ServerAnswer of it.
       may_have_run: whether the server may have begun to work on it.
+      late: whether it ended because no time was left.
       detail: what was seen, for the log.
     """
 
@@ -37,6 +40,7 @@
     may_have_run: bool
     response: request_path.HttpResponse | None = None
     answer: dialect.ServerAnswer | None = None
+    late: bool = False
     detail: str = ""
 
 
@@ -124,6 +128,7 @@
             return Attempt(
                 ended=placement.Ended.LOST,
                 may_have_run=True,
+                late=isinstance(error, TimeoutError),
                 detail=f"{type(error).__name__}: {error}",
             )
 
@@ -150,6 +155,7 @@
         return Attempt(
             ended=_ending(response, answer),
             may_have_run=not answer.not_run,
+            late=response.status == _GATEWAY_TIMEOUT,
             response=response,
             answer=answer,
         )
--- a/wigeonrouter/node/_world.py
+++ b/wigeonrouter/node/_world.py
@@ -20,7 +20,8 @@
         self._configuration = None
         self._routes = topology.RouteTable(())
         self._directory = topology.ServerDirectory()
-        self._applied = time.monotonic()
+        self._hosts = {}
+        self._applied = clock()
 
     @property
     def configuration(self):
@@ -42,7 +43,11 @@
         """topology.ServerDirectory."""
         return self._directory
 
-    def on_outage(self, reason):
+    def hosts(self, region):
+        """Return the hosts of the nodes that registered in a region."""
+        return frozenset(self._hosts.get(region, ()))
+
+    def on_outage(self):
         """Take over that the store does not answer."""
         self._directory.on_outage()
 
@@ -50,24 +55,14 @@
         """Take over that the store answers."""
         self._directory.on_contact(self._clock())
 
-    def replace(self, content):
-        """Take over all that lies in the store (topology.StoreContent)."""
-        now = self._clock()
-        written = [
-            record.registration.instance
-            for record in content.records
-            if isinstance(record, topology.RegistrationWritten)
-        ]
-        self._directory.keep_only(written, now)
-        for record in content.records:
-            self._apply(record, now)
-        self._on_change()
-
-    def update(self, content):
-        """Take over changes (topology.StoreContent)."""
-        if not content.records:
-            return
+    def apply(self, content):
+        """Take over what lies in the store (topology.StoreContent)."""
         now = self._clock()
+        if content.whole:
+            self._hosts = {}
+            self._directory.keep_only(_written(content.records), now)
+        else:
+            self._directory.remove(_removed(content.records), now)
         for record in content.records:
             self._apply(record, now)
         self._on_change()
@@ -84,13 +79,16 @@
         elif isinstance(record, topology.RegistrationWritten):
             self._apply_registration(record, now)
         elif isinstance(record, topology.RegistrationRemoved):
-            self._directory.remove(record.instance, now)
             self._events.notice(
                 "server-gone",
                 instance=record.instance,
                 revision=record.revision,
                 reason=record.reason,
             )
+        elif isinstance(record, topology.NodeWritten):
+            self._hosts.setdefault(record.region, set()).add(record.host)
+        elif isinstance(record, topology.NodeRemoved):
+            self._hosts.get(record.region, set()).discard(record.host)
         elif isinstance(record, topology.ConfigurationRejected):
             self._events.notice(
                 "configuration-rejected",
@@ -121,7 +119,10 @@
 
     def _apply_registration(self, record, now):
         registration = record.registration
+        before = self._directory.known.get(registration.instance)
         taken = self._directory.put(registration, now)
+        if before is not None and before.registration == registration:
+            return
         self._events.notice(
             "server-registered" if taken else "registration-outdated",
             instance=registration.instance,
@@ -130,3 +131,22 @@
             sequence=registration.sequence,
             revision=record.revision,
         )
+
+
+def _written(records):
+    return {
+        record.registration.instance
+        for record in records
+        if isinstance(record, topology.RegistrationWritten)
+    }
+
+
+def _removed(records):
+    """Return the instances whose last record is their removal."""
+    last = {}
+    for record in records:
+        if isinstance(record, topology.RegistrationWritten):
+            last[record.registration.instance] = False
+        elif isinstance(record, topology.RegistrationRemoved):
+            last[record.instance] = True
+    return [instance for instance, removed in last.items() if removed]
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -5,6 +5,7 @@
 pattern that it answers.
 """
 
+from wigeonrouter.placement import _age
 from wigeonrouter.placement import _budget
 from wigeonrouter.placement import _choice
 from wigeonrouter.placement import _estimate
@@ -14,11 +15,13 @@
 
 Ended = _health.Ended
 Job = _records.Job
+LateRate = _waiting.LateRate
 LoadReport = _records.LoadReport
 Pick = _choice.Pick
 RetryBudget = _budget.RetryBudget
 ServerView = _records.ServerView
 Tier = _records.Tier
+UsualWait = _age.UsualWait
 WaitingLine = _waiting.WaitingLine
 WorkTimes = _estimate.WorkTimes
 
@@ -26,8 +29,10 @@
 after_probe = _health.after_probe
 after_silence = _health.after_silence
 expected_load = _estimate.expected_load
+expected_seconds = _estimate.expected_seconds
 expected_slowness = _estimate.expected_slowness
 expected_wait = _waiting.expected_wait
+is_late = _waiting.is_late
 is_full = _estimate.is_full
 choose = _choice.choose
 GOOD_WORTH = _choice.GOOD_WORTH
@@ -36,4 +41,6 @@
 normal_work = _estimate.normal_work
 probe_candidates = _choice.probe_candidates
 retry_after = _waiting.retry_after
+late_wait = _waiting.late_wait
+turn_late_away = _waiting.turn_late_away
 turn_away = _waiting.turn_away
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -32,6 +32,11 @@
 _WAIT_MARGIN = 0.2
 # Reports that are older are asked for again before a choice.
 FRESH_S = 0.04
+# Share of the servers that has to be allowed before failures are ignored.
+_MIN_ALLOWED_SHARE = 0.34
+# A server that is slower is not used for late requests under pressure: they
+# would hold its slots for several times as long.
+_SLOW = 2.0
 # An estimate that differs by a second counts as much as this much worth.
 _WORTH_PER_S = 0.05
 
@@ -76,21 +81,20 @@
 
 
 def usable(views, *, job, now):
-    """Return the views that may get a request, those with a place first.
+    """Return the views that may get a request and have a place for it.
 
-    A late request is not put where it would slow others down, unless its
-    time is nearly over.
+    Servers that are left alone because they failed are taken all the same
+    where hardly any other is there.
     """
-    found = []
-    for view in views:
-        if view.instance in job.excluded:
-            continue
-        if not _health.may_use(view, now):
-            continue
-        if _estimate.expected_load(view, now) + 0.5 > view.slots:
-            continue
-        found.append(view)
-    return found
+    views = [view for view in views if view.instance not in job.excluded]
+    allowed = [view for view in views if _health.may_use(view, now)]
+    if len(allowed) < _MIN_ALLOWED_SHARE * len(views):
+        allowed = views
+    return [
+        view
+        for view in allowed
+        if _estimate.expected_load(view, now) + 0.5 <= view.slots
+    ]
 
 
 def probe_candidates(views, *, job, work, usual, now, most):
@@ -117,24 +121,24 @@
     ]
 
 
-def choose(views, *, job, work, usual, now):
+def choose(views, *, job, work, usual, now, pressed):
     """Return the Pick for a request.
 
+    A late request under pressure gets only what does not slow others down.
+
     Args:
       views: ServerViews of one service that may be considered.
       job: Job.
       work: undisturbed seconds of work.
       usual: average slowness of all servers.
       now: seconds on the monotonic clock.
+      pressed: whether other requests need the slots.
     """
     best, best_worth = None, float("-inf")
     late = job.target - now < work
-    hurried = job.give_up - now < 3 * work
     for view in usable(views, job=job, now=now):
-        if late and not hurried:
-            load = _estimate.expected_load(view, now)
-            if _estimate.is_full(load, view.slots):
-                continue
+        if late and pressed and _disturbs(view, usual, now):
+            continue
         worth = worth_of(view, job=job, work=work, usual=usual, now=now)
         if worth > best_worth:
             best, best_worth = view, worth
@@ -143,3 +147,10 @@
     hoped = answer_worth(seconds=WAIT_S + work, job=job, now=now)
     wait = not late and best_worth + _WAIT_MARGIN < hoped
     return Pick(view=best, worth=best_worth, wait=wait)
+
+
+def _disturbs(view, usual, now):
+    load = _estimate.expected_load(view, now)
+    if _estimate.is_full(load, view.slots):
+        return True
+    return _estimate.expected_slowness(view, now, usual) > _SLOW
--- a/wigeonrouter/placement/_health.py
+++ b/wigeonrouter/placement/_health.py
@@ -13,8 +13,10 @@
 _FAILURE_WEIGHT = 0.3
 # Time in which the memory of failures fades to a third.
 _FAILURE_FADING_S = 3.0
-# A server with more recent failures gets nothing while others are there.
-MAX_FAILURE = 0.95
+# After this many failures in a row a server is left alone for a time, which
+# doubles; it would attract requests, since failing is fast.
+_FAILURES_TO_PAUSE = 2
+_FIRST_PAUSE_S = 0.5
 _FIRST_BACKOFF_S = 0.25
 _MAX_BACKOFF_S = 4.0
 # A health check that fails counts this much.
@@ -33,6 +35,8 @@
     LOST = "lost"
     UNREACHABLE = "unreachable"
     CANCELLED = "cancelled"
+    # There was less time left than the server needs.
+    LATE = "late"
 
 
 def failure_now(view, now):
@@ -48,7 +52,7 @@
 
 def after_answer(view, *, ended, now):
     """Return the view after an attempt."""
-    if ended is Ended.CANCELLED:
+    if ended in (Ended.CANCELLED, Ended.LATE):
         return view
     if ended is Ended.UNREACHABLE:
         return after_silence(view, now=now)
@@ -57,11 +61,20 @@
     weight = _FAILURE_WEIGHT
     if ended is Ended.REFUSED:
         return dataclasses.replace(view, silent=0)
+    failures = view.failures + 1 if failed else 0
+    retry_at = view.retry_at
+    if failures >= _FAILURES_TO_PAUSE:
+        retry_at = now + min(
+            _MAX_BACKOFF_S,
+            _FIRST_PAUSE_S * 2 ** min(8, failures - _FAILURES_TO_PAUSE),
+        )
     return dataclasses.replace(
         view,
         failure=before + weight * (float(failed) - before),
         failure_at=now,
+        failures=failures,
         silent=0,
+        retry_at=retry_at,
     )
 
 
@@ -76,7 +89,7 @@
         failure=failure,
         failure_at=now,
         silent=0,
-        retry_at=float("-inf"),
+        retry_at=view.retry_at if view.failures else float("-inf"),
         round_trip=view.round_trip
         + _ROUND_TRIP_WEIGHT * (round_trip - view.round_trip),
     )
--- a/wigeonrouter/placement/_records.py
+++ b/wigeonrouter/placement/_records.py
@@ -43,6 +43,7 @@
       warm_until: time at which it is no longer slow from its start.
       failure: recent share of attempts that failed, from 0 to 1.
       failure_at: time to which `failure` refers.
+      failures: attempts in a row that failed.
       silent: probes and connections in a row that got no answer.
       retry_at: it gets nothing before this time.
       round_trip: time to it and back.
@@ -56,6 +57,7 @@
     warm_until: float = float("-inf")
     failure: float = 0.0
     failure_at: float = 0.0
+    failures: int = 0
     silent: int = 0
     retry_at: float = float("-inf")
     round_trip: float = 0.001
--- a/wigeonrouter/platform/_entries.py
+++ b/wigeonrouter/platform/_entries.py
@@ -8,8 +8,8 @@
 
 CONFIGURATION_KEY = "op/config"
 SERVER_PREFIX = "servers/"
-# Everything of the project's own lies below this prefix.
-OWN_PREFIX = "wigeonrouter/"
+# Nodes register below this prefix, as REGION/HOST.
+NODE_PREFIX = "wigeonrouter/nodes/"
 
 
 def decode_configuration(value):
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -1,4 +1,4 @@
-"""Reads the store and decodes what lies in it."""
+"""Reads and writes the store, and decodes what lies in it."""
 
 from wigeonrouter import topology
 from wigeonrouter.platform import _entries
@@ -7,50 +7,63 @@
 # One listing and one watch cover the configuration, the registrations and
 # the keys of the project.
 _ALL_KEYS = ""
+_REGISTERED = b"{}"
 
 
 class StoreFeed:
-    """What the store holds, as the product's records."""
+    """The store, with its items as the product's records.
 
-    def __init__(self, *, client, regions):
+    Every method that calls the store raises store.StoreError where there
+    was no usable answer.
+    """
+
+    def __init__(self, *, client, probe_client, regions):
+        """Use a client of its own for short calls beside a watch."""
         self._client = client
+        self._probe_client = probe_client
         self._regions = regions
 
     def list(self):
-        """Return the topology.StoreContent of all keys.
-
-        Raises:
-          store.StoreError: there was no usable answer.
-        """
-        listing = self._client.list(_ALL_KEYS)
-        return self._decode(listing.items, listing.revision)
+        """Return the store.Listing of all keys."""
+        return self._client.list(_ALL_KEYS)
 
     def watch(self, *, revision, wait):
-        """Return the topology.StoreContent of changes after a revision.
+        """Return the store.Events after a revision.
 
         Raises:
           store.HistoryLost: everything has to be listed again.
-          store.StoreError: there was no usable answer.
         """
-        events = self._client.watch(_ALL_KEYS, revision=revision, wait=wait)
-        return self._decode(events.changes, events.revision)
+        return self._client.watch(_ALL_KEYS, revision=revision, wait=wait)
 
-    def close(self):
-        """Close the connection to the store."""
-        self._client.close()
+    def check(self):
+        """Return normally where the store answers this node."""
+        self._probe_client.list(_entries.NODE_PREFIX, stale=True)
+
+    def register(self, *, region, host):
+        """Make this node known to others of its region."""
+        self._probe_client.create(
+            f"{_entries.NODE_PREFIX}{region}/{host}", _REGISTERED
+        )
 
-    def _decode(self, items, revision):
+    def decode(self, items, *, whole):
+        """Return the topology.StoreContent of store items."""
         records = [self._decode_item(item) for item in items]
         return topology.StoreContent(
-            records=tuple(r for r in records if r is not None),
-            revision=revision,
+            records=tuple(r for r in records if r is not None), whole=whole
         )
 
+    def close(self):
+        """Close the connections to the store."""
+        self._client.close()
+        self._probe_client.close()
+
     def _decode_item(self, item):
         if item.key == _entries.CONFIGURATION_KEY:
             return _decode_configuration(item)
         if item.key.startswith(_entries.SERVER_PREFIX):
             return self._decode_registration(item)
+        if item.key.startswith(_entries.NODE_PREFIX):
+            return _decode_node(item)
         return None
 
     def _decode_registration(self, item):
@@ -85,3 +98,14 @@
     return topology.ConfigurationWritten(
         configuration=configuration, revision=item.version
     )
+
+
+def _decode_node(item):
+    region, _, host = item.key.removeprefix(_entries.NODE_PREFIX).partition(
+        "/"
+    )
+    if not host:
+        return None
+    if item.value is None:
+        return topology.NodeRemoved(region=region, host=host)
+    return topology.NodeWritten(region=region, host=host)
--- a/wigeonrouter/platform/_settings.py
+++ b/wigeonrouter/platform/_settings.py
@@ -54,6 +54,12 @@
             _fields.text(values, "platform.address")
         ),
         peer_ports=(int(first), int(last)),
+        seeds=tuple(
+            _fields.address(seed).host
+            for seed in values.get("seeds", "").split(",")
+            if seed
+        ),
+        capacity=_read_capacity(values),
         regions={
             name.removeprefix("zones."): value
             for name, value in values.items()
@@ -69,6 +75,16 @@
     return _fields.address(found) if found else None
 
 
+def _read_capacity(values):
+    # The share is of one core; `cores` says how many times as fast it is.
+    try:
+        share = float(values.get("limits.cpu_share") or 1.0)
+        speed = float(values.get("limits.cores") or 1.0)
+    except ValueError as error:
+        raise _fields.FieldError(f"limits: {error}") from error
+    return max(1, round(share * speed * 1000))
+
+
 def _read_bounds(joined):
     values = {}
     for part in joined.split(","):
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -2,7 +2,6 @@
 
 import base64
 import binascii
-import dataclasses
 import json
 from urllib import parse
 
@@ -21,22 +20,6 @@
 _JSON = {"Content-Type": "application/json"}
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Listing:
-    """Items and the revision of the store that they are at least of."""
-
-    items: tuple[store.Item, ...]
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Events:
-    """Changes since a revision; a value of None stands for a removal."""
-
-    changes: tuple[store.Item, ...]
-    revision: int
-
-
 class StoreClient:
     """Calls of one process to the store. Times are in seconds."""
 
@@ -52,8 +35,8 @@
           prefix: text, "" for all keys.
           stale: accept an answer that may be seconds old.
         Returns:
-          Listing; its revision is that of the first page, so that a watch
-          from there misses nothing.
+          store.Listing; its revision is that of the first page: a watch
+          from there on misses nothing.
         Raises:
           StoreError: there was no usable answer.
         """
@@ -70,12 +53,14 @@
             if revision is None:
                 revision = _field(document, "as_of", int)
             if not document.get("has_more") or not rows:
-                return Listing(items=tuple(items), revision=revision)
+                return store.Listing(items=tuple(items), revision=revision)
             after = items[-1].key
 
     def watch(self, prefix, *, revision, wait):
         """Wait for changes after a revision.
 
+        Returns:
+          store.Events, without any where none came in time.
         Raises:
           store.HistoryLost: all items have to be listed again.
           StoreError: there was no usable answer.
@@ -89,7 +74,7 @@
             },
             wait + self._timeout,
         )
-        return Events(
+        return store.Events(
             changes=tuple(
                 _read_item(row) for row in _field(document, "events", list)
             ),
--- a/wigeonrouter/platform/main.py
+++ b/wigeonrouter/platform/main.py
@@ -22,7 +22,7 @@
 from wigeonrouter.platform import _store  # noqa: E402
 
 _EX_CONFIG = 78
-_STORE_TIMEOUT_S = 1.0
+_STORE_TIMEOUT_S = 0.7
 _LOG_LINES_PER_SECOND = 400
 
 
@@ -39,9 +39,8 @@
     node = node_api.Node(
         settings=settings,
         feed=_feed.StoreFeed(
-            client=_store.StoreClient(
-                address=settings.store_address, timeout=_STORE_TIMEOUT_S
-            ),
+            client=_client(settings),
+            probe_client=_client(settings),
             regions=settings.regions,
         ),
         wire=_http.HttpDialect(),
@@ -57,6 +56,12 @@
     events.stop()
 
 
+def _client(settings):
+    return _store.StoreClient(
+        address=settings.store_address, timeout=_STORE_TIMEOUT_S
+    )
+
+
 def _reload(node, path, events):
     try:
         node.reload(_settings.load(path))
--- a/wigeonrouter/store/__init__.py
+++ b/wigeonrouter/store/__init__.py
@@ -4,8 +4,10 @@
 from wigeonrouter.store import _interface
 from wigeonrouter.store import _tcp
 
+Events = _interface.Events
 HistoryLost = _interface.HistoryLost
 Item = _interface.Item
+Listing = _interface.Listing
 Store = _interface.Store
 StoreError = _interface.StoreError
 StoreReplyLost = _interface.StoreReplyLost
--- a/wigeonrouter/store/_interface.py
+++ b/wigeonrouter/store/_interface.py
@@ -33,6 +33,22 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Listing:
+    """Items, and the revision of the store that they are at least of."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Events:
+    """Changes up to a revision; a value of None stands for a removal."""
+
+    changes: tuple[Item, ...]
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Vm:
     """An entry of the platform's VM list, which lags."""
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -2,6 +2,7 @@
 
 from wigeonrouter.topology import _directory
 from wigeonrouter.topology import _records
+from wigeonrouter.topology import _region
 from wigeonrouter.topology import _routing
 
 Bounds = _records.Bounds
@@ -10,11 +11,16 @@
 ConfigurationRejected = _records.ConfigurationRejected
 ConfigurationWritten = _records.ConfigurationWritten
 Known = _directory.Known
+NodeRemoved = _records.NodeRemoved
 NodeSettings = _records.NodeSettings
+NodeWritten = _records.NodeWritten
+Peer = _region.Peer
 Registration = _records.Registration
 RegistrationRemoved = _records.RegistrationRemoved
 RegistrationState = _records.RegistrationState
 RegistrationWritten = _records.RegistrationWritten
+Role = _region.Role
+RoleKind = _region.RoleKind
 Route = _records.Route
 ServerDirectory = _directory.ServerDirectory
 ServiceSettings = _records.ServiceSettings
@@ -22,3 +28,9 @@
 StoreContent = _records.StoreContent
 Splitter = _routing.Splitter
 RouteTable = _routing.RouteTable
+Verdict = _region.Verdict
+
+candidate_order = _region.candidate_order
+decide_role = _region.decide_role
+homes = _region.homes
+steps_down = _region.steps_down
--- a/wigeonrouter/topology/_directory.py
+++ b/wigeonrouter/topology/_directory.py
@@ -11,6 +11,8 @@
 
 # Living servers register again within about this time after an outage.
 RETURN_S = 2.2
+# Share of all registrations that go at once when they lapse.
+_MASS_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -75,23 +77,35 @@
         )
         return True
 
-    def remove(self, instance, now):
-        """Take over that a registration went away or became unreadable."""
-        before = self._known.get(instance)
-        if before is None:
-            return
-        leaving = (
-            before.registration.state is _records.RegistrationState.DRAINING
+    def remove(self, instances, now):
+        """Take over that registrations went away or became unreadable.
+
+        Only when most of them go at once, around an outage of the store,
+        have they lapsed for want of renewal. Single ones have left, although
+        this node learned of it late.
+
+        Args:
+          instances: those that went away together.
+          now: seconds on the monotonic clock.
+        """
+        gone = [
+            instance
+            for instance in instances
+            if instance in self._known and not self._known[instance].lapsed
+        ]
+        keep = self._is_near_outage(now) and len(gone) > _MASS_SHARE * len(
+            self._known
         )
-        if leaving or not self._is_near_outage(now):
-            del self._known[instance]
-        elif before.lapsed is None:
-            self._known[instance] = dataclasses.replace(before, lapsed=now)
+        for instance in gone:
+            known = self._known[instance]
+            if keep and not _is_leaving(known):
+                self._known[instance] = dataclasses.replace(known, lapsed=now)
+            else:
+                del self._known[instance]
 
     def keep_only(self, instances, now):
         """Remove all registrations but some, after a full read."""
-        for instance in self._known.keys() - set(instances):
-            self.remove(instance, now)
+        self.remove(self._known.keys() - set(instances), now)
 
     def expire(self, now):
         """Forget lapsed registrations whose time to return is over.
@@ -120,3 +134,7 @@
 
     def _is_near_outage(self, now):
         return self._in_outage or now - self._outage_ended < RETURN_S
+
+
+def _is_leaving(known):
+    return known.registration.state is _records.RegistrationState.DRAINING
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -133,17 +133,33 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NodeWritten:
+    """A node of some region registered itself."""
+
+    region: str
+    host: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NodeRemoved:
+    """A node's registration went away."""
+
+    region: str
+    host: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StoreContent:
     """What lies in the store, or what changed there.
 
     Attributes:
-      records: the records above and below, oldest first.
-      revision: revision of the store from which to watch on.
+      records: the records above, oldest first.
+      whole: whether nothing else lies there.
     """
 
     records: tuple
-    revision: int
+    whole: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -170,6 +186,8 @@
     """What a node is told about itself.
 
     Attributes:
+      seeds: hosts of some nodes, which may be out of date.
+      capacity: processor time that it may use, in thousandths of a core.
       regions: dict from failure domain to region.
       peer_ports: first and last port for traffic between nodes.
     """
@@ -182,6 +200,8 @@
     directory_address: core.Address | None
     store_address: core.Address
     peer_ports: tuple[int, int]
+    seeds: tuple[str, ...]
+    capacity: int
     regions: dict[str, str]
     heartbeat: float
     bounds: Bounds
