Keep answers that come late anyhow off slow servers

Ruled out: too few slots (24 were there). Waiting requests now also look again after a fifth of their work instead of 30 ms.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -14,9 +14,11 @@
 from wigeonrouter import topology
 from wigeonrouter.node import dialect
 
-# A waiting request looks for a server again after this time even when none
-# of ours was released.
-_POLL_S = 0.03
+# A waiting request looks for a server again after this part of its work, even
+# when none of ours was released, but not more often than the least time.
+_POLL_SHARE = 0.2
+_LEAST_POLL_S = 0.012
+_MOST_POLL_S = 0.03
 # Servers of the own region and of others that are asked before a choice.
 _PROBES_NEAR = 4
 _PROBES_FAR = 3
@@ -25,9 +27,6 @@
 _FAR_PROBE_MARGIN_S = 0.03
 _FAR_ROUND_TRIP_S = 0.042
 _NEAR_ROUND_TRIP_S = 0.0015
-# Share of the slots of the region in use from which on late requests do not
-# get what would slow others down.
-_PRESSED_SHARE = 0.3
 # An attempt that ended sooner than this many times the expected time says
 # nothing against its server.
 _PATIENCE = 2.0
@@ -153,6 +152,7 @@
         refused = self._turn_away(job, work, now)
         if refused is not None:
             return refused
+        poll = min(_MOST_POLL_S, max(_LEAST_POLL_S, _POLL_SHARE * work))
         entry = event.Event()
         self._line.add(entry, job, work)
         try:
@@ -165,7 +165,7 @@
                     if placement.is_late(job, work=work, now=now):
                         self._late_rate.on_placed(now)
                     return grant
-                entry.wait(timeout=_POLL_S)
+                entry.wait(timeout=poll)
                 entry.clear()
                 refused = self._give_up(job, work, self._clock())
                 if refused is not None:
@@ -284,7 +284,7 @@
         """Return the refusal of a request that waited in vain, if it did."""
         if placement.turn_away(job, wait=0.0, work=work, now=now):
             return self._overloaded(work)
-        if now - job.target + work < 2 * _POLL_S:
+        if now - job.target + work < 2 * _MOST_POLL_S:
             # It has just become late; from now on it waits with the others.
             return self._turn_late_away(job, work, now)
         return None
@@ -299,11 +299,18 @@
         near = self._near() or self._far()
         return sum(view.slots for view in near)
 
-    def _pressed(self):
-        """Return whether free slots are needed for requests in time."""
+    def _pressure(self):
+        """Return the share of the slots in use, 1 where requests wait.
+
+        Only waiting requests that can still be in time count.
+        """
+        now = self._clock()
+        if len(self._line) - self._line.count_late(now) > 1:
+            return 1.0
         near = self._near() or self._far()
-        used = sum(view.in_flight for view in near)
-        return used > _PRESSED_SHARE * sum(view.slots for view in near)
+        slots = sum(view.slots for view in near)
+        used = sum(placement.expected_load(view, now) for view in near)
+        return used / max(1, slots)
 
     def _try_place(self, job, work):
         """Look for a server once; may ask servers for their load."""
@@ -352,7 +359,7 @@
             work=work,
             usual=self._times.slowness,
             now=self._clock(),
-            pressed=self._pressed(),
+            pressure=self._pressure(),
         )
 
     def _on_probe(self, instance, answer):
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -34,9 +34,15 @@
 FRESH_S = 0.04
 # Share of the servers that has to be allowed before failures are ignored.
 _MIN_ALLOWED_SHARE = 0.34
-# A server that is slower is not used for late requests under pressure: they
+# A server that is slower is not used for answers that come late anyhow: they
 # would hold its slots for several times as long.
 _SLOW = 2.0
+# Share of the slots in use from which on late answers do not get slow
+# servers, and from which on they do not get a server's last slot.
+_SLOW_PRESSURE = 0.3
+_FULL_PRESSURE = 0.6
+# Expected worth below which an answer probably comes late.
+_DOOMED_WORTH = 0.3
 # An estimate that differs by a second counts as much as this much worth.
 _WORTH_PER_S = 0.05
 
@@ -121,10 +127,11 @@
     ]
 
 
-def choose(views, *, job, work, usual, now, pressed):
+def choose(views, *, job, work, usual, now, pressure):
     """Return the Pick for a request.
 
-    A late request under pressure gets only what does not slow others down.
+    An answer that probably comes late gets only what does not slow others
+    down, as far as they need it.
 
     Args:
       views: ServerViews of one service that may be considered.
@@ -132,14 +139,15 @@
       work: undisturbed seconds of work.
       usual: average slowness of all servers.
       now: seconds on the monotonic clock.
-      pressed: whether other requests need the slots.
+      pressure: share of the slots in use, 1 where fresh requests wait.
     """
     best, best_worth = None, float("-inf")
     late = job.target - now < work
     for view in usable(views, job=job, now=now):
-        if late and pressed and _disturbs(view, usual, now):
-            continue
         worth = worth_of(view, job=job, work=work, usual=usual, now=now)
+        doomed = late or worth < _DOOMED_WORTH
+        if doomed and _disturbs(view, usual, now, pressure):
+            continue
         if worth > best_worth:
             best, best_worth = view, worth
     if best is None:
@@ -149,8 +157,11 @@
     return Pick(view=best, worth=best_worth, wait=wait)
 
 
-def _disturbs(view, usual, now):
-    load = _estimate.expected_load(view, now)
-    if _estimate.is_full(load, view.slots):
-        return True
+def _disturbs(view, usual, now, pressure):
+    if pressure > _FULL_PRESSURE:
+        load = _estimate.expected_load(view, now)
+        if _estimate.is_full(load, view.slots):
+            return True
+    if pressure <= _SLOW_PRESSURE:
+        return False
     return _estimate.expected_slowness(view, now, usual) > _SLOW
--- a/wigeonrouter/placement/_choice_test.py
+++ b/wigeonrouter/placement/_choice_test.py
@@ -12,9 +12,9 @@
 def choose(now):
     """Return placement.choose with the usual arguments filled in."""
 
-    def run(views, job, *, pressed=True):
+    def run(views, job, *, pressure=1.0):
         return placement.choose(
-            views, job=job, work=WORK, usual=USUAL, now=now, pressed=pressed
+            views, job=job, work=WORK, usual=USUAL, now=now, pressure=pressure
         )
 
     return run
@@ -63,7 +63,21 @@
     late = make_job(target=-0.5)
     views = [make_view("a", **view)]
     assert choose(views, late).view is None
-    assert choose(views, late, pressed=False).view.instance == "a"
+    assert choose(views, late, pressure=0.2).view.instance == "a"
+
+
+def test_slow_server_is_not_taken_at_the_last_moment(
+    choose, make_view, make_job
+):
+    """Guards against a request that waited and then takes a slow server.
+
+    Replays a burst: requests waited for a fast server until they could not
+    be in time, and then held a slow one for several times as long.
+    """
+    soon_late = make_job(target=WORK + 0.02)
+    slow = [make_view("slow", slowness=4.0)]
+    assert choose(slow, soon_late).view is None
+    assert choose(slow, soon_late, pressure=0.2).view.instance == "slow"
 
 
 def test_late_request_uses_an_idle_fast_server(choose, make_view, make_job):
