Send requests to another region as soon as the own one is short of room

Cause: the loads of regions differ, and a request went elsewhere only after it had waited and then asked there, when its time was nearly over. While requests wait, a task now keeps reports of some servers of other regions fresh, and a request goes there at once where that promises more than the line.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -7,6 +7,7 @@
 import dataclasses
 import time
 
+import gevent
 from gevent import event
 
 from wigeonrouter import core
@@ -23,9 +24,18 @@
 _PROBES_NEAR = 4
 _PROBES_FAR = 3
 _PROBE_TIMEOUT_S = 0.012
-# Time on top of a far server's usual round trip.
+# A far server is asked over a new connection at times, which takes a second
+# round trip.
+_FAR_PROBE_ROUND_TRIPS = 2.2
 _FAR_PROBE_MARGIN_S = 0.03
 _FAR_ROUND_TRIP_S = 0.042
+# While the own region is short of room, this many servers of other regions
+# are asked at this interval; interest ends after a time.
+_WATCHED_FAR = 6
+_FAR_INTERVAL_S = 0.05
+_FAR_INTEREST_S = 0.3
+# Reports from other regions that are older are not used.
+_FAR_FRESH_S = 0.2
 _NEAR_ROUND_TRIP_S = 0.0015
 # An attempt that ended sooner than this many times the expected time says
 # nothing against its server.
@@ -87,7 +97,8 @@
         self._times = placement.WorkTimes()
         self._line = placement.WaitingLine()
         self._late_rate = placement.LateRate()
-        self._woken = {}
+        self._far_task = None
+        self._far_wanted_until = float("-inf")
 
     @property
     def budget(self):
@@ -317,19 +328,61 @@
         pick = self._look(job, work, self._near, _PROBES_NEAR, far=False)
         if pick.view is not None and not pick.wait:
             return self._grant(pick, work)
+        far = self._look_far(job, work)
         now = self._clock()
-        pressed = (
-            pick.view is None and not self._near()
-        ) or now - job.arrived > placement.WAIT_S
-        if pressed and self._far():
-            far = self._look(job, work, self._far, _PROBES_FAR, far=True)
-            if far.view is not None and far.worth > pick.worth:
+        if far.view is not None:
+            waiting = placement.worth_of_waiting(
+                job=job,
+                work=work,
+                usual=self._times.slowness,
+                now=now,
+                ahead=self._line.ahead(job, work, now) - 1,
+                slots=self._near_slots(),
+            )
+            if far.worth > max(pick.worth, waiting):
                 return self._grant(far, work)
         late = placement.is_late(job, work=work, now=now)
         if pick.view is not None and late:
             return self._grant(pick, work)
         return None
 
+    def _look_far(self, job, work):
+        """Look for a server in another region.
+
+        Asking there takes long, so that reports are kept fresh by a task
+        while the own region is short of room.
+        """
+        if not self._far():
+            return placement.Pick(view=None)
+        if not self._near():
+            return self._look(job, work, self._far, _PROBES_FAR, far=True)
+        self._far_wanted_until = self._clock() + _FAR_INTEREST_S
+        if self._far_task is None or self._far_task.ready():
+            self._far_task = gevent.spawn(self._watch_far)
+        now = self._clock()
+        known = [
+            view
+            for view in self._far()
+            if view.report is not None
+            and now - view.report.received < _FAR_FRESH_S
+        ]
+        return placement.choose(
+            known,
+            job=job,
+            work=work,
+            usual=self._times.slowness,
+            now=now,
+            pressure=1.0,
+        )
+
+    def _watch_far(self):
+        """Ask some servers of other regions again and again."""
+        while self._clock() < self._far_wanted_until:
+            views = self._far()
+            chosen = self._rng.sample(views, min(len(views), _WATCHED_FAR))
+            self._ask(chosen, far=True)
+            gevent.sleep(_FAR_INTERVAL_S)
+
     def _look(self, job, work, views, most, *, far):
         candidates = placement.probe_candidates(
             views(),
@@ -340,19 +393,7 @@
             most=most,
         )
         if candidates:
-            timeout = _PROBE_TIMEOUT_S
-            if far:
-                timeout = _FAR_PROBE_MARGIN_S + max(
-                    view.round_trip for view in candidates
-                )
-            self._prober.ask(
-                [
-                    (self._registrations[view.instance], self._health_path)
-                    for view in candidates
-                ],
-                timeout=timeout,
-                deliver=self._on_probe,
-            )
+            self._ask(candidates, far=far)
         return placement.choose(
             views(),
             job=job,
@@ -362,6 +403,21 @@
             pressure=self._pressure(),
         )
 
+    def _ask(self, views, *, far):
+        timeout = _PROBE_TIMEOUT_S
+        if far:
+            trip = max((view.round_trip for view in views), default=0.0)
+            timeout = _FAR_PROBE_MARGIN_S + _FAR_PROBE_ROUND_TRIPS * trip
+        self._prober.ask(
+            [
+                (self._registrations[view.instance], self._health_path)
+                for view in views
+                if view.instance in self._registrations
+            ],
+            timeout=timeout,
+            deliver=self._on_probe,
+        )
+
     def _on_probe(self, instance, answer):
         view = self._views.get(instance)
         if view is None:
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -44,3 +44,4 @@
 late_wait = _waiting.late_wait
 turn_late_away = _waiting.turn_late_away
 turn_away = _waiting.turn_away
+worth_of_waiting = _choice.worth_of_waiting
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -20,7 +20,7 @@
 TIER_COST = {
     _records.Tier.DOMAIN: 0.0,
     _records.Tier.REGION: 0.01,
-    _records.Tier.REMOTE: 0.12,
+    _records.Tier.REMOTE: 0.15,
 }
 # Spread of actual times around the estimate, as a part of it.
 _SPREAD = 0.3
@@ -127,6 +127,17 @@
     ]
 
 
+def worth_of_waiting(*, job, work, usual, now, ahead, slots):
+    """Return the expected worth of waiting for a near server.
+
+    Args:
+      ahead: waiting requests that go first.
+      slots: slots of the near servers.
+    """
+    queue = ahead * work * usual / max(1, slots)
+    return answer_worth(seconds=max(WAIT_S, queue) + work, job=job, now=now)
+
+
 def choose(views, *, job, work, usual, now, pressure):
     """Return the Pick for a request.
 
