--- /dev/null
+++ b/wigeonrouter/http1/__init__.py
@@ -0,0 +1,28 @@
+"""HTTP/1.1 on sockets: readers, renderers, connections, a server."""
+
+from wigeonrouter.http1 import _caller_connection
+from wigeonrouter.http1 import _messages
+from wigeonrouter.http1 import _pool
+from wigeonrouter.http1 import _render
+from wigeonrouter.http1 import _request_reader
+from wigeonrouter.http1 import _response_reader
+from wigeonrouter.http1 import _server
+from wigeonrouter.http1 import _sockets
+
+CallerGone = _caller_connection.CallerGone
+CallerServer = _server.CallerServer
+Connection = _pool.Connection
+ConnectFailed = _pool.ConnectFailed
+ConnectionPool = _pool.ConnectionPool
+HOP_BY_HOP = _messages.HOP_BY_HOP
+HttpRequest = _messages.HttpRequest
+HttpResponse = _messages.HttpResponse
+MalformedMessage = _messages.MalformedMessage
+NotSent = _pool.NotSent
+RequestReader = _request_reader.RequestReader
+ResponseReader = _response_reader.ResponseReader
+TaskSocket = _sockets.TaskSocket
+
+read_response = _response_reader.read_response
+render_forwarded = _render.render_forwarded
+render_response = _render.render_response
--- a/wigeonrouter/request_path/_caller_connection.py
+++ b/wigeonrouter/http1/_caller_connection.py
@@ -5,7 +5,7 @@
 import gevent
 from gevent import socket
 
-from wigeonrouter.request_path import _sockets
+from wigeonrouter.http1 import _sockets
 
 # A caller that takes longer to send a request holds a task for nothing.
 REQUEST_ARRIVAL_TIMEOUT_S = 10.0
--- a/wigeonrouter/request_path/_chunks.py
+++ b/wigeonrouter/http1/_chunks.py
@@ -5,7 +5,7 @@
 
 import re
 
-from wigeonrouter.request_path import _messages
+from wigeonrouter.http1 import _messages
 
 _SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
 _MAX_SIZE_LINE_BYTES = 32
--- a/wigeonrouter/request_path/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -7,7 +7,7 @@
 from gevent import event
 from gevent import socket
 
-from wigeonrouter.request_path import _sockets
+from wigeonrouter.http1 import _sockets
 
 # Backend servers may close idle connections at any time. A connection that
 # was idle for longer is not trusted with a request.
--- a/wigeonrouter/request_path/_readers_fuzz_test.py
+++ b/wigeonrouter/http1/_readers_fuzz_test.py
@@ -12,9 +12,9 @@
 import pytest
 
 from wigeonrouter import core
-from wigeonrouter.request_path import _messages
-from wigeonrouter.request_path import _request_reader
-from wigeonrouter.request_path import _response_reader
+from wigeonrouter.http1 import _messages
+from wigeonrouter.http1 import _request_reader
+from wigeonrouter.http1 import _response_reader
 
 _MAX_BODY = 1000
 _FUZZ_SEED = 20261204
--- a/wigeonrouter/request_path/_readers_test.py
+++ b/wigeonrouter/http1/_readers_test.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from wigeonrouter.request_path import _messages
-from wigeonrouter.request_path import _request_reader
-from wigeonrouter.request_path import _response_reader
+from wigeonrouter.http1 import _messages
+from wigeonrouter.http1 import _request_reader
+from wigeonrouter.http1 import _response_reader
 
 _MAX_BODY = 64
 
--- a/wigeonrouter/request_path/_render.py
+++ b/wigeonrouter/http1/_render.py
@@ -3,7 +3,7 @@
 import http
 import json
 
-from wigeonrouter.request_path import _messages
+from wigeonrouter.http1 import _messages
 
 _NOT_FORWARDED = _messages.HOP_BY_HOP | {
     b"content-length",
--- a/wigeonrouter/request_path/_request_reader.py
+++ b/wigeonrouter/http1/_request_reader.py
@@ -5,8 +5,8 @@
 import httptools
 
 from wigeonrouter import core
-from wigeonrouter.request_path import _chunks
-from wigeonrouter.request_path import _messages
+from wigeonrouter.http1 import _chunks
+from wigeonrouter.http1 import _messages
 
 # Bodies up to this size are read before their service's limit is known.
 SMALL_BODY_BYTES = 64 << 10
--- a/wigeonrouter/request_path/_response_reader.py
+++ b/wigeonrouter/http1/_response_reader.py
@@ -3,8 +3,8 @@
 import httptools
 
 from wigeonrouter import core
-from wigeonrouter.request_path import _chunks
-from wigeonrouter.request_path import _messages
+from wigeonrouter.http1 import _chunks
+from wigeonrouter.http1 import _messages
 
 # A server that sends nothing but interim responses is faulty.
 _MAX_INTERIM_RESPONSES = 8
--- a/wigeonrouter/request_path/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -8,11 +8,11 @@
 from gevent import socket
 
 from wigeonrouter import core
-from wigeonrouter.request_path import _caller_connection
-from wigeonrouter.request_path import _messages
-from wigeonrouter.request_path import _pauses
-from wigeonrouter.request_path import _render
-from wigeonrouter.request_path import _request_reader
+from wigeonrouter.http1 import _caller_connection
+from wigeonrouter.http1 import _messages
+from wigeonrouter.http1 import _pauses
+from wigeonrouter.http1 import _render
+from wigeonrouter.http1 import _request_reader
 
 MAX_CONNECTIONS = 10_000
 _BACKLOG = 1024
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -7,8 +7,8 @@
 
 import gevent
 
+from wigeonrouter import http1
 from wigeonrouter import placement
-from wigeonrouter import request_path
 from wigeonrouter import topology
 from wigeonrouter.node import _balancer
 from wigeonrouter.node import _entrance
@@ -29,6 +29,8 @@
 _SERVE_SHARE = 0.7
 _FINISH_SHARE = 0.95
 _STOP_POLL_S = 0.02
+# Callers that ask a node which has just started wait for its configuration.
+_START_S = 0.4
 # Nodes of a region that serve the callers of one service.
 _HOMES = 1
 # Share of the retry budget that is used, for requests whose counting
@@ -43,7 +45,7 @@
       settings: topology.NodeSettings.
       feed: adapter's view of the store.
       wire: adapter's dialect.
-      events: observability.EventLog.
+      events: events.EventLog.
     """
 
     def __init__(self, *, settings, feed, wire, events, rng=None):
@@ -53,7 +55,7 @@
         self._rng = rng or random.Random()
         self._stopping = False
         self._was_ready = False
-        self._pool = request_path.ConnectionPool(max_idle=_MAX_IDLE_S)
+        self._pool = http1.ConnectionPool(max_idle=_MAX_IDLE_S)
         self._prober = _prober.Prober(pool=self._pool, wire=wire)
         self._balancers = {}
         self._addresses = {}
@@ -74,7 +76,7 @@
             splitter=topology.Splitter(rng=self._rng),
             events=events,
         )
-        self._callers = request_path.CallerServer(
+        self._callers = http1.CallerServer(
             address=settings.caller_address,
             handler=self._proxy,
             max_connections=_MAX_CALLER_CONNECTIONS,
@@ -86,7 +88,7 @@
             lifetime=self._answer_lifetime,
         )
         self._entrances = [
-            request_path.CallerServer(address=address, handler=entrance)
+            http1.CallerServer(address=address, handler=entrance)
             for address in (
                 settings.directory_address,
                 settings.readiness_address,
@@ -190,6 +192,7 @@
         return min(_ANSWER_LIFETIME_S, self._settings.bounds.answer_lifetime)
 
     def _choose_entries(self, query):
+        self._world.wait_configured(_START_S)
         if self._world.configuration is None:
             return ()
         services = self._world.routes.services_of(query.host)
--- a/wigeonrouter/node/_prober.py
+++ b/wigeonrouter/node/_prober.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from wigeonrouter import request_path
+from wigeonrouter import http1
 from wigeonrouter.node import dialect
 
 # Answers to health checks are short.
@@ -80,7 +80,7 @@
                 limit=_CONNECTIONS_PER_SERVER,
                 deadline=deadline,
             )
-        except request_path.ConnectFailed:
+        except http1.ConnectFailed:
             return None
         reusable = False
         started = self._clock()
@@ -90,15 +90,15 @@
                 connection.send(
                     self._wire.render_probe(path=path, address=address)
                 )
-                reader = request_path.ResponseReader(
+                reader = http1.ResponseReader(
                     receive=connection.receive, max_bytes=_MAX_BYTES
                 )
                 response = reader.read(b"GET")
                 reusable = reader.reusable
         except (
             OSError,
-            request_path.NotSent,
-            request_path.MalformedMessage,
+            http1.NotSent,
+            http1.MalformedMessage,
         ):
             return None
         finally:
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -6,8 +6,8 @@
 from urllib import parse
 
 from wigeonrouter import core
+from wigeonrouter import http1
 from wigeonrouter import placement
-from wigeonrouter import request_path
 from wigeonrouter import topology
 from wigeonrouter.node import dialect
 
@@ -15,6 +15,9 @@
 _MAX_UNREACHED = 3
 # Callers return to a node without a configuration after this time.
 _NOT_READY_RETRY_S = 0.3
+# A node that has just started knows its configuration within this time; until
+# then requests are held instead of being refused.
+_START_S = 0.5
 _RETRY_AFTER_REFUSAL_S = 0.1
 # Time that an answer takes to the caller.
 _ANSWER_TRAVEL_S = 0.003
@@ -24,7 +27,7 @@
 class _Call:
     """A request on its way. Times on the monotonic clock."""
 
-    request: request_path.HttpRequest
+    request: http1.HttpRequest
     request_id: str
     route: topology.Route
     service: str
@@ -88,7 +91,7 @@
         try:
             balancer.budget.on_request(self._clock())
             result = self._run(call, balancer)
-        except request_path.CallerGone:
+        except http1.CallerGone:
             self._log(call, "caller-gone")
             raise
         except Exception as error:
@@ -99,6 +102,8 @@
         return result
 
     def _route(self, request, incoming, arrived):
+        if self._world.configuration is None:
+            self._world.wait_configured(_START_S)
         if self._world.configuration is None:
             return dialect.Refused(
                 problem=core.problems.NOT_READY,
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -6,8 +6,8 @@
 import gevent
 
 from wigeonrouter import core
+from wigeonrouter import http1
 from wigeonrouter import placement
-from wigeonrouter import request_path
 from wigeonrouter.node import dialect
 
 _CONNECTIONS_PER_SERVER = 64
@@ -38,7 +38,7 @@
 
     ended: placement.Ended
     may_have_run: bool
-    response: request_path.HttpResponse | None = None
+    response: http1.HttpResponse | None = None
     answer: dialect.ServerAnswer | None = None
     late: bool = False
     detail: str = ""
@@ -74,7 +74,7 @@
                 deadline=min(give_up, self._clock() + _CONNECT_TIMEOUT_S),
                 max_idle=None if idempotent else _MAX_IDLE_ONCE_S,
             )
-        except request_path.ConnectFailed as error:
+        except http1.ConnectFailed as error:
             return Attempt(
                 ended=placement.Ended.UNREACHABLE,
                 may_have_run=False,
@@ -118,13 +118,13 @@
             with gevent.Timeout(remaining, TimeoutError("no answer in time")):
                 self._connection.send(data)
                 return self._read(request, request_id)
-        except request_path.NotSent as error:
+        except http1.NotSent as error:
             return Attempt(
                 ended=placement.Ended.UNREACHABLE,
                 may_have_run=False,
                 detail=str(error),
             )
-        except (OSError, request_path.MalformedMessage) as error:
+        except (OSError, http1.MalformedMessage) as error:
             return Attempt(
                 ended=placement.Ended.LOST,
                 may_have_run=True,
@@ -133,7 +133,7 @@
             )
 
     def _read(self, request, request_id):
-        reader = request_path.ResponseReader(
+        reader = http1.ResponseReader(
             receive=self._connection.receive,
             max_bytes=MAX_RESPONSE_BYTES,
             until_end=True,
@@ -148,7 +148,7 @@
                 break
             stray += 1
             if stray > _MAX_STRAY_ANSWERS:
-                raise request_path.MalformedMessage(
+                raise http1.MalformedMessage(
                     core.problems.ANSWER_INVALID, "answers of other requests"
                 )
         self.reusable = reader.reusable and not stray
--- a/wigeonrouter/node/_world.py
+++ b/wigeonrouter/node/_world.py
@@ -6,6 +6,8 @@
 
 import time
 
+from gevent import event
+
 from wigeonrouter import topology
 
 
@@ -18,6 +20,7 @@
         self._on_change = on_change
         self._clock = clock
         self._configuration = None
+        self._configured = event.Event()
         self._routes = topology.RouteTable(())
         self._directory = topology.ServerDirectory()
         self._hosts = {}
@@ -43,6 +46,10 @@
         """topology.ServerDirectory."""
         return self._directory
 
+    def wait_configured(self, timeout):
+        """Wait until a configuration is in force, some seconds at most."""
+        self._configured.wait(timeout=timeout)
+
     def hosts(self, region):
         """Return the hosts of the nodes that registered in a region."""
         return frozenset(self._hosts.get(region, ()))
@@ -108,6 +115,7 @@
                 )
             return
         self._configuration = new
+        self._configured.set()
         self._routes = topology.RouteTable(new.routes)
         self._applied = self._clock()
         self._events.notice(
--- a/wigeonrouter/observability/__init__.py
+++ b/wigeonrouter/observability/__init__.py
@@ -1,11 +1,9 @@
 """Logs, histograms and metrics."""
 
-from wigeonrouter.observability import _events
 from wigeonrouter.observability import _exposition
 from wigeonrouter.observability import _logs
 from wigeonrouter.observability import _metrics
 
-EventLog = _events.EventLog
 Gauges = _exposition.Gauges
 LogOutput = _logs.LogOutput
 METRICS_CONTENT_TYPE = _exposition.CONTENT_TYPE
--- a/wigeonrouter/platform/_emulator.py
+++ b/wigeonrouter/platform/_emulator.py
@@ -17,7 +17,7 @@
 from gevent import server as gevent_server
 from gevent import socket
 
-from wigeonrouter import request_path
+from wigeonrouter import http1
 
 _MAX_BODY_BYTES = 1 << 20
 _PAGE_ITEMS = 500
@@ -27,7 +27,7 @@
 
 def _respond(status, document=None, headers=()):
     body = b"" if document is None else json.dumps(document).encode()
-    return request_path.HttpResponse(
+    return http1.HttpResponse(
         status=status,
         headers=(*headers, (b"content-type", b"application/json")),
         body=body,
@@ -78,7 +78,7 @@
     def _serve(self, sock, _):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._connections.add(sock)
-        reader = request_path.RequestReader(
+        reader = http1.RequestReader(
             body_limit=lambda request: _MAX_BODY_BYTES
         )
         try:
@@ -92,7 +92,7 @@
                 sock.sendall(self.render(request, response))
                 if self.closes():
                     return
-        except (OSError, request_path.MalformedMessage):
+        except (OSError, http1.MalformedMessage):
             return
         finally:
             self._connections.discard(sock)
@@ -100,7 +100,7 @@
 
     def render(self, request, response):
         """Return the bytes of a response."""
-        return request_path.render_response(
+        return http1.render_response(
             response=response, close=False, method=request.method
         )
 
@@ -343,7 +343,7 @@
 
     def _answer(self, request, status, body, headers=()):
         load = f"{self._running},0,{self._slots},{self.slowness * 100:.0f}"
-        return request_path.HttpResponse(
+        return http1.HttpResponse(
             status=status,
             headers=(
                 *headers,
--- a/wigeonrouter/platform/_http.py
+++ b/wigeonrouter/platform/_http.py
@@ -3,7 +3,7 @@
 import json
 
 from wigeonrouter import core
-from wigeonrouter import request_path
+from wigeonrouter import http1
 from wigeonrouter.node import dialect
 from wigeonrouter.platform import _fields
 
@@ -13,7 +13,7 @@
 _INSTANCE = b"instance-id"
 _NOT_EXECUTED = b"not-executed"
 _LOAD = b"server-load"
-_NOT_FORWARDED = request_path.HOP_BY_HOP | {
+_NOT_FORWARDED = http1.HOP_BY_HOP | {
     b"content-length",
     b"expect",
     _DEADLINE,
@@ -48,7 +48,7 @@
           remaining: seconds that are left for it.
           instance: name of the start of the server that is meant.
         """
-        return request_path.render_forwarded(
+        return http1.render_forwarded(
             request=request,
             not_forwarded=_NOT_FORWARDED,
             added=(
@@ -84,7 +84,7 @@
                 (b"retry-after", b"%.3f" % max(0.0, refusal.retry_after))
             )
         body = json.dumps({"error": refusal.problem.name})
-        return request_path.HttpResponse(
+        return http1.HttpResponse(
             status=refusal.problem.status,
             headers=tuple(headers),
             body=body.encode(),
@@ -120,7 +120,7 @@
 
 
 def _json_response(status, document):
-    return request_path.HttpResponse(
+    return http1.HttpResponse(
         status=status,
         headers=((b"content-type", b"application/json"),),
         body=json.dumps(document).encode(),
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -3,21 +3,22 @@
 import base64
 import binascii
 import json
+import time
 from urllib import parse
 
 import gevent
-import geventhttpclient
-from geventhttpclient import response as http_response
+from gevent import socket
 
+from wigeonrouter import http1
 from wigeonrouter import store
 
 _CONNECT_TIMEOUT_S = 0.5
-# Longer than any wait of a watch and its answer.
-_MAX_CALL_S = 60.0
 _RANGE_PATH = "/api/kv-range"
 _WATCH_PATH = "/api/kv-watch"
 _TRANSACTION_PATH = "/api/kv-txn"
-_JSON = {"Content-Type": "application/json"}
+_MAX_ANSWER_BYTES = 64 << 20
+# An idle connection that is older is not trusted any more.
+_MAX_IDLE_S = 30.0
 
 
 class StoreClient:
@@ -26,7 +27,7 @@
     def __init__(self, *, address, timeout):
         self._address = address
         self._timeout = timeout
-        self._client = None
+        self._connection = None
 
     def list(self, prefix, *, stale=False):
         """Read all items whose keys have a prefix.
@@ -110,9 +111,9 @@
 
     def close(self):
         """Close the connection."""
-        if self._client is not None:
-            self._client.close()
-            self._client = None
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
 
     def _get(self, path, query, timeout):
         target = f"{path}?{parse.urlencode(query)}"
@@ -124,25 +125,25 @@
         return document
 
     def _call(self, method, target, body, timeout):
-        if self._client is None:
-            self._client = geventhttpclient.HTTPClient(
-                self._address.host,
-                self._address.port,
-                connection_timeout=_CONNECT_TIMEOUT_S,
-                network_timeout=_MAX_CALL_S,
-                disable_ipv6=True,
-            )
         whole = False
         try:
             with gevent.Timeout(timeout, TimeoutError("no answer in time")):
-                response = self._client.request(
-                    method, target, body, _JSON if body else None
+                connection = self._connect()
+                connection.send(self._render(method, target, body))
+                reader = http1.ResponseReader(
+                    receive=connection.receive, max_bytes=_MAX_ANSWER_BYTES
                 )
-                data = bytes(response.read())
-            document = _parse(data)
-            whole = True
-            return response.status_code, document
-        except (OSError, ValueError, http_response.HTTPParseError) as error:
+                response = reader.read(method.encode("ascii"))
+            document = _parse(response.body)
+            whole = reader.reusable
+            connection.touch(time.monotonic())
+            return response.status, document
+        except (
+            OSError,
+            ValueError,
+            http1.NotSent,
+            http1.MalformedMessage,
+        ) as error:
             raise store.StoreReplyLost(
                 f"{type(error).__name__}: {error}"
             ) from error
@@ -151,6 +152,35 @@
                 # The connection may still bring bytes of a late answer.
                 self.close()
 
+    def _connect(self):
+        """Return the open connection, or a new one."""
+        if self._connection is not None and self._connection.is_usable(
+            time.monotonic(), _MAX_IDLE_S
+        ):
+            return self._connection
+        self.close()
+        sock = socket.socket()
+        try:
+            with gevent.Timeout(
+                _CONNECT_TIMEOUT_S, TimeoutError("no connection in time")
+            ):
+                sock.connect((self._address.host, self._address.port))
+        except BaseException:
+            sock.close()
+            raise
+        self._connection = http1.Connection(
+            sock=http1.TaskSocket(sock), now=time.monotonic()
+        )
+        return self._connection
+
+    def _render(self, method, target, body):
+        data = body.encode()
+        return (
+            f"{method} {target} HTTP/1.1\r\nHost: {self._address}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        ).encode() + data
+
 
 def _parse(data):
     # A refusal need not carry a document.
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -10,8 +10,8 @@
 import pytest
 
 from wigeonrouter import core
+from wigeonrouter import events as events_api
 from wigeonrouter import node as node_api
-from wigeonrouter import observability
 from wigeonrouter import topology
 from wigeonrouter.platform import _emulator
 from wigeonrouter.platform import _feed
@@ -213,7 +213,7 @@
                 regions=settings.regions,
             ),
             wire=_http.HttpDialect(),
-            events=observability.EventLog(lines_per_second=0),
+            events=events_api.EventLog(lines_per_second=0),
         )
         nodes.append(node)
         node.start()
--- a/wigeonrouter/platform/main.py
+++ b/wigeonrouter/platform/main.py
@@ -3,23 +3,19 @@
 Exit codes: 0 after SIGTERM, 78 if the settings are wrong.
 """
 
-from gevent import monkey
+import os
+import signal
+import sys
 
-monkey.patch_all()
+import gevent
+from gevent import event
 
-import os  # noqa: E402
-import signal  # noqa: E402
-import sys  # noqa: E402
-
-import gevent  # noqa: E402
-from gevent import event  # noqa: E402
-
-from wigeonrouter import node as node_api  # noqa: E402
-from wigeonrouter import observability  # noqa: E402
-from wigeonrouter.platform import _feed  # noqa: E402
-from wigeonrouter.platform import _http  # noqa: E402
-from wigeonrouter.platform import _settings  # noqa: E402
-from wigeonrouter.platform import _store  # noqa: E402
+from wigeonrouter import events as events_api
+from wigeonrouter import node as node_api
+from wigeonrouter.platform import _feed
+from wigeonrouter.platform import _http
+from wigeonrouter.platform import _settings
+from wigeonrouter.platform import _store
 
 _EX_CONFIG = 78
 _STORE_TIMEOUT_S = 0.7
@@ -34,7 +30,7 @@
     except _settings.SettingsError as error:
         print(f"wigeonrouter: {error}", file=sys.stderr)
         sys.exit(_EX_CONFIG)
-    events = observability.EventLog(lines_per_second=_LOG_LINES_PER_SECOND)
+    events = events_api.EventLog(lines_per_second=_LOG_LINES_PER_SECOND)
     events.start()
     node = node_api.Node(
         settings=settings,
--- a/wigeonrouter/request_path/__init__.py
+++ b/wigeonrouter/request_path/__init__.py
@@ -1,32 +1,17 @@
-"""The path of a request: caller connections, forwarding, request ids."""
+"""The path of a request in a daemon: forwarding, retries, request ids."""
 
-from wigeonrouter.request_path import _caller_connection
+from wigeonrouter import http1
 from wigeonrouter.request_path import _decisions
 from wigeonrouter.request_path import _handler
-from wigeonrouter.request_path import _messages
-from wigeonrouter.request_path import _pool
-from wigeonrouter.request_path import _render
 from wigeonrouter.request_path import _request_ids
-from wigeonrouter.request_path import _request_reader
-from wigeonrouter.request_path import _response_reader
-from wigeonrouter.request_path import _server
 
-CallerGone = _caller_connection.CallerGone
-CallerServer = _server.CallerServer
-ConnectFailed = _pool.ConnectFailed
-ConnectionPool = _pool.ConnectionPool
-HOP_BY_HOP = _messages.HOP_BY_HOP
-HttpRequest = _messages.HttpRequest
-HttpResponse = _messages.HttpResponse
-MalformedMessage = _messages.MalformedMessage
-NotSent = _pool.NotSent
+CallerServer = http1.CallerServer
+HttpRequest = http1.HttpRequest
+HttpResponse = http1.HttpResponse
 RequestHandler = _handler.RequestHandler
 RequestIdTable = _request_ids.RequestIdTable
-RequestReader = _request_reader.RequestReader
+RequestReader = http1.RequestReader
 RequestRecord = _handler.RequestRecord
-ResponseReader = _response_reader.ResponseReader
 
 may_retry = _decisions.may_retry
-render_forwarded = _render.render_forwarded
-render_response = _render.render_response
-read_response = _response_reader.read_response
+read_response = http1.read_response
--- a/wigeonrouter/request_path/_attempt.py
+++ b/wigeonrouter/request_path/_attempt.py
@@ -6,11 +6,11 @@
 
 from wigeonrouter import core
 from wigeonrouter import limits
+from wigeonrouter.http1 import _messages
+from wigeonrouter.http1 import _pool
+from wigeonrouter.http1 import _render
+from wigeonrouter.http1 import _response_reader
 from wigeonrouter.request_path import _decisions
-from wigeonrouter.request_path import _messages
-from wigeonrouter.request_path import _pool
-from wigeonrouter.request_path import _render
-from wigeonrouter.request_path import _response_reader
 
 
 class AttemptSender:
--- a/wigeonrouter/request_path/_forwarder.py
+++ b/wigeonrouter/request_path/_forwarder.py
@@ -5,10 +5,10 @@
 
 from wigeonrouter import core
 from wigeonrouter import limits
+from wigeonrouter.http1 import _messages
 from wigeonrouter.request_path import _attempt
 from wigeonrouter.request_path import _decisions
 from wigeonrouter.request_path import _hedging
-from wigeonrouter.request_path import _messages
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/wigeonrouter/request_path/_forwarder_test.py
+++ b/wigeonrouter/request_path/_forwarder_test.py
@@ -7,8 +7,8 @@
 import pytest
 
 from wigeonrouter import core
-from wigeonrouter.request_path import _caller_connection
-from wigeonrouter.request_path import _pool
+from wigeonrouter.http1 import _caller_connection
+from wigeonrouter.http1 import _pool
 from wigeonrouter.request_path.conftest import receive_answer
 from wigeonrouter.request_path.conftest import render
 from wigeonrouter.request_path.conftest import send
--- a/wigeonrouter/request_path/_handler.py
+++ b/wigeonrouter/request_path/_handler.py
@@ -11,14 +11,14 @@
 from wigeonrouter import core
 from wigeonrouter import dispatch
 from wigeonrouter import limits
+from wigeonrouter.http1 import _caller_connection
+from wigeonrouter.http1 import _messages
+from wigeonrouter.http1 import _pool
+from wigeonrouter.http1 import _render
 from wigeonrouter.request_path import _attempt
-from wigeonrouter.request_path import _caller_connection
 from wigeonrouter.request_path import _decisions
 from wigeonrouter.request_path import _forwarder
-from wigeonrouter.request_path import _messages
 from wigeonrouter.request_path import _owned_ids
-from wigeonrouter.request_path import _pool
-from wigeonrouter.request_path import _render
 
 # Tenant names become keys of queues and histograms.
 _MAX_TENANT_LENGTH = 100
--- a/wigeonrouter/request_path/_hedging.py
+++ b/wigeonrouter/request_path/_hedging.py
@@ -9,7 +9,7 @@
 import gevent
 
 from wigeonrouter import core
-from wigeonrouter.request_path import _messages
+from wigeonrouter.http1 import _messages
 
 # With fewer samples a high quantile is no more than the slowest request.
 _MIN_SAMPLES = 50
--- a/wigeonrouter/request_path/_server_test.py
+++ b/wigeonrouter/request_path/_server_test.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from wigeonrouter.request_path import _caller_connection
-from wigeonrouter.request_path import _pauses
+from wigeonrouter.http1 import _caller_connection
+from wigeonrouter.http1 import _pauses
 from wigeonrouter.request_path.conftest import PathHarness
 from wigeonrouter.request_path.conftest import receive_answer
 from wigeonrouter.request_path.conftest import render
