Keep how long callers usually wait in the store, explain a request

Cause: right after all nodes were restarted, most requests are later attempts, and the usual wait cannot be told from them; they were served as if they were fresh. A node that has seen 100 requests of a route writes its usual wait, again only when it changed by a fifth. wigeonrouter explain tells the way of a request from a log; a refusal now logs its figures.

--- a/wigeonrouter/cli/_output.py
+++ b/wigeonrouter/cli/_output.py
@@ -1,6 +1,6 @@
 """Prints replies and failures, for people or as JSON, and ends the command.
 
-Exit codes are part of the interface; docs/operations.md lists them.
+Exit codes are part of the interface; docs/OPERATIONS.md lists them.
 """
 
 import datetime
--- a/wigeonrouter/cli/main.py
+++ b/wigeonrouter/cli/main.py
@@ -13,6 +13,7 @@
 from wigeonrouter import selection
 from wigeonrouter import settings as settings_api
 from wigeonrouter.cli import _client
+from wigeonrouter.cli import _explain
 from wigeonrouter.cli import _output
 from wigeonrouter.schema import settings_pb2
 
@@ -369,5 +370,22 @@
     return getattr(file, "name", "<stdin>")
 
 
+@main.command()
+@click.argument("request_id")
+@click.argument("log", type=click.File(errors="replace"), default="-")
+def explain(request_id, log):
+    """Tell what happened to a request, from the LOG of a node (or stdin)."""
+    found = _explain.find(log, request_id)
+    if not found.events:
+        click.echo(
+            f"wigeonrouter: no line about {request_id}; {found.broken}"
+            f" unreadable lines, {found.dropped} were not written",
+            err=True,
+        )
+        raise SystemExit(1)
+    for text in _explain.render(found):
+        click.echo(text)
+
+
 if __name__ == "__main__":
     main()
--- a/wigeonrouter/cli/main_test.py
+++ b/wigeonrouter/cli/main_test.py
@@ -226,7 +226,7 @@
 
 
 def test_the_operations_page_lists_all_commands_and_exit_codes():
-    page = (_DOCS / "operations.md").read_text(encoding="utf-8")
+    page = (_DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
     commands = set(re.findall(r"^\| `([a-z]+)[ `]", page, re.MULTILINE))
     assert set(cli.main.commands) <= commands
     codes = set(re.findall(r"^\| (\d+) \|", page, re.MULTILINE))
@@ -239,7 +239,7 @@
 
 
 def test_the_operations_page_lists_all_metrics():
-    page = (_DOCS / "operations.md").read_text(encoding="utf-8")
+    page = (_DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
     listed = set(re.findall(r"^\| `(wigeonrouter_\w+)`", page, re.MULTILINE))
     text = observability.expose(
         metrics=observability.Metrics(),
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -76,7 +76,6 @@
     def __init__(
         self,
         *,
-        name,
         place,
         prober,
         budget,
@@ -84,7 +83,6 @@
         events,
         clock=time.monotonic,
     ):
-        self._name = name
         self._place = place
         self._prober = prober
         self._budget = budget
@@ -277,7 +275,7 @@
             slots=self._near_slots(),
         )
         if placement.turn_away(job, wait=wait, work=work, now=now):
-            return self._overloaded(wait)
+            return self._overloaded(job, wait, work, now)
         return self._turn_late_away(job, work, now)
 
     def _turn_late_away(self, job, work, now):
@@ -288,22 +286,28 @@
             rate=self._late_rate.per_second(now),
         )
         if placement.turn_late_away(job, wait=wait, now=now):
-            return self._overloaded(wait)
+            return self._overloaded(job, wait, work, now)
         return None
 
     def _give_up(self, job, work, now):
         """Return the refusal of a request that waited in vain, if it did."""
         if placement.turn_away(job, wait=0.0, work=work, now=now):
-            return self._overloaded(work)
+            return self._overloaded(job, work, work, now)
         if now - job.target + work < 2 * _MOST_POLL_S:
             # It has just become late; from now on it waits with the others.
             return self._turn_late_away(job, work, now)
         return None
 
-    def _overloaded(self, wait):
+    def _overloaded(self, job, wait, work, now):
         return dialect.Refused(
             problem=core.problems.DEADLINE_TOO_SHORT,
             retry_after=placement.retry_after(wait=wait, rng=self._rng),
+            detail=(
+                f"expected wait {wait * 1000:.0f} ms, work"
+                f" {work * 1000:.0f} ms, left {(job.give_up - now) * 1000:.0f}"
+                f" ms, {(job.target - now) * 1000:.0f} ms to the target,"
+                f" {len(self._line)} waiting"
+            ),
         )
 
     def _near_slots(self):
--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -57,11 +57,6 @@
         """Whether the store answers this hub."""
         return self._store_answers
 
-    @property
-    def followers(self):
-        """Number of followers."""
-        return len(self._followers)
-
     def set_store_answers(self, answers):
         """Take over whether the store answers, and tell the followers."""
         if answers != self._store_answers:
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -9,6 +9,7 @@
 
 from wigeonrouter import http1
 from wigeonrouter import placement
+from wigeonrouter import store
 from wigeonrouter import topology
 from wigeonrouter.node import _balancer
 from wigeonrouter.node import _entrance
@@ -21,6 +22,8 @@
 _HOUSEKEEPING_INTERVAL_S = 0.25
 # Connections to backend servers are kept for this time without use.
 _MAX_IDLE_S = 8.0
+# What was learned of callers is written about this often, if it changed.
+_KEEP_INTERVAL_S = 5.0
 _MAX_CALLER_CONNECTIONS = 3_000
 # Callers ask again after this time. Some keep an answer three times as long,
 # and a stopping node has to be out of all answers in time.
@@ -52,6 +55,7 @@
         self._settings = settings
         self._events = events
         self._wire = wire
+        self._feed = feed
         self._rng = rng or random.Random()
         self._stopping = False
         self._was_ready = False
@@ -107,6 +111,11 @@
         """Frozenset of the instances that are registered."""
         return frozenset(self._world.directory.known)
 
+    @property
+    def kept_waits(self):
+        """Dict from route to the usual wait that the store keeps."""
+        return dict(self._world.waits)
+
     @property
     def region(self):
         """Region, this node's part in its region."""
@@ -126,6 +135,7 @@
         self._tasks = [
             gevent.spawn(self._keep_running, "region", self._region.run),
             gevent.spawn(self._register),
+            gevent.spawn(self._keep_running, "waits", self._keep_waits),
             gevent.spawn(self._keep_running, "housekeeping", self._housekeep),
         ]
         self._events.notice(
@@ -188,6 +198,18 @@
             self._world.advance()
             self._pool.close_idle()
 
+    def _keep_waits(self):
+        """Keep in the store what the node learned of its callers."""
+        while True:
+            gevent.sleep(_KEEP_INTERVAL_S * self._rng.uniform(0.5, 1.5))
+            for route, seconds in self._proxy.new_waits().items():
+                try:
+                    self._feed.remember_wait(route=route, seconds=seconds)
+                except store.StoreError as error:
+                    self._events.notice(
+                        "wait-not-kept", route=route, error=str(error)
+                    )
+
     def _answer_lifetime(self):
         return min(_ANSWER_LIFETIME_S, self._settings.bounds.answer_lifetime)
 
@@ -216,7 +238,6 @@
         if balancer is None:
             bounds = self._settings.bounds
             balancer = _balancer.Balancer(
-                name=service,
                 place=self._settings.place,
                 prober=self._prober,
                 budget=placement.RetryBudget(
--- a/wigeonrouter/node/_prober.py
+++ b/wigeonrouter/node/_prober.py
@@ -36,12 +36,6 @@
         self._wire = wire
         self._clock = clock
         self._running = {}
-        self._sent = 0
-
-    @property
-    def sent(self):
-        """Number of health checks so far."""
-        return self._sent
 
     def ask(self, targets, *, timeout, deliver):
         """Ask servers at the same time and wait for their answers.
@@ -86,7 +80,6 @@
         started = self._clock()
         try:
             with gevent.Timeout(max(0.0, deadline - started), TimeoutError):
-                self._sent += 1
                 connection.send(
                     self._wire.render_probe(path=path, address=address)
                 )
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -1,6 +1,5 @@
 """Handles one caller request from its route to the final answer."""
 
-import collections
 import dataclasses
 import time
 from urllib import parse
@@ -19,6 +18,8 @@
 # then requests are held instead of being refused.
 _START_S = 0.5
 _RETRY_AFTER_REFUSAL_S = 0.1
+# Usual waits are written again when they have changed by this part.
+_WAIT_CHANGE = 0.2
 # Time that an answer takes to the caller.
 _ANSWER_TRAVEL_S = 0.003
 
@@ -65,7 +66,19 @@
         self._splitter = splitter
         self._events = events
         self._clock = clock
-        self._usual_waits = collections.defaultdict(placement.UsualWait)
+        self._usual_waits = {}
+
+    def new_waits(self):
+        """Return usual waits that differ from those kept, by route."""
+        found = {}
+        for route, usual in self._usual_waits.items():
+            kept = self._world.waits.get(route)
+            learned = usual.learned
+            if learned is not None and (
+                kept is None or abs(learned - kept) > _WAIT_CHANGE * kept
+            ):
+                found[route] = learned
+        return found
 
     def body_limit(self, request):
         """Return the largest accepted body in bytes."""
@@ -130,7 +143,11 @@
         remaining = incoming.remaining
         if remaining is None:
             remaining = route.timeout
-        spent = self._usual_waits[route.name].spent(remaining)
+        usual = self._usual_waits.get(route.name)
+        if usual is None:
+            usual = placement.UsualWait(kept=self._world.waits.get(route.name))
+            self._usual_waits[route.name] = usual
+        spent = usual.spent(remaining)
         return placement.Job(
             priority=route.priority,
             idempotent=route.idempotent,
--- a/wigeonrouter/node/_world.py
+++ b/wigeonrouter/node/_world.py
@@ -24,23 +24,23 @@
         self._routes = topology.RouteTable(())
         self._directory = topology.ServerDirectory()
         self._hosts = {}
-        self._applied = clock()
+        self._waits = {}
 
     @property
     def configuration(self):
         """topology.Configuration in force, None at first."""
         return self._configuration
 
-    @property
-    def configured_at(self):
-        """Time since which the configuration is in force."""
-        return self._applied
-
     @property
     def routes(self):
         """topology.RouteTable in force."""
         return self._routes
 
+    @property
+    def waits(self):
+        """Dict from route to how long its callers usually wait, seconds."""
+        return self._waits
+
     @property
     def directory(self):
         """topology.ServerDirectory."""
@@ -94,6 +94,8 @@
             )
         elif isinstance(record, topology.NodeWritten):
             self._hosts.setdefault(record.region, set()).add(record.host)
+        elif isinstance(record, topology.WaitLearned):
+            self._waits[record.route] = record.seconds
         elif isinstance(record, topology.NodeRemoved):
             self._hosts.get(record.region, set()).discard(record.host)
         elif isinstance(record, topology.ConfigurationRejected):
@@ -117,7 +119,6 @@
         self._configuration = new
         self._configured.set()
         self._routes = topology.RouteTable(new.routes)
-        self._applied = self._clock()
         self._events.notice(
             "configuration-in-force",
             version=new.version,
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -45,6 +45,12 @@
             f"{_entries.NODE_PREFIX}{region}/{host}", _REGISTERED
         )
 
+    def remember_wait(self, *, route, seconds):
+        """Keep how long callers of a route usually wait."""
+        self._probe_client.write(
+            f"{_entries.WAIT_PREFIX}{route}", b"%d" % round(seconds * 1000)
+        )
+
     def decode(self, items, *, whole):
         """Return the topology.StoreContent of store items."""
         records = [self._decode_item(item) for item in items]
@@ -64,6 +70,8 @@
             return self._decode_registration(item)
         if item.key.startswith(_entries.NODE_PREFIX):
             return _decode_node(item)
+        if item.key.startswith(_entries.WAIT_PREFIX):
+            return _decode_wait(item)
         return None
 
     def _decode_registration(self, item):
@@ -109,3 +117,12 @@
     if item.value is None:
         return topology.NodeRemoved(region=region, host=host)
     return topology.NodeWritten(region=region, host=host)
+
+
+def _decode_wait(item):
+    if item.value is None or not item.value.isdigit():
+        return None
+    return topology.WaitLearned(
+        route=item.key.removeprefix(_entries.WAIT_PREFIX),
+        seconds=int(item.value) / 1000,
+    )
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -91,9 +91,17 @@
           StoreReplyLost: it may have been written, or may be later.
           StoreError: it was not written.
         """
+        expected = [{"key": key, "revision": 0}]
+        return self._write(key, value, expected) == 200
+
+    def write(self, key, value):
+        """Write a key, whatever it holds; raises as create() does."""
+        self._write(key, value, [])
+
+    def _write(self, key, value, expected):
         body = json.dumps(
             {
-                "expected_rev": [{"key": key, "revision": 0}],
+                "expected_rev": expected,
                 "writes": [
                     {
                         "key": key,
@@ -105,9 +113,9 @@
             }
         )
         status, _ = self._call("POST", _TRANSACTION_PATH, body, self._timeout)
-        if status in (200, 412):
-            return status == 200
-        raise store.StoreUnavailable(f"status {status}")
+        if status not in (200, 412):
+            raise store.StoreUnavailable(f"status {status}")
+        return status
 
     def close(self):
         """Close the connection."""
--- a/wigeonrouter/platform/_whole_path_test.py
+++ b/wigeonrouter/platform/_whole_path_test.py
@@ -266,3 +266,16 @@
     assert late.headers["connection"] == "close"
     assert task.get().status == 200
     stopping.join()
+
+
+def test_usual_wait_of_callers_outlasts_all_nodes(
+    store, backend, make_settings, start_node
+):
+    """Guards against taking late callers for fresh ones after a restart."""
+    store.put("wigeonrouter/waits/r-read", b"4000")
+    settings = make_settings()
+    node = start_node(settings)
+    start_ready(backend, node, "i-1")
+    caller = tools.Caller(address=settings.caller_address)
+    assert caller.send("/read/a", remaining=3900).status == 200
+    assert node.kept_waits == {"r-read": 4.0}
--- a/wigeonrouter/settings/_reference.py
+++ b/wigeonrouter/settings/_reference.py
@@ -11,7 +11,7 @@
 # Settings reference
 
 `wigeonrouter reference` generates this page from the schema; a test checks
-that it is current. `docs/operations.md` says how settings are changed.
+that it is current. `docs/OPERATIONS.md` says how settings are changed.
 
 Documents are JSON objects in UTF-8 of at most {max_bytes} bytes. Unknown
 keys, repeated keys and values out of bounds are errors. A node inherits the
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -28,6 +28,7 @@
 StoreContent = _records.StoreContent
 Splitter = _routing.Splitter
 RouteTable = _routing.RouteTable
+WaitLearned = _records.WaitLearned
 Verdict = _region.Verdict
 
 candidate_order = _region.candidate_order
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -141,6 +141,14 @@
     host: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WaitLearned:
+    """A node wrote how long callers of a route usually wait, in seconds."""
+
+    route: str
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NodeRemoved:
     """A node's registration went away."""
