Use the connection pool for the store, back off when a listing fails

The listing now fails like any other call, in the one place that backs off.

Cause 2: the store client kept one connection of its own beside the pool that requests use, and registration, checks and kept waits could use it at the same time and take each other's answers. It now takes connections from http1.ConnectionPool, so one client serves the watch and short calls.

Both have a test that failed before. Also: the choice uses the one rule for late requests and for the time in a line; properties, arguments and a constant that nothing used are gone. No decision on requests is changed.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -80,14 +80,12 @@
         prober,
         budget,
         rng,
-        events,
         clock=time.monotonic,
     ):
         self._place = place
         self._prober = prober
         self._budget = budget
         self._rng = rng
-        self._events = events
         self._clock = clock
         self._health_path = ""
         self._registrations = {}
@@ -103,21 +101,6 @@
         """placement.RetryBudget of the service."""
         return self._budget
 
-    @property
-    def waiting(self):
-        """Number of requests that wait for a server."""
-        return len(self._line)
-
-    @property
-    def times(self):
-        """placement.WorkTimes of the service."""
-        return self._times
-
-    @property
-    def in_flight(self):
-        """Number of this node's requests at servers."""
-        return sum(view.in_flight for view in self._views.values())
-
     def configure(self, *, health_path, known):
         """Take over the servers that may get work.
 
@@ -142,10 +125,8 @@
                 slots=registration.slots,
                 warm_until=entry.learned + registration.warm_up,
             )
-        gone = self._registrations.keys() - registrations.keys()
         self._registrations, self._views = registrations, views
         self._wake()
-        return gone
 
     def acquire(self, job, route):
         """Wait for a server.
@@ -311,8 +292,10 @@
         )
 
     def _near_slots(self):
-        near = self._near() or self._far()
-        return sum(view.slots for view in near)
+        return sum(view.slots for view in self._nearest())
+
+    def _nearest(self):
+        return self._near() or self._far()
 
     def _pressure(self):
         """Return the share of the slots in use, 1 where requests wait.
@@ -322,10 +305,10 @@
         now = self._clock()
         if len(self._line) - self._line.count_late(now) > 1:
             return 1.0
-        near = self._near() or self._far()
-        slots = sum(view.slots for view in near)
-        used = sum(placement.expected_load(view, now) for view in near)
-        return used / max(1, slots)
+        used = sum(
+            placement.expected_load(view, now) for view in self._nearest()
+        )
+        return used / max(1, self._near_slots())
 
     def _try_place(self, job, work):
         """Look for a server once; may ask servers for their load."""
--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -52,11 +52,6 @@
         self._expected_until = clock() + SILENCE_S
         self._store_answers = True
 
-    @property
-    def store_answers(self):
-        """Whether the store answers this hub."""
-        return self._store_answers
-
     def set_store_answers(self, answers):
         """Take over whether the store answers, and tell the followers."""
         if answers != self._store_answers:
--- a/wigeonrouter/node/_mirror.py
+++ b/wigeonrouter/node/_mirror.py
@@ -51,10 +51,6 @@
         if fresh:
             self._apply(tuple(fresh), self._revision, False)
 
-    def items(self):
-        """Return all items as a tuple."""
-        return tuple(self._items.values())
-
     def message_since(self, revision):
         """Return the Update that brings a copy of a revision up to date."""
         newer = [
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -245,7 +245,6 @@
                     window=bounds.retry_window,
                 ),
                 rng=self._rng,
-                events=self._events,
             )
             self._balancers[service] = balancer
             self._reconfigure()
--- a/wigeonrouter/node/_region.py
+++ b/wigeonrouter/node/_region.py
@@ -278,11 +278,6 @@
         while True:
             try:
                 self._read_once()
-            except store.HistoryLost:
-                self._events.notice(
-                    "store-history-lost", after=self._mirror.revision
-                )
-                failures += self._relist()
             except store.StoreError as error:
                 failures += 1
                 self._note_outage(error, failures)
@@ -295,9 +290,16 @@
             failures = 0
 
     def _read_once(self):
-        events = self._feed.watch(
-            revision=self._mirror.revision, wait=_WATCH_S
-        )
+        try:
+            events = self._feed.watch(
+                revision=self._mirror.revision, wait=_WATCH_S
+            )
+        except store.HistoryLost:
+            self._events.notice(
+                "store-history-lost", after=self._mirror.revision
+            )
+            self._relist()
+            return
         self._note_contact()
         if not events.changes:
             self._mirror.update((), events.revision)
@@ -312,14 +314,9 @@
 
     def _relist(self):
         before = self._mirror.revision
-        try:
-            self._list()
-        except store.StoreError as error:
-            self._note_outage(error, 1)
-            return 1
+        self._list()
         self._note_contact()
         self._hub.broadcast_update(self._mirror.message_since(before))
-        return 0
 
     def _note_contact(self):
         if not self._reaches_store:
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -35,7 +35,6 @@
 is_late = _waiting.is_late
 is_full = _estimate.is_full
 choose = _choice.choose
-GOOD_WORTH = _choice.GOOD_WORTH
 WAIT_S = _choice.WAIT_S
 may_use = _health.may_use
 normal_work = _estimate.normal_work
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -13,6 +13,7 @@
 from wigeonrouter.placement import _estimate
 from wigeonrouter.placement import _health
 from wigeonrouter.placement import _records
+from wigeonrouter.placement import _waiting
 
 # Worth of a late answer, as a part of one in time.
 LATE_WORTH = 0.1
@@ -24,8 +25,6 @@
 }
 # Spread of actual times around the estimate, as a part of it.
 _SPREAD = 0.3
-# Worth of a choice that is good enough to look no further.
-GOOD_WORTH = 0.75
 # A place that comes free is expected after about this time.
 WAIT_S = 0.04
 # Waiting has to promise this much more worth than sending now.
@@ -134,7 +133,9 @@
       ahead: waiting requests that go first.
       slots: slots of the near servers.
     """
-    queue = ahead * work * usual / max(1, slots)
+    queue = _waiting.expected_wait(
+        ahead=ahead, work=work, slowness=usual, slots=slots
+    )
     return answer_worth(seconds=max(WAIT_S, queue) + work, job=job, now=now)
 
 
@@ -153,7 +154,7 @@
       pressure: share of the slots in use, 1 where fresh requests wait.
     """
     best, best_worth = None, float("-inf")
-    late = job.target - now < work
+    late = _waiting.is_late(job, work=work, now=now)
     for view in usable(views, job=job, now=now):
         worth = worth_of(view, job=job, work=work, usual=usual, now=now)
         doomed = late or worth < _DOOMED_WORTH
--- a/wigeonrouter/placement/_health.py
+++ b/wigeonrouter/placement/_health.py
@@ -58,7 +58,6 @@
         return after_silence(view, now=now)
     failed = ended in (Ended.FAILED, Ended.LOST)
     before = failure_now(view, now)
-    weight = _FAILURE_WEIGHT
     if ended is Ended.REFUSED:
         return dataclasses.replace(view, silent=0)
     failures = view.failures + 1 if failed else 0
@@ -70,7 +69,7 @@
         )
     return dataclasses.replace(
         view,
-        failure=before + weight * (float(failed) - before),
+        failure=before + _FAILURE_WEIGHT * (float(failed) - before),
         failure_at=now,
         failures=failures,
         silent=0,
--- a/wigeonrouter/platform/_emulator.py
+++ b/wigeonrouter/platform/_emulator.py
@@ -110,10 +110,12 @@
 
     Attributes:
       refusing: answer 503 to all.
+      refusing_lists: answer 503 to listings.
     """
 
     def __init__(self):
         self.refusing = False
+        self.refusing_lists = False
         self._items = {}
         self._log = []
         self._revision = 1
@@ -150,6 +152,8 @@
         path, _, text = request.target.decode().partition("?")
         query = dict(parse.parse_qsl(text, keep_blank_values=True))
         if path == "/api/kv-range":
+            if self.refusing_lists:
+                return _respond(503)
             return self._range(query)
         if path == "/api/kv-watch":
             return self._watch(query)
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -17,10 +17,8 @@
     was no usable answer.
     """
 
-    def __init__(self, *, client, probe_client, regions):
-        """Use a client of its own for short calls beside a watch."""
+    def __init__(self, *, client, regions):
         self._client = client
-        self._probe_client = probe_client
         self._regions = regions
 
     def list(self):
@@ -37,17 +35,17 @@
 
     def check(self):
         """Return normally where the store answers this node."""
-        self._probe_client.list(_entries.NODE_PREFIX, stale=True)
+        self._client.list(_entries.NODE_PREFIX, stale=True)
 
     def register(self, *, region, host):
         """Make this node known to others of its region."""
-        self._probe_client.create(
+        self._client.create(
             f"{_entries.NODE_PREFIX}{region}/{host}", _REGISTERED
         )
 
     def remember_wait(self, *, route, seconds):
         """Keep how long callers of a route usually wait."""
-        self._probe_client.write(
+        self._client.write(
             f"{_entries.WAIT_PREFIX}{route}", b"%d" % round(seconds * 1000)
         )
 
@@ -61,7 +59,6 @@
     def close(self):
         """Close the connections to the store."""
         self._client.close()
-        self._probe_client.close()
 
     def _decode_item(self, item):
         if item.key == _entries.CONFIGURATION_KEY:
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -7,7 +7,6 @@
 from urllib import parse
 
 import gevent
-from gevent import socket
 
 from wigeonrouter import http1
 from wigeonrouter import store
@@ -17,6 +16,8 @@
 _WATCH_PATH = "/api/kv-watch"
 _TRANSACTION_PATH = "/api/kv-txn"
 _MAX_ANSWER_BYTES = 64 << 20
+# A watch and a few short calls at the same time.
+_MAX_CONNECTIONS = 8
 # An idle connection that is older is not trusted any more.
 _MAX_IDLE_S = 30.0
 
@@ -27,7 +28,7 @@
     def __init__(self, *, address, timeout):
         self._address = address
         self._timeout = timeout
-        self._connection = None
+        self._pool = http1.ConnectionPool(max_idle=_MAX_IDLE_S)
 
     def list(self, prefix, *, stale=False):
         """Read all items whose keys have a prefix.
@@ -118,10 +119,8 @@
         return status
 
     def close(self):
-        """Close the connection."""
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
+        """Close the connections that are not in use."""
+        self._pool.forget(self._address)
 
     def _get(self, path, query, timeout):
         target = f"{path}?{parse.urlencode(query)}"
@@ -133,19 +132,10 @@
         return document
 
     def _call(self, method, target, body, timeout):
-        whole = False
         try:
             with gevent.Timeout(timeout, TimeoutError("no answer in time")):
-                connection = self._connect()
-                connection.send(self._render(method, target, body))
-                reader = http1.ResponseReader(
-                    receive=connection.receive, max_bytes=_MAX_ANSWER_BYTES
-                )
-                response = reader.read(method.encode("ascii"))
-            document = _parse(response.body)
-            whole = reader.reusable
-            connection.touch(time.monotonic())
-            return response.status, document
+                response = self._exchange(method, target, body)
+            return response.status, _parse(response.body)
         except (
             OSError,
             ValueError,
@@ -155,31 +145,29 @@
             raise store.StoreReplyLost(
                 f"{type(error).__name__}: {error}"
             ) from error
+
+    def _exchange(self, method, target, body):
+        self._pool.close_idle()
+        connection = self._pool.checkout(
+            address=self._address,
+            limit=_MAX_CONNECTIONS,
+            deadline=time.monotonic() + _CONNECT_TIMEOUT_S,
+        )
+        reusable = False
+        try:
+            connection.send(self._render(method, target, body))
+            reader = http1.ResponseReader(
+                receive=connection.receive, max_bytes=_MAX_ANSWER_BYTES
+            )
+            response = reader.read(method.encode("ascii"))
+            reusable = reader.reusable
+            return response
         finally:
-            if not whole:
+            if reusable:
+                self._pool.put_back(self._address, connection)
+            else:
                 # The connection may still bring bytes of a late answer.
-                self.close()
-
-    def _connect(self):
-        """Return the open connection, or a new one."""
-        if self._connection is not None and self._connection.is_usable(
-            time.monotonic(), _MAX_IDLE_S
-        ):
-            return self._connection
-        self.close()
-        sock = socket.socket()
-        try:
-            with gevent.Timeout(
-                _CONNECT_TIMEOUT_S, TimeoutError("no connection in time")
-            ):
-                sock.connect((self._address.host, self._address.port))
-        except BaseException:
-            sock.close()
-            raise
-        self._connection = http1.Connection(
-            sock=http1.TaskSocket(sock), now=time.monotonic()
-        )
-        return self._connection
+                self._pool.discard(self._address, connection)
 
     def _render(self, method, target, body):
         data = body.encode()
--- a/wigeonrouter/platform/_store_test.py
+++ b/wigeonrouter/platform/_store_test.py
@@ -1,5 +1,6 @@
 """Tests of the store client against the emulated store."""
 
+import gevent
 import pytest
 
 from wigeonrouter import core
@@ -78,3 +79,13 @@
     server.forget_history()
     with pytest.raises(store_api.HistoryLost):
         client.watch("", revision=revision, wait=0.1)
+
+
+def test_calls_at_the_same_time_get_their_own_answers(server, client):
+    """Guards against an answer that goes to another task's call."""
+    server.put("a", b"1")
+    revision = client.list("").revision
+    watch = gevent.spawn(client.watch, "", revision=revision, wait=0.2)
+    calls = [gevent.spawn(client.list, "a") for _ in range(3)]
+    assert [call.get().items[0].value for call in calls] == [b"1"] * 3
+    assert watch.get().changes == ()
--- a/wigeonrouter/platform/_whole_path_test.py
+++ b/wigeonrouter/platform/_whole_path_test.py
@@ -236,6 +236,26 @@
     wait_until(lambda: node.servers == {"i-2"}, timeout=5)
 
 
+def test_listing_that_fails_is_not_repeated_at_once(store, backend, node):
+    """Guards against a stream of calls while the store is in trouble.
+
+    Replays dropped history while listings are refused.
+    """
+    start_ready(backend, node, "i-1")
+    store.refusing = True
+    gevent.sleep(1.3)
+    backend("i-2")
+    store.forget_history()
+    store.refusing_lists = True
+    store.refusing = False
+    gevent.sleep(0.6)
+    before = store.calls
+    gevent.sleep(1.0)
+    assert store.calls - before < 15
+    store.refusing_lists = False
+    wait_until(lambda: "i-2" in node.servers, timeout=5)
+
+
 def test_lapsed_registrations_are_kept_for_their_return(
     store, backend, node, caller
 ):
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -200,16 +200,12 @@
     nodes = []
 
     def start(settings, *, servers=0, wait=True):
-        def client():
-            return _store.StoreClient(
-                address=settings.store_address, timeout=0.5
-            )
-
         node = node_api.Node(
             settings=settings,
             feed=_feed.StoreFeed(
-                client=client(),
-                probe_client=client(),
+                client=_store.StoreClient(
+                    address=settings.store_address, timeout=0.5
+                ),
                 regions=settings.regions,
             ),
             wire=_http.HttpDialect(),
--- a/wigeonrouter/platform/main.py
+++ b/wigeonrouter/platform/main.py
@@ -35,8 +35,9 @@
     node = node_api.Node(
         settings=settings,
         feed=_feed.StoreFeed(
-            client=_client(settings),
-            probe_client=_client(settings),
+            client=_store.StoreClient(
+                address=settings.store_address, timeout=_STORE_TIMEOUT_S
+            ),
             regions=settings.regions,
         ),
         wire=_http.HttpDialect(),
@@ -52,12 +53,6 @@
     events.stop()
 
 
-def _client(settings):
-    return _store.StoreClient(
-        address=settings.store_address, timeout=_STORE_TIMEOUT_S
-    )
-
-
 def _reload(node, path, events):
     try:
         node.reload(_settings.load(path))
