Serve the node's metrics, follow its settings file, never deny a sent request

Cause: the node served no metrics; a settings file that changed without SIGHUP was not noticed, and SIGHUP reached only the node object, not its region, store feed and retry budgets. An unexpected error inside an attempt ended with 503 (not run) although the request had been sent.

Now /metrics on the control address has counters and latency histograms by service, route and host, and a count of each log event, written or not.

--- a/wigeonrouter/core/__init__.py
+++ b/wigeonrouter/core/__init__.py
@@ -3,6 +3,7 @@
 from wigeonrouter.core import _hashing
 from wigeonrouter.core import _problems as problems  # noqa: F401
 from wigeonrouter.core import _records
+from wigeonrouter.core import _reload
 
 Address = _records.Address
 AttemptResult = _records.AttemptResult
@@ -21,6 +22,7 @@
 Place = _records.Place
 ProblemType = problems.ProblemType
 Refusal = problems.Refusal
+Reload = _reload.Reload
 RetrySettings = _records.RetrySettings
 RoutingSettings = _records.RoutingSettings
 ServerState = _records.ServerState
@@ -28,5 +30,6 @@
 
 evolve_view = _records.evolve_view
 parse_address = _records.parse_address
+plan_reload = _reload.plan_reload
 rendezvous_order = _hashing.rendezvous_order
 rendezvous_score = _hashing.rendezvous_score
--- a/wigeonrouter/events/_events.py
+++ b/wigeonrouter/events/_events.py
@@ -32,6 +32,8 @@
         self._second = 0
         self._written = 0
         self._dropped = collections.Counter()
+        self._dropped_before = 0
+        self._counts = collections.Counter()
         self._task = None
 
     @property
@@ -39,6 +41,16 @@
         """Counter of dropped lines by event since the last report."""
         return self._dropped
 
+    @property
+    def counts(self):
+        """Counter of events by name since the start, written or not."""
+        return self._counts
+
+    @property
+    def total_dropped(self):
+        """Number of lines that were not written since the start."""
+        return self._dropped_before + self._dropped.total()
+
     def start(self):
         """Start the writing task."""
         os.set_blocking(self._descriptor, False)
@@ -56,6 +68,7 @@
 
         Such lines are dropped beyond the rate.
         """
+        self._counts[name] += 1
         now = self._wall_clock()
         if int(now) != self._second:
             self._second = int(now)
@@ -71,6 +84,7 @@
 
     def notice(self, name, /, **fields):
         """Add a line about the process itself, whatever the rate is."""
+        self._counts[name] += 1
         if len(self._lines) >= MAX_BUFFERED_LINES:
             self._lines.popleft()
             self._dropped["buffer full"] += 1
@@ -84,6 +98,7 @@
                     dict(self._dropped),
                     collections.Counter(),
                 )
+                self._dropped_before += sum(dropped.values())
                 self.notice("lines-dropped", **{"by_event": dropped})
             self._flush()
 
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -101,6 +101,16 @@
         """placement.RetryBudget of the service."""
         return self._budget
 
+    @property
+    def waiting(self):
+        """Number of requests that wait for a server."""
+        return len(self._line)
+
+    @property
+    def in_flight(self):
+        """Number of this node's requests at the servers."""
+        return sum(view.in_flight for view in self._views.values())
+
     def configure(self, *, health_path, known):
         """Take over the servers that may get work.
 
--- /dev/null
+++ b/wigeonrouter/node/_metrics.py
@@ -0,0 +1,81 @@
+"""Counts requests, and serves the metrics of a node."""
+
+import dataclasses
+
+from wigeonrouter import core
+from wigeonrouter import http1
+from wigeonrouter import observability
+
+_PATH = "/metrics"
+_MAX_BODY_BYTES = 4 << 10
+
+
+class MetricsPage:
+    """Handles requests on the control address.
+
+    Args:
+      metrics: observability.Metrics.
+      read_gauges: function that returns an observability.Gauges.
+    """
+
+    def __init__(self, *, metrics, read_gauges):
+        self._metrics = metrics
+        self._read_gauges = read_gauges
+
+    def body_limit(self, request):
+        """Return the largest accepted body in bytes."""
+        return _MAX_BODY_BYTES
+
+    def handle(self, request, arrived):
+        """Answer one request with an HttpResponse."""
+        path = request.target.decode("latin-1").partition("?")[0]
+        if path != _PATH:
+            return http1.HttpResponse(
+                status=core.problems.NO_ROUTE.status, headers=(), body=b""
+            )
+        content_type = observability.METRICS_CONTENT_TYPE.encode()
+        return http1.HttpResponse(
+            status=200,
+            headers=((b"content-type", content_type),),
+            body=observability.expose(
+                metrics=self._metrics, gauges=self._read_gauges()
+            ),
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RequestMetrics:
+    """Counts requests by service, route and host."""
+
+    metrics: observability.Metrics
+
+    def answered(self, *, service, route, status, latency):
+        """Count a request that got a backend server's answer."""
+        outcome = core.Outcome.OK if status < 500 else core.Outcome.FAILED
+        self._observe(service, route, outcome, "", latency)
+
+    def refused(self, *, service, route, problem, latency):
+        """Count a request that ended with a core.ProblemType.
+
+        Args:
+          route: topology.Route, None where the request has none.
+        """
+        self._observe(service, route, problem.outcome, problem.name, latency)
+
+    def left(self, *, service, route, latency):
+        """Count a request whose caller has gone."""
+        self._observe(
+            service, route, core.Outcome.UNKNOWN, "caller-gone", latency
+        )
+
+    def _observe(self, service, route, outcome, problem, latency):
+        self.metrics.observe(
+            observability.RequestSample(
+                service=service,
+                kind=route.name if route else "",
+                tenant=route.host if route else "",
+                outcome=outcome,
+                problem=problem,
+                latency=latency,
+            )
+        )
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -7,12 +7,15 @@
 
 import gevent
 
+from wigeonrouter import core
 from wigeonrouter import http1
+from wigeonrouter import observability
 from wigeonrouter import placement
 from wigeonrouter import store
 from wigeonrouter import topology
 from wigeonrouter.node import _balancer
 from wigeonrouter.node import _entrance
+from wigeonrouter.node import _metrics
 from wigeonrouter.node import _prober
 from wigeonrouter.node import _proxy
 from wigeonrouter.node import _region
@@ -34,6 +37,10 @@
 _STOP_POLL_S = 0.02
 # Callers that ask a node which has just started wait for its configuration.
 _START_S = 0.4
+# Settings that a running node takes over.
+_CHANGEABLE = frozenset(
+    {"bounds", "capacity", "heartbeat", "regions", "seeds"}
+)
 # Nodes of a region that serve the callers of one service.
 _HOMES = 1
 # Share of the retry budget that is used, for requests whose counting
@@ -63,6 +70,7 @@
         self._prober = _prober.Prober(pool=self._pool, wire=wire)
         self._balancers = {}
         self._addresses = {}
+        self._metrics = observability.Metrics()
         self._world = _world.World(events=events, on_change=self._reconfigure)
         self._region = _region.Region(
             settings=settings,
@@ -79,6 +87,7 @@
             wire=wire,
             splitter=topology.Splitter(rng=self._rng),
             events=events,
+            metrics=_metrics.RequestMetrics(metrics=self._metrics),
         )
         self._callers = http1.CallerServer(
             address=settings.caller_address,
@@ -91,11 +100,15 @@
             is_ready=lambda: self.ready,
             lifetime=self._answer_lifetime,
         )
+        page = _metrics.MetricsPage(
+            metrics=self._metrics, read_gauges=self._read_gauges
+        )
         self._entrances = [
-            http1.CallerServer(address=address, handler=entrance)
-            for address in (
-                settings.directory_address,
-                settings.readiness_address,
+            http1.CallerServer(address=address, handler=handler)
+            for address, handler in (
+                (settings.directory_address, entrance),
+                (settings.readiness_address, entrance),
+                (settings.control_address, page),
             )
             if address is not None
         ]
@@ -175,9 +188,25 @@
             server.kill()
 
     def reload(self, settings):
-        """Take over changed settings."""
-        self._settings = settings
-        self._events.notice("settings-reloaded", node=settings.name)
+        """Take over what a running node can change.
+
+        Args:
+          settings: topology.NodeSettings of the changed file.
+        """
+        plan = core.plan_reload(
+            current=self._settings, wanted=settings, changeable=_CHANGEABLE
+        )
+        self._settings = plan.settings
+        self._region.reload(plan.settings)
+        self._feed.reload(plan.settings.regions)
+        for balancer in self._balancers.values():
+            balancer.budget.configure(
+                ratio=self._budget_ratio(),
+                window=plan.settings.bounds.retry_window,
+            )
+        self._events.notice(
+            "settings-reloaded", changed=plan.changed, kept=plan.kept
+        )
 
     def _keep_running(self, name, function):
         """Run a task for ever; one that fails is logged and run again."""
@@ -192,11 +221,33 @@
                 )
             gevent.sleep(_HOUSEKEEPING_INTERVAL_S)
 
+    def _budget_ratio(self):
+        return self._settings.bounds.retry_ratio * _BUDGET_SHARE
+
+    def _read_gauges(self):
+        ready = sum(peer.ready for peer in self._region.peers)
+        return observability.Gauges(
+            revision=self._region.revision,
+            ready=self.ready,
+            members={
+                "ready": ready,
+                "not ready": len(self._region.peers) - ready,
+            },
+            services=tuple(
+                (name, balancer.waiting, balancer.in_flight)
+                for name, balancer in sorted(self._balancers.items())
+            ),
+            arriving=self._callers.requests_in_progress,
+            events=dict(self._events.counts),
+            dropped=self._events.total_dropped,
+        )
+
     def _housekeep(self):
         while True:
             gevent.sleep(_HOUSEKEEPING_INTERVAL_S)
             self._world.advance()
             self._pool.close_idle()
+            self._metrics.rotate()
 
     def _keep_waits(self):
         """Keep in the store what the node learned of its callers."""
@@ -241,7 +292,7 @@
                 place=self._settings.place,
                 prober=self._prober,
                 budget=placement.RetryBudget(
-                    ratio=bounds.retry_ratio * _BUDGET_SHARE,
+                    ratio=self._budget_ratio(),
                     window=bounds.retry_window,
                 ),
                 rng=self._rng,
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -46,6 +46,7 @@
       balancers: function from a service's name to its Balancer, or None.
       sender: Sender.
       wire: adapter's dialect.
+      metrics: RequestMetrics.
     """
 
     def __init__(
@@ -57,8 +58,10 @@
         wire,
         splitter,
         events,
+        metrics,
         clock=time.monotonic,
     ):
+        self._metrics = metrics
         self._world = world
         self._balancers = balancers
         self._sender = sender
@@ -106,12 +109,23 @@
             result = self._run(call, balancer)
         except http1.CallerGone:
             self._log(call, "caller-gone")
+            self._metrics.left(
+                service=call.service,
+                route=call.route,
+                latency=self._clock() - arrived,
+            )
             raise
         except Exception as error:
             result = _internal_error(call, error)
         if isinstance(result, dialect.Refused):
             return self._refuse(result, call.request_id, arrived, call)
         self._log(call, "answered", status=result.status)
+        self._metrics.answered(
+            service=call.service,
+            route=call.route,
+            status=result.status,
+            latency=self._clock() - arrived,
+        )
         return result
 
     def _route(self, request, incoming, arrived):
@@ -183,7 +197,10 @@
         finally:
             ended = placement.Ended.CANCELLED
             load = None
-            if attempt is not None:
+            if attempt is None:
+                # Stopped or failed on the way; the request may be there.
+                call.may_have_run = True
+            else:
                 ended = attempt.ended
                 load = attempt.answer.load if attempt.answer else None
             latency = self._clock() - started
@@ -233,6 +250,13 @@
         return balancer.budget.try_spend(now)
 
     def _refuse(self, refused, request_id, arrived, call):
+        latency = self._clock() - arrived
+        self._metrics.refused(
+            service=call.service if call else "",
+            route=call.route if call else None,
+            problem=refused.problem,
+            latency=latency,
+        )
         self._events.event(
             "refused",
             id=request_id,
@@ -241,7 +265,7 @@
             detail=refused.detail,
             attempts=call.attempts if call else 0,
             route=call.route.name if call else "",
-            held_ms=_ms(self._clock() - arrived),
+            held_ms=_ms(latency),
         )
         return self._wire.refusal(refusal=refused, request_id=request_id)
 
--- a/wigeonrouter/node/_region.py
+++ b/wigeonrouter/node/_region.py
@@ -81,6 +81,11 @@
         """Tuple of topology.Peer of the region, this node included."""
         return self._peers
 
+    @property
+    def revision(self):
+        """Revision of the store up to which this node knows it."""
+        return self._mirror.revision
+
     @property
     def role(self):
         """topology.Role of this node."""
@@ -99,6 +104,11 @@
         elif self._role.kind is topology.RoleKind.UNDECIDED:
             self._on_roster([self._own_state()])
 
+    def reload(self, settings):
+        """Take over changed topology.NodeSettings."""
+        self._settings = settings
+        self.announce()
+
     def leave(self):
         """Give the role of the hub away before this node stops."""
         self._leaving = True
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -20,6 +20,8 @@
       members: dict from state to number of daemons.
       services: iterable of (service, queue length, requests in flight).
       arriving: caller requests that lack an answer.
+      events: dict from the name of a log event to its number since start.
+      dropped: log lines that were not written.
     """
 
     revision: int
@@ -27,6 +29,8 @@
     members: dict
     services: tuple
     arriving: int
+    events: dict = dataclasses.field(default_factory=dict)
+    dropped: int = 0
 
 
 class _Collector(registry.Collector):
@@ -80,6 +84,23 @@
         in_flight.add_metric((service,), flying)
     yield queue
     yield in_flight
+    yield from _collect_events(gauges)
+
+
+def _collect_events(gauges):
+    events = prometheus_core.CounterMetricFamily(
+        "wigeonrouter_events",
+        "Log events, written or not",
+        labels=("event",),
+    )
+    for name, count in sorted(gauges.events.items()):
+        events.add_metric((name,), count)
+    yield events
+    yield prometheus_core.CounterMetricFamily(
+        "wigeonrouter_log_lines_dropped",
+        "Log lines that were not written",
+        value=gauges.dropped,
+    )
 
 
 def _collect_requests(counts):
--- a/wigeonrouter/observability/_metrics.py
+++ b/wigeonrouter/observability/_metrics.py
@@ -8,11 +8,14 @@
 """
 
 import collections
+import dataclasses
 import time
 
 import gevent
 from hdrh import histogram
 
+from wigeonrouter import core
+
 # Latencies from 10 microseconds to 2 minutes with two significant digits.
 # A histogram takes 19 KB; 4-byte counters would wrap within weeks.
 _LOWEST_US = 10
@@ -27,6 +30,23 @@
 _PERCENTILES = (50, 99, 99.9)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RequestSample:
+    """What the metrics get to know of a request.
+
+    Attributes:
+      problem: name of the problem type, empty where there was none.
+      latency: seconds from its arrival to its answer.
+    """
+
+    service: str
+    kind: str
+    tenant: str
+    outcome: core.Outcome
+    problem: str
+    latency: float
+
+
 class Metrics:
     """Owns the histograms of one daemon."""
 
@@ -45,7 +65,7 @@
         return self._counts
 
     def observe(self, record):
-        """Add a request_path.RequestRecord."""
+        """Add a RequestSample, or a record with the same fields."""
         if self._clock() >= self._slice_ends:
             self.rotate()
         key = self._key(record)
--- a/wigeonrouter/placement/_budget.py
+++ b/wigeonrouter/placement/_budget.py
@@ -19,6 +19,11 @@
         self._requests = collections.deque()
         self._retries = collections.deque()
 
+    def configure(self, *, ratio, window):
+        """Take over a changed ratio and window in seconds."""
+        self._ratio = ratio
+        self._window = window
+
     def on_request(self, now):
         """Count a request of a caller."""
         _expire(self._requests, now - self._window)
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -21,6 +21,10 @@
         self._client = client
         self._regions = regions
 
+    def reload(self, regions):
+        """Take over a changed dict from failure domain to region."""
+        self._regions = regions
+
     def list(self):
         """Return the store.Listing of all keys."""
         return self._client.list(_ALL_KEYS)
--- a/wigeonrouter/platform/_settings.py
+++ b/wigeonrouter/platform/_settings.py
@@ -13,6 +13,36 @@
     """The settings file cannot be used."""
 
 
+class SettingsFile:
+    """Reads the settings file again and tells what is new."""
+
+    def __init__(self, *, path, current):
+        """Start from the topology.NodeSettings that are in force."""
+        self._path = path
+        self._latest = current
+        self._rejected = ""
+
+    def read(self):
+        """Return the settings of a changed file, None if nothing is new.
+
+        Raises:
+          SettingsError: the file cannot be used; raised once for each
+            different reason.
+        """
+        try:
+            found = load(self._path)
+        except SettingsError as error:
+            if str(error) == self._rejected:
+                return None
+            self._rejected = str(error)
+            raise
+        self._rejected = ""
+        if found == self._latest:
+            return None
+        self._latest = found
+        return found
+
+
 def load(path):
     """Read the settings file.
 
@@ -50,6 +80,7 @@
         caller_address=_optional_address(values, "listen.front"),
         readiness_address=_optional_address(values, "listen.ready"),
         directory_address=_optional_address(values, "listen.directory"),
+        control_address=_optional_address(values, "listen.control"),
         store_address=_fields.address(
             _fields.text(values, "platform.address")
         ),
--- /dev/null
+++ b/wigeonrouter/platform/_settings_test.py
@@ -0,0 +1,98 @@
+"""Tests of the settings file and of its changes."""
+
+import pytest
+
+from wigeonrouter.platform import _settings
+
+_LINES = """\
+node=front-1
+ip=10.1.0.34
+zone=za
+region=r1
+zones.za=r1
+zones.zb=r2
+listen.front=10.1.0.34:8548
+listen.ready=10.1.0.34:8542
+listen.control=10.1.0.34:8544
+listen.directory=10.1.0.34:8546
+internal_ports=7540,7555
+seeds=10.1.0.34:8544,10.2.0.34:8544
+limits.cpu_share=0.717
+limits.cores=3
+heartbeat=1500ms
+bounds=drain=2500ms,grace=6s,retry_budget_ratio=0.2,budget_window=10s,x=y
+platform.address=10.200.1.7:8541
+field.of.later=1
+"""
+
+
+@pytest.fixture
+def settings_file(tmp_path):
+    """Return a function that writes settings and returns the path."""
+    path = tmp_path / "settings.conf"
+
+    def write(text=_LINES, **changes):
+        lines = [
+            f"{name}={changes[name]}" if name in changes else line
+            for line in text.splitlines()
+            for name in [line.partition("=")[0]]
+        ]
+        path.write_text("\n".join(lines), "utf-8")
+        return path
+
+    return write
+
+
+def test_fields_are_read_and_unknown_ones_ignored(settings_file):
+    """Guards against a node that does not start on new fields."""
+    found = _settings.load(settings_file())
+    assert found.capacity == 2151
+    assert found.seeds == ("10.1.0.34", "10.2.0.34")
+    assert found.regions == {"za": "r1", "zb": "r2"}
+    assert str(found.control_address) == "10.1.0.34:8544"
+    assert found.bounds.retry_ratio == 0.2
+    assert found.bounds.stop_grace == 6.0
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("heartbeat", "soon"),
+        ("internal_ports", "7540"),
+        ("platform.address", "nowhere"),
+        ("bounds", "grace=6"),
+        ("bounds", "retry_budget_ratio=much"),
+        ("limits.cores", "many"),
+        ("ip", ""),
+    ],
+)
+def test_wrong_field_is_named(settings_file, name, value):
+    """Guards against a node that starts with settings it misread."""
+    lines = _LINES.replace(
+        next(li for li in _LINES.splitlines() if li.startswith(name)),
+        f"{name}={value}",
+    )
+    with pytest.raises(_settings.SettingsError):
+        _settings.load(settings_file(lines))
+
+
+def test_change_is_told_once(settings_file):
+    """Guards against a reload at every look at the file."""
+    path = settings_file()
+    watch = _settings.SettingsFile(path=path, current=_settings.load(path))
+    assert watch.read() is None
+    settings_file(_LINES.replace("grace=6s", "grace=9s"))
+    assert watch.read().bounds.stop_grace == 9.0
+    assert watch.read() is None
+
+
+def test_unusable_change_is_told_once_and_changes_nothing(settings_file):
+    """Guards against a log line a second for one bad file."""
+    path = settings_file()
+    watch = _settings.SettingsFile(path=path, current=_settings.load(path))
+    settings_file(_LINES.replace("heartbeat=1500ms", "heartbeat=x"))
+    with pytest.raises(_settings.SettingsError):
+        watch.read()
+    assert watch.read() is None
+    settings_file()
+    assert watch.read() is None
--- a/wigeonrouter/platform/_whole_path_test.py
+++ b/wigeonrouter/platform/_whole_path_test.py
@@ -1,8 +1,11 @@
 """Tests of a node between emulated servers, from what callers see."""
 
+import dataclasses
+
 import gevent
 import pytest
 
+from wigeonrouter.platform import _http
 from wigeonrouter.platform import conftest as tools
 
 wait_until = tools.wait_until
@@ -299,3 +302,51 @@
     caller = tools.Caller(address=settings.caller_address)
     assert caller.send("/read/a", remaining=3900).status == 200
     assert node.kept_waits == {"r-read": 4.0}
+
+
+def test_metrics_count_requests_by_route_and_outcome(backend, node, caller):
+    """Guards against failures that no counter shows."""
+    (server,) = start_ready(backend, node, "i-1")
+    assert caller.send("/read/a").status == 200
+    server.fault = "shed"
+    assert caller.send("/write/a", method="POST", body=b"x").status == 503
+    control = tools.Caller(address=node.settings.control_address)
+    text = control.send("/metrics").body.decode()
+    assert (
+        'wigeonrouter_requests_total{kind="r-read",outcome="ok",problem="",'
+        f'service="alpha",tenant="{tools.HOST}"}} 1.0'
+    ) in text
+    assert 'kind="r-write",outcome="not-run",problem="deadline' in text
+    assert 'wigeonrouter_events_total{event="attempt"}' in text
+    assert control.send("/other").status == 404
+
+
+def test_changed_settings_reach_the_parts(node):
+    """Guards against a reload that only the life cycle notices."""
+    bounds = dataclasses.replace(node.settings.bounds, stop_grace=3.0)
+    port = node.settings.peer_ports[0] + 1
+    node.reload(
+        dataclasses.replace(
+            node.settings,
+            bounds=bounds,
+            capacity=3000,
+            peer_ports=(port, 0),
+        )
+    )
+    assert node.settings.bounds.stop_grace == 3.0
+    assert node.settings.peer_ports != (port, 0)
+    wait_until(lambda: node.region.peers[0].capacity == 3000, timeout=2)
+
+
+def test_failure_inside_an_attempt_is_no_refusal(
+    backend, node, caller, monkeypatch
+):
+    """Guards against saying "not run" of a request that was sent."""
+    (server,) = start_ready(backend, node, "i-1")
+
+    def fail(self, response):
+        raise RuntimeError("fault")
+
+    monkeypatch.setattr(_http.HttpDialect, "read_answer", fail)
+    answer = caller.send("/write/a", method="POST", body=b"x")
+    assert answer.status not in (429, 503) and len(server.runs) == 1
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -181,6 +181,7 @@
             caller_address=core.Address(host=host, port=free_port()),
             readiness_address=core.Address(host=host, port=free_port()),
             directory_address=core.Address(host=host, port=free_port()),
+            control_address=core.Address(host=host, port=free_port()),
             store_address=core.parse_address(store.address),
             peer_ports=(free_port(), 0),
             seeds=(),
--- a/wigeonrouter/platform/main.py
+++ b/wigeonrouter/platform/main.py
@@ -20,10 +20,12 @@
 _EX_CONFIG = 78
 _STORE_TIMEOUT_S = 0.7
 _LOG_LINES_PER_SECOND = 400
+# The file may change without a signal.
+_SETTINGS_CHECK_INTERVAL_S = 1.0
 
 
 def main():
-    """Run one node until SIGTERM; SIGHUP re-reads the settings."""
+    """Run one node until SIGTERM; follow the settings file."""
     path = os.environ.get(_settings.VARIABLE, "")
     try:
         settings = _settings.load(path)
@@ -46,18 +48,36 @@
     stopping = event.Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
-    gevent.signal_handler(signal.SIGHUP, _reload, node, path, events)
+    watch = _settings.SettingsFile(path=path, current=settings)
+    gevent.signal_handler(signal.SIGHUP, _on_hangup, node, watch, events)
     node.start()
+    watching = gevent.spawn(_watch_settings, node, watch, events)
     stopping.wait()
+    watching.kill()
     node.stop()
     events.stop()
 
 
-def _reload(node, path, events):
+def _watch_settings(node, watch, events):
+    while True:
+        gevent.sleep(_SETTINGS_CHECK_INTERVAL_S)
+        _reload(node, watch, events)
+
+
+def _on_hangup(node, watch, events):
+    if not _reload(node, watch, events):
+        events.notice("settings-unchanged")
+
+
+def _reload(node, watch, events):
     try:
-        node.reload(_settings.load(path))
+        changed = watch.read()
     except _settings.SettingsError as error:
         events.notice("settings-rejected", error=str(error))
+        return True
+    if changed is not None:
+        node.reload(changed)
+    return changed is not None
 
 
 if __name__ == "__main__":
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -196,6 +196,7 @@
     Attributes:
       seeds: hosts of some nodes, which may be out of date.
       capacity: processor time that it may use, in thousandths of a core.
+      control_address: where metrics are served.
       regions: dict from failure domain to region.
       peer_ports: first and last port for traffic between nodes.
     """
@@ -206,6 +207,7 @@
     caller_address: core.Address | None
     readiness_address: core.Address | None
     directory_address: core.Address | None
+    control_address: core.Address | None
     store_address: core.Address
     peer_ports: tuple[int, int]
     seeds: tuple[str, ...]
