--- a/wigeonrouter/platform/_emulator.py
+++ b/wigeonrouter/platform/_emulator.py
@@ -40,11 +40,15 @@
     Attributes:
       silent: take requests and answer none.
       resetting: reset each connection.
+      losing: do what is asked, and close instead of answering.
+      delay: seconds before each request is looked at.
     """
 
     def __init__(self, *, port=0):
         self.silent = False
         self.resetting = False
+        self.losing = False
+        self.delay = 0.0
         self._connections = set()
         self._server = gevent_server.StreamServer(
             ("127.0.0.1", port), self._serve
@@ -86,7 +90,10 @@
                 request = reader.read(lambda: sock.recv(65536))
                 if request is None or self.resetting:
                     return
+                gevent.sleep(self.delay)
                 response = self.handle(request, sock)
+                if self.losing:
+                    return
                 while response is None or self.silent:
                     gevent.sleep(0.05)
                 sock.sendall(self.render(request, response))
@@ -225,13 +232,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Run:
-    """A request that a backend server has begun to work on."""
+    """A request that a backend server has begun to work on.
+
+    Attributes:
+      started: monotonic seconds.
+    """
 
     request_id: str
     method: str
     target: str
     body: bytes
     deadline_ms: int
+    started: float
 
 
 class EmulatedBackend(EmulatedServer):
@@ -240,7 +252,9 @@
     Attributes:
       slowness: how many times longer than usual work takes.
       runs: Run of each request that it began to work on.
+      arrivals: (monotonic seconds, id) of each request, refused or not.
       cancelled: ids whose connection was closed before the answer.
+      ended: dict from id to when its work was over, monotonic seconds.
       fault: "" or one of "errors", "hang", "reset", "shed", "garbage",
         "truncate", "stray", "unframed".
     """
@@ -254,6 +268,8 @@
         self.probes = 0
         self.refused = 0
         self.cancelled = []
+        self.arrivals = []
+        self.ended = {}
         self._zone = zone
         self._work = work
         self._slots = slots
@@ -283,6 +299,9 @@
         if request.target == b"/health":
             self.probes += 1
             return self._answer(request, 200, b"")
+        self.arrivals.append(
+            (time.monotonic(), request.header(b"request-id").decode())
+        )
         expected = request.header(b"expect-instance").decode()
         if expected not in ("", self.instance):
             return self._answer(request, 421, b"")
@@ -322,6 +341,7 @@
                 target=request.target.decode(),
                 body=request.body,
                 deadline_ms=int(request.header(b"deadline-ms") or 0),
+                started=time.monotonic(),
             )
         )
         if self.fault == "hang":
@@ -335,11 +355,15 @@
             return self._answer(request, status, b"body of " + request.target)
         finally:
             self._running -= 1
+            request_id = request.header(b"request-id").decode()
+            self.ended[request_id] = time.monotonic()
 
     def _work_on(self, request, sock):
         ends = time.monotonic() + self._work * self.slowness
         while time.monotonic() < ends:
             gevent.sleep(_STEP_S)
+            if sock.fileno() < 0:
+                raise ConnectionResetError("server stopped")
             readable, _, _ = select.select([sock], [], [], 0)
             if readable and not sock.recv(1, socket.MSG_PEEK):
                 self.cancelled.append(request.header(b"request-id").decode())
--- a/wigeonrouter/platform/main.py
+++ b/wigeonrouter/platform/main.py
@@ -3,19 +3,24 @@
 Exit codes: 0 after SIGTERM, 78 if the settings are wrong.
 """
 
-import os
 import signal
-import sys
 
-import gevent
-from gevent import event
+if __name__ == "__main__":
+    # The rest takes a while to load, and a hang-up must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import os  # noqa: E402
+import sys  # noqa: E402
+
+import gevent  # noqa: E402
+from gevent import event  # noqa: E402
 
-from wigeonrouter import events as events_api
-from wigeonrouter import node as node_api
-from wigeonrouter.platform import _feed
-from wigeonrouter.platform import _http
-from wigeonrouter.platform import _settings
-from wigeonrouter.platform import _store
+from wigeonrouter import events as events_api  # noqa: E402
+from wigeonrouter import node as node_api  # noqa: E402
+from wigeonrouter.platform import _feed  # noqa: E402
+from wigeonrouter.platform import _http  # noqa: E402
+from wigeonrouter.platform import _settings  # noqa: E402
+from wigeonrouter.platform import _store  # noqa: E402
 
 _EX_CONFIG = 78
 _STORE_TIMEOUT_S = 0.7
--- /dev/null
+++ b/wigeonrouter/platform/stage.py
@@ -0,0 +1,183 @@
+"""What the users' side of the platform writes and reads, for tests.
+
+Renders settings files, configurations and callers' requests from the
+product's records, and reads what callers get.
+"""
+
+import dataclasses
+import json
+
+from wigeonrouter import core
+from wigeonrouter import http1
+from wigeonrouter.platform import _entries
+from wigeonrouter.platform import _fields
+
+CONFIGURATION_KEY = _entries.CONFIGURATION_KEY
+# Statuses that promise that the request has not run and never will.
+_NOT_RUN = frozenset({408, 421, 429, 503})
+_NOT_FOUND = 404
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """What a caller received.
+
+    Attributes:
+      instance: the backend server that the answer is from, or "".
+      closes: whether the node asks for another connection.
+    """
+
+    status: int
+    request_id: str
+    instance: str
+    body: bytes
+    closes: bool
+
+    @property
+    def promises_not_run(self):
+        """Whether the request has not run and never will."""
+        return self.status in _NOT_RUN
+
+    @property
+    def not_found(self):
+        """Whether no route matches."""
+        return self.status == _NOT_FOUND
+
+
+def server_key(instance):
+    """Return the store's key of a backend server's registration."""
+    return f"{_entries.SERVER_PREFIX}{instance}"
+
+
+def render_configuration(configuration):
+    """Return the document of a topology.Configuration."""
+    return {
+        "version": f"{configuration.version:08x}",
+        "routes": {
+            route.name: _render_route(route) for route in configuration.routes
+        },
+        "services": {
+            service.name: {
+                "health_path": service.health_path,
+                "max_conns": service.max_connections,
+            }
+            for service in configuration.services.values()
+        },
+        "limits": {
+            "max_header_bytes": configuration.limits.max_header_bytes,
+            "max_body_bytes": configuration.limits.max_body_bytes,
+            "header_timeout": _fields.format_time(
+                configuration.limits.header_timeout
+            ),
+            "idle_timeout": _fields.format_time(
+                configuration.limits.idle_timeout
+            ),
+        },
+    }
+
+
+def _render_route(route):
+    document = {
+        "host": route.host,
+        "prefix": route.prefix,
+        "kind": "safe" if route.idempotent else "unsafe",
+        "timeout": _fields.format_time(route.timeout),
+        "target_latency": _fields.format_time(route.target_latency),
+        "priority": route.priority,
+        "max_attempts": route.max_attempts,
+    }
+    if len(route.shares) == 1:
+        document["service"] = route.shares[0].service
+    else:
+        document["traffic_split"] = [
+            {"service": share.service, "weight": share.weight}
+            for share in route.shares
+        ]
+    return document
+
+
+def render_settings(settings, *, bounds):
+    """Return the text of a settings file.
+
+    Args:
+      settings: topology.NodeSettings; its bounds are not looked at.
+      bounds: dict from the platform's name of a bound to its text.
+    """
+    values = {
+        "node": settings.name,
+        "ip": settings.host,
+        "zone": settings.place.failure_domain,
+        "region": settings.place.region,
+        "listen.front": settings.caller_address,
+        "listen.ready": settings.readiness_address,
+        "listen.control": settings.control_address,
+        "listen.directory": settings.directory_address,
+        "internal_ports": ",".join(map(str, settings.peer_ports)),
+        "seeds": ",".join(f"{host}:1" for host in settings.seeds),
+        "limits.cpu_share": settings.capacity / 1000,
+        "limits.cores": 1,
+        "heartbeat": _fields.format_time(settings.heartbeat),
+        "platform.address": settings.store_address,
+        "bounds": ",".join(f"{k}={v}" for k, v in bounds.items()),
+    }
+    for domain, region in settings.regions.items():
+        values[f"zones.{domain}"] = region
+    return "".join(f"{name}={value}\n" for name, value in values.items())
+
+
+def render_request(*, method, target, host, request_id, remaining, body=b""):
+    """Return the bytes of a caller's request; `remaining` in seconds."""
+    lines = (
+        f"{method} {target} HTTP/1.1",
+        f"Host: {host}",
+        f"Request-Id: {request_id}",
+        f"Deadline-Ms: {round(remaining * 1000)}",
+        f"Content-Length: {len(body)}",
+    )
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def render_entry_query(*, host, place):
+    """Return the bytes of the question which entries to use."""
+    query = f"name={host}&region={place.region}&zone={place.failure_domain}"
+    return render_request(
+        method="GET",
+        target=f"/api/resolve?{query}",
+        host="entry",
+        request_id="",
+        remaining=1.0,
+    )
+
+
+def read_reply(receive, *, method, max_bytes=1 << 20):
+    """Read a Reply.
+
+    Args:
+      receive: function that returns the next bytes, b"" at the end.
+      method: bytes.
+    Raises:
+      http1.MalformedMessage: it is not whole.
+    """
+    reader = http1.ResponseReader(receive=receive, max_bytes=max_bytes)
+    response = reader.read(method)
+    stamp = response.header(b"server-stamp").decode()
+    return Reply(
+        status=response.status,
+        request_id=response.header(b"request-id").decode(),
+        instance=stamp.removeprefix("stamp."),
+        body=response.body,
+        closes=not reader.reusable,
+    )
+
+
+def read_entries(reply):
+    """Return the tuple of core.Address and the lifetime in seconds.
+
+    Raises:
+      ValueError: the reply names no entries.
+    """
+    document = json.loads(reply.body)
+    if "addresses" not in document:
+        raise ValueError("no entries")
+    addresses = tuple(map(core.parse_address, document["addresses"]))
+    return addresses, _fields.parse_time(document["ttl"])
