Send rosters together, let the first listing be old

A hub sent the roster of its 41 nodes to all followers each time one of them joined, and every node read the whole store once at its start at the full price.

Tests replay a change that an old listing hides.

--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -9,6 +9,8 @@
 from wigeonrouter.schema import node_pb2
 
 PULSE_INTERVAL_S = 0.4
+# Many nodes join at the same time; each roster names all of them.
+_ROSTER_INTERVAL_S = 0.05
 # A peer that sends nothing for this time is taken to be dead.
 SILENCE_S = 1.2
 _SEND_TIMEOUT_S = 1.0
@@ -51,6 +53,7 @@
         self._expected = {state.host: state for state in before}
         self._expected_until = clock() + SILENCE_S
         self._store_answers = True
+        self._roster_task = None
 
     def set_store_answers(self, answers):
         """Take over whether the store answers, and tell the followers."""
@@ -80,6 +83,7 @@
             )
         )
         follower.put(self._pulse_message())
+        follower.put(_roster_message(self.roster()))
         self.broadcast_roster()
         writer = gevent.spawn(self._write, channel, follower)
         try:
@@ -104,12 +108,12 @@
         self._broadcast(node_pb2.PeerMessage(update=update))
 
     def broadcast_roster(self):
-        """Tell all followers who is there."""
-        roster = self.roster()
-        self._broadcast(
-            node_pb2.PeerMessage(roster=node_pb2.Roster(nodes=roster))
-        )
-        self._on_roster(roster)
+        """Tell all followers soon who is there, this node at once."""
+        self._on_roster(self.roster())
+        if self._roster_task is None or self._roster_task.ready():
+            self._roster_task = gevent.spawn_later(
+                _ROSTER_INTERVAL_S, self._send_roster
+            )
 
     def pulse(self, *, leaving=False):
         """Show all followers that this hub lives."""
@@ -125,6 +129,9 @@
                 expecting = False
                 self.broadcast_roster()
 
+    def _send_roster(self):
+        self._broadcast(_roster_message(self.roster()))
+
     def _pulse_message(self, *, leaving=False):
         return node_pb2.PeerMessage(
             pulse=node_pb2.Pulse(
@@ -143,3 +150,7 @@
                 channel.send(message, timeout=_SEND_TIMEOUT_S)
         except _channel.ChannelClosed:
             channel.close()
+
+
+def _roster_message(nodes):
+    return node_pb2.PeerMessage(roster=node_pb2.Roster(nodes=nodes))
--- a/wigeonrouter/node/_mirror.py
+++ b/wigeonrouter/node/_mirror.py
@@ -36,8 +36,8 @@
         self._apply(tuple(items), revision, True)
 
     def update(self, items, revision):
-        """Take over changes, oldest first."""
-        fresh = []
+        """Take over changes, oldest first; the last one of a key counts."""
+        fresh = {}
         for item in items:
             known = self._items.get(item.key)
             if known is not None and known.version >= item.version:
@@ -46,10 +46,11 @@
                 self._items.pop(item.key, None)
             else:
                 self._items[item.key] = item
-            fresh.append(item)
+            fresh.pop(item.key, None)
+            fresh[item.key] = item
         self._revision = max(self._revision, revision)
         if fresh:
-            self._apply(tuple(fresh), self._revision, False)
+            self._apply(tuple(fresh.values()), self._revision, False)
 
     def message_since(self, revision):
         """Return the Update that brings a copy of a revision up to date."""
--- a/wigeonrouter/node/_region.py
+++ b/wigeonrouter/node/_region.py
@@ -141,9 +141,13 @@
             self._step()
 
     def _load(self):
-        """Read everything once, from the store or else from a seed."""
+        """Read everything once, from the store or else from a seed.
+
+        What is read may be seconds old, which is cheaper: the hub's update
+        or the watch from its revision on brings the rest at once.
+        """
         try:
-            self._list()
+            self._list(stale=True)
             return
         except store.StoreError as error:
             self._events.notice("store-lost", error=str(error))
@@ -152,8 +156,8 @@
                 return
         gevent.sleep(_FIRST_BACKOFF_S * self._rng.uniform(0.7, 1.3))
 
-    def _list(self):
-        listing = self._feed.list()
+    def _list(self, *, stale=False):
+        listing = self._feed.list(stale=stale)
         self._reaches_store = True
         self._world.on_contact()
         self._mirror.replace(listing.items, listing.revision)
--- a/wigeonrouter/platform/_emulator.py
+++ b/wigeonrouter/platform/_emulator.py
@@ -118,9 +118,12 @@
     Attributes:
       refusing: answer 503 to all.
       refusing_lists: answer 503 to listings.
+      old_reads: answer listings that may be old with what was there when
+        this was set.
     """
 
     def __init__(self):
+        self._old_items = None
         self.refusing = False
         self.refusing_lists = False
         self._items = {}
@@ -147,6 +150,15 @@
         """Drop all changes so far."""
         self._log.clear()
 
+    @property
+    def old_reads(self):
+        """Whether listings that may be old are."""
+        return self._old_items is not None
+
+    @old_reads.setter
+    def old_reads(self, old):
+        self._old_items = dict(self._items) if old else None
+
     def keys(self):
         """Return all keys, sorted."""
         return sorted(self._items)
@@ -169,12 +181,15 @@
         return _respond(404)
 
     def _range(self, query):
-        keys = [k for k in self.keys() if k.startswith(query["prefix"])]
+        found = self._items
+        if self._old_items is not None and query.get("stale_ok") == "1":
+            found = self._old_items
+        keys = sorted(k for k in found if k.startswith(query["prefix"]))
         keys = keys[bisect.bisect_right(keys, query.get("after", "")) :]
         return _respond(
             200,
             {
-                "items": [self._items[key] for key in keys[:_PAGE_ITEMS]],
+                "items": [found[key] for key in keys[:_PAGE_ITEMS]],
                 "has_more": len(keys) > _PAGE_ITEMS,
                 "as_of": self._revision,
             },
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -25,9 +25,13 @@
         """Take over a changed dict from failure domain to region."""
         self._regions = regions
 
-    def list(self):
-        """Return the store.Listing of all keys."""
-        return self._client.list(_ALL_KEYS)
+    def list(self, *, stale=False):
+        """Return the store.Listing of all keys.
+
+        Args:
+          stale: accept what may be seconds old.
+        """
+        return self._client.list(_ALL_KEYS, stale=stale)
 
     def watch(self, *, revision, wait):
         """Return the store.Events after a revision.
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -37,8 +37,9 @@
           prefix: text, "" for all keys.
           stale: accept an answer that may be seconds old.
         Returns:
-          store.Listing; its revision is that of the first page: a watch
-          from there on misses nothing.
+          store.Listing; a watch from its revision on misses nothing. The
+          revision is that of the first page, and where the answer may be
+          old, at most that of its newest item.
         Raises:
           StoreError: there was no usable answer.
         """
@@ -55,6 +56,9 @@
             if revision is None:
                 revision = _field(document, "as_of", int)
             if not document.get("has_more") or not rows:
+                if stale:
+                    newest = max((item.version for item in items), default=1)
+                    revision = min(revision, newest)
                 return store.Listing(items=tuple(items), revision=revision)
             after = items[-1].key
 
--- a/wigeonrouter/platform/_store_test.py
+++ b/wigeonrouter/platform/_store_test.py
@@ -47,6 +47,17 @@
     assert later.changes == () and later.revision == events.revision
 
 
+def test_watch_after_an_old_listing_misses_nothing(server, client):
+    """Guards against a change between an old answer and its revision."""
+    server.put("a", b"1")
+    server.old_reads = True
+    server.put("b", b"2")
+    listing = client.list("", stale=True)
+    assert [item.key for item in listing.items] == ["a"]
+    events = client.watch("", revision=listing.revision, wait=1.0)
+    assert [item.key for item in events.changes] == ["b"]
+
+
 def test_create_writes_once(server, client):
     """Guards against overwriting what another process wrote."""
     assert client.create("k", b"1")
--- a/wigeonrouter/platform/_whole_path_test.py
+++ b/wigeonrouter/platform/_whole_path_test.py
@@ -227,6 +227,22 @@
     wait_until(lambda: "i-2" in node.servers, timeout=5)
 
 
+def test_node_that_starts_on_an_old_listing_learns_the_rest(
+    store, backend, make_settings, start_node
+):
+    """Guards against a configuration that a new node never sees."""
+    store.old_reads = True
+    changed = tools.configuration(2)
+    changed["routes"]["r-new"] = dict(
+        changed["routes"]["r-read"], prefix="/n/"
+    )
+    store.put("op/config", changed)
+    backend("i-1")
+    node = start_node(make_settings())
+    caller = tools.Caller(address=node.settings.caller_address)
+    wait_until(lambda: caller.send("/n/a").status == 200, timeout=1.5)
+
+
 def test_lost_history_is_listed_anew(store, backend, node):
     """Guards against changes that are missed for ever."""
     start_ready(backend, node, "i-1")
--- a/wigeonrouter/soak/_troubles.py
+++ b/wigeonrouter/soak/_troubles.py
@@ -297,6 +297,12 @@
     _store_fault(scene, rng, "delay", rng.uniform(0.05, 0.5))
 
 
+@trouble
+def store_reads_are_old(scene, rng):
+    """Reads that may be old are, while things change and nodes start."""
+    _store_fault(scene, rng, "old_reads", True)
+
+
 @trouble
 def store_forgets_history(scene, rng):
     """The store drops its history while changes are made."""
