Split the node's large modules, log servers that are paused and return

What is known of the servers of a service is now in _servers.py, the hub's reading of the store in _store_reader.py, questions to other nodes in _role_call.py.

With it: a request that waits is refused at once when the last server of its service goes (it was held until its deadline), and the log says when a server gets no work after failures or silence, and when it is back. Both have tests; the first failed before.

--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -20,6 +20,7 @@
 from wigeonrouter.node import _proxy
 from wigeonrouter.node import _region
 from wigeonrouter.node import _sender
+from wigeonrouter.node import _servers
 from wigeonrouter.node import _world
 
 _HOUSEKEEPING_INTERVAL_S = 0.25
@@ -124,6 +125,11 @@
         """Frozenset of the instances that are registered."""
         return frozenset(self._world.directory.known)
 
+    @property
+    def counts(self):
+        """Counter of the node's log events by name."""
+        return self._events.counts
+
     @property
     def kept_waits(self):
         """Dict from route to the usual wait that the store keeps."""
@@ -287,13 +293,16 @@
     def _balancer(self, service):
         balancer = self._balancers.get(service)
         if balancer is None:
-            bounds = self._settings.bounds
             balancer = _balancer.Balancer(
-                place=self._settings.place,
-                prober=self._prober,
+                servers=_servers.Servers(
+                    place=self._settings.place,
+                    prober=self._prober,
+                    events=self._events,
+                    rng=self._rng,
+                ),
                 budget=placement.RetryBudget(
                     ratio=self._budget_ratio(),
-                    window=bounds.retry_window,
+                    window=self._settings.bounds.retry_window,
                 ),
                 rng=self._rng,
             )
--- a/wigeonrouter/node/_region.py
+++ b/wigeonrouter/node/_region.py
@@ -11,20 +11,12 @@
 from wigeonrouter.node import _channel
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _mirror
+from wigeonrouter.node import _role_call
+from wigeonrouter.node import _store_reader
 from wigeonrouter.schema import node_pb2
 
-# A watch that brings nothing returns after this time, so that a hub that is
-# cut off from the store is noticed.
-_WATCH_S = 1.0
-# Changes in quick succession are read together.
-_PAUSE_AFTER_CHANGE_S = 0.25
-_FIRST_BACKOFF_S = 0.1
-_MAX_BACKOFF_S = 0.5
-_CONNECT_TIMEOUT_S = 0.3
-_ASK_TIMEOUT_S = 0.3
+_LOAD_RETRY_S = 0.1
 _FIRST_MESSAGE_TIMEOUT_S = 1.0
-# Nodes that are asked for the hub; any of them knows it.
-_ASKED = 6
 # A hub that failed this node is not followed again for this time.
 _AVOID_S = 2.0
 _WAIT_FOR_HUB_S = 0.1
@@ -33,12 +25,6 @@
 _HUB_CHECK_INTERVAL_S = 1.5
 _STORE_CHECK_INTERVAL_S = 1.0
 _REGISTER_RETRY_S = 2.0
-_ROLES = {
-    topology.RoleKind.UNDECIDED: node_pb2.Role.UNDECIDED,
-    topology.RoleKind.HUB: node_pb2.Role.HUB,
-    topology.RoleKind.FOLLOWER: node_pb2.Role.FOLLOWER,
-}
-_KINDS = {number: kind for kind, number in _ROLES.items()}
 
 
 class Region:
@@ -140,6 +126,10 @@
         while True:
             self._step()
 
+    @property
+    def _port(self):
+        return self._settings.peer_ports[0]
+
     def _load(self):
         """Read everything once, from the store or else from a seed.
 
@@ -147,29 +137,25 @@
         or the watch from its revision on brings the rest at once.
         """
         try:
-            self._list(stale=True)
+            listing = self._feed.list(stale=True)
+            self._reaches_store = True
+            self._world.on_contact()
+            self._mirror.replace(listing.items, listing.revision)
             return
         except store.StoreError as error:
             self._events.notice("store-lost", error=str(error))
         for host in self._settings.seeds:
             if host != self._settings.host and self._fetch(host):
                 return
-        gevent.sleep(_FIRST_BACKOFF_S * self._rng.uniform(0.7, 1.3))
-
-    def _list(self, *, stale=False):
-        listing = self._feed.list(stale=stale)
-        self._reaches_store = True
-        self._world.on_contact()
-        self._mirror.replace(listing.items, listing.revision)
+        gevent.sleep(_LOAD_RETRY_S * self._rng.uniform(0.7, 1.3))
 
     def _fetch(self, host):
-        message = node_pb2.PeerMessage(
-            fetch=node_pb2.Fetch(revision=self._mirror.revision)
+        update = _role_call.fetch_update(
+            host, port=self._port, revision=self._mirror.revision
         )
-        answer = self._exchange(host, message)
-        if answer is None or not answer.HasField("update"):
+        if update is None:
             return False
-        self._mirror.take(answer.update)
+        self._mirror.take(update)
         self._events.notice(
             "content-from-peer", host=host, revision=self._mirror.revision
         )
@@ -212,41 +198,8 @@
             host
             for host in self._order()
             if host != self._settings.host and host not in avoided
-        ][:_ASKED]
-        tasks = {host: gevent.spawn(self._ask_one, host) for host in hosts}
-        gevent.joinall(list(tasks.values()), timeout=2 * _ASK_TIMEOUT_S)
-        return {
-            host: task.value
-            for host, task in tasks.items()
-            if task.ready() and task.value is not None
-        }
-
-    def _ask_one(self, host):
-        answer = self._exchange(host, node_pb2.PeerMessage(ask=node_pb2.Ask()))
-        if answer is None or not answer.HasField("role"):
-            return None
-        return topology.Role(
-            kind=_KINDS.get(answer.role.kind, topology.RoleKind.UNDECIDED),
-            hub=answer.role.hub,
-            store_answers=answer.role.store_answers,
-        )
-
-    def _exchange(self, host, message):
-        try:
-            channel = _channel.connect(
-                host=host,
-                port=self._settings.peer_ports[0],
-                timeout=_CONNECT_TIMEOUT_S,
-            )
-        except _channel.ChannelClosed:
-            return None
-        try:
-            channel.send(message, timeout=_ASK_TIMEOUT_S)
-            return channel.receive(timeout=_ASK_TIMEOUT_S)
-        except _channel.ChannelClosed:
-            return None
-        finally:
-            channel.close()
+        ]
+        return _role_call.ask_roles(hosts, port=self._port)
 
     def _lead(self):
         """Be the hub: read the store and serve followers."""
@@ -263,7 +216,7 @@
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
         self._hub.broadcast_roster()
         pulse = gevent.spawn(self._hub.run_pulse)
-        reader = gevent.spawn(self._read)
+        reader = gevent.spawn(self._make_reader().run)
         try:
             while not reader.ready():
                 gevent.sleep(_HUB_CHECK_INTERVAL_S)
@@ -276,6 +229,17 @@
             hub.pulse(leaving=True)
             self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
+    def _make_reader(self):
+        return _store_reader.StoreReader(
+            mirror=self._mirror,
+            feed=self._feed,
+            events=self._events,
+            rng=self._rng,
+            on_update=self._hub.broadcast_update,
+            on_contact=self._note_contact,
+            on_outage=self._note_outage,
+        )
+
     def _should_step_down(self):
         order = self._order()
         if order[0] == self._settings.host and self._reaches_store:
@@ -287,51 +251,6 @@
             own=self._settings.host, order=order, answers=answers
         )
 
-    def _read(self):
-        failures = 0
-        while True:
-            try:
-                self._read_once()
-            except store.StoreError as error:
-                failures += 1
-                self._note_outage(error, failures)
-                backoff = min(
-                    _MAX_BACKOFF_S,
-                    _FIRST_BACKOFF_S * 2 ** min(8, failures - 1),
-                )
-                gevent.sleep(backoff * self._rng.uniform(0.7, 1.3))
-                continue
-            failures = 0
-
-    def _read_once(self):
-        try:
-            events = self._feed.watch(
-                revision=self._mirror.revision, wait=_WATCH_S
-            )
-        except store.HistoryLost:
-            self._events.notice(
-                "store-history-lost", after=self._mirror.revision
-            )
-            self._relist()
-            return
-        self._note_contact()
-        if not events.changes:
-            self._mirror.update((), events.revision)
-            return
-        self._mirror.update(events.changes, events.revision)
-        self._hub.broadcast_update(
-            _mirror.render_update(
-                items=events.changes, revision=events.revision
-            )
-        )
-        gevent.sleep(_PAUSE_AFTER_CHANGE_S)
-
-    def _relist(self):
-        before = self._mirror.revision
-        self._list()
-        self._note_contact()
-        self._hub.broadcast_update(self._mirror.message_since(before))
-
     def _note_contact(self):
         if not self._reaches_store:
             self._events.notice(
@@ -356,8 +275,8 @@
         try:
             channel = _channel.connect(
                 host=hub,
-                port=self._settings.peer_ports[0],
-                timeout=_CONNECT_TIMEOUT_S,
+                port=self._port,
+                timeout=_role_call.CONNECT_TIMEOUT_S,
             )
         except _channel.ChannelClosed as error:
             self._avoided[hub] = self._clock() + _AVOID_S
@@ -372,7 +291,7 @@
                         revision=self._mirror.revision,
                     )
                 ),
-                timeout=_ASK_TIMEOUT_S,
+                timeout=_role_call.ASK_TIMEOUT_S,
             )
             writer = gevent.spawn(self._send_states, channel)
             reason = self._receive(channel, hub)
@@ -440,7 +359,7 @@
                 self._changed.clear()
                 channel.send(
                     node_pb2.PeerMessage(state=self._own_state()),
-                    timeout=_ASK_TIMEOUT_S,
+                    timeout=_role_call.ASK_TIMEOUT_S,
                 )
         except _channel.ChannelClosed:
             channel.close()
@@ -459,24 +378,18 @@
                             message.fetch.revision
                         )
                     ),
-                    timeout=_ASK_TIMEOUT_S,
+                    timeout=_role_call.ASK_TIMEOUT_S,
                 )
             else:
-                channel.send(self._role_message(), timeout=_ASK_TIMEOUT_S)
+                channel.send(
+                    _role_call.render_role(self._role),
+                    timeout=_role_call.ASK_TIMEOUT_S,
+                )
         except _channel.ChannelClosed:
             pass
         finally:
             channel.close()
 
-    def _role_message(self):
-        return node_pb2.PeerMessage(
-            role=node_pb2.Role(
-                kind=_ROLES[self._role.kind],
-                hub=self._role.hub,
-                store_answers=self._role.store_answers,
-            )
-        )
-
     def _set_role(self, kind, hub, store_answers):
         if self._leaving:
             kind, hub = topology.RoleKind.UNDECIDED, ""
--- /dev/null
+++ b/wigeonrouter/node/_role_call.py
@@ -0,0 +1,83 @@
+"""Asks other nodes of the region whom they follow, or for their copy."""
+
+import gevent
+
+from wigeonrouter import topology
+from wigeonrouter.node import _channel
+from wigeonrouter.schema import node_pb2
+
+CONNECT_TIMEOUT_S = 0.3
+ASK_TIMEOUT_S = 0.3
+# Nodes that are asked for the hub; any of them knows it.
+_ASKED = 6
+_ROLES = {
+    topology.RoleKind.UNDECIDED: node_pb2.Role.UNDECIDED,
+    topology.RoleKind.HUB: node_pb2.Role.HUB,
+    topology.RoleKind.FOLLOWER: node_pb2.Role.FOLLOWER,
+}
+_KINDS = {number: kind for kind, number in _ROLES.items()}
+
+
+def ask_roles(hosts, *, port):
+    """Ask some hosts for their roles; return a dict by host.
+
+    Args:
+      hosts: hosts in order; only the first ones are asked.
+      port: port that nodes listen on for each other.
+    """
+    tasks = {
+        host: gevent.spawn(_ask_one, host, port) for host in hosts[:_ASKED]
+    }
+    gevent.joinall(list(tasks.values()), timeout=2 * ASK_TIMEOUT_S)
+    return {
+        host: task.value
+        for host, task in tasks.items()
+        if task.ready() and task.value is not None
+    }
+
+
+def fetch_update(host, *, port, revision):
+    """Return a node's Update since a revision, None without an answer."""
+    fetch = node_pb2.Fetch(revision=revision)
+    answer = _exchange(host, port, node_pb2.PeerMessage(fetch=fetch))
+    if answer is None or not answer.HasField("update"):
+        return None
+    return answer.update
+
+
+def render_role(role):
+    """Return the PeerMessage of a topology.Role."""
+    return node_pb2.PeerMessage(
+        role=node_pb2.Role(
+            kind=_ROLES[role.kind],
+            hub=role.hub,
+            store_answers=role.store_answers,
+        )
+    )
+
+
+def _ask_one(host, port):
+    answer = _exchange(host, port, node_pb2.PeerMessage(ask=node_pb2.Ask()))
+    if answer is None or not answer.HasField("role"):
+        return None
+    return topology.Role(
+        kind=_KINDS.get(answer.role.kind, topology.RoleKind.UNDECIDED),
+        hub=answer.role.hub,
+        store_answers=answer.role.store_answers,
+    )
+
+
+def _exchange(host, port, message):
+    try:
+        channel = _channel.connect(
+            host=host, port=port, timeout=CONNECT_TIMEOUT_S
+        )
+    except _channel.ChannelClosed:
+        return None
+    try:
+        channel.send(message, timeout=ASK_TIMEOUT_S)
+        return channel.receive(timeout=ASK_TIMEOUT_S)
+    except _channel.ChannelClosed:
+        return None
+    finally:
+        channel.close()
--- a/wigeonrouter/platform/_whole_path_test.py
+++ b/wigeonrouter/platform/_whole_path_test.py
@@ -366,3 +366,27 @@
     monkeypatch.setattr(_http.HttpDialect, "read_answer", fail)
     answer = caller.send("/write/a", method="POST", body=b"x")
     assert answer.status not in (429, 503) and len(server.runs) == 1
+
+
+def test_waiting_request_is_refused_once_all_servers_have_gone(
+    store, backend, node, caller
+):
+    """Guards against holding what surely cannot be served any more."""
+    (server,) = start_ready(backend, node, "i-1", slots=1, work=0.8)
+    running = gevent.spawn(caller.send, "/write/a", method="POST", body=b"x")
+    wait_until(lambda: server.runs)
+    waiting = gevent.spawn(caller.send, "/read/b", remaining=5000)
+    gevent.sleep(0.1)
+    store.remove("servers/i-1")
+    answer = waiting.get(timeout=3)
+    assert answer.status == 503 and answer.seconds < 0.6
+    assert running.get().status == 200
+
+
+def test_servers_that_fail_and_return_are_logged(backend, node, caller):
+    """Guards against beliefs about servers that no log line explains."""
+    (server,) = start_ready(backend, node, "i-1")
+    server.fault = "errors"
+    wait_until(lambda: caller.send("/read/a") and node.counts["server-paused"])
+    server.fault = ""
+    wait_until(lambda: caller.send("/read/a") and node.counts["server-back"])
