--- a/wigeonrouter/platform/_whole_path_test.py
+++ b/wigeonrouter/platform/_whole_path_test.py
@@ -372,6 +372,11 @@
     store, backend, node, caller
 ):
     """Guards against holding what surely cannot be served any more."""
+    patient = tools.configuration(2)
+    patient["routes"]["r-read"].update(
+        target_latency="2500ms", timeout="3000ms"
+    )
+    store.put("op/config", patient)
     (server,) = start_ready(backend, node, "i-1", slots=1, work=0.8)
     running = gevent.spawn(caller.send, "/write/a", method="POST", body=b"x")
     wait_until(lambda: server.runs)
