--- a/wigeonrouter/platform/_emulator.py
+++ b/wigeonrouter/platform/_emulator.py
@@ -379,8 +379,9 @@
             gevent.sleep(_STEP_S)
             if sock.fileno() < 0:
                 raise ConnectionResetError("server stopped")
-            readable, _, _ = select.select([sock], [], [], 0)
-            if readable and not sock.recv(1, socket.MSG_PEEK):
+            poller = select.poll()
+            poller.register(sock, select.POLLIN)
+            if poller.poll(0) and not sock.recv(1, socket.MSG_PEEK):
                 self.cancelled.append(request.header(b"request-id").decode())
                 raise ConnectionResetError("caller left")
 
