--- /dev/null
+++ b/wigeonrouter/platform/_several_nodes_test.py
@@ -0,0 +1,140 @@
+"""Tests of the nodes of a region together, on several loopback addresses."""
+
+import gevent
+import pytest
+
+from wigeonrouter import topology
+from wigeonrouter.platform import conftest as tools
+
+wait_until = tools.wait_until
+_HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+# Bound on a change of the configuration, seconds.
+_CONFIG_APPLY_S = 2.5
+_RETRY_RATIO = 0.2
+
+
+@pytest.fixture
+def region(make_settings, start_node, free_port):
+    """Run three nodes of a region and wait for their roles."""
+    port = free_port()
+    nodes = [
+        start_node(make_settings(f"node-{host}", host, peer_ports=(port, 0)))
+        for host in _HOSTS
+    ]
+    wait_until(lambda: len(hubs(nodes)) == 1 and followers(nodes) == 2)
+    wait_until(lambda: all(len(node.region.peers) == 3 for node in nodes))
+    return nodes
+
+
+def hubs(nodes):
+    """Return the nodes that read the store."""
+    kind = topology.RoleKind.HUB
+    return [node for node in nodes if node.region.role.kind is kind]
+
+
+def followers(nodes):
+    """Return how many nodes follow a hub."""
+    kind = topology.RoleKind.FOLLOWER
+    return sum(node.region.role.kind is kind for node in nodes)
+
+
+def callers_of(nodes):
+    """Return a Caller of each node."""
+    return [
+        tools.Caller(address=node.settings.caller_address) for node in nodes
+    ]
+
+
+def add_route(store, version):
+    """Write a version that adds the route /new/."""
+    document = tools.configuration(version)
+    document["routes"]["r-new"] = dict(
+        document["routes"]["r-read"], prefix="/new/"
+    )
+    store.put("op/config", document)
+
+
+def test_change_reaches_all_nodes_through_the_hub(store, backend, region):
+    """Guards against followers that miss what only the hub reads."""
+    backend("i-1")
+    wait_until(lambda: all(node.servers == {"i-1"} for node in region))
+    add_route(store, 2)
+    for caller in callers_of(region):
+        wait_until(
+            lambda caller=caller: caller.send("/new/a").status == 200,
+            timeout=_CONFIG_APPLY_S,
+        )
+
+
+def test_only_the_hub_calls_the_store(store, region):
+    """Guards against store calls that grow with the number of nodes."""
+    gevent.sleep(0.5)
+    before = store.calls
+    gevent.sleep(2.0)
+    assert store.calls - before <= 3
+
+
+def test_change_reaches_all_nodes_after_the_hub_was_killed(
+    store, backend, region
+):
+    """Guards against a region that waits for a hub which is gone."""
+    backend("i-1")
+    wait_until(lambda: all(node.servers == {"i-1"} for node in region))
+    (hub,) = hubs(region)
+    hub.kill()
+    add_route(store, 2)
+    rest = [node for node in region if node is not hub]
+    for caller in callers_of(rest):
+        wait_until(
+            lambda caller=caller: caller.send("/new/a").status == 200,
+            timeout=_CONFIG_APPLY_S,
+        )
+    assert len(hubs(rest)) == 1
+
+
+def test_all_nodes_name_the_same_home(region):
+    """Guards against a service whose requests meet at no node."""
+    answers = {
+        tools.Caller(address=node.settings.directory_address)
+        .send(f"/api/resolve?name={tools.HOST}&region=r1")
+        .body
+        for node in region
+    }
+    assert len(answers) == 1
+
+
+def test_stopping_node_is_named_no_more(region):
+    """Guards against callers that are sent to a node which stops."""
+    directory = tools.Caller(address=region[0].settings.directory_address)
+    query = f"/api/resolve?name={tools.HOST}&region=r1"
+    home = directory.send(query).body
+    stopping = next(
+        node
+        for node in region
+        if str(node.settings.caller_address).encode() in home
+    )
+    task = gevent.spawn(stopping.stop)
+    asked = next(node for node in region if node is not stopping)
+    directory = tools.Caller(address=asked.settings.directory_address)
+    wait_until(lambda: directory.send(query).body != home, timeout=1.0)
+    task.join()
+
+
+def test_retries_of_all_nodes_stay_in_one_budget(backend, region):
+    """Guards against a budget that each node spends anew.
+
+    Replays a service whose servers fail every request, with callers at
+    every node.
+    """
+    servers = [backend(f"i-{number}") for number in range(4)]
+    wait_until(lambda: all(len(node.servers) == 4 for node in region))
+    for server in servers:
+        server.fault = "errors"
+    sent = 0
+    for _ in range(20):
+        for caller in callers_of(region):
+            caller.send("/read/a", request_id=f"r-{sent}")
+            sent += 1
+    arrivals = sum(len(server.arrivals) for server in servers)
+    assert arrivals - sent <= _RETRY_RATIO * sent + len(region)
+    assert arrivals > sent
