--- a/wigeonrouter/bench/_capacity.py
+++ b/wigeonrouter/bench/_capacity.py
@@ -27,6 +27,10 @@
     "replica": (200, 600, 1700),
     "gossip": (50, 200, 800),
     "entries": (50, 200, 800),
+    "node-configuration": (200, 600, 1700),
+    "node-servers": (1500, 5000, 15000),
+    "node-choice": (5, 20, 80),
+    "node-roster": (15, 50, 150),
 }
 _CONNECTIONS = (4, 16, 64)
 _LOADS = (
@@ -41,11 +45,16 @@
 
 @click.command()
 @click.option("--repeat", default=3, show_default=True)
-def capacity(repeat):
+@click.option("--node", is_flag=True, help="Only the node's parts.")
+def capacity(repeat, node=False):
     """Measure the slopes that docs/CAPACITY.md is worked out from."""
     for part, sizes in _SIZES.items():
+        if node and not part.startswith("node-"):
+            continue
         rows = [_run_part(part, size, repeat) for size in sizes]
         _print(part, sizes, rows)
+    if node:
+        return
     with _processes.Fleet() as fleet:
         _start(fleet)
         for title, port, target, count in _LOADS:
--- a/wigeonrouter/bench/_capacity_parts.py
+++ b/wigeonrouter/bench/_capacity_parts.py
@@ -7,13 +7,14 @@
 
 import functools
 import random
-import time
 
 from wigeonrouter import configuration
 from wigeonrouter import core
 from wigeonrouter import entries
 from wigeonrouter import membership
 from wigeonrouter import request_path
+from wigeonrouter.bench import _measuring
+from wigeonrouter.bench import _node_parts
 from wigeonrouter.schema import peer_pb2
 from wigeonrouter.schema import settings_pb2
 
@@ -23,8 +24,6 @@
 _REGIONS = 8
 _FAILURE_DOMAINS = 30
 _CHANGES = 20
-_BATCHES = 5
-_BATCH_CALLS = 50
 
 
 def measure_replica(services):
@@ -33,7 +32,7 @@
     snapshot = settings_pb2.Snapshot(revision=1, root=root)
     data = snapshot.SerializeToString()
     del root, snapshot
-    before = resident_bytes()
+    before = _measuring.resident_bytes()
     replica = configuration.Replica()
     handler = request_path.RequestHandler(
         place=_place(0),
@@ -42,10 +41,10 @@
         observe=lambda record: None,
     )
     replica.subscribe(lambda source: handler.reconfigure(source.services))
-    load = _cpu_seconds(
+    load = _measuring.cpu_seconds(
         lambda: replica.load_snapshot(settings_pb2.Snapshot.FromString(data))
     )
-    held = resident_bytes() - before
+    held = _measuring.resident_bytes() - before
     changes = [
         settings_pb2.LogEntry(
             revision=number + 2,
@@ -54,7 +53,7 @@
         )
         for number in range(_CHANGES)
     ]
-    apply = _cpu_seconds(
+    apply = _measuring.cpu_seconds(
         lambda: [replica.apply_entries((entry,)) for entry in changes]
     )
     return {
@@ -73,9 +72,9 @@
     A whole table is sent when a daemon joins or tables differ; an idle
     exchange is what each daemon does once a second.
     """
-    before = resident_bytes()
+    before = _measuring.resident_bytes()
     first, second = _gossip(members, 0), _gossip(members, 1)
-    held = (resident_bytes() - before) / 2
+    held = (_measuring.resident_bytes() - before) / 2
     empty = peer_pb2.GossipMessage(sender=_full_message(members).sender)
     # Updates ride on a bounded number of messages.
     while (idle := first.Exchange(empty, None)).members:
@@ -83,9 +82,13 @@
     whole = first.Exchange(_full_message(members), None)
     return {
         "whole_bytes": whole.ByteSize(),
-        "whole_cpu_s": _cpu_seconds_each(lambda: second.Exchange(whole, None)),
+        "whole_cpu_s": _measuring.cpu_seconds_each(
+            lambda: second.Exchange(whole, None)
+        ),
         "idle_bytes": idle.ByteSize(),
-        "idle_cpu_s": _cpu_seconds_each(lambda: second.Exchange(idle, None)),
+        "idle_cpu_s": _measuring.cpu_seconds_each(
+            lambda: second.Exchange(idle, None)
+        ),
         "resident_bytes": held,
     }
 
@@ -102,11 +105,11 @@
     planner = entries.EntryPlanner()
     query = {"service": service, "place": _place(1), "rng": rng}
     return {
-        "choose_cpu_s": _cpu_seconds_each(
+        "choose_cpu_s": _measuring.cpu_seconds_each(
             lambda: entries.choose_entries(members=known, **query)
         ),
         # A daemon builds a new tuple of its members for each query.
-        "choose_kept_cpu_s": _cpu_seconds_each(
+        "choose_kept_cpu_s": _measuring.cpu_seconds_each(
             lambda: planner.choose(members=tuple(list(known)), **query)
         ),
     }
@@ -138,30 +141,6 @@
         server.slots = 2
 
 
-def resident_bytes():
-    """Return the resident memory of this process."""
-    with open("/proc/self/statm", encoding="ascii") as file:
-        return int(file.read().split()[1]) * 4096
-
-
-def _cpu_seconds(function):
-    """Return the processor time of one call."""
-    started = time.process_time()
-    function()
-    return time.process_time() - started
-
-
-def _cpu_seconds_each(function):
-    """Return the processor time of a call, of the best of some batches."""
-    batches = []
-    for _ in range(_BATCHES):
-        started = time.process_time()
-        for _ in range(_BATCH_CALLS):
-            function()
-        batches.append((time.process_time() - started) / _BATCH_CALLS)
-    return min(batches)
-
-
 def _change(number, services):
     path_number = number * 7 % services
     node = settings_pb2.Node()
@@ -231,4 +210,8 @@
     "replica": measure_replica,
     "gossip": measure_gossip,
     "entries": measure_entries,
+    "node-configuration": _node_parts.measure_configuration,
+    "node-servers": _node_parts.measure_servers,
+    "node-choice": _node_parts.measure_choice,
+    "node-roster": _node_parts.measure_roster,
 }
--- /dev/null
+++ b/wigeonrouter/bench/_node_parts.py
@@ -0,0 +1,203 @@
+"""What a node on the users' machines costs, by routes, servers and peers.
+
+Every function takes one size and returns a dict of numbers.
+"""
+
+import json
+import random
+
+import gevent
+
+from wigeonrouter import core
+from wigeonrouter import placement
+from wigeonrouter import store
+from wigeonrouter import topology
+from wigeonrouter.bench import _measuring
+from wigeonrouter.node import _hub
+from wigeonrouter.node import _mirror
+from wigeonrouter.node import _world
+from wigeonrouter.platform import stage
+from wigeonrouter.schema import node_pb2
+
+_ROUTES_PER_SERVICE = 2
+_DOMAINS = {f"domain-{number}": f"region-{number % 8}" for number in range(30)}
+
+
+class _Quiet:
+    """Takes events and drops them."""
+
+    def event(self, name, /, **fields):
+        """Drop an event."""
+
+    def notice(self, name, /, **fields):
+        """Drop an event."""
+
+
+def measure_configuration(services):
+    """Measure one version of a configuration with a number of services."""
+    value = json.dumps(
+        stage.render_configuration(_configuration(services))
+    ).encode()
+    item = store.Item(
+        key=stage.CONFIGURATION_KEY, value=value, version=services
+    )
+    update = _mirror.render_update(items=[item], revision=services)
+    feed = stage.make_feed(_DOMAINS)
+    world = _world.World(events=_Quiet(), on_change=lambda: None)
+
+    def take():
+        items, _ = _mirror.parse_update(update)
+        world.apply(feed.decode(items, whole=False))
+
+    before = _measuring.resident_bytes()
+    first = _measuring.cpu_seconds(take)
+    return {
+        "routes": services * _ROUTES_PER_SERVICE,
+        "document_bytes": len(value),
+        "update_bytes": update.ByteSize(),
+        "take_cpu_s": first,
+        "resident_bytes": _measuring.resident_bytes() - before,
+    }
+
+
+def measure_servers(servers):
+    """Measure a node's copy of the registrations of backend servers."""
+    items = [_registration_item(number) for number in range(servers)]
+    update = _mirror.render_update(items=items, revision=servers, whole=True)
+    one = _mirror.render_update(items=items[:1], revision=servers + 1)
+    feed = stage.make_feed(_DOMAINS)
+    world = _world.World(events=_Quiet(), on_change=lambda: None)
+    mirror = _mirror.Mirror(
+        apply=lambda items, revision, whole: world.apply(
+            feed.decode(items, whole=whole)
+        )
+    )
+    before = _measuring.resident_bytes()
+    load = _measuring.cpu_seconds(lambda: mirror.take(update))
+    return {
+        "update_bytes": update.ByteSize(),
+        "one_change_bytes": one.ByteSize(),
+        "load_cpu_s": load,
+        "resident_bytes": _measuring.resident_bytes() - before,
+    }
+
+
+def measure_choice(servers):
+    """Measure a choice among the near servers of one service."""
+    rng = random.Random(1)
+    views = [_view(number, rng) for number in range(servers)]
+    job = placement.Job(
+        priority=1, idempotent=True, arrived=0.0, target=0.4, give_up=2.0
+    )
+
+    def choose():
+        options = {"job": job, "work": 0.16, "usual": 1.75, "now": 0.0}
+        placement.probe_candidates(views, most=4, **options)
+        placement.choose(views, pressure=0.5, **options)
+
+    return {"cpu_s": _measuring.cpu_seconds_each(choose)}
+
+
+def measure_roster(nodes):
+    """Measure what a hub does for a number of followers."""
+    states = [_state(number) for number in range(nodes)]
+    hub = _hub.Hub(
+        mirror=None,
+        own_state=lambda: states[0],
+        on_roster=lambda roster: None,
+        before=states,
+    )
+    roster = node_pb2.PeerMessage(roster=node_pb2.Roster(nodes=states))
+    gevent.sleep(0)
+    return {
+        "roster_bytes": roster.ByteSize(),
+        "state_bytes": node_pb2.PeerMessage(state=states[0]).ByteSize(),
+        "roster_cpu_s": _measuring.cpu_seconds_each(
+            lambda: [hub.roster(), roster.SerializeToString()]
+        ),
+    }
+
+
+def _configuration(services):
+    names = [f"service-{number}" for number in range(services)]
+    return topology.Configuration(
+        version=services,
+        routes=tuple(
+            _route(name, number)
+            for name in names
+            for number in range(_ROUTES_PER_SERVICE)
+        ),
+        services={
+            name: topology.ServiceSettings(
+                name=name, health_path="/health", max_connections=250
+            )
+            for name in names
+        },
+        limits=topology.CallerLimits(),
+    )
+
+
+def _route(service, number):
+    return topology.Route(
+        name=f"route-{service}-{number}",
+        host=f"{service}.example",
+        prefix=f"/part-{number}/",
+        shares=(topology.Share(service=service, weight=1),),
+        idempotent=True,
+        timeout=2.0,
+        target_latency=0.4,
+        priority=1,
+        max_attempts=3,
+    )
+
+
+def _registration_item(number):
+    instance = f"i-{number:010x}"
+    document = stage.render_registration(
+        topology.Registration(
+            instance=instance,
+            service=f"service-{number // 9}",
+            address=core.Address(
+                host=f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}",
+                port=8080,
+            ),
+            place=core.Place(
+                region="", failure_domain=f"domain-{number % 30}"
+            ),
+            slots=2,
+            state=topology.RegistrationState.READY,
+            born=1_790_000_000_000 + number,
+            sequence=number,
+        )
+    )
+    return store.Item(
+        key=stage.server_key(instance),
+        value=json.dumps(document).encode(),
+        version=number + 1,
+    )
+
+
+def _view(number, rng):
+    return placement.ServerView(
+        instance=f"i-{number}",
+        tier=placement.Tier.REGION,
+        slots=2,
+        report=placement.LoadReport(
+            running=rng.randrange(2),
+            queued=0,
+            slots=2,
+            slowness=rng.choice((1.0, 1.0, 1.0, 4.0)),
+            received=-rng.uniform(0, 0.5),
+            own=0,
+        ),
+    )
+
+
+def _state(number):
+    return node_pb2.NodeState(
+        host=f"10.1.{number >> 8}.{number & 255}",
+        caller_address=f"10.1.{number >> 8}.{number & 255}:8548",
+        failure_domain=f"domain-{number % 4}",
+        ready=True,
+        capacity_millicores=860,
+    )
--- a/wigeonrouter/platform/stage.py
+++ b/wigeonrouter/platform/stage.py
@@ -10,6 +10,7 @@
 from wigeonrouter import core
 from wigeonrouter import http1
 from wigeonrouter.platform import _entries
+from wigeonrouter.platform import _feed
 from wigeonrouter.platform import _fields
 
 CONFIGURATION_KEY = _entries.CONFIGURATION_KEY
@@ -49,6 +50,30 @@
     return f"{_entries.SERVER_PREFIX}{instance}"
 
 
+def make_feed(regions):
+    """Return a StoreFeed that decodes items and has no store."""
+    return _feed.StoreFeed(client=None, regions=regions)
+
+
+def render_registration(registration):
+    """Return the document of a topology.Registration."""
+    return {
+        "address": str(registration.address),
+        "born": registration.born,
+        "info": {
+            "service": registration.service,
+            "version": "v1",
+            "zone": registration.place.failure_domain,
+            "slots": registration.slots,
+        },
+        "status": {
+            "state": registration.state.value,
+            "seq": registration.sequence,
+            "warmup_left": _fields.format_time(registration.warm_up),
+        },
+    }
+
+
 def render_configuration(configuration):
     """Return the document of a topology.Configuration."""
     return {
