Let the soak check services, and excuse a stop while the node was paused

New check: a request runs at no service that no configuration allowed. A server that leaves no longer comes back as ready when registrations return.

--- a/wigeonrouter/soak/_checks.py
+++ b/wigeonrouter/soak/_checks.py
@@ -117,6 +117,16 @@
             yield _violation("nothing unasked runs", str(run))
 
 
+@check
+def requests_run_at_allowed_services(seen):
+    """No server of another service runs a request."""
+    routes = {r.request_id: r.route for r in seen.requests}
+    for run in seen.runs:
+        allowed = seen.allowed.get(routes.get(run.request_id), ())
+        if run.request_id in routes and run.service not in allowed:
+            yield _violation("runs at an allowed service", str(run))
+
+
 @check
 def leaving_servers_get_nothing(seen):
     """A leaving server gets no work after the bound, from calm nodes."""
@@ -196,7 +206,7 @@
         for run in runs[request.request_id]:
             if run.started > request.ended + CANCEL_S:
                 yield _violation("no work for gone callers", str(request))
-            over = seen.cancelled.get((request.request_id, run.instance))
+            over = seen.work_ended.get((request.request_id, run.instance))
             calm = is_calm(seen, run.instance, run.started, request.ended)
             if over is None or not calm:
                 continue
@@ -240,10 +250,23 @@
             continue
         if ended.stopped is None or ended.code != 0:
             yield _violation("process ends only when asked", str(ended))
-        elif ended.ended - ended.stopped > STOP_GRACE_S:
+        elif ended.ended - ended.stopped > STOP_GRACE_S and not _was_disturbed(
+            seen, ended
+        ):
             yield _violation("process ends within the grace", str(ended))
 
 
+def _was_disturbed(seen, ended):
+    """Return whether the node itself was disturbed while it stopped."""
+    return any(
+        trouble.name == ended.node
+        and not trouble.planned
+        and trouble.began <= ended.ended
+        and ended.stopped <= trouble.ended
+        for trouble in seen.troubles
+    )
+
+
 def _ended_in_start(ended):
     """Return whether a signal came before the process could handle it."""
     if (
--- a/wigeonrouter/soak/_records.py
+++ b/wigeonrouter/soak/_records.py
@@ -125,15 +125,29 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Observations:
-    """All that was seen in one run."""
+    """All that was seen in one run.
+
+    Attributes:
+      arrivals: (time, request id, service) of all that reached a server.
+      allowed: dict from a route's name to all services that any version of
+        the configuration sent it to.
+      work_ended: dict from (request id, instance) to when its work was over.
+      calm_from: time at which all troubles were over.
+    """
 
     requests: list = dataclasses.field(default_factory=list)
     runs: list = dataclasses.field(default_factory=list)
     arrivals: list = dataclasses.field(default_factory=list)
-    cancelled: dict = dataclasses.field(default_factory=dict)
+    work_ended: dict = dataclasses.field(default_factory=dict)
     leaving: list = dataclasses.field(default_factory=list)
     probes: list = dataclasses.field(default_factory=list)
     exits: list = dataclasses.field(default_factory=list)
     troubles: list = dataclasses.field(default_factory=list)
+    allowed: dict = dataclasses.field(default_factory=dict)
     calm_from: float = 0.0
     ended: float = 0.0
+
+    def allow(self, route):
+        """Note that a topology.Route is part of a configuration."""
+        services = self.allowed.setdefault(route.name, set())
+        services.update(share.service for share in route.shares)
--- a/wigeonrouter/soak/_scene.py
+++ b/wigeonrouter/soak/_scene.py
@@ -37,6 +37,7 @@
             listen=("127.0.0.1", port), target=("127.0.0.1", self.server.port)
         )
         self.sequence = 0
+        self.leaving = False
         self.gone = False
 
     @property
@@ -44,11 +45,11 @@
         """Name of this start of the server."""
         return self.instance
 
-    def entry(self, *, state="ready"):
+    def entry(self):
         """Return its registration."""
         self.sequence += 1
         return self.server.entry(
-            state=state,
+            state="draining" if self.leaving else "ready",
             sequence=self.sequence,
             address=f"127.0.0.1:{self.link.port}",
         )
@@ -93,6 +94,11 @@
         """List of the Backends that have not gone."""
         return [backend for backend in self.backends if not backend.gone]
 
+    @property
+    def staying(self):
+        """List of the Backends that have neither gone nor are leaving."""
+        return [backend for backend in self.living if not backend.leaving]
+
     def routes(self):
         """Return the routes that callers use."""
         return self._base_routes()
@@ -110,15 +116,16 @@
         self.register(backend)
         return backend
 
-    def register(self, backend, *, state="ready"):
+    def register(self, backend):
         """Write a backend server's registration."""
-        self.store.put(
-            stage.server_key(backend.instance), backend.entry(state=state)
-        )
+        self.store.put(stage.server_key(backend.instance), backend.entry())
 
     def drain(self, backend):
         """Let a backend server leave as planned."""
-        self.register(backend, state="draining")
+        if backend.leaving:
+            return
+        backend.leaving = True
+        self.register(backend)
         self.seen.leaving.append(
             _records.Leaving(
                 instance=backend.instance, acknowledged=time.monotonic()
@@ -197,7 +204,7 @@
             for at, request_id in server.arrivals
         )
         for request_id, at in server.ended.items():
-            seen.cancelled[request_id, backend.instance] = at
+            seen.work_ended[request_id, backend.instance] = at
 
     def _base_routes(self):
         return (
@@ -222,6 +229,8 @@
             },
             limits=topology.CallerLimits(),
         )
+        for route in configuration.routes:
+            self.seen.allow(route)
         self.store.put(
             stage.CONFIGURATION_KEY, stage.render_configuration(configuration)
         )
--- a/wigeonrouter/soak/_troubles.py
+++ b/wigeonrouter/soak/_troubles.py
@@ -70,8 +70,9 @@
 
 
 def _some_backends(scene, rng):
-    living = scene.living
-    return rng.sample(living, max(1, round(len(living) * rng.uniform(0, 0.3))))
+    staying = scene.staying
+    count = max(1, round(len(staying) * rng.uniform(0, 0.3)))
+    return rng.sample(staying, count)
 
 
 @trouble
@@ -244,7 +245,7 @@
 @trouble
 def crash_backend(scene, rng):
     """A backend server ends, and its address goes to another service."""
-    backend = rng.choice(scene.living)
+    backend = rng.choice(scene.staying)
     with _disturbing(scene, backend):
         scene.replace(backend)
     gevent.sleep(rng.uniform(*_SHORT_S))
