--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -21,6 +21,7 @@
 _TROUBLE_S = 8.0
 # Ports below those that the system takes for outgoing connections.
 _PORTS = (10_000, 30_000)
+_NODES_PER_SERVER = 6
 _SERIES = (1, 1, 1, 2, 4)
 _GAP_S = (0.2, 2.0)
 
@@ -31,7 +32,8 @@
 
     Attributes:
       seconds: time in which troubles begin.
-      servers: backend servers of a service in a failure domain.
+      servers: least number of backend servers of a service in a failure
+        domain; there are more of them where there are many nodes.
       pause: mean seconds between two troubles.
     """
 
@@ -79,7 +81,9 @@
     rng = random.Random(seed)
     seen = _records.Observations()
     scene = _scene.Scene(
-        servers_per_domain=size.servers, seen=seen, rng=random.Random(seed)
+        servers_per_domain=max(size.servers, size.nodes // _NODES_PER_SERVER),
+        seen=seen,
+        rng=random.Random(seed),
     )
     scene.sender = _callers.Sender(
         routes=scene.routes, seen=seen, rng=random.Random(seed)
--- a/wigeonrouter/soak/_scene.py
+++ b/wigeonrouter/soak/_scene.py
@@ -18,6 +18,8 @@
 _ROUTE_TIMEOUT_S = 1.5
 _TARGET_S = 0.3
 _PROBE_INTERVAL_S = 0.7
+# Nodes that are asked at each time; they load the backend servers too.
+_PROBED = 12
 # Living servers register again within this time after an outage.
 _RETURN_S = 1.5
 _LEAVE_S = 4.0
@@ -167,13 +169,14 @@
         self._configure()
 
     def watch_configuration(self):
-        """Ask every node again and again for the newest routes."""
+        """Ask nodes again and again for the newest routes."""
         while True:
             gevent.sleep(_PROBE_INTERVAL_S)
             if not self._added:
                 continue
             version, route, acknowledged = self._added[-1]
-            for node in self.fleet.nodes:
+            nodes = self.fleet.nodes
+            for node in self.rng.sample(nodes, min(_PROBED, len(nodes))):
                 gevent.spawn(self._probe, node, version, route, acknowledged)
 
     def collect(self):
