Take unused and derivable state out of the soak

No check read whether a request was the first on its connection, nor when a run ended; nothing used the fleet's list of links. The routes of callers had two functions, and each version was kept with a time that was filled in afterwards. Promises, bounds and tests' assertions are unchanged.

--- a/wigeonrouter/soak/_callers.py
+++ b/wigeonrouter/soak/_callers.py
@@ -30,7 +30,6 @@
     def __init__(self, *, node, address):
         """Connect to a pair of host and port; raises OSError."""
         self.node = node
-        self.used = False
         self._sock = socket.create_connection(
             address, timeout=_CONNECT_TIMEOUT_S
         )
@@ -107,7 +106,6 @@
             reply, end = self._exchange(connection, data, method, leave_after)
         finally:
             self._note(connection, route, request_id, target, sent, reply, end)
-        connection.used = True
         return reply
 
     def _note(self, connection, route, request_id, target, sent, reply, end):
@@ -124,7 +122,6 @@
                 timeout=route.timeout,
                 end=end,
                 reply=reply,
-                fresh=not connection.used,
             )
         )
 
--- a/wigeonrouter/soak/_checks_test.py
+++ b/wigeonrouter/soak/_checks_test.py
@@ -89,7 +89,6 @@
         exits=[make_exit()],
         allowed={"hold": {"alpha"}},
         calm_from=1.0,
-        ended=20.0,
     )
 
 
--- a/wigeonrouter/soak/_fleet.py
+++ b/wigeonrouter/soak/_fleet.py
@@ -184,11 +184,6 @@
         ]
         self._connect_peers()
 
-    @property
-    def links(self):
-        """List of all Links."""
-        return self._links
-
     def start(self):
         """Run all processes."""
         for node in self.nodes:
--- a/wigeonrouter/soak/_records.py
+++ b/wigeonrouter/soak/_records.py
@@ -27,7 +27,6 @@
       patience: seconds that the caller waits.
       timeout: seconds that the operator allows.
       reply: platform Reply, None where there was none.
-      fresh: whether it was the first on its connection.
     """
 
     request_id: str
@@ -41,7 +40,6 @@
     timeout: float
     end: End
     reply: object = None
-    fresh: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -145,7 +143,6 @@
     troubles: list = dataclasses.field(default_factory=list)
     allowed: dict = dataclasses.field(default_factory=dict)
     calm_from: float = 0.0
-    ended: float = 0.0
 
     def allow(self, route):
         """Note that a topology.Route is part of a configuration."""
--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -107,7 +107,6 @@
             )
         )
         scene.fleet.stop()
-        seen.ended = time.monotonic()
         scene.collect()
         scene.stop()
     return seen, _checks.find_violations(seen)
--- a/wigeonrouter/soak/_scene.py
+++ b/wigeonrouter/soak/_scene.py
@@ -82,8 +82,9 @@
         self.backends = []
         self._number = 0
         self._version = 0
-        # (version, route name, time of the acknowledgement)
+        # Route of each version, and when the store took the newest one.
         self._added = []
+        self._acknowledged = 0.0
         self._read_service = SERVICES[0]
         self._configure()
         for domain in DOMAINS:
@@ -103,7 +104,11 @@
 
     def routes(self):
         """Return the routes that callers use."""
-        return self._base_routes()
+        return (
+            _route("read", True, self._read_service),
+            _route("hold", False, SERVICES[0]),
+            _route("pay", False, SERVICES[1]),
+        )
 
     def add_backend(self, service, domain, *, port=0):
         """Start a backend server, at a port if one is named."""
@@ -172,12 +177,15 @@
         """Ask nodes again and again for the newest routes."""
         while True:
             gevent.sleep(_PROBE_INTERVAL_S)
-            if not self._added:
-                continue
-            version, route, acknowledged = self._added[-1]
             nodes = self.fleet.nodes
             for node in self.rng.sample(nodes, min(_PROBED, len(nodes))):
-                gevent.spawn(self._probe, node, version, route, acknowledged)
+                gevent.spawn(
+                    self._probe,
+                    node,
+                    self._version,
+                    self._added[-1],
+                    self._acknowledged,
+                )
 
     def collect(self):
         """Note what the backend servers saw."""
@@ -209,21 +217,13 @@
         for request_id, at in server.ended.items():
             seen.work_ended[request_id, backend.instance] = at
 
-    def _base_routes(self):
-        return (
-            _route("read", True, self._read_service),
-            _route("hold", False, SERVICES[0]),
-            _route("pay", False, SERVICES[1]),
-        )
-
     def _configure(self):
         self._version += self.rng.randrange(1, 4)
         name = f"v{self._version}"
-        self._added.append((self._version, _route(name, True, "alpha"), None))
+        self._added.append(_route(name, True, "alpha"))
         configuration = topology.Configuration(
             version=self._version,
-            routes=self._base_routes()
-            + tuple(route for _, route, _ in self._added),
+            routes=(*self.routes(), *self._added),
             services={
                 service: topology.ServiceSettings(
                     name=service, health_path="/health", max_connections=200
@@ -237,8 +237,7 @@
         self.store.put(
             stage.CONFIGURATION_KEY, stage.render_configuration(configuration)
         )
-        version, route, _ = self._added[-1]
-        self._added[-1] = (version, route, time.monotonic())
+        self._acknowledged = time.monotonic()
 
     def _probe(self, node, version, route, acknowledged):
         sent = time.monotonic()
