Keep queued requests sorted, and let only the head of the queue look

Each release and each poll of each queued request sorted the whole queue, and every queued request polled at 12 to 30 ms.

A request that becomes late is admitted again once, at that time, where it used to be checked at each poll of the following 60 ms. Requests are now all woken when the last server of a service goes.

--- a/wigeonrouter/bench/_capacity.py
+++ b/wigeonrouter/bench/_capacity.py
@@ -33,6 +33,7 @@
     "node-configuration": (200, 600, 1700),
     "node-servers": (1500, 5000, 15000),
     "node-choice": (5, 20, 80),
+    "node-queue": (10, 400, 5000),
     "node-roster": (15, 50, 150),
 }
 _CONNECTIONS = (4, 16, 64)
--- a/wigeonrouter/bench/_capacity_parts.py
+++ b/wigeonrouter/bench/_capacity_parts.py
@@ -216,5 +216,6 @@
     "node-configuration": _node_parts.measure_configuration,
     "node-servers": _node_parts.measure_servers,
     "node-choice": _node_parts.measure_choice,
+    "node-queue": _node_parts.measure_queue,
     "node-roster": _node_parts.measure_roster,
 }
--- a/wigeonrouter/bench/_node_parts.py
+++ b/wigeonrouter/bench/_node_parts.py
@@ -20,6 +20,7 @@
 from wigeonrouter.schema import node_pb2
 
 _ROUTES_PER_SERVICE = 2
+_SERVICE_TIME_S = 0.16
 _REGION_BY_FAILURE_DOMAIN = {
     f"domain-{number}": f"region-{number % 8}" for number in range(30)
 }
@@ -98,14 +99,12 @@
     server_views = [
         _make_server_view(number, rng) for number in range(servers)
     ]
-    pending_request = placement.PendingRequest(
-        priority=1, idempotent=True, arrived=0.0, target_time=0.4, deadline=2.0
-    )
+    pending_request = _make_pending_request(0)
 
     def choose():
         options = {
             "request": pending_request,
-            "service_time": 0.16,
+            "service_time": _SERVICE_TIME_S,
             "mean_slowdown": 1.75,
             "now": 0.0,
         }
@@ -115,6 +114,23 @@
     return {"cpu_s": _measuring.cpu_seconds_each(choose)}
 
 
+def measure_queue(queued):
+    """Measure adding and removing one request of a queue of some length."""
+    queue = placement.RequestQueue()
+    for number in range(queued):
+        queue.add(number, _make_pending_request(number), _SERVICE_TIME_S)
+
+    def pass_through():
+        pending_request = _make_pending_request(0)
+        queue.count_ahead(pending_request, _SERVICE_TIME_S, 0.0)
+        queue.add("new", pending_request, _SERVICE_TIME_S)
+        queue.head(0.0)
+        queue.count_late(0.0)
+        queue.remove("new")
+
+    return {"cpu_s": _measuring.cpu_seconds_each(pass_through)}
+
+
 def measure_roster(nodes):
     """Measure the roster that a hub sends to some followers."""
     states = [_make_node_state(number) for number in range(nodes)]
@@ -194,6 +210,18 @@
     )
 
 
+def _make_pending_request(number):
+    """Return a PendingRequest; every second one is late at time 0."""
+    target_time = 0.4 if number % 2 else -0.4
+    return placement.PendingRequest(
+        priority=number % 4,
+        idempotent=True,
+        arrived=0.0,
+        target_time=target_time + 0.001 * number,
+        deadline=2.0 + 0.001 * number,
+    )
+
+
 def _make_server_view(number, rng):
     return placement.ServerView(
         instance=f"i-{number}",
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -13,11 +13,15 @@
 from wigeonrouter.node import _server_pool
 from wigeonrouter.node import messages
 
-# A queued request looks for a server again after this share of its service
-# time, within the bounds below, because other nodes release slots unnoticed.
+# A request at the head of the queue looks for a server again after this share
+# of its service time, within the bounds below, because other nodes release
+# slots unnoticed.
 _POLL_SHARE = 0.2
 _MIN_POLL_S = 0.012
 _MAX_POLL_S = 0.03
+# Timers may fire a little early or late, so a queued request is checked this
+# much after the time at which its admission changes.
+_CHECK_MARGIN_S = 0.001
 # Window over which the arrival rates of the service are measured.
 _ARRIVAL_WINDOW_S = 2.0
 # Mean Retry-After of requests that are rejected because no server is known.
@@ -65,7 +69,7 @@
         self._server_pool.configure(
             health_path=health_path, registered=registered
         )
-        self._wake_head()
+        self._on_servers_changed()
 
     def acquire(self, request, route):
         """Wait in the queue for a server.
@@ -84,30 +88,10 @@
         rejection = self._check_admission(request, service_time, now)
         if rejection is not None:
             return rejection
-        poll_interval = min(
-            _MAX_POLL_S, max(_MIN_POLL_S, _POLL_SHARE * service_time)
-        )
         waiter = event.Event()
         self._queue.add(waiter, request, service_time)
         try:
-            while True:
-                grant = None
-                if waiter in self._queue.head(self._clock()):
-                    grant = self._try_grant(request, service_time)
-                if grant is not None:
-                    now = self._clock()
-                    if placement.is_late(
-                        request, service_time=service_time, now=now
-                    ):
-                        self._late_rate.record(now)
-                    return grant
-                waiter.wait(timeout=poll_interval)
-                waiter.clear()
-                rejection = self._check_still_admissible(
-                    request, service_time, self._clock()
-                )
-                if rejection is not None:
-                    return rejection
+            return self._wait_for_grant(waiter, request, service_time)
         finally:
             self._queue.remove(waiter)
             self._wake_head()
@@ -138,6 +122,58 @@
     def remove_server(self, instance):
         """Remove a server whose address now belongs to another one."""
         self._server_pool.remove_server(instance)
+        self._on_servers_changed()
+
+    def _wait_for_grant(self, waiter, request, service_time):
+        """Wait in the queue; return a Grant or messages.Rejection.
+
+        Only the head of the queue looks for a server. The others wait until
+        they are woken at the head, or until their admission changes.
+        """
+        poll_interval = min(
+            _MAX_POLL_S, max(_MIN_POLL_S, _POLL_SHARE * service_time)
+        )
+        now = self._clock()
+        late = placement.is_late(request, service_time=service_time, now=now)
+        was_at_head = False
+        while True:
+            now = self._clock()
+            at_head = waiter in self._queue.head(now)
+            if at_head:
+                grant = self._try_grant(request, service_time)
+                if grant is not None:
+                    self._record_dispatch(request, service_time)
+                    return grant
+                timeout = poll_interval
+            else:
+                if was_at_head:
+                    self._wake_head()
+                timeout = self._time_to_check(request, service_time, now)
+            was_at_head = at_head
+            waiter.wait(timeout=timeout)
+            waiter.clear()
+            now = self._clock()
+            was_late, late = (
+                late,
+                placement.is_late(request, service_time=service_time, now=now),
+            )
+            rejection = self._check_still_admissible(
+                request, service_time, now, became_late=late and not was_late
+            )
+            if rejection is not None:
+                return rejection
+
+    def _time_to_check(self, request, service_time, now):
+        """Return the seconds until the admission has to be checked again."""
+        check_time = placement.next_check_time(
+            request, service_time=service_time, now=now
+        )
+        return max(0.0, check_time - now) + _CHECK_MARGIN_S
+
+    def _record_dispatch(self, request, service_time):
+        now = self._clock()
+        if placement.is_late(request, service_time=service_time, now=now):
+            self._late_rate.record(now)
 
     def _check_admission(self, request, service_time, now):
         """Return the Rejection of a new request, None to admit it."""
@@ -177,8 +213,13 @@
             return self._reject_overload(request, wait, service_time, now)
         return None
 
-    def _check_still_admissible(self, request, service_time, now):
-        """Return the Rejection of a queued request, None to keep it."""
+    def _check_still_admissible(
+        self, request, service_time, now, *, became_late
+    ):
+        """Return the Rejection of a queued request, None to keep it.
+
+        A request that became late is admitted again, now as a late one.
+        """
         if not self._server_pool.has_servers:
             return self._reject_no_server()
         if placement.should_reject(
@@ -187,9 +228,7 @@
             return self._reject_overload(
                 request, service_time, service_time, now
             )
-        if now - request.target_time + service_time < 2 * _MAX_POLL_S:
-            # The request became late within the last two polls and is admitted
-            # again, now as a late one.
+        if became_late:
             return self._check_late_admission(request, service_time, now)
         return None
 
@@ -303,6 +342,14 @@
             utilization=self._local_utilization(),
         )
 
+    def _on_servers_changed(self):
+        """Wake the requests that the set of servers may concern."""
+        if self._server_pool.has_servers:
+            self._wake_head()
+            return
+        for waiter in self._queue:
+            waiter.set()
+
     def _wake_head(self):
         for waiter in self._queue.head(self._clock()):
             waiter.set()
--- /dev/null
+++ b/wigeonrouter/node/conftest.py
@@ -0,0 +1,98 @@
+"""Shared fixtures of the tests of a node's parts."""
+
+import random
+
+import gevent
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import placement
+from wigeonrouter import topology
+from wigeonrouter.node import _balancer
+from wigeonrouter.node import _server_pool
+
+_PLACE = core.Place(region="north", failure_domain="north-a")
+
+
+class _SilentEvents:
+    """Event log that keeps the names of its events."""
+
+    def __init__(self):
+        self.names = []
+
+    def event(self, name, /, **fields):
+        self.names.append(name)
+
+    notice = event
+
+
+class _IdleProber:
+    """Prober of servers that never respond to a probe."""
+
+    def probe(self, targets, *, timeout, deliver):
+        gevent.sleep(0)
+
+
+@pytest.fixture
+def make_known_server():
+    """Return a function that makes a topology.KnownServer in the region."""
+
+    def make(instance, **changes):
+        registration = topology.Registration(
+            **{
+                "instance": instance,
+                "service": "reads",
+                "address": core.Address(host="192.0.2.1", port=80),
+                "place": _PLACE,
+                "slots": 2,
+                "state": topology.RegistrationState.READY,
+            }
+            | changes
+        )
+        return topology.KnownServer(registration=registration, learned_at=0.0)
+
+    return make
+
+
+@pytest.fixture
+def route():
+    """Return a route whose requests have a target latency of 400 ms."""
+    return topology.Route(
+        name="reads",
+        host="reads.example",
+        prefix="/",
+        shares=(topology.TrafficShare(service="reads", weight=1),),
+        idempotent=True,
+        timeout=4.0,
+        target_latency=0.4,
+        priority=1,
+        max_attempts=3,
+    )
+
+
+@pytest.fixture
+def make_balancer(make_known_server):
+    """Return a function that makes a Balancer of some servers."""
+
+    def make(*, servers):
+        server_pool = _server_pool.ServerPool(
+            place=_PLACE,
+            prober=_IdleProber(),
+            events=_SilentEvents(),
+            rng=random.Random(1),
+        )
+        balancer = _balancer.Balancer(
+            server_pool=server_pool,
+            budget=placement.RetryBudget(ratio=0.2, window=10.0),
+            rng=random.Random(1),
+        )
+        balancer.configure(
+            health_path="/health",
+            registered=[
+                make_known_server(f"server-{number}")
+                for number in range(servers)
+            ],
+        )
+        return balancer
+
+    return make
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -5,24 +5,25 @@
 load pattern that the module handles.
 """
 
+from wigeonrouter.placement import _admission
 from wigeonrouter.placement import _budget
 from wigeonrouter.placement import _caller_timeout
 from wigeonrouter.placement import _choice
 from wigeonrouter.placement import _estimate
 from wigeonrouter.placement import _health
-from wigeonrouter.placement import _queueing
 from wigeonrouter.placement import _records
+from wigeonrouter.placement import _request_queue
 
 AttemptOutcome = _health.AttemptOutcome
 PendingRequest = _records.PendingRequest
 LoadReport = _records.LoadReport
 Pick = _choice.Pick
-SlidingWindowRate = _queueing.SlidingWindowRate
+SlidingWindowRate = _admission.SlidingWindowRate
 RetryBudget = _budget.RetryBudget
 ServerView = _records.ServerView
 Locality = _records.Locality
 CallerTimeoutEstimate = _caller_timeout.CallerTimeoutEstimate
-RequestQueue = _queueing.RequestQueue
+RequestQueue = _request_queue.RequestQueue
 ServiceTimes = _estimate.ServiceTimes
 
 after_attempt = _health.after_attempt
@@ -31,19 +32,21 @@
 expected_load = _estimate.expected_load
 expected_latency = _estimate.expected_latency
 expected_slowdown = _estimate.expected_slowdown
-expected_wait = _queueing.expected_wait
-is_late = _queueing.is_late
+expected_wait = _admission.expected_wait
+is_late = _request_queue.is_late
+late_from = _request_queue.late_from
 is_nearly_full = _estimate.is_nearly_full
 choose = _choice.choose
 EXPECTED_SLOT_WAIT_S = _choice.EXPECTED_SLOT_WAIT_S
 is_available = _health.is_available
 undisturbed_service_time = _estimate.undisturbed_service_time
+next_check_time = _admission.next_check_time
 probe_candidates = _choice.probe_candidates
 probe_count = _choice.probe_count
-retry_after = _queueing.retry_after
-spare_throughput = _queueing.spare_throughput
-late_dispatch_rate = _queueing.late_dispatch_rate
-expected_late_wait = _queueing.expected_late_wait
-should_reject_late = _queueing.should_reject_late
-should_reject = _queueing.should_reject
+retry_after = _admission.retry_after
+spare_throughput = _admission.spare_throughput
+late_dispatch_rate = _admission.late_dispatch_rate
+expected_late_wait = _admission.expected_late_wait
+should_reject_late = _admission.should_reject_late
+should_reject = _admission.should_reject
 utility_of_waiting = _choice.utility_of_waiting
--- a/wigeonrouter/placement/_queueing.py
+++ b/wigeonrouter/placement/_admission.py
@@ -1,23 +1,20 @@
-"""Priority order of queued requests, and load shedding.
+"""Expected waits of queued requests, and load shedding.
 
 Load pattern: after an outage all callers come back at once, and most of their
-requests are already too late for their target time. Requests that can still
-meet the target time are served first, by priority and then by target time;
-late requests get the remaining capacity. A request that cannot be served
-before its deadline is rejected immediately, with a retry delay that says when
-there is capacity again.
+requests are already too late for their target time. Late requests only get
+the capacity that the others leave. A request that cannot be served before its
+deadline is rejected immediately, with a retry delay that says when there is
+capacity again.
 """
 
 import collections
 
 from wigeonrouter.placement import _estimate
+from wigeonrouter.placement import _request_queue
 
 # Bounds of the retry delay that rejected callers are given.
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
-# Number of requests at the head of the queue that may look for a server at the
-# same time.
-HEAD_SIZE = 4
 _RATE_WINDOW_S = 1.0
 # Shorter periods since the first event give no usable rate, so at least this
 # much time is assumed.
@@ -28,77 +25,6 @@
 _MAX_LATE_WAIT_SHARE = 0.4
 
 
-def is_late(request, *, service_time, now):
-    """Return whether a request can no longer meet its target time.
-
-    Args:
-      request: PendingRequest.
-      service_time: undisturbed service time in seconds.
-      now: seconds on the monotonic clock.
-    """
-    return request.target_time - now < service_time
-
-
-def rank(request, *, service_time, now):
-    """Return the sort key of a queued request; the smallest is served first.
-
-    Late requests come after all others. Both groups are ordered by priority,
-    then by target time, or by deadline for late requests.
-    """
-    if is_late(request, service_time=service_time, now=now):
-        return (1, request.priority, request.deadline)
-    return (0, request.priority, request.target_time)
-
-
-class RequestQueue:
-    """Priority queue of the requests of one service."""
-
-    def __init__(self):
-        self._entries = {}
-
-    def __len__(self):
-        return len(self._entries)
-
-    def add(self, entry, request, service_time):
-        """Add a PendingRequest under an entry, which is any hashable object.
-
-        Args:
-          entry: key for head() and remove().
-          request: PendingRequest.
-          service_time: undisturbed service time in seconds.
-        """
-        self._entries[entry] = (request, service_time)
-
-    def remove(self, entry):
-        """Remove an entry; no effect if it is not queued."""
-        self._entries.pop(entry, None)
-
-    def head(self, now):
-        """Return the first entries in order; these may look for a server."""
-        ranked = sorted(
-            self._entries.items(),
-            key=lambda item: rank(
-                item[1][0], service_time=item[1][1], now=now
-            ),
-        )
-        return [entry for entry, _ in ranked[:HEAD_SIZE]]
-
-    def count_late(self, now):
-        """Return how many queued requests can no longer meet their target."""
-        return sum(
-            is_late(request, service_time=service_time, now=now)
-            for request, service_time in self._entries.values()
-        )
-
-    def count_ahead(self, request, service_time, now):
-        """Return how many queued requests would be served before a new one."""
-        own_rank = rank(request, service_time=service_time, now=now)
-        return sum(
-            rank(other, service_time=other_service_time, now=now) <= own_rank
-            for other, other_service_time in self._entries.values()
-        )
-
-
 class SlidingWindowRate:
     """Measures the rate of events over a sliding window.
 
@@ -200,6 +126,22 @@
     return wait > _MAX_LATE_WAIT_SHARE * (request.deadline - now)
 
 
+def next_check_time(request, *, service_time, now):
+    """Return when the admission of a queued request has to be checked again.
+
+    That is when it becomes late, and then when it can no longer be served
+    before its deadline.
+
+    Args:
+      request: PendingRequest.
+      service_time: undisturbed service time in seconds.
+      now: seconds on the monotonic clock.
+    """
+    if _request_queue.is_late(request, service_time=service_time, now=now):
+        return request.deadline - service_time
+    return _request_queue.late_from(request, service_time)
+
+
 def retry_after(*, wait, rng):
     """Return the seconds after which a rejected caller should retry.
 
--- a/wigeonrouter/placement/_queueing_test.py
+++ b/wigeonrouter/placement/_admission_test.py
@@ -1,4 +1,4 @@
-"""Tests of the order of queued requests and of load shedding."""
+"""Tests of expected waits and load shedding."""
 
 import random
 
@@ -7,56 +7,6 @@
 SERVICE_TIME_S = 0.16
 
 
-def test_requests_within_target_go_before_late_ones(make_request, now):
-    """Guards against serving the oldest requests first after an outage.
-
-    When all callers return together, most of their requests are late and a few
-    are new.
-    """
-    queue = placement.RequestQueue()
-    for index in range(20):
-        queue.add(
-            f"late {index}",
-            make_request(target_time=-0.1 * index),
-            SERVICE_TIME_S,
-        )
-    queue.add("fresh", make_request(target_time=0.4), SERVICE_TIME_S)
-    assert queue.head(now)[0] == "fresh"
-    assert queue.count_late(now) == 20
-
-
-def test_requests_of_higher_priority_go_first(make_request, now):
-    """Guards against low priority requests delaying those of high priority."""
-    queue = placement.RequestQueue()
-    queue.add(
-        "usual", make_request(target_time=0.3, priority=2), SERVICE_TIME_S
-    )
-    queue.add(
-        "urgent", make_request(target_time=0.4, priority=0), SERVICE_TIME_S
-    )
-    assert queue.head(now) == ["urgent", "usual"]
-
-
-def test_late_requests_go_by_deadline(make_request, now):
-    """Guards against requests that expire while others could still wait."""
-    queue = placement.RequestQueue()
-    queue.add(
-        "long", make_request(target_time=-1, deadline=2.0), SERVICE_TIME_S
-    )
-    queue.add(
-        "short", make_request(target_time=-1, deadline=0.5), SERVICE_TIME_S
-    )
-    assert queue.head(now) == ["short", "long"]
-
-
-def test_removed_request_is_no_longer_queued(make_request, now):
-    """Guards against a slot for a request whose caller has disconnected."""
-    queue = placement.RequestQueue()
-    queue.add("gone", make_request(), SERVICE_TIME_S)
-    queue.remove("gone")
-    assert not queue.head(now) and len(queue) == 0
-
-
 def test_request_that_cannot_be_served_is_rejected_at_once(make_request, now):
     """Guards against holding a request until its deadline has passed."""
     request = make_request(deadline=1.0)
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -13,10 +13,11 @@
 import dataclasses
 import math
 
+from wigeonrouter.placement import _admission
 from wigeonrouter.placement import _estimate
 from wigeonrouter.placement import _health
-from wigeonrouter.placement import _queueing
 from wigeonrouter.placement import _records
+from wigeonrouter.placement import _request_queue
 
 # Utility of a late response.
 LATE_UTILITY = 0.1
@@ -192,7 +193,7 @@
       ahead: number of queued requests that are served first.
       slots: slots of the servers in the own region.
     """
-    queue_wait = _queueing.expected_wait(
+    queue_wait = _admission.expected_wait(
         ahead=ahead,
         service_time=service_time,
         slowdown=mean_slowdown,
@@ -221,7 +222,7 @@
         still meet their target time.
     """
     best, best_utility = None, float("-inf")
-    late = _queueing.is_late(request, service_time=service_time, now=now)
+    late = _request_queue.is_late(request, service_time=service_time, now=now)
     for view in find_usable(views, request=request, now=now):
         utility = utility_of(
             view,
