Do not take a late response on a used connection for the next one

Two causes, each shown by a test that failed before:

* A probe took any response for its own.
A second copy of the response to an earlier request on the connection was read as the server's health, and the connection went back to the pool while the response to the probe was still to come.
A probe has no request id, so a response with one is now skipped, and the connection is not used again.
* A rejection without an id was believed on every connection.
If it was the late response to a probe, a request that must not run twice was sent to another server while the first one ran it.
It is now believed on a fresh connection only, where nothing else was sent.

Copies in one segment with the response, behind an interim response and while the connection is idle were handled already; tests of them are added.

--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -148,6 +148,11 @@
         """Number of connections that are checked out."""
         return sum(pool.in_use for pool in self._pools.values())
 
+    @property
+    def idle(self):
+        """Number of idle connections."""
+        return sum(len(pool.idle) for pool in self._pools.values())
+
     def checkout(self, *, address, limit, deadline, max_idle=None):
         """Return a Connection, an idle one of the pool if possible.
 
--- a/wigeonrouter/node/_prober.py
+++ b/wigeonrouter/node/_prober.py
@@ -5,12 +5,15 @@
 
 import gevent
 
+from wigeonrouter import core
 from wigeonrouter import http1
 from wigeonrouter.node import messages
 
 # Responses to health checks are short.
 _MAX_RESPONSE_BYTES = 16 << 10
 _CONNECTIONS_PER_SERVER = 32
+# Responses to earlier requests that are skipped before that to the probe.
+_MAX_STRAY_RESPONSES = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -92,8 +95,8 @@
                 reader = http1.ResponseReader(
                     receive=connection.receive, max_bytes=_MAX_RESPONSE_BYTES
                 )
-                response = reader.read(b"GET")
-                reusable = reader.reusable
+                metadata, response, stray = self._read(reader)
+                reusable = reader.reusable and not stray
         except (
             OSError,
             http1.RequestNotSent,
@@ -105,13 +108,30 @@
                 self._pool.checkin(address, connection)
             else:
                 self._pool.discard(address, connection)
-        return self._parse_response(registration, response, started)
-
-    def _parse_response(self, registration, response, started):
-        metadata = self._codec.read_response(response)
         return ProbeResult(
             healthy=response.status == 200,
             instance_matches=metadata.instance in ("", registration.instance),
             load=metadata.load,
             round_trip=self._clock() - started,
         )
+
+    def _read(self, reader):
+        """Read the response to a probe.
+
+        A probe has no request ID, so a response with one is a late copy of a
+        response to a request that used the connection before.
+
+        Returns:
+          messages.ResponseMetadata, HttpResponse, and the number of
+          responses to earlier requests that came first.
+        Raises:
+          http1.MalformedMessage: too many responses of earlier requests.
+        """
+        for stray in range(_MAX_STRAY_RESPONSES + 1):
+            response = reader.read(b"GET")
+            metadata = self._codec.read_response(response)
+            if not metadata.request_id:
+                return metadata, response, stray
+        raise http1.MalformedMessage(
+            core.problems.ANSWER_INVALID, "responses of other requests"
+        )
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -131,10 +131,11 @@
             remaining=remaining,
             instance=registration.instance,
         )
+        fresh = self._connection.fresh
         try:
             with gevent.Timeout(remaining, TimeoutError("no answer in time")):
                 self._connection.send(data)
-                return self._read(request, request_id)
+                return self._read(request, request_id, fresh)
         except http1.RequestNotSent as error:
             return Attempt(
                 outcome=placement.AttemptOutcome.UNREACHABLE,
@@ -149,11 +150,12 @@
                 detail=f"{type(error).__name__}: {error}",
             )
 
-    def _read(self, request, request_id):
+    def _read(self, request, request_id, fresh):
         """Read the response with the request's ID and return the Attempt.
 
-        The first response may also come without an ID if it states that the
-        server did not execute the request.
+        On a fresh connection, the first response may also come without an ID
+        if it states that the server did not execute the request. On another
+        one, it may be the late response to an earlier request or probe.
 
         Raises:
           http1.MalformedMessage: too many responses of other requests.
@@ -169,7 +171,8 @@
             metadata = self._codec.read_response(response)
             if metadata.request_id == request_id:
                 break
-            if not metadata.request_id and metadata.not_executed and not stray:
+            unnamed = not metadata.request_id and not stray
+            if unnamed and metadata.not_executed and fresh:
                 break
             stray += 1
             if stray > _MAX_STRAY_RESPONSES:
--- /dev/null
+++ b/wigeonrouter/platform/_stray_responses_test.py
@@ -0,0 +1,183 @@
+"""Tests of responses that arrive late on a connection that is used again."""
+
+import time
+
+import gevent
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import http1
+from wigeonrouter import placement
+from wigeonrouter import topology
+from wigeonrouter.node import _prober
+from wigeonrouter.node import _sender
+from wigeonrouter.platform import _http
+
+WAIT_S = 5.0
+
+
+@pytest.fixture
+def registration_of():
+    """Return a function that makes the Registration of a server address."""
+
+    def make(address):
+        return topology.Registration(
+            instance="server-1",
+            service="alpha",
+            address=address,
+            place=core.Place(region="r1", failure_domain="za"),
+            slots=2,
+            state=topology.RegistrationState.READY,
+        )
+
+    return make
+
+
+@pytest.fixture
+def probe(registration_of, scripted_server):
+    """Return a function that probes a scripted server.
+
+    It returns the ProbeResult, and whether the connection is kept.
+    """
+
+    def run(*segments):
+        pool = http1.ConnectionPool()
+        prober = _prober.Prober(pool=pool, codec=_http.HttpCodec())
+        registration = registration_of(scripted_server([segments]))
+        results = []
+        prober.probe(
+            [(registration, "/health")],
+            timeout=WAIT_S,
+            deliver=lambda _, result: results.append(result),
+        )
+        gevent.sleep(0)
+        return results[0], pool.idle > 0
+
+    return run
+
+
+COPY = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nServer-Load: 0,0,2,100\r\n"
+    b"Content-Length: 2\r\n\r\nhi"
+)
+REJECTION = (
+    b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nServer-Load: 2,3,2,100\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+def test_response_to_a_probe_is_used_and_the_connection_kept(probe):
+    """Guards against probes that need a new connection each."""
+    result, kept = probe(REJECTION)
+    assert not result.healthy and result.load.queued == 3
+    assert kept
+
+
+@pytest.mark.parametrize(
+    "segments", [(COPY + REJECTION,), (COPY, REJECTION)], ids=["one", "two"]
+)
+def test_copy_of_an_earlier_response_is_no_health(probe, segments):
+    """Guards against a response that arrives twice, the second time late.
+
+    The copy was taken as the health of the server, and the connection went
+    back to the pool with the rejection of the probe still to come. A request
+    that must not run twice then took that rejection for its own.
+    """
+    result, kept = probe(*segments)
+    assert not result.healthy and result.load.queued == 3
+    assert not kept
+
+
+def _response(request_id):
+    return (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nContent-Length: %d\r\n\r\n%b"
+        % (request_id, len(request_id), request_id)
+    )
+
+
+@pytest.fixture
+def make_send(registration_of, scripted_server):
+    """Return a function that makes a function which sends one request.
+
+    Args:
+      segments_by_request: for each request on a connection, the segments that
+        the server sends.
+    """
+
+    def make(*segments_by_request):
+        registration = registration_of(scripted_server(segments_by_request))
+        sender = _sender.Sender(
+            pool=http1.ConnectionPool(), codec=_http.HttpCodec()
+        )
+
+        def send(request_id):
+            request = http1.HttpRequest(
+                method=b"POST",
+                target=b"/",
+                headers=((b"request-id", request_id),),
+                body=b"",
+                keep_alive=True,
+            )
+            return sender.send(
+                request=request,
+                request_id=request_id.decode(),
+                registration=registration,
+                idempotent=False,
+                response_deadline=time.monotonic() + 5.0,
+            )
+
+        return send
+
+    return make
+
+
+def test_rejection_without_id_on_a_new_connection_is_believed(make_send):
+    """Guards against giving up a request that may be sent elsewhere."""
+    attempt = make_send([REJECTION])(b"one")
+    assert attempt.outcome is placement.AttemptOutcome.REJECTED
+    assert not attempt.may_have_run
+
+
+def test_late_rejection_of_a_probe_is_not_that_of_a_request(make_send):
+    """Guards against running a request twice.
+
+    The connection was used before, so a rejection without an id may belong to
+    something sent earlier, while the server runs this request.
+    """
+    send = make_send([_response(b"one")], [REJECTION, _response(b"two")])
+    assert send(b"one").response.body == b"one"
+    attempt = send(b"two")
+    assert attempt.may_have_run
+    assert attempt.response.body == b"two"
+
+
+@pytest.mark.parametrize("separate", [False, True])
+def test_second_copy_of_a_response_is_not_given_to_the_next_caller(
+    make_send, separate
+):
+    """Guards against a response to another request.
+
+    The server sends its response again where that to the next request is due.
+    """
+    copy, own = _response(b"one"), _response(b"two")
+    segments = [copy, own] if separate else [copy + own]
+    send = make_send([_response(b"one")], segments)
+    assert send(b"one").response.body == b"one"
+    assert send(b"two").response.body == b"two"
+
+
+def test_copy_behind_an_interim_response_is_skipped(make_send):
+    """Guards against an interim response that hides a copy behind it."""
+    interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+    send = make_send(
+        [_response(b"one")], [interim + _response(b"one"), _response(b"two")]
+    )
+    send(b"one")
+    assert send(b"two").response.body == b"two"
+
+
+def test_connection_with_a_copy_waiting_is_not_used(make_send):
+    """Guards against a copy that arrives while the connection is idle."""
+    send = make_send([_response(b"one") + _response(b"one")])
+    assert send(b"one").response.body == b"one"
+    assert send(b"one").response.body == b"one"
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -5,6 +5,7 @@
 import time
 
 import gevent
+from gevent import server as gevent_server
 from gevent import socket
 import geventhttpclient
 import pytest
@@ -21,6 +22,8 @@
 HOST = "shop.example"
 _READY_TIMEOUT_S = 10.0
 _PORTS = (16_000, 30_000)
+# Pause between two segments, so that they are received one after the other.
+_SEGMENT_PAUSE_S = 0.02
 
 
 def configuration(version=1, **changes):
@@ -244,3 +247,35 @@
 def caller(node):
     """Return a Caller of the node."""
     return Caller(address=node.settings.caller_address)
+
+
+@pytest.fixture
+def scripted_server():
+    """Return a function that runs a server which sends prepared bytes.
+
+    Args:
+      segments_by_request: for each request on a connection, an iterable of
+        the segments that the server sends.
+    Returns:
+      The server's core.Address.
+    """
+    servers = []
+
+    def start(segments_by_request):
+        def serve(sock, _):
+            for segments in segments_by_request:
+                if not sock.recv(65536):
+                    return
+                for segment in segments:
+                    sock.sendall(segment)
+                    gevent.sleep(_SEGMENT_PAUSE_S)
+            sock.recv(1)
+
+        server = gevent_server.StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        servers.append(server)
+        return core.Address(host="127.0.0.1", port=server.server_port)
+
+    yield start
+    for server in servers:
+        server.stop(timeout=0.1)
