Reject load reports and registrations with absurd values

* A load report with NaN, infinity or a huge number raised an error after the server had run the request.
The caller got a 5xx, and the attempt counted as cancelled, so the server kept its standing and got further requests.
Such a report is now ignored.
Any unexpected error while a response is handled now counts as a failure of the server.
* A registration with more slots than a float holds raised an error in the choice among all servers of the service, a long host name one while connecting, and an instance id with a line break added headers to requests.
Such a registration now names no server, as an unreadable one.
Hosts have to be IPv4 addresses.

--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -214,6 +214,7 @@
     def _attempt(self, context, balancer, grant):
         started = self._clock()
         attempt = None
+        outcome = placement.AttemptOutcome.CANCELLED
         try:
             attempt = self._sender.send(
                 request=context.request,
@@ -223,8 +224,12 @@
                 response_deadline=context.pending.deadline,
             )
             return attempt
+        except Exception:
+            # Something that the server sent could not be handled. Without a
+            # failure it would go on to get requests.
+            outcome = placement.AttemptOutcome.RESPONSE_LOST
+            raise
         finally:
-            outcome = placement.AttemptOutcome.CANCELLED
             load = None
             if attempt is None:
                 # The attempt was cancelled or failed unexpectedly, so the
--- a/wigeonrouter/platform/_end_to_end_test.py
+++ b/wigeonrouter/platform/_end_to_end_test.py
@@ -94,6 +94,8 @@
     """Guards against failing a request that another server can handle."""
     bad, good = start_ready(backend, node, "i-1", "i-2")
     bad.fault = fault
+    # The bad server is preferred as long as it does not fail.
+    good.slowdown = 2.0
     for _ in range(20):
         last_response = caller.send("/read/a")
         if bad.runs:
@@ -110,6 +112,8 @@
     """
     bad, good = start_ready(backend, node, "i-1", "i-2")
     bad.fault = "shed"
+    # The bad server is preferred as long as it does not reject.
+    good.slowdown = 2.0
     for _ in range(20):
         response = caller.send("/write/a", method="POST", body=b"x")
         if bad.rejected_count:
@@ -398,6 +402,25 @@
     assert response.status not in (429, 503) and len(server.runs) == 1
 
 
+def test_server_whose_responses_raise_errors_is_ejected(
+    backend, node, caller, monkeypatch
+):
+    """Guards against a server that fails each request and still gets more.
+
+    An unexpected error in handling its response did not count as a failure.
+    """
+    start_ready(backend, node, "i-1")
+    read_response = _http.HttpCodec.read_response
+
+    def fail(self, response):
+        if response.header(b"request-id"):
+            raise RuntimeError("fault")
+        return read_response(self, response)
+
+    monkeypatch.setattr(_http.HttpCodec, "read_response", fail)
+    wait_until(lambda: caller.send("/read/a") and node.counts["server-paused"])
+
+
 def test_queued_request_is_rejected_once_all_servers_are_removed(
     store, backend, node, caller
 ):
--- a/wigeonrouter/platform/_fields.py
+++ b/wigeonrouter/platform/_fields.py
@@ -3,13 +3,16 @@
 All functions raise FieldError for a missing or invalid value.
 """
 
-import math
+import ipaddress
 import re
 
 from wigeonrouter import core
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _UNIT_S = {"ms": 0.001, "s": 1.0}
+# Larger values are of no use and could overflow in calculations.
+_MAX_INTEGER = 1 << 53
+_MAX_DURATION_S = 1e9
 
 
 class FieldError(ValueError):
@@ -32,15 +35,17 @@
     return value
 
 
-def get_integer(document, name, *, minimum=0):
-    """Return the integer of at least `minimum` in a field."""
+def get_integer(document, name, *, minimum=0, maximum=_MAX_INTEGER):
+    """Return the integer from `minimum` to `maximum` in a field."""
     value = document.get(name)
     if (
         isinstance(value, bool)
         or not isinstance(value, int)
-        or value < minimum
+        or not minimum <= value <= maximum
     ):
-        raise FieldError(f"{name}: not a whole number of {minimum} or more")
+        raise FieldError(
+            f"{name}: not a whole number from {minimum} to {maximum}"
+        )
     return value
 
 
@@ -52,18 +57,22 @@
 def parse_duration(text):
     """Parse a duration such as ``1500ms`` or ``6s`` into seconds."""
     match = _DURATION.fullmatch(text)
-    if match is None or not math.isfinite(float(match[1])):
+    if match is None:
         raise FieldError(f"{text!r} is not a duration such as 1500ms")
-    return float(match[1]) * _UNIT_S[match[2]]
+    seconds = float(match[1]) * _UNIT_S[match[2]]
+    if seconds > _MAX_DURATION_S:
+        raise FieldError(f"{text!r} is longer than {_MAX_DURATION_S:.0f} s")
+    return seconds
 
 
 def to_address(text):
-    """Parse HOST:PORT into a core.Address."""
+    """Parse HOST:PORT, where HOST is an IPv4 address, into a core.Address."""
     try:
         parsed = core.parse_address(text)
+        ipaddress.IPv4Address(parsed.host)
     except ValueError as error:
         raise FieldError(str(error)) from error
-    if not parsed.host or not 0 < parsed.port < 65536:
+    if not 0 < parsed.port < 65536:
         raise FieldError(f"{text!r} is not an address of the form HOST:PORT")
     return parsed
 
--- a/wigeonrouter/platform/_http.py
+++ b/wigeonrouter/platform/_http.py
@@ -25,6 +25,8 @@
 }
 # The fourth number of a load report is the slowdown in percent.
 _UNDISTURBED_SLOWDOWN_PERCENT = 100.0
+# A load report with a larger number is ignored.
+_MAX_LOAD_NUMBER = 1e6
 _READINESS_PATH = "/api/readiness"
 _RESOLVE_PATH = "/api/resolve"
 
@@ -147,6 +149,9 @@
         numbers = [float(part) for part in parts[:4]]
     except ValueError:
         return None
+    # Also false for NaN.
+    if not all(0 <= number <= _MAX_LOAD_NUMBER for number in numbers):
+        return None
     slowdown = 1.0
     if len(numbers) > 3 and numbers[3] > 0:
         slowdown = numbers[3] / _UNDISTURBED_SLOWDOWN_PERCENT
--- a/wigeonrouter/platform/_store_values.py
+++ b/wigeonrouter/platform/_store_values.py
@@ -1,6 +1,7 @@
 """Keys and values in the store that operators and backend servers write."""
 
 import json
+import re
 
 from wigeonrouter import core
 from wigeonrouter import topology
@@ -12,6 +13,9 @@
 NODE_PREFIX = "wigeonrouter/nodes/"
 # The callers' usual timeout in ms, by route, is stored under this prefix.
 CALLER_TIMEOUT_PREFIX = "wigeonrouter/waits/"
+# An instance ID is sent in a header.
+_INSTANCE = re.compile(r"[!-~]{1,200}")
+_MAX_SLOTS = 1 << 16
 
 
 def decode_configuration(value):
@@ -59,6 +63,8 @@
     Raises:
       FieldError: the registration is invalid.
     """
+    if not _INSTANCE.fullmatch(instance):
+        raise _fields.FieldError(f"invalid instance ID {instance!r}")
     document = _decode_object(value)
     # `info` is constant while the server runs, `status` changes.
     info = _fields.get_object(document, "info")
@@ -82,7 +88,9 @@
         place=core.Place(
             region=regions.get(domain, domain), failure_domain=domain
         ),
-        slots=_fields.get_integer(info, "slots", minimum=1),
+        slots=_fields.get_integer(
+            info, "slots", minimum=1, maximum=_MAX_SLOTS
+        ),
         state=parsed_state,
         slow_start=slow_start,
         started_ms=started_ms,
