Limit the bytes that a node buffers for all messages together

A response may grow to 64 MB, and several servers that send without end took a process to 280 MB, on VMs of 200 MB. All requests and responses that a node receives now share one budget, an eighth of the memory in the settings file (limits.memory_mb, reloadable). When it is used up, the largest message that is still being received is given up, so that small ones are not affected: a response as may-have-run, a request with the new problem buffers-full (503, not run). Complete responses are always delivered. A body without a length that is cut this way never looks complete.

Chunked bodies whose chunks are so small that the framing is larger than the body are malformed: decoding 65,536 bytes of them held the loop, and the response ended only at the route's timeout.

Nine forms of endless responses (head, interim, body, length, chunks, tiny chunks, size line, trailers, no HTTP) and four of endless requests are tested.

--- a/wigeonrouter/core/_problems.py
+++ b/wigeonrouter/core/_problems.py
@@ -83,6 +83,9 @@
 TOO_MANY_CONNECTIONS = _not_run(
     "too-many-connections", "The daemon has too many connections", 503
 )
+BUFFERS_FULL = _not_run(
+    "buffers-full", "The daemon's buffers for messages are full", 503
+)
 ANSWER_LOST = _unknown(
     "answer-lost", "The connection was lost before the answer was whole", 502
 )
--- a/wigeonrouter/http1/__init__.py
+++ b/wigeonrouter/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 over sockets: parsing, rendering, connection pool, server."""
 
+from wigeonrouter.http1 import _buffer_budget
 from wigeonrouter.http1 import _caller_connection
 from wigeonrouter.http1 import _messages
 from wigeonrouter.http1 import _pool
@@ -9,6 +10,7 @@
 from wigeonrouter.http1 import _server
 from wigeonrouter.http1 import _sockets
 
+BufferBudget = _buffer_budget.BufferBudget
 CallerDisconnected = _caller_connection.CallerDisconnected
 CallerServer = _server.CallerServer
 Connection = _pool.Connection
--- a/wigeonrouter/http1/_chunks.py
+++ b/wigeonrouter/http1/_chunks.py
@@ -10,6 +10,9 @@
 
 _SIZE_LINE = re.compile(rb"[0-9A-Fa-f]{1,8}")
 _MAX_SIZE_LINE_BYTES = 32
+# Bytes of size lines and line ends that a body may have beyond its own size.
+# Very small chunks take much more time to decode than they add to the body.
+_MAX_EXTRA_FRAMING_BYTES = 64 << 10
 
 
 class ChunkDecoder:
@@ -31,6 +34,7 @@
         self._too_large = too_large
         self._buffer = bytearray()
         self._position = 0
+        self._decoded_bytes = 0
         # Bytes left of the current chunk; None while reading a size line.
         self._chunk_bytes_left = None
         self._in_last_chunk = False
@@ -51,7 +55,13 @@
         while not self._complete and self._decode_next():
             pass
         del self._buffer[: self._position]
+        self._decoded_bytes += self._position
         self._position = 0
+        framing_bytes = self._decoded_bytes - len(self.body)
+        if framing_bytes > len(self.body) + _MAX_EXTRA_FRAMING_BYTES:
+            raise _messages.MalformedMessage(
+                self._invalid, "chunks are too small"
+            )
         return self._complete
 
     def _decode_next(self):
--- a/wigeonrouter/http1/_messages.py
+++ b/wigeonrouter/http1/_messages.py
@@ -71,6 +71,8 @@
 
     Attributes:
       fields: what index_headers() returns.
+      reservation: Reservation that counts the bytes of the request and of its
+        responses, None if they are not limited.
     """
 
     method: bytes
@@ -79,6 +81,9 @@
     body: bytes
     keep_alive: bool
     fields: dict[bytes, bytes] | None = None
+    reservation: object = dataclasses.field(
+        default=None, compare=False, repr=False
+    )
 
     def __post_init__(self):
         if self.fields is None:
@@ -228,7 +233,8 @@
         if not more:
             raise MalformedMessage(problem, "body is truncated")
         received += more
-    return bytes(received[:length]), bytes(received[length:])
+    with memoryview(received) as view:
+        return bytes(view[:length]), bytes(view[length:])
 
 
 def connection_headers(fields):
--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -81,6 +81,14 @@
         """Set the time of the last use, seconds."""
         self._last_used = now
 
+    def abort(self):
+        """Make a waiting receive() return, at the end of the stream."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The connection has failed already.
+            pass
+
     def close(self):
         """Close the connection; this cancels a request in progress."""
         self._sock.close()
--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -1,6 +1,8 @@
 """HTTP server for callers, with one task per connection."""
 
 import collections
+import dataclasses
+import math
 import time
 
 import gevent
@@ -8,6 +10,7 @@
 from gevent import socket
 
 from wigeonrouter import core
+from wigeonrouter.http1 import _buffer_budget
 from wigeonrouter.http1 import _caller_connection
 from wigeonrouter.http1 import _messages
 from wigeonrouter.http1 import _pauses
@@ -31,10 +34,22 @@
       handler: object with body_limit(request), which returns bytes, and
         handle(request, arrived), which returns an HttpResponse.
       max_connections: largest number of open connections.
+      buffer_budget: BufferBudget of requests and their responses, None for
+        no limit.
     """
 
-    def __init__(self, *, address, handler, max_connections=MAX_CONNECTIONS):
+    def __init__(
+        self,
+        *,
+        address,
+        handler,
+        max_connections=MAX_CONNECTIONS,
+        buffer_budget=None,
+    ):
         self._handler = handler
+        self._buffer_budget = buffer_budget or _buffer_budget.BufferBudget(
+            limit=math.inf
+        )
         self._max_connections = max_connections
         self._draining = False
         self._connections = set()
@@ -142,26 +157,34 @@
             body_limit=self._handler.body_limit,
             send_continue=lambda: connection.send(_CONTINUE),
         )
-        arrived = 0.0
-        while True:
+        close, arrived = False, 0.0
+        while not close:
             pending = reader.pending
-            request = self._read_request(connection, reader, pending)
-            if request is None:
-                return
-            if not pending:
-                arrived = self._pauses.earliest_arrival(time.monotonic())
-            close = self._handle_request(connection, reader, request, arrived)
-            if close:
-                return
-
-    def _read_request(self, connection, reader, pending):
+            with self._buffer_budget.reserve() as reservation:
+                request = self._read_request(
+                    connection, reader, pending, reservation
+                )
+                if request is None:
+                    return
+                if not pending:
+                    arrived = self._pauses.earliest_arrival(time.monotonic())
+                close = self._handle_request(
+                    connection, reader, request, arrived
+                )
+
+    def _read_request(self, connection, reader, pending, reservation):
         connection.begin_request(pending=pending)
         self._waiting[connection] = None
+        receive = reservation.counting(
+            connection.receive,
+            abort=connection.expire,
+            problem=core.problems.BUFFERS_FULL,
+        )
         try:
-            return reader.read(connection.receive)
+            request = reader.read(receive)
         except _messages.MalformedMessage as error:
             problem = error.problem
-            if connection.expired:
+            if connection.expired and not reservation.aborted:
                 problem = core.problems.REQUEST_TIMEOUT
             self._send_failure(
                 connection, core.Problem(problem=problem, detail=str(error))
@@ -169,6 +192,10 @@
             return None
         finally:
             self._waiting.pop(connection, None)
+        if request is None:
+            return None
+        reservation.keep()
+        return dataclasses.replace(request, reservation=reservation)
 
     def _handle_request(self, connection, reader, request, arrived):
         self._last_arrival = time.monotonic()
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -44,8 +44,11 @@
 _STARTUP_WAIT_S = 0.4
 # Settings that a running node can change.
 _RELOADABLE_SETTINGS = frozenset(
-    {"bounds", "capacity", "heartbeat", "regions", "seeds"}
+    {"bounds", "capacity", "heartbeat", "memory_bytes", "regions", "seeds"}
 )
+# Share of the memory for messages of callers and backend servers. A message
+# may exist several times for a moment, while it is parsed and rendered.
+_BUFFER_MEMORY_SHARE = 0.125
 # Nodes of a region that serve the callers of one service (its homes).
 _HOMES_PER_SERVICE = 1
 # Share of the retry budget that nodes use. The rest is a margin, because the
@@ -72,6 +75,7 @@
         self._rng = rng or random.Random()
         self._stopping = False
         self._was_ready = False
+        self._buffer_budget = http1.BufferBudget(limit=_buffer_limit(settings))
         self._pool = http1.ConnectionPool(max_idle=_MAX_BACKEND_IDLE_S)
         self._prober = _prober.Prober(pool=self._pool, codec=codec)
         self._balancers = {}
@@ -101,6 +105,7 @@
             address=settings.caller_address,
             handler=self._proxy,
             max_connections=_MAX_CALLER_CONNECTIONS,
+            buffer_budget=self._buffer_budget,
         )
         directory_handler = _directory_handler.DirectoryHandler(
             codec=codec,
@@ -142,6 +147,16 @@
         """Dict from route to the caller timeout in the store, seconds."""
         return dict(self._cluster_state.caller_timeouts)
 
+    @property
+    def buffered_bytes(self):
+        """Number of bytes that are buffered for messages."""
+        return self._buffer_budget.used
+
+    @property
+    def buffer_limit(self):
+        """Largest number of bytes that are buffered for messages."""
+        return self._buffer_budget.limit
+
     @property
     def region_member(self):
         """RegionMember of this node."""
@@ -224,6 +239,7 @@
         self._settings = plan.settings
         self._region_member.reload(plan.settings)
         self._feed.reload(plan.settings.regions)
+        self._buffer_budget.configure(limit=_buffer_limit(plan.settings))
         for balancer in self._balancers.values():
             balancer.budget.configure(
                 ratio=self._budget_ratio(),
@@ -360,3 +376,7 @@
             if addresses.get(instance) != address:
                 self._pool.close_idle_to(address)
         self._addresses = addresses
+
+
+def _buffer_limit(settings):
+    return int(settings.memory_bytes * _BUFFER_MEMORY_SHARE)
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -99,6 +99,8 @@
                 request, request_id, registration, response_deadline
             )
         finally:
+            if request.reservation is not None:
+                request.reservation.drop()
             if exchange.reusable:
                 self._pool.checkin(registration.address, connection)
             else:
@@ -161,7 +163,7 @@
           http1.MalformedMessage: too many responses of other requests.
         """
         reader = http1.ResponseReader(
-            receive=self._connection.receive,
+            receive=self._counting_receive(request.reservation),
             max_bytes=MAX_RESPONSE_BYTES,
             allow_close_delimited=True,
         )
@@ -179,6 +181,8 @@
                 raise http1.MalformedMessage(
                     core.problems.ANSWER_INVALID, "responses of other requests"
                 )
+        if request.reservation is not None:
+            request.reservation.keep()
         self.reusable = reader.reusable and not stray
         return Attempt(
             outcome=_classify(response, metadata),
@@ -188,6 +192,15 @@
             metadata=metadata,
         )
 
+    def _counting_receive(self, reservation):
+        if reservation is None:
+            return self._connection.receive
+        return reservation.counting(
+            self._connection.receive,
+            abort=self._connection.abort,
+            problem=core.problems.ANSWER_TOO_LARGE,
+        )
+
 
 def _classify(response, metadata):
     if metadata.not_executed:
--- a/wigeonrouter/platform/_emulator.py
+++ b/wigeonrouter/platform/_emulator.py
@@ -24,6 +24,34 @@
 # Interval at which a busy backend server checks whether the caller is still
 # connected.
 _CANCEL_CHECK_INTERVAL_S = 0.005
+# Faults of a backend server that sends bytes until its caller closes: the start
+# of the response, and what follows again and again.
+_ENDLESS_BYTES = {
+    "endless-garbage": (b"", b"\x00" * 4096),
+    "endless-head": (b"HTTP/1.1 200 OK\r\n@id@", b"X-Padding: 1\r\n" * 300),
+    "endless-interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+    "endless-body": (b"HTTP/1.1 200 OK\r\n@id@\r\n", b"x" * 65536),
+    "endless-length": (
+        b"HTTP/1.1 200 OK\r\n@id@Content-Length: 999999999999\r\n\r\n",
+        b"x" * 65536,
+    ),
+    "endless-chunks": (
+        b"HTTP/1.1 200 OK\r\n@id@Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"x" * 65536 + b"\r\n",
+    ),
+    "endless-tiny-chunks": (
+        b"HTTP/1.1 200 OK\r\n@id@Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n" * 1000,
+    ),
+    "endless-chunk-line": (
+        b"HTTP/1.1 200 OK\r\n@id@Transfer-Encoding: chunked\r\n\r\n",
+        b"0" * 4096,
+    ),
+    "endless-trailers": (
+        b"HTTP/1.1 200 OK\r\n@id@Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Padding: 1\r\n" * 300,
+    ),
+}
 
 
 def _respond(status, document=None, headers=()):
@@ -97,7 +125,7 @@
                     return
                 while response is None or self.silent:
                     gevent.sleep(0.05)
-                sock.sendall(self.render(request, response))
+                self.send(sock, request, response)
                 if self.closes_after_response():
                     return
         except (OSError, http1.MalformedMessage):
@@ -106,6 +134,10 @@
             self._connections.discard(sock)
             sock.close()
 
+    def send(self, sock, request, response):
+        """Send a response."""
+        sock.sendall(self.render(request, response))
+
     def render(self, request, response):
         """Return the bytes of a response."""
         return http1.render_response(
@@ -276,7 +308,7 @@
       cancelled: IDs whose connection was closed before the response.
       ended: dict from ID to the end of its execution, monotonic seconds.
       fault: "" or one of "errors", "hang", "reset", "shed", "garbage",
-        "truncate", "stray", "unframed".
+        "truncate", "stray", "unframed", or a key of _ENDLESS_BYTES.
     """
 
     def __init__(
@@ -353,6 +385,18 @@
             return data.replace(length, b"")
         return data
 
+    def send(self, sock, request, response):
+        """Send a response, or bytes without end if such a fault is set."""
+        endless = _ENDLESS_BYTES.get(self.fault)
+        if endless is None or request.target == b"/health":
+            super().send(sock, request, response)
+            return
+        start, repeated = endless
+        request_id = b"Request-Id: %b\r\n" % request.header(b"request-id")
+        sock.sendall(start.replace(b"@id@", request_id))
+        while True:
+            sock.sendall(repeated)
+
     def closes_after_response(self):
         """Return whether the connection is closed after each response."""
         return self.fault in ("unframed", "truncate")
--- /dev/null
+++ b/wigeonrouter/platform/_endless_bytes_test.py
@@ -0,0 +1,150 @@
+"""Tests of backend servers and callers that send bytes without end."""
+
+import dataclasses
+
+import gevent
+from gevent import socket
+import pytest
+
+from wigeonrouter.platform import _emulator
+from wigeonrouter.platform import _end_to_end_test
+from wigeonrouter.platform import conftest
+
+# An eighth of it may be buffered.
+MEMORY_BYTES = 32_000_000
+BUFFER_BYTES = 4_000_000
+CLOSE_TIMEOUT_S = 15.0
+
+
+@pytest.fixture
+def node(make_settings, start_node):
+    """Run one node on a VM with little memory."""
+    return start_node(make_settings(memory_bytes=MEMORY_BYTES))
+
+
+@pytest.fixture
+def watch_buffers(node):
+    """Return a list that gets the buffered bytes of the node over time."""
+    samples = []
+
+    def sample():
+        while True:
+            samples.append(node.buffered_bytes)
+            gevent.sleep(0.001)
+
+    task = gevent.spawn(sample)
+    yield samples
+    task.kill()
+
+
+@pytest.mark.parametrize("fault", sorted(_emulator._ENDLESS_BYTES))
+def test_endless_response_ends_at_once_and_may_have_run(
+    backend, node, caller, watch_buffers, fault
+):
+    """Guards against memory and time that an endless response takes.
+
+    The server has the request, so "not executed" would not be true.
+    """
+    (server,) = _end_to_end_test.start_ready(backend, node, "i-1")
+    server.fault = fault
+    response = caller.send("/write/a", method="POST", body=b"x")
+    assert response.status == 502 and len(server.runs) == 1
+    assert response.seconds < 1.0
+    assert max(watch_buffers) <= BUFFER_BYTES
+    conftest.wait_until(lambda: not node.buffered_bytes)
+
+
+def test_servers_that_send_without_end_do_not_affect_the_others(
+    backend, node, watch_buffers
+):
+    """Guards against a node that ends for lack of memory.
+
+    Three of ten servers send without end. They are paused after a few
+    requests, which may repeat and are served by the others.
+    """
+    names = [f"i-{number}" for number in range(10)]
+    servers = _end_to_end_test.start_ready(backend, node, *names)
+    for server, fault in zip(
+        servers,
+        ("endless-body", "endless-chunks", "endless-head"),
+        strict=False,
+    ):
+        server.fault = fault
+        server.slowdown = 0.5
+    callers = [
+        conftest.Caller(address=node.settings.caller_address) for _ in range(6)
+    ]
+
+    def send_some(caller, number):
+        return [
+            caller.send("/read/a", request_id=f"{number}-{count}")
+            for count in range(10)
+        ]
+
+    tasks = [
+        gevent.spawn(send_some, caller, number)
+        for number, caller in enumerate(callers)
+    ]
+    responses = [
+        response for task in tasks for response in task.get(timeout=20)
+    ]
+    assert any(server.runs for server in servers[:3])
+    served = [response for response in responses if response.status == 200]
+    assert len(served) >= 0.9 * len(responses)
+    assert max(watch_buffers) <= BUFFER_BYTES
+    assert node.counts["server-paused"]
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"",
+        b"POST /write/a HTTP/1.1\r\nHost: shop.example\r\n\r\n",
+        b"POST /write/a HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"POST /write/a HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Content-Length: 999999\r\n\r\n",
+    ],
+    ids=["head", "no-length", "chunked", "length"],
+)
+def test_callers_that_send_without_end_do_not_affect_others(
+    backend, node, caller, watch_buffers, start
+):
+    """Guards against callers that use up the memory of a node.
+
+    The node closes their connections, whether they read its response or not.
+    """
+    # Enough slots for the callers whose first request is valid.
+    names = [f"i-{number}" for number in range(8)]
+    _end_to_end_test.start_ready(backend, node, *names)
+    address = node.settings.caller_address
+
+    def send_endless(sock):
+        sock.sendall(start)
+        while True:
+            sock.sendall(b"X" * 65536)
+
+    def receive_to_the_end():
+        with socket.create_connection((address.host, address.port)) as sock:
+            sending = gevent.spawn(send_endless, sock)
+            try:
+                while sock.recv(65536):
+                    pass
+            except ConnectionResetError:
+                pass
+            sending.kill()
+
+    tasks = [gevent.spawn(receive_to_the_end) for _ in range(8)]
+    gevent.sleep(0.05)
+    assert caller.send("/read/a").status == 200
+    gevent.joinall(tasks, timeout=CLOSE_TIMEOUT_S)
+    assert all(task.successful() for task in tasks)
+    assert max(watch_buffers) <= BUFFER_BYTES
+
+
+def test_changed_memory_changes_the_limit(node):
+    """Guards against a limit that stays at the memory of the start."""
+    node.reload(
+        dataclasses.replace(node.settings, memory_bytes=2 * MEMORY_BYTES)
+    )
+    assert node.buffer_limit == 2 * BUFFER_BYTES
--- a/wigeonrouter/platform/_settings.py
+++ b/wigeonrouter/platform/_settings.py
@@ -8,6 +8,10 @@
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "WIGEONROUTER_SETTINGS"
+# Used if the settings file does not limit the memory.
+_DEFAULT_MEMORY_MB = 256
+_MAX_MEMORY_MB = 1e9
+_BYTES_PER_MB = 1_000_000
 
 
 class SettingsError(Exception):
@@ -99,6 +103,7 @@
             if seed
         ),
         capacity=_read_capacity(values),
+        memory_bytes=_read_memory(values),
         regions={
             name.removeprefix("zones."): value
             for name, value in values.items()
@@ -125,6 +130,18 @@
     return max(1, round(share * speed * 1000))
 
 
+def _read_memory(values):
+    try:
+        megabytes = float(values.get("limits.memory_mb") or _DEFAULT_MEMORY_MB)
+    except ValueError as error:
+        raise _fields.FieldError(f"limits: {error}") from error
+    if not 0 < megabytes < _MAX_MEMORY_MB:
+        raise _fields.FieldError(
+            f"limits: {megabytes} is no number of megabytes of memory"
+        )
+    return round(megabytes * _BYTES_PER_MB)
+
+
 def _read_bounds(text):
     values = {}
     for part in text.split(","):
--- a/wigeonrouter/platform/_settings_test.py
+++ b/wigeonrouter/platform/_settings_test.py
@@ -19,6 +19,7 @@
 seeds=10.1.0.34:8544,10.2.0.34:8544
 limits.cpu_share=0.717
 limits.cores=3
+limits.memory_mb=200
 heartbeat=1500ms
 bounds=drain=2500ms,grace=6s,retry_budget_ratio=0.2,budget_window=10s,x=y
 platform.address=10.200.1.7:8541
@@ -47,6 +48,7 @@
     """Guards against a node that fails to start on unknown fields."""
     settings = _settings.load(write_settings())
     assert settings.capacity == 2151
+    assert settings.memory_bytes == 200_000_000
     assert settings.seeds == ("10.1.0.34", "10.2.0.34")
     assert settings.regions == {"za": "r1", "zb": "r2"}
     assert str(settings.control_address) == "10.1.0.34:8544"
@@ -58,6 +60,9 @@
     ("name", "value"),
     [
         ("heartbeat", "soon"),
+        ("limits.memory_mb", "plenty"),
+        ("limits.memory_mb", "nan"),
+        ("limits.memory_mb", "-1"),
         ("internal_ports", "7540"),
         ("platform.address", "nowhere"),
         ("bounds", "grace=6"),
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -192,6 +192,7 @@
             peer_ports=(free_port(), 0),
             seeds=(),
             capacity=1000,
+            memory_bytes=200_000_000,
             regions={"za": "r1", "zb": "r1", "zc": "r2"},
             heartbeat=1.5,
             bounds=topology.Bounds(stop_grace=1.0, retry_ratio=0.2),
--- a/wigeonrouter/platform/testing.py
+++ b/wigeonrouter/platform/testing.py
@@ -141,6 +141,7 @@
         "seeds": ",".join(f"{host}:1" for host in settings.seeds),
         "limits.cpu_share": settings.capacity / 1000,
         "limits.cores": 1,
+        "limits.memory_mb": settings.memory_bytes / 1_000_000,
         "heartbeat": _fields.format_duration(settings.heartbeat),
         "platform.address": settings.store_address,
         "bounds": ",".join(f"{k}={v}" for k, v in bounds.items()),
--- a/wigeonrouter/soak/_fleet.py
+++ b/wigeonrouter/soak/_fleet.py
@@ -21,6 +21,7 @@
 _POLL_INTERVAL_S = 0.02
 _KILL_TIMEOUT_S = 3.0
 _HEARTBEAT_INTERVAL_S = 1.5
+_NODE_MEMORY_BYTES = 256_000_000
 _BOUNDS = {
     "drain": f"{_checks.DRAIN_BOUND_S * 1000:.0f}ms",
     "grace": f"{_checks.STOP_GRACE_PERIOD_S * 1000:.0f}ms",
@@ -258,6 +259,7 @@
                 peer_ports=(ports.first_peer + index, ports.first_peer + 999),
                 seeds=(f"{self._prefix}.1.1", f"{self._prefix}.1.2"),
                 capacity=1000,
+                memory_bytes=_NODE_MEMORY_BYTES,
                 regions=self._domains,
                 heartbeat=_HEARTBEAT_INTERVAL_S,
                 bounds=topology.Bounds(),
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -198,6 +198,7 @@
     Attributes:
       seeds: hosts of some nodes, possibly outdated.
       capacity: CPU time that it may use, in millicores.
+      memory_bytes: memory that it may use.
       control_address: where metrics are served.
       regions: dict from failure domain to region.
       peer_ports: first and last port for traffic between nodes.
@@ -214,6 +215,7 @@
     peer_ports: tuple[int, int]
     seeds: tuple[str, ...]
     capacity: int
+    memory_bytes: int
     regions: dict[str, str]
     heartbeat: float
     bounds: Bounds
