--- a/wigeonrouter/platform/_emulator.py
+++ b/wigeonrouter/platform/_emulator.py
@@ -24,8 +24,8 @@
 # Interval at which a busy backend server checks whether the caller is still
 # connected.
 _CANCEL_CHECK_INTERVAL_S = 0.005
-# Faults of a backend server that sends bytes until its caller closes: the start
-# of the response, and what follows again and again.
+# Faults of a backend server that sends bytes until its caller closes: the
+# start of the response, and what follows again and again.
 _ENDLESS_BYTES = {
     "endless-garbage": (b"", b"\x00" * 4096),
     "endless-head": (b"HTTP/1.1 200 OK\r\n@id@", b"X-Padding: 1\r\n" * 300),
