Judge an early SIGHUP in the soak test by what the process handles

The check excused only processes younger than 0.15 s, so the verdict depended on how long a busy machine takes to start the interpreter, in which no program can handle a signal.

The soak test now reads from /proc whether the process handles SIGHUP when it sends it, and excuses only one that does not and has used less than 0.15 s of processor time. That is as strict on an idle machine, and stricter where a process is young but already has its handler.

--- a/wigeonrouter/soak/_checks.py
+++ b/wigeonrouter/soak/_checks.py
@@ -19,9 +19,9 @@
 STOP_GRACE_PERIOD_S = 6.0
 # A process may not have installed its handler for SIGTERM before this age.
 SIGNAL_HANDLER_START_S = 1.0
-# Before this age the interpreter may not have executed the program's first
-# line, so that SIGHUP still ends the process.
-INTERPRETER_START_S = 0.15
+# Before it has used this much processor time, the interpreter may not have
+# executed the program's first line, so that SIGHUP still ends the process.
+INTERPRETER_START_CPU_S = 0.15
 # Retry budget of a service: retries per first attempt. The ratio and the
 # window are written to the settings of the nodes; the slack is the number of
 # retries that the check permits in addition.
@@ -371,7 +371,8 @@
     """Return whether a signal ended the process before its handler existed."""
     if (
         process_exit.code == -signal.SIGHUP
-        and process_exit.ended - process_exit.started < INTERPRETER_START_S
+        and process_exit.early_hang_up is not None
+        and process_exit.early_hang_up < INTERPRETER_START_CPU_S
     ):
         return True
     return (
--- a/wigeonrouter/soak/_checks_test.py
+++ b/wigeonrouter/soak/_checks_test.py
@@ -1,6 +1,7 @@
 """Tests that each check of the soak test detects its violation."""
 
 import dataclasses
+import signal
 
 import pytest
 
@@ -244,3 +245,26 @@
         _records.FaultPeriod(name=name, began=1.0, ended=1.5)
     ]
     assert "configuration applied in time" in violated_invariants(observations)
+
+
+@pytest.mark.parametrize(
+    ("early_hang_up", "allowed"),
+    [(0.01, True), (_checks.INTERPRETER_START_CPU_S, False), (None, False)],
+)
+def test_hang_up_may_only_end_a_process_that_has_not_begun(
+    observations, early_hang_up, allowed
+):
+    """Guards against excusing a node that SIGHUP ends while it runs.
+
+    How long the interpreter takes to start depends on the load of the
+    machine, so its processor time counts.
+    """
+    observations.exits = [
+        make_exit(
+            code=-signal.SIGHUP, stopped=None, early_hang_up=early_hang_up
+        )
+    ]
+    violated = "process exits only on request" in violated_invariants(
+        observations
+    )
+    assert violated != allowed
--- a/wigeonrouter/soak/_fleet.py
+++ b/wigeonrouter/soak/_fleet.py
@@ -15,6 +15,7 @@
 from wigeonrouter.platform import testing
 from wigeonrouter.soak import _checks
 from wigeonrouter.soak import _fault_proxy
+from wigeonrouter.soak import _processes
 from wigeonrouter.soak import _records
 
 _RESTART_DELAY_S = 0.2
@@ -71,6 +72,7 @@
         self._process = None
         self._terminated_at = None
         self._was_killed = False
+        self._early_hang_up = None
         self._shutting_down = False
         self._task = None
 
@@ -104,6 +106,10 @@
 
     def reload_settings(self):
         """Send SIGHUP, which makes the process reload its settings."""
+        if self._process is not None and self._early_hang_up is None:
+            self._early_hang_up = _processes.cpu_before_handling(
+                self._process.pid, signal.SIGHUP
+            )
         self._signal(signal.SIGHUP)
 
     def pause(self):
@@ -133,6 +139,7 @@
     def _run_once(self):
         path = self.write_settings()
         self._terminated_at, self._was_killed = None, False
+        self._early_hang_up = None
         self.incarnation += 1
         started = time.monotonic()
         with open(self._directory / f"{self.name}.log", "ab") as log:
@@ -157,6 +164,7 @@
                 code=self._process.returncode,
                 stopped=self._terminated_at,
                 killed=self._was_killed or self._shutting_down,
+                early_hang_up=self._early_hang_up,
             )
         )
 
--- a/wigeonrouter/soak/_records.py
+++ b/wigeonrouter/soak/_records.py
@@ -99,6 +99,8 @@
       code: exit code, or the negated number of the signal that ended it.
       stopped: time of the first SIGTERM, None if none was sent.
       killed: whether the soak test sent SIGKILL.
+      early_hang_up: processor time in seconds that the process had used when
+        it got SIGHUP before it handled that signal, None if it got none.
     """
 
     node: str
@@ -107,6 +109,7 @@
     code: int
     stopped: float | None
     killed: bool
+    early_hang_up: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
