Send only changes of the roster to the followers

The hub sent the roster of its region, 45 bytes a node, to every follower after each change, at most each 50 ms. The bytes grew with the square of the region: 490 KB a change at 104 nodes, over links of 10 Mbit/s and more, and many changes a second while all nodes start.

It now sends the nodes that changed, and the whole roster only to a node that joins. A follower states in its join that it applies changes; one of an earlier version still gets whole rosters.

--- a/wigeonrouter/bench/_node_parts.py
+++ b/wigeonrouter/bench/_node_parts.py
@@ -15,6 +15,7 @@
 from wigeonrouter.bench import _measuring
 from wigeonrouter.node import _cluster_state
 from wigeonrouter.node import _hub
+from wigeonrouter.node import _roster
 from wigeonrouter.node import _store_cache
 from wigeonrouter.platform import testing
 from wigeonrouter.schema import node_pb2
@@ -140,13 +141,19 @@
         on_roster=lambda roster: None,
         expected_members=states,
     )
-    roster = node_pb2.PeerMessage(roster=node_pb2.Roster(nodes=states))
+    before = hub.roster()
+    after = before | {states[1].host: _make_node_state(1, ready=False)}
+    change = _roster.find_change(before, after)
     gevent.sleep(0)
     return {
-        "roster_bytes": roster.ByteSize(),
+        "roster_bytes": _roster.to_message(before).ByteSize(),
+        "change_bytes": change.ByteSize(),
         "state_bytes": node_pb2.PeerMessage(state=states[0]).ByteSize(),
-        "roster_cpu_s": _measuring.cpu_seconds_each(
-            lambda: [hub.roster(), roster.SerializeToString()]
+        "change_cpu_s": _measuring.cpu_seconds_each(
+            lambda: _roster.find_change(hub.roster(), after)
+        ),
+        "apply_cpu_s": _measuring.cpu_seconds_each(
+            lambda: _roster.apply_change(before, change)
         ),
     }
 
@@ -238,11 +245,11 @@
     )
 
 
-def _make_node_state(number):
+def _make_node_state(number, *, ready=True):
     return node_pb2.NodeState(
         host=f"10.1.{number >> 8}.{number & 255}",
         caller_address=f"10.1.{number >> 8}.{number & 255}:8548",
         failure_domain=f"domain-{number % 4}",
-        ready=True,
+        ready=ready,
         capacity_millicores=860,
     )
--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -11,11 +11,12 @@
 from gevent import queue as gevent_queue
 
 from wigeonrouter.node import _channel
+from wigeonrouter.node import _roster
 from wigeonrouter.schema import node_pb2
 
 HEARTBEAT_INTERVAL_S = 0.4
-# Delay before a changed roster is sent. Many nodes may join at the same time
-# and each roster lists all of them, so changes are sent in batches.
+# Delay before changes of the roster are sent. Many nodes may join at the same
+# time, so their changes are sent together.
 _ROSTER_BATCH_DELAY_S = 0.05
 # A peer that sends no message for this time is considered dead.
 PEER_TIMEOUT_S = 1.2
@@ -26,8 +27,9 @@
 
 
 class _Follower:
-    def __init__(self, *, state):
-        self.state = state
+    def __init__(self, *, join):
+        self.state = join.state
+        self.accepts_roster_changes = join.accepts_roster_changes
         self.send_queue = gevent_queue.Queue(maxsize=_MAX_QUEUED_MESSAGES)
         self.overflowed = False
 
@@ -44,7 +46,7 @@
     Args:
       store_cache: StoreCache.
       own_state: function that returns this node's NodeState.
-      on_roster: called with a list of NodeState after each change.
+      on_roster: called with a dict from host to NodeState after each change.
       expected_members: NodeStates that were known before this node became
         the hub; they stay in the roster for PEER_TIMEOUT_S so that they
         have time to join.
@@ -70,6 +72,8 @@
         self._expected_until = clock() + PEER_TIMEOUT_S
         self._store_reachable = True
         self._roster_task = None
+        # The roster that all followers have, or that is in their send queues.
+        self._sent_roster = self.roster()
 
     def set_store_reachable(self, reachable):
         """Record whether the store is reachable and notify the followers."""
@@ -78,7 +82,7 @@
             self.send_heartbeat()
 
     def roster(self):
-        """Return the NodeStates of all members of the region."""
+        """Return the members of the region, a dict from host to NodeState."""
         members = {}
         if self._clock() < self._expected_until:
             members.update(self._expected_members)
@@ -86,7 +90,7 @@
             members[host] = follower.state
         own = self._own_state()
         members[own.host] = own
-        return [members[host] for host in sorted(members)]
+        return members
 
     def serve(self, channel, join):
         """Serve one follower until it disconnects, in the calling task.
@@ -95,7 +99,7 @@
           channel: Channel to the follower.
           join: the follower's Join message.
         """
-        follower = _Follower(state=join.state)
+        follower = _Follower(join=join)
         host = join.state.host
         self._followers[host] = follower
         follower.enqueue(
@@ -104,7 +108,7 @@
             )
         )
         follower.enqueue(self._heartbeat_message())
-        follower.enqueue(_roster_message(self.roster()))
+        follower.enqueue(_whole_roster(self._sent_roster))
         self.broadcast_roster()
         writer = gevent.spawn(self._write, channel, follower)
         try:
@@ -129,7 +133,7 @@
         self._broadcast(node_pb2.PeerMessage(update=update))
 
     def broadcast_roster(self):
-        """Publish the roster, to followers after a short batching delay.
+        """Publish changes of the roster, to followers after a short delay.
 
         This node's own `on_roster` is called immediately.
         """
@@ -162,7 +166,23 @@
                 self.broadcast_roster()
 
     def _send_roster(self):
-        self._broadcast(_roster_message(self.roster()))
+        """Send what changed since the last time, the whole to old followers.
+
+        Followers of earlier versions do not know RosterChange.
+        """
+        roster = self.roster()
+        change = _roster.find_change(self._sent_roster, roster)
+        if change is None:
+            return
+        self._sent_roster = roster
+        change_message = node_pb2.PeerMessage(roster_change=change)
+        whole_message = _whole_roster(roster)
+        for follower in self._followers.values():
+            follower.enqueue(
+                change_message
+                if follower.accepts_roster_changes
+                else whole_message
+            )
 
     def _heartbeat_message(self, *, leaving=False):
         return node_pb2.PeerMessage(
@@ -184,5 +204,5 @@
             channel.close()
 
 
-def _roster_message(nodes):
-    return node_pb2.PeerMessage(roster=node_pb2.Roster(nodes=nodes))
+def _whole_roster(roster):
+    return node_pb2.PeerMessage(roster=_roster.to_message(roster))
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -16,6 +16,7 @@
 from wigeonrouter.node import _channel
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _peer_requests
+from wigeonrouter.node import _roster
 from wigeonrouter.node import _store_cache
 from wigeonrouter.node import _store_reader
 from wigeonrouter.schema import node_pb2
@@ -67,7 +68,8 @@
         self._store_cache = _store_cache.StoreCache(apply=self._apply)
         self._role = topology.Role(kind=topology.RoleKind.UNDECIDED)
         self._hub = None
-        self._states = []
+        # Dict from host to NodeState of the region's nodes.
+        self._roster = {}
         self._peers = ()
         self._avoided_until = {}
         self._state_changed = event.Event()
@@ -96,7 +98,7 @@
     def start(self):
         """Start accepting connections from other nodes."""
         self._server.start()
-        self._on_roster([self._own_state()])
+        self._on_roster(self._own_roster())
 
     def broadcast_state(self):
         """Notify the region that this node's state has changed."""
@@ -104,7 +106,7 @@
         if self._hub is not None:
             self._hub.broadcast_roster()
         elif self._role.kind is topology.RoleKind.UNDECIDED:
-            self._on_roster([self._own_state()])
+            self._on_roster(self._own_roster())
 
     def reload(self, settings):
         """Apply changed topology.NodeSettings."""
@@ -236,8 +238,8 @@
             on_roster=self._on_roster,
             expected_members=[
                 state
-                for state in self._states
-                if state.host not in self._avoided_hosts()
+                for host, state in self._roster.items()
+                if host not in self._avoided_hosts()
             ],
         )
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
@@ -316,6 +318,7 @@
                     join=node_pb2.Join(
                         state=self._own_state(),
                         revision=self._store_cache.revision,
+                        accepts_roster_changes=True,
                     )
                 ),
                 timeout=_peer_requests.REQUEST_TIMEOUT_S,
@@ -348,7 +351,11 @@
             if kind == "update":
                 self._store_cache.apply_update(message.update)
             elif kind == "roster":
-                self._on_roster(list(message.roster.nodes))
+                self._on_roster(_roster.from_message(message.roster))
+            elif kind == "roster_change":
+                self._on_roster(
+                    _roster.apply_change(self._roster, message.roster_change)
+                )
             elif kind == "role":
                 return "is not a hub"
             elif kind == "pulse":
@@ -443,8 +450,11 @@
             capacity_millicores=self._settings.capacity,
         )
 
-    def _on_roster(self, states):
-        self._states = states
+    def _own_roster(self):
+        return {self._settings.host: self._own_state()}
+
+    def _on_roster(self, roster):
+        self._roster = roster
         self._peers = tuple(
             topology.Peer(
                 host=state.host,
@@ -453,7 +463,7 @@
                 ready=state.ready,
                 capacity=state.capacity_millicores,
             )
-            for state in states
+            for state in roster.values()
         )
 
     def _apply(self, items, revision, complete):
--- /dev/null
+++ b/wigeonrouter/node/_roster.py
@@ -0,0 +1,53 @@
+"""The roster: the states of a region's nodes, and changes of it.
+
+Load pattern: hundreds of nodes start, restart or stop at the same time. The
+size of the roster and the number of its receivers both grow with the region,
+so only what changed is sent, and the whole roster only to a node that joins.
+"""
+
+from wigeonrouter.schema import node_pb2
+
+
+def find_change(before, after):
+    """Return the RosterChange from one roster to another, None if equal.
+
+    Args:
+      before: dict from host to NodeState.
+      after: dict from host to NodeState.
+    """
+    nodes = [
+        after[host]
+        for host in sorted(after)
+        if host not in before or before[host] != after[host]
+    ]
+    removed_hosts = sorted(before.keys() - after.keys())
+    if not (nodes or removed_hosts):
+        return None
+    return node_pb2.RosterChange(nodes=nodes, removed_hosts=removed_hosts)
+
+
+def apply_change(roster, change):
+    """Return a roster after a RosterChange.
+
+    Args:
+      roster: dict from host to NodeState.
+      change: RosterChange.
+    """
+    removed_hosts = set(change.removed_hosts)
+    changed = {
+        host: state
+        for host, state in roster.items()
+        if host not in removed_hosts
+    }
+    changed.update((state.host, state) for state in change.nodes)
+    return changed
+
+
+def to_message(roster):
+    """Return the Roster message of a dict from host to NodeState."""
+    return node_pb2.Roster(nodes=[roster[host] for host in sorted(roster)])
+
+
+def from_message(message):
+    """Return the dict from host to NodeState of a Roster message."""
+    return {state.host: state for state in message.nodes}
