Compare a bounded sample of the servers of a large service

Each try of a request ranked all servers of its service in the region, and each poll of a queued request did so again. With more than 24 servers, 24 random ones that have a free slot are now probed and compared; with 24 or fewer nothing changes.

The local and the remote servers are listed when the set of servers changes, not at each use.

--- a/wigeonrouter/bench/_node_parts.py
+++ b/wigeonrouter/bench/_node_parts.py
@@ -109,8 +109,11 @@
             "mean_slowdown": 1.75,
             "now": 0.0,
         }
-        placement.probe_candidates(server_views, max_servers=4, **options)
-        placement.choose(server_views, utilization=0.5, **options)
+        sampled = placement.sample_views(
+            server_views, request=pending_request, now=0.0, rng=rng
+        )
+        placement.probe_candidates(sampled, max_servers=4, **options)
+        placement.choose(sampled, utilization=0.5, **options)
 
     return {"cpu_s": _measuring.cpu_seconds_each(choose)}
 
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -317,15 +317,23 @@
         )
 
     def _probe_and_choose(self, request, service_time, max_probes, *, remote):
-        """Probe some servers, then choose among all local or remote ones.
+        """Probe some servers, then choose among a sample of all of them.
 
+        Args:
+          remote: whether the servers are those of other regions.
         Returns:
           placement.Pick.
         """
         server_pool = self._server_pool
-        candidates = placement.probe_candidates(
+        sampled = placement.sample_views(
             server_pool.remote if remote else server_pool.local,
             request=request,
+            now=self._clock(),
+            rng=self._rng,
+        )
+        candidates = placement.probe_candidates(
+            sampled,
+            request=request,
             service_time=service_time,
             mean_slowdown=server_pool.service_times.mean_slowdown,
             now=self._clock(),
@@ -334,7 +342,7 @@
         if candidates:
             server_pool.probe(candidates, remote=remote)
         return placement.choose(
-            server_pool.remote if remote else server_pool.local,
+            server_pool.latest(sampled),
             request=request,
             service_time=service_time,
             mean_slowdown=server_pool.service_times.mean_slowdown,
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -81,6 +81,8 @@
         self._health_path = ""
         self._registrations = {}
         self._views = {}
+        self._local_instances = ()
+        self._remote_instances = ()
         self._service_times = placement.ServiceTimes()
         self._remote_poll_task = None
         self._remote_poll_until = float("-inf")
@@ -103,20 +105,12 @@
     @property
     def local(self):
         """List of the ServerViews in this node's region."""
-        return [
-            view
-            for view in self._views.values()
-            if view.locality is not placement.Locality.REMOTE
-        ]
+        return [self._views[instance] for instance in self._local_instances]
 
     @property
     def remote(self):
         """List of the ServerViews in other regions."""
-        return [
-            view
-            for view in self._views.values()
-            if view.locality is placement.Locality.REMOTE
-        ]
+        return [self._views[instance] for instance in self._remote_instances]
 
     @property
     def slots(self):
@@ -127,10 +121,17 @@
     def utilization(self):
         """Expected load of the servers counted by `slots`, per slot."""
         now = self._clock()
-        used = sum(
-            placement.expected_load(view, now) for view in self._preferred()
-        )
-        return used / max(1, self.slots)
+        views = self._preferred()
+        used = sum(placement.expected_load(view, now) for view in views)
+        return used / max(1, sum(view.slots for view in views))
+
+    def latest(self, views):
+        """Return the current state of some ServerViews that still exist."""
+        return [
+            self._views[view.instance]
+            for view in views
+            if view.instance in self._views
+        ]
 
     def configure(self, *, health_path, registered):
         """Update the set of servers; draining ones are left out.
@@ -159,11 +160,13 @@
                 slow_start_until=record.learned_at + registration.slow_start,
             )
         self._registrations, self._views = registrations, views
+        self._group_by_locality()
 
     def remove_server(self, instance):
         """Remove a server whose address now belongs to another one."""
         self._registrations.pop(instance, None)
         self._views.pop(instance, None)
+        self._group_by_locality()
 
     def remote_with_fresh_reports(self):
         """Return the remote views with fresh reports.
@@ -300,6 +303,14 @@
         elif _has_recent_failures(previous) and not _has_recent_failures(view):
             self._events.event("server-back", instance=view.instance)
 
+    def _group_by_locality(self):
+        local, remote = [], []
+        for instance, view in self._views.items():
+            is_remote = view.locality is placement.Locality.REMOTE
+            (remote if is_remote else local).append(instance)
+        self._local_instances = tuple(local)
+        self._remote_instances = tuple(remote)
+
     def _preferred(self):
         return self.local or self.remote
 
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -39,6 +39,7 @@
 choose = _choice.choose
 EXPECTED_SLOT_WAIT_S = _choice.EXPECTED_SLOT_WAIT_S
 is_available = _health.is_available
+sample_views = _choice.sample_views
 undisturbed_service_time = _estimate.undisturbed_service_time
 next_check_time = _admission.next_check_time
 probe_candidates = _choice.probe_candidates
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -43,6 +43,9 @@
 _BUSY_PROBES = 4
 _IDLE_PROBES = 1
 _BUSY_RATE_PER_S = 2.0
+# Servers that are compared for one request. More of them hardly raise the
+# expected utility of the best one, but each takes processor time.
+MAX_COMPARED_SERVERS = 24
 # If a smaller share of the servers is available, ejections are ignored.
 _MIN_AVAILABLE_SHARE = 0.34
 # Slowdown above which a server is not used for responses that will be late in
@@ -132,6 +135,29 @@
     ]
 
 
+def sample_views(views, *, request, now, rng):
+    """Return the views that are compared for a request.
+
+    Load pattern: a service has hundreds of servers, and comparing all of them
+    for each request would take more time than forwarding it.
+
+    Args:
+      views: ServerViews of one service.
+      request: PendingRequest.
+      now: seconds on the monotonic clock.
+      rng: random.Random.
+    Returns:
+      A list of at most MAX_COMPARED_SERVERS views. If there are more, they
+      are random ones that are usable.
+    """
+    if len(views) <= MAX_COMPARED_SERVERS:
+        return views
+    usable = find_usable(views, request=request, now=now)
+    if len(usable) <= MAX_COMPARED_SERVERS:
+        return usable
+    return rng.sample(usable, MAX_COMPARED_SERVERS)
+
+
 def probe_count(rate):
     """Return how many servers to probe before a selection.
 
--- a/wigeonrouter/placement/_choice_test.py
+++ b/wigeonrouter/placement/_choice_test.py
@@ -1,5 +1,8 @@
 """Tests of the selection of a server for one request."""
 
+import random
+import statistics
+
 import pytest
 
 from wigeonrouter import placement
@@ -156,3 +159,45 @@
         max_servers=4,
     )
     assert [view.instance for view in candidates] == ["old"]
+
+
+@pytest.mark.parametrize("busy_share", [0.3, 0.6, 0.85])
+@pytest.mark.parametrize("servers", [10, 60, 300])
+def test_sample_of_a_large_service_has_a_server_as_good(
+    make_view, make_request, now, servers, busy_share
+):
+    """Guards against a cost of the choice that grows with the service.
+
+    A quarter of the servers is slow, and most slots are in use. The best
+    server of the sample has to be nearly as good as the best of all.
+    """
+    rng = random.Random(1)
+    request = make_request()
+    losses = []
+    for _ in range(100):
+        views = [
+            make_view(
+                str(number),
+                running=sum(rng.random() < busy_share for _ in range(2)),
+                slowdown=rng.choice((1.0, 1.0, 1.0, 4.0)),
+                age=rng.uniform(0.0, 0.5),
+            )
+            for number in range(servers)
+        ]
+        sampled = placement.sample_views(
+            views, request=request, now=now, rng=rng
+        )
+        assert len(sampled) <= 24
+        best, best_sampled = (
+            placement.choose(
+                candidates,
+                request=request,
+                service_time=SERVICE_TIME_S,
+                mean_slowdown=MEAN_SLOWDOWN,
+                now=now,
+                utilization=busy_share,
+            ).expected_utility
+            for candidates in (views, sampled)
+        )
+        losses.append(best - best_sampled)
+    assert statistics.mean(losses) <= 0.03
