Keep servers that left from returning, and forget them in time

A follower whose hub was lost may join one that has read less of the store. The new hub passed on changes that the follower knew to be over, and a server that had left was used again until its removal came a second time. A cache now ignores changes up to its own revision.

The directory of servers kept the latest registration of every instance that ever was. It is now forgotten ten minutes after the instance left, when no late write of it can come any more.

--- a/wigeonrouter/node/_store_cache.py
+++ b/wigeonrouter/node/_store_cache.py
@@ -46,10 +46,15 @@
     def apply_changes(self, items, revision):
         """Apply changes, oldest first; the last change of a key wins.
 
-        Changes that are not newer than the cached item are ignored.
+        Changes up to the cache's revision are ignored: a new hub may have read
+        less of the store than the previous one, and the removal of an item
+        leaves nothing in the cache to compare with.
         """
+        known_revision = self._revision
         fresh = {}
         for item in items:
+            if item.version <= known_revision:
+                continue
             cached = self._items.get(item.key)
             if cached is not None and cached.version >= item.version:
                 continue
--- a/wigeonrouter/topology/_directory.py
+++ b/wigeonrouter/topology/_directory.py
@@ -15,6 +15,10 @@
 # If more than this share of the registrations disappears at once, they have
 # lapsed because they were not renewed.
 _MASS_LAPSE_SHARE = 0.5
+# A write of a server may be executed late, but not later than this after the
+# server has left.
+_LATE_REGISTRATION_S = 600.0
+_FORGET_INTERVAL_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -38,9 +42,12 @@
 
     def __init__(self):
         self._known = {}
-        # The latest registration of each instance, kept after the server has
-        # left, so that a delayed older one does not add it again.
+        # The latest registration of each instance, kept for a while after the
+        # server has left, so that a delayed older one does not add it again.
         self._latest_registrations = {}
+        # Times at which instances with a latest registration left.
+        self._left_at = {}
+        self._next_forget = 0.0
         self._outage_ended_at = float("-inf")
         self._in_outage = False
 
@@ -49,6 +56,11 @@
         """Dict from instance to KnownServer, including draining servers."""
         return self._known
 
+    @property
+    def remembered(self):
+        """Number of instances whose latest registration is kept."""
+        return len(self._latest_registrations)
+
     def on_store_outage(self):
         """Record that the store does not respond."""
         self._in_outage = True
@@ -71,6 +83,7 @@
         if not self._is_newer(registration):
             return False
         self._latest_registrations[registration.instance] = registration
+        self._left_at.pop(registration.instance, None)
         previous = self._known.get(registration.instance)
         learned_at = now
         if (
@@ -110,7 +123,7 @@
                     known, lapsed_at=now
                 )
             else:
-                del self._known[instance]
+                self._drop(instance, now)
 
     def retain_only(self, instances, now):
         """Remove all registrations but those given, after a full listing."""
@@ -122,6 +135,7 @@
         Returns:
           Whether any was dropped.
         """
+        self._forget_left(now)
         if (
             self._in_outage
             or now - self._outage_ended_at < REREGISTRATION_GRACE_S
@@ -133,9 +147,23 @@
             if known.lapsed_at is not None
         ]
         for instance in lapsed:
-            del self._known[instance]
+            self._drop(instance, now)
         return bool(lapsed)
 
+    def _drop(self, instance, now):
+        del self._known[instance]
+        self._left_at[instance] = now
+
+    def _forget_left(self, now):
+        """Forget servers that left so long ago that no late write can come."""
+        if now < self._next_forget:
+            return
+        self._next_forget = now + _FORGET_INTERVAL_S
+        for instance, left_at in list(self._left_at.items()):
+            if now - left_at > _LATE_REGISTRATION_S:
+                del self._left_at[instance]
+                del self._latest_registrations[instance]
+
     def _is_newer(self, registration):
         latest = self._latest_registrations.get(registration.instance)
         if (
--- a/wigeonrouter/topology/_directory_test.py
+++ b/wigeonrouter/topology/_directory_test.py
@@ -81,3 +81,29 @@
     directory.remove(["a"], 3.0)
     assert not directory.put(registration("a", started_ms=5, sequence=6), 4.0)
     assert directory.put(registration("a", started_ms=6, sequence=1), 5.0)
+
+
+def test_delayed_registration_of_a_server_that_left_is_ignored(directory):
+    """Guards against using a server again whose old write arrives late."""
+    directory.put(registration("a", started_ms=5, sequence=9), 1.0)
+    directory.remove(["a"], 2.0)
+    directory.expire(3.0)
+    assert not directory.put(
+        registration("a", started_ms=4, sequence=99), 300.0
+    )
+    assert "a" not in directory.known
+
+
+def test_servers_that_left_long_ago_are_forgotten(directory):
+    """Guards against memory that grows with every server that ever was.
+
+    Thousands of servers are replaced each day, each with a new instance.
+    """
+    for number in range(1000):
+        instance = f"i-{number}"
+        directory.put(registration(instance, started_ms=1), float(number))
+        directory.remove([instance], number + 0.5)
+        directory.expire(number + 0.5)
+    assert directory.remembered <= 4 + 700
+    directory.expire(10_000.0)
+    assert directory.remembered == 4
