Reserve the ports of a test run against other runs

test_node_started_from_a_stale_listing_catches_up once failed with a port already in use while several suites ran: a port was tested and released, and another suite could take it before the node listened. The fixture of the platform tests uses the same function, in place of one of its own.

--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -1,12 +1,10 @@
 """Fixtures that run nodes on loopback with emulated servers and callers."""
 
 import dataclasses
-import random
 import time
 
 import gevent
 from gevent import server as gevent_server
-from gevent import socket
 import geventhttpclient
 import pytest
 
@@ -14,6 +12,7 @@
 from wigeonrouter import events as events_api
 from wigeonrouter import node as node_api
 from wigeonrouter import topology
+from wigeonrouter.bench import _ports
 from wigeonrouter.platform import _emulator
 from wigeonrouter.platform import _feed
 from wigeonrouter.platform import _http
@@ -21,7 +20,6 @@
 
 HOST = "shop.example"
 _READY_TIMEOUT_S = 10.0
-_PORTS = (16_000, 30_000)
 # Pause between two segments, so that they are received one after the other.
 _SEGMENT_PAUSE_S = 0.02
 
@@ -155,24 +153,8 @@
 
 @pytest.fixture
 def free_port():
-    """Return a function that returns a free port.
-
-    The ports are below the range from which the system assigns ports to
-    outgoing connections.
-    """
-    rng = random.Random()
-
-    def find():
-        while True:
-            port = rng.randrange(*_PORTS)
-            with socket.socket() as sock:
-                try:
-                    sock.bind(("127.0.0.1", port))
-                except OSError:
-                    continue
-                return port
-
-    return find
+    """Return a function that returns a free port."""
+    return lambda: _ports.free_ports(1)[0]
 
 
 @pytest.fixture
