Answer requests that have arrived when a server stops

Shown by tests that failed before, on the same server that nodes and daemons use:

* Connections in the listen backlog, complete for their callers and often with a request, were reset when the listener was closed.
They are now accepted first.
* A draining server closed a connection after a response although the next request was in the kernel's receive buffer, and the reset could take the response with it.
Such a request is now answered, and the server waits up to a second for the caller to close.

--- a/wigeonrouter/http1/_caller_connection.py
+++ b/wigeonrouter/http1/_caller_connection.py
@@ -11,7 +11,7 @@
 REQUEST_ARRIVAL_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
 SEND_TIMEOUT_S = 10.0
-# A caller may still be sending when its request is refused. Closing at once
+# A caller may still be sending when its connection is closed. Closing at once
 # would reset the connection, and the caller might not receive the response.
 _LINGER_S = 1.0
 _LINGER_BYTES = 1 << 20
@@ -112,12 +112,15 @@
         """
         self._sock.send(data, SEND_TIMEOUT_S)
 
-    def send_and_linger(self, data):
-        """Send a final response and discard input until the caller closes.
+    def has_unread_bytes(self):
+        """Return whether bytes have arrived that were not received yet."""
+        return not (self._sock.is_idle() or self._sock.is_closed_by_peer())
+
+    def linger(self):
+        """Discard input after the final response until the caller closes.
 
         The wait is limited to _LINGER_S and _LINGER_BYTES.
         """
-        self.send(data)
         self._sock.shutdown(socket.SHUT_WR)
         linger_bytes_left = _LINGER_BYTES
         with gevent.Timeout(_LINGER_S, False):
--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -102,6 +102,7 @@
         Returns after _STOP_TIMEOUT_S at the latest.
         """
         self._draining = True
+        self._accept_backlog()
         self._server.close()
         stop_deadline = time.monotonic() + _STOP_TIMEOUT_S
         for connection in list(self._waiting):
@@ -120,6 +121,18 @@
         if self._expiry_task is not None:
             gevent.kill(self._expiry_task)
 
+    def _accept_backlog(self):
+        """Accept the connections that are open for their callers already.
+
+        Closing the listener would reset them, with the requests they carry.
+        """
+        if self._server.closed:
+            return
+        while (accepted := self._server.do_read()) is not None:
+            self._server.do_handle(*accepted)
+        # The new tasks start, and their connections are waited for.
+        gevent.sleep(0)
+
     def _serve(self, sock, _):
         connection = _caller_connection.CallerConnection(sock=sock)
         self._connections.add(connection)
@@ -206,20 +219,25 @@
             connection.end_handling()
         # A pipelined request has arrived already and is still handled.
         close = not request.keep_alive or (
-            self._draining and not reader.pending
+            self._draining
+            and not reader.pending
+            and not connection.has_unread_bytes()
         )
         connection.send(
             _render.render_response(
                 response=response, close=close, method=request.method
             )
         )
+        if close and request.keep_alive:
+            connection.linger()
         return close
 
     def _send_failure(self, connection, failure):
         response = _render.problem_response(failure=failure, request_id="")
-        connection.send_and_linger(
+        connection.send(
             _render.render_response(response=response, close=True, method=b"")
         )
+        connection.linger()
 
     def _expire_overdue(self):
         while True:
--- /dev/null
+++ b/wigeonrouter/http1/_server_test.py
@@ -0,0 +1,124 @@
+"""Tests of a server that stops while callers send requests."""
+
+import gevent
+from gevent import monkey
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import http1
+
+CALLERS = 20
+WAIT_S = 5.0
+REQUEST = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
+# A blocking socket: connecting and sending let no task of the server run.
+BlockingSocket = monkey.get_original("socket", "socket")
+
+
+class _SlowHandler:
+    """Responds with the path after a while."""
+
+    def __init__(self):
+        self.handled = []
+
+    def body_limit(self, request):
+        return 0
+
+    def handle(self, request, arrived):
+        self.handled.append(request.target)
+        gevent.sleep(0.05)
+        return http1.HttpResponse(status=200, headers=(), body=request.target)
+
+
+@pytest.fixture
+def handler():
+    """Return the handler of the server."""
+    return _SlowHandler()
+
+
+@pytest.fixture
+def server(handler):
+    """Run a CallerServer."""
+    server = http1.CallerServer(
+        address=core.Address(host="127.0.0.1", port=0), handler=handler
+    )
+    server.start()
+    yield server
+    server.kill()
+
+
+@pytest.fixture
+def connect(server):
+    """Return a function that opens a connection without a task switch."""
+    sockets = []
+
+    def start():
+        sock = BlockingSocket()
+        sock.settimeout(WAIT_S)
+        sock.connect(("127.0.0.1", server.port))
+        sockets.append(sock)
+        return sock
+
+    yield start
+    for sock in sockets:
+        sock.close()
+
+
+def _receive_bodies(sock, count):
+    """Return the bodies of the responses until the server closes."""
+    sock.setblocking(False)
+
+    def receive():
+        while True:
+            try:
+                return sock.recv(65536)
+            except BlockingIOError:
+                gevent.sleep(0.005)
+
+    reader = http1.ResponseReader(receive=receive, max_bytes=1 << 16)
+    with gevent.Timeout(WAIT_S):
+        return [reader.read(b"GET").body for _ in range(count)]
+
+
+def test_requests_in_the_listen_backlog_are_answered(server, connect):
+    """Guards against requests that are cut off because a server stops.
+
+    Their connections are complete for the callers, but the server had no time
+    yet to accept them.
+    """
+    sockets = [connect() for _ in range(CALLERS)]
+    for number, sock in enumerate(sockets):
+        sock.sendall(REQUEST % number)
+    stopping = gevent.spawn(server.stop)
+    for number, sock in enumerate(sockets):
+        assert _receive_bodies(sock, 1) == [b"/%d" % number]
+    stopping.get(timeout=WAIT_S)
+
+
+def test_request_behind_another_one_is_answered_by_a_draining_server(
+    server, connect, handler
+):
+    """Guards against closing on a request that has already arrived.
+
+    It is in the receive buffer of the kernel while the first one is handled.
+    """
+    sock = connect()
+    sock.sendall(REQUEST % 1)
+    with gevent.Timeout(WAIT_S):
+        while not handler.handled:
+            gevent.sleep(0.001)
+    sock.sendall(REQUEST % 2)
+    server.drain()
+    assert _receive_bodies(sock, 2) == [b"/1", b"/2"]
+
+
+def test_half_of_a_request_is_waited_for(server, connect):
+    """Guards against closing on a request that is still arriving."""
+    sock = connect()
+    request = REQUEST % 1
+    sock.sendall(request[:10])
+    gevent.sleep(0.05)
+    stopping = gevent.spawn(server.stop)
+    gevent.sleep(0.1)
+    sock.sendall(request[10:])
+    assert _receive_bodies(sock, 1) == [b"/1"]
+    stopping.get(timeout=WAIT_S)
--- a/wigeonrouter/membership/_client.py
+++ b/wigeonrouter/membership/_client.py
@@ -1,6 +1,7 @@
 """Calls to peers, with timeouts, the sender's id and counters."""
 
 import collections
+import time
 
 import grpc
 
@@ -34,6 +35,9 @@
     def call(self, method, address, request, *, timeout=CALL_TIMEOUT_S):
         """Make a unary call.
 
+        If the connection fails before anything of the call was sent, the call
+        is tried once more within its timeout.
+
         Args:
           method: name of the method of the peer service.
           address: core.Address of the peer.
@@ -44,11 +48,21 @@
         """
         self._counts["calls"] += 1
         self._counts["bytes_out"] += request.ByteSize()
-        stub = self._channels.stub(address)
+        deadline = time.monotonic() + timeout
         try:
-            reply = getattr(stub, method)(
-                request, timeout=timeout, metadata=self._metadata
-            )
+            try:
+                reply = self._call_once(method, address, request, timeout)
+            except grpc.RpcError as error:
+                if not _transport.failed_in_handshake(error):
+                    raise
+                self._counts["failed_handshakes"] += 1
+                reply = self._call_once(
+                    method,
+                    address,
+                    request,
+                    deadline - time.monotonic(),
+                    wait_for_ready=True,
+                )
         except (grpc.RpcError, ValueError):
             # grpc raises ValueError on a channel that another task has closed.
             self._counts["failed_calls"] += 1
@@ -56,6 +70,15 @@
         self._counts["bytes_in"] += reply.ByteSize()
         return reply
 
+    def _call_once(self, method, address, request, timeout, **options):
+        stub = self._channels.stub(address)
+        return getattr(stub, method)(
+            request,
+            timeout=max(0.0, timeout),
+            metadata=self._metadata,
+            **options,
+        )
+
     def stream(self, method, address, request, *, timeout):
         """Make a server-streaming call and yield its replies.
 
--- a/wigeonrouter/membership/_tls_test.py
+++ b/wigeonrouter/membership/_tls_test.py
@@ -1,5 +1,10 @@
 """Guards against unauthenticated peers and failed certificate rotation."""
 
+import itertools
+
+import gevent
+from gevent import server as gevent_server
+from gevent import socket
 import grpc
 import pytest
 
@@ -10,6 +15,9 @@
 from wigeonrouter.schema import peer_pb2
 from wigeonrouter.schema import peer_pb2_grpc
 
+# Type of a TLS record that carries a handshake message.
+_HANDSHAKE_RECORD = b"\x16"
+
 
 class _Servicer(peer_pb2_grpc.PeerServicer):
     def Exchange(self, request, context):
@@ -170,6 +178,82 @@
     stale_peer.close()
 
 
+@pytest.fixture
+def closing_proxy():
+    """A function that starts a proxy which closes its first connections.
+
+    Args:
+      address: where it forwards the other connections to.
+      closed: number of connections that it closes during the handshake.
+    """
+    proxies = []
+
+    def start(address, *, closed):
+        connections = itertools.count()
+
+        def serve(sock, _):
+            sock.recv(1)
+            if next(connections) < closed:
+                return
+            with socket.create_connection((address.host, address.port)) as end:
+                # The byte is the first one of the client's handshake.
+                end.sendall(_HANDSHAKE_RECORD)
+                backward = gevent.spawn(_copy, end, sock)
+                _copy(sock, end)
+                backward.join()
+
+        proxy = gevent_server.StreamServer(("127.0.0.1", 0), serve)
+        proxy.start()
+        proxies.append(proxy)
+        return core.Address(host="127.0.0.1", port=proxy.server_port)
+
+    yield start
+    for proxy in proxies:
+        proxy.stop(timeout=0.1)
+
+
+def _copy(source, target):
+    try:
+        while data := source.recv(65536):
+            target.sendall(data)
+    except OSError:
+        pass
+
+
+def test_call_outlives_a_connection_closed_during_the_handshake(
+    authorities, serve, closing_proxy
+):
+    """Guards against a call that fails at once though nothing was sent.
+
+    Under load the handshake of a new channel sometimes fails.
+    """
+    address = closing_proxy(
+        serve(membership.PeerTls(**_tls_files(authorities, "d1"))), closed=1
+    )
+    client = _client.PeerClient(
+        daemon_id="d2", tls=membership.PeerTls(**_tls_files(authorities, "d2"))
+    )
+    reply = _exchange(client, address, "d2")
+    client.close()
+    assert reply is not None and reply.revision == 7
+
+
+def test_call_to_a_peer_that_never_shakes_hands_ends_in_time(
+    authorities, serve, closing_proxy
+):
+    """Guards against a call that goes on trying after its timeout."""
+    address = closing_proxy(
+        serve(membership.PeerTls(**_tls_files(authorities, "d1"))),
+        closed=1000,
+    )
+    client = _client.PeerClient(
+        daemon_id="d2", tls=membership.PeerTls(**_tls_files(authorities, "d2"))
+    )
+    with gevent.Timeout(30):
+        assert _exchange(client, address, "d2") is None
+    client.close()
+
+
 def test_a_failed_reload_keeps_the_certificate(authorities, serve):
     """Guards against a failed reload that drops the current certificate."""
     tls = membership.PeerTls(**_tls_files(authorities, "d1"))
--- a/wigeonrouter/membership/_transport.py
+++ b/wigeonrouter/membership/_transport.py
@@ -29,6 +29,19 @@
 )
 
 
+# Texts of errors of a connection that failed during the handshake. gRPC has
+# no status code for it.
+_HANDSHAKE_ERRORS = ("Handshake read failed", "before receiving SETTINGS")
+
+
+def failed_in_handshake(error):
+    """Return whether a grpc.RpcError means that the call was not sent."""
+    details = error.details() or ""
+    return error.code() is grpc.StatusCode.UNAVAILABLE and any(
+        text in details for text in _HANDSHAKE_ERRORS
+    )
+
+
 class _DropCallsInterceptor(grpc.ServerInterceptor):
     """Fails the calls of some daemons, which simulates a partition."""
 
