--- /dev/null
+++ b/wigeonrouter/node/_follower.py
@@ -0,0 +1,156 @@
+"""A follower's side of replication within a region.
+
+A follower gets the changes of the store and the roster from its hub, and
+sends the hub its own state.
+"""
+
+import dataclasses
+import time
+import typing
+
+import gevent
+
+from wigeonrouter.node import _channel
+from wigeonrouter.node import _hub
+from wigeonrouter.node import _peer_requests
+from wigeonrouter.node import _roster
+from wigeonrouter.schema import node_pb2
+
+_STORE_CHECK_INTERVAL_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FollowerCallbacks:
+    """What a Follower needs of its node.
+
+    Attributes:
+      own_state: returns this node's NodeState.
+      roster: returns the roster of this node, a dict from host to NodeState.
+      on_roster: called with each new roster.
+      on_heartbeat: called with whether the store responds to the hub.
+      has_better_hub: returns whether this node should leave a hub that does
+        not reach the store.
+    """
+
+    own_state: typing.Callable
+    roster: typing.Callable
+    on_roster: typing.Callable
+    on_heartbeat: typing.Callable
+    has_better_hub: typing.Callable
+
+
+class Follower:
+    """Follows one hub.
+
+    Args:
+      hub: host of the hub.
+      port: port for traffic between nodes.
+      store_cache: StoreCache.
+      state_changed: gevent event.Event that is set when the state of this
+        node has changed.
+      callbacks: FollowerCallbacks.
+    """
+
+    def __init__(
+        self,
+        *,
+        hub,
+        port,
+        store_cache,
+        state_changed,
+        callbacks,
+        clock=time.monotonic,
+    ):
+        self._hub = hub
+        self._port = port
+        self._store_cache = store_cache
+        self._state_changed = state_changed
+        self._callbacks = callbacks
+        self._clock = clock
+
+    def run(self):
+        """Follow the hub until it fails, leaves or loses the store.
+
+        Returns:
+          The reason for leaving the hub, as text for the log.
+        """
+        try:
+            channel = _channel.connect(
+                host=self._hub,
+                port=self._port,
+                timeout=_peer_requests.CONNECT_TIMEOUT_S,
+            )
+        except _channel.ChannelClosed as error:
+            return str(error)
+        writer = None
+        try:
+            self._join(channel)
+            writer = gevent.spawn(self._send_states, channel)
+            return self._receive(channel)
+        except _channel.ChannelClosed as error:
+            return str(error)
+        finally:
+            if writer is not None:
+                writer.kill()
+            channel.close()
+
+    def _join(self, channel):
+        join = node_pb2.Join(
+            state=self._callbacks.own_state(),
+            revision=self._store_cache.revision,
+            accepts_roster_changes=True,
+        )
+        channel.send(
+            node_pb2.PeerMessage(join=join),
+            timeout=_peer_requests.REQUEST_TIMEOUT_S,
+        )
+
+    def _receive(self, channel):
+        """Apply the hub's messages; return the reason for leaving it.
+
+        A follower leaves a hub that lost the store if it reaches the store
+        itself or knows of another hub that does.
+
+        Raises:
+          ChannelClosed: the hub disconnected or sent nothing in time.
+        """
+        last_store_check = float("-inf")
+        while True:
+            message = channel.receive(timeout=_hub.PEER_TIMEOUT_S)
+            kind = message.WhichOneof("body")
+            if kind == "update":
+                self._store_cache.apply_update(message.update)
+            elif kind == "roster":
+                self._callbacks.on_roster(_roster.from_message(message.roster))
+            elif kind == "roster_change":
+                self._callbacks.on_roster(
+                    _roster.apply_change(
+                        self._callbacks.roster(), message.roster_change
+                    )
+                )
+            elif kind == "role":
+                return "is not a hub"
+            elif kind == "pulse":
+                if message.pulse.leaving:
+                    return "stops"
+                self._callbacks.on_heartbeat(message.pulse.store_answers)
+                now = self._clock()
+                if (
+                    not message.pulse.store_answers
+                    and now - last_store_check >= _STORE_CHECK_INTERVAL_S
+                ):
+                    last_store_check = now
+                    if self._callbacks.has_better_hub():
+                        return "does not reach the store"
+
+    def _send_states(self, channel):
+        try:
+            while True:
+                self._state_changed.wait(timeout=_hub.HEARTBEAT_INTERVAL_S)
+                self._state_changed.clear()
+                channel.send(
+                    node_pb2.PeerMessage(state=self._callbacks.own_state()),
+                    timeout=_peer_requests.REQUEST_TIMEOUT_S,
+                )
+        except _channel.ChannelClosed:
+            channel.close()
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -14,9 +14,9 @@
 from wigeonrouter import store
 from wigeonrouter import topology
 from wigeonrouter.node import _channel
+from wigeonrouter.node import _follower
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _peer_requests
-from wigeonrouter.node import _roster
 from wigeonrouter.node import _store_cache
 from wigeonrouter.node import _store_reader
 from wigeonrouter.schema import node_pb2
@@ -30,7 +30,6 @@
 # hub, this node becomes the hub itself.
 _MAX_HUB_WAITS = 4
 _HUB_CHECK_INTERVAL_S = 1.5
-_STORE_CHECK_INTERVAL_S = 1.0
 _REGISTER_RETRY_S = 2.0
 
 
@@ -300,77 +299,31 @@
 
     def _run_as_follower(self, hub):
         """Follow a hub until it fails, leaves or loses the store."""
-        reason = "unreachable"
-        try:
-            channel = _channel.connect(
-                host=hub,
-                port=self._port,
-                timeout=_peer_requests.CONNECT_TIMEOUT_S,
-            )
-        except _channel.ChannelClosed as error:
-            self._avoided_until[hub] = self._clock() + _FAILED_HUB_AVOID_S
-            self._events.notice("hub-lost", hub=hub, reason=str(error))
-            return
-        writer = None
-        try:
-            channel.send(
-                node_pb2.PeerMessage(
-                    join=node_pb2.Join(
-                        state=self._own_state(),
-                        revision=self._store_cache.revision,
-                        accepts_roster_changes=True,
-                    )
+        follower = _follower.Follower(
+            hub=hub,
+            port=self._port,
+            store_cache=self._store_cache,
+            state_changed=self._state_changed,
+            callbacks=_follower.FollowerCallbacks(
+                own_state=self._own_state,
+                roster=lambda: self._roster,
+                on_roster=self._on_roster,
+                on_heartbeat=lambda reachable: self._on_heartbeat(
+                    hub, reachable
                 ),
-                timeout=_peer_requests.REQUEST_TIMEOUT_S,
-            )
-            writer = gevent.spawn(self._send_states, channel)
-            reason = self._receive_from_hub(channel, hub)
-        except _channel.ChannelClosed as error:
-            reason = str(error)
+                has_better_hub=lambda: (
+                    self._probe_store() or self._other_hub_reaches_store()
+                ),
+            ),
+        )
+        reason = "failed"
+        try:
+            reason = follower.run()
         finally:
-            if writer is not None:
-                writer.kill()
-            channel.close()
             self._avoided_until[hub] = self._clock() + _FAILED_HUB_AVOID_S
             self._events.notice("hub-lost", hub=hub, reason=reason)
             self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
-    def _receive_from_hub(self, channel, hub):
-        """Apply the hub's messages; return the reason for leaving it.
-
-        A follower leaves a hub that lost the store if it reaches the store
-        itself or knows of another hub that does.
-
-        Raises:
-          ChannelClosed: the hub disconnected or sent nothing in time.
-        """
-        last_store_check = float("-inf")
-        while True:
-            message = channel.receive(timeout=_hub.PEER_TIMEOUT_S)
-            kind = message.WhichOneof("body")
-            if kind == "update":
-                self._store_cache.apply_update(message.update)
-            elif kind == "roster":
-                self._on_roster(_roster.from_message(message.roster))
-            elif kind == "roster_change":
-                self._on_roster(
-                    _roster.apply_change(self._roster, message.roster_change)
-                )
-            elif kind == "role":
-                return "is not a hub"
-            elif kind == "pulse":
-                if message.pulse.leaving:
-                    return "stops"
-                self._on_heartbeat(hub, message.pulse.store_answers)
-                now = self._clock()
-                if (
-                    not message.pulse.store_answers
-                    and now - last_store_check >= _STORE_CHECK_INTERVAL_S
-                ):
-                    last_store_check = now
-                    if self._probe_store() or self._other_hub_reaches_store():
-                        return "does not reach the store"
-
     def _on_heartbeat(self, hub, store_reachable):
         if store_reachable:
             self._cluster_state.on_store_contact()
@@ -393,18 +346,6 @@
             for role in self._query_roles().values()
         )
 
-    def _send_states(self, channel):
-        try:
-            while True:
-                self._state_changed.wait(timeout=_hub.HEARTBEAT_INTERVAL_S)
-                self._state_changed.clear()
-                channel.send(
-                    node_pb2.PeerMessage(state=self._own_state()),
-                    timeout=_peer_requests.REQUEST_TIMEOUT_S,
-                )
-        except _channel.ChannelClosed:
-            channel.close()
-
     def _serve(self, sock, _):
         channel = _channel.Channel(sock=sock)
         try:
