--- /dev/null
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -0,0 +1,220 @@
+"""Emulator of a backend server with slots and faults, for tests."""
+
+import dataclasses
+import time
+
+import gevent
+from gevent import select
+from gevent import socket
+
+from wigeonrouter import http1
+from wigeonrouter.platform import _emulated_server
+
+# Interval at which a busy backend server checks whether the caller is still
+# connected.
+_CANCEL_CHECK_INTERVAL_S = 0.005
+# Faults of a backend server that sends bytes until its caller closes: the
+# start of the response, and what follows again and again.
+ENDLESS_BYTES = {
+    "endless-garbage": (b"", b"\x00" * 4096),
+    "endless-head": (b"HTTP/1.1 200 OK\r\n@id@", b"X-Padding: 1\r\n" * 300),
+    "endless-interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+    "endless-body": (b"HTTP/1.1 200 OK\r\n@id@\r\n", b"x" * 65536),
+    "endless-length": (
+        b"HTTP/1.1 200 OK\r\n@id@Content-Length: 999999999999\r\n\r\n",
+        b"x" * 65536,
+    ),
+    "endless-chunks": (
+        b"HTTP/1.1 200 OK\r\n@id@Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"x" * 65536 + b"\r\n",
+    ),
+    "endless-tiny-chunks": (
+        b"HTTP/1.1 200 OK\r\n@id@Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n" * 1000,
+    ),
+    "endless-chunk-line": (
+        b"HTTP/1.1 200 OK\r\n@id@Transfer-Encoding: chunked\r\n\r\n",
+        b"0" * 4096,
+    ),
+    "endless-trailers": (
+        b"HTTP/1.1 200 OK\r\n@id@Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Padding: 1\r\n" * 300,
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """A request that a backend server has begun to execute.
+
+    Attributes:
+      deadline_ms: value of the request's deadline header, 0 without one.
+      started: monotonic seconds.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    body: bytes
+    deadline_ms: int
+    started: float
+
+
+class EmulatedBackend(_emulated_server.EmulatedServer):
+    """Emulates a backend server with a limited number of slots.
+
+    Attributes:
+      slowdown: current service time divided by the undisturbed one.
+      runs: Run of each request that it began to execute.
+      probes: number of health checks received.
+      rejected_count: number of requests rejected for lack of a slot.
+      arrivals: (monotonic seconds, ID) of each request, rejected or not.
+      cancelled: IDs whose connection was closed before the response.
+      ended: dict from ID to the end of its execution, monotonic seconds.
+      fault: "" or one of "errors", "hang", "reset", "shed", "garbage",
+        "truncate", "stray", "unframed", or a key of
+        ENDLESS_BYTES.
+    """
+
+    def __init__(
+        self, *, instance, service, zone="za", service_time=0.02, slots=2
+    ):
+        self.instance = instance
+        self.service = service
+        self.slowdown = 1.0
+        self.fault = ""
+        self.runs = []
+        self.probes = 0
+        self.rejected_count = 0
+        self.cancelled = []
+        self.arrivals = []
+        self.ended = {}
+        self._zone = zone
+        self._service_time = service_time
+        self._slots = slots
+        self._running = 0
+        super().__init__()
+
+    def registration(self, *, state="ready", sequence=1, **changes):
+        """Return the server's registration as a JSON document."""
+        return {
+            "address": self.address,
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": self._zone,
+                "slots": self._slots,
+            },
+            "status": {
+                "state": state,
+                "seq": sequence,
+                "warmup_left": "0ms",
+            },
+            **changes,
+        }
+
+    def handle(self, request, sock):
+        """Handle one request or health check."""
+        if request.target == b"/health":
+            self.probes += 1
+            return self._respond_with_load(request, 200, b"")
+        self.arrivals.append(
+            (time.monotonic(), request.header(b"request-id").decode())
+        )
+        expected = request.header(b"expect-instance").decode()
+        if expected not in ("", self.instance):
+            return self._respond_with_load(request, 421, b"")
+        if self._running >= self._slots or self.fault == "shed":
+            self.rejected_count += 1
+            return self._respond_with_load(
+                request, 503, b"", ((b"not-executed", b"1"),)
+            )
+        return self._run(request, sock)
+
+    def render(self, request, response):
+        """Return the bytes of a response, corrupted if a fault is set."""
+        data = super().render(request, response)
+        if request.target == b"/health":
+            return data
+        if self.fault == "garbage":
+            return b"\x00garbage\r\n\r\n"
+        if self.fault == "truncate":
+            return data[:-3]
+        if self.fault == "stray":
+            stray = dataclasses.replace(
+                response, headers=((b"request-id", b"other"),), fields=None
+            )
+            return super().render(request, stray) + data
+        if self.fault == "unframed":
+            length = b"content-length: %d\r\n" % len(response.body)
+            return data.replace(length, b"")
+        return data
+
+    def send(self, sock, request, response):
+        """Send a response, or bytes without end if such a fault is set."""
+        endless = ENDLESS_BYTES.get(self.fault)
+        if endless is None or request.target == b"/health":
+            super().send(sock, request, response)
+            return
+        start, repeated = endless
+        request_id = b"Request-Id: %b\r\n" % request.header(b"request-id")
+        sock.sendall(start.replace(b"@id@", request_id))
+        while True:
+            sock.sendall(repeated)
+
+    def closes_after_response(self):
+        """Return whether the connection is closed after each response."""
+        return self.fault in ("unframed", "truncate")
+
+    def _run(self, request, sock):
+        self.runs.append(
+            Run(
+                request_id=request.header(b"request-id").decode(),
+                method=request.method.decode(),
+                target=request.target.decode(),
+                body=request.body,
+                deadline_ms=int(request.header(b"deadline-ms") or 0),
+                started=time.monotonic(),
+            )
+        )
+        if self.fault == "hang":
+            return None
+        if self.fault == "reset":
+            raise ConnectionResetError("fault")
+        self._running += 1
+        try:
+            self._execute(request, sock)
+            status = 500 if self.fault == "errors" else 200
+            return self._respond_with_load(
+                request, status, b"body of " + request.target
+            )
+        finally:
+            self._running -= 1
+            request_id = request.header(b"request-id").decode()
+            self.ended[request_id] = time.monotonic()
+
+    def _execute(self, request, sock):
+        ends_at = time.monotonic() + self._service_time * self.slowdown
+        while time.monotonic() < ends_at:
+            gevent.sleep(_CANCEL_CHECK_INTERVAL_S)
+            if sock.fileno() < 0:
+                raise ConnectionResetError("server stopped")
+            poller = select.poll()
+            poller.register(sock, select.POLLIN)
+            if poller.poll(0) and not sock.recv(1, socket.MSG_PEEK):
+                self.cancelled.append(request.header(b"request-id").decode())
+                raise ConnectionResetError("caller disconnected")
+
+    def _respond_with_load(self, request, status, body, headers=()):
+        load = f"{self._running},0,{self._slots},{self.slowdown * 100:.0f}"
+        return http1.HttpResponse(
+            status=status,
+            headers=(
+                *headers,
+                (b"request-id", request.header(b"request-id")),
+                (b"server-stamp", b"stamp." + self.instance.encode()),
+                (b"instance-id", self.instance.encode()),
+                (b"server-load", load.encode()),
+            ),
+            body=body,
+        )
--- /dev/null
+++ b/wigeonrouter/platform/_emulated_store.py
@@ -0,0 +1,157 @@
+"""Emulator of the platform's metadata store, for tests."""
+
+import base64
+import bisect
+import json
+import time
+from urllib import parse
+
+from gevent import event
+
+from wigeonrouter import http1
+from wigeonrouter.platform import _emulated_server
+
+_PAGE_ITEMS = 500
+
+
+class EmulatedStore(_emulated_server.EmulatedServer):
+    """Emulates the metadata store.
+
+    Attributes:
+      refusing: respond with 503 to all calls.
+      refusing_lists: respond with 503 to listings.
+      calls: number of calls received.
+    """
+
+    def __init__(self):
+        self._old_items = None
+        self.refusing = False
+        self.refusing_lists = False
+        self._items = {}
+        self._log = []
+        self._revision = 1
+        self._changed = event.Event()
+        self.calls = 0
+        super().__init__()
+
+    def put(self, key, document):
+        """Write a JSON document; bytes are written unchanged."""
+        value = document
+        if not isinstance(document, bytes):
+            value = json.dumps(document).encode()
+        self._write(key, value)
+
+    def remove(self, key):
+        """Remove a key."""
+        self._revision += 1
+        self._items.pop(key, None)
+        self._append({"key": key, "revision": self._revision, "deleted": True})
+
+    def forget_history(self):
+        """Drop the change history, so that watches of old revisions fail."""
+        self._log.clear()
+
+    @property
+    def old_reads(self):
+        """Whether stale listings return the items as of when this was set."""
+        return self._old_items is not None
+
+    @old_reads.setter
+    def old_reads(self, old):
+        self._old_items = dict(self._items) if old else None
+
+    def keys(self):
+        """Return all keys, sorted."""
+        return sorted(self._items)
+
+    def handle(self, request, sock):
+        """Handle one call."""
+        self.calls += 1
+        if self.refusing:
+            return _respond(503)
+        path, _, text = request.target.decode().partition("?")
+        query = dict(parse.parse_qsl(text, keep_blank_values=True))
+        if path == "/api/kv-range":
+            if self.refusing_lists:
+                return _respond(503)
+            return self._range(query)
+        if path == "/api/kv-watch":
+            return self._watch(query)
+        if path == "/api/kv-txn":
+            return self._transact(json.loads(request.body))
+        return _respond(404)
+
+    def _range(self, query):
+        items = self._items
+        if self._old_items is not None and query.get("stale_ok") == "1":
+            items = self._old_items
+        keys = sorted(k for k in items if k.startswith(query["prefix"]))
+        keys = keys[bisect.bisect_right(keys, query.get("after", "")) :]
+        return _respond(
+            200,
+            {
+                "items": [items[key] for key in keys[:_PAGE_ITEMS]],
+                "has_more": len(keys) > _PAGE_ITEMS,
+                "as_of": self._revision,
+            },
+        )
+
+    def _watch(self, query):
+        after = int(query["after"])
+        deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            oldest = self._log[0]["revision"] if self._log else None
+            if after < self._revision and (
+                oldest is None or oldest > after + 1
+            ):
+                return _respond(410)
+            events = [
+                row
+                for row in self._log
+                if row["revision"] > after
+                and row["key"].startswith(query["prefix"])
+            ]
+            remaining = deadline - time.monotonic()
+            if events or remaining <= 0:
+                return _respond(
+                    200, {"events": events, "as_of": self._revision}
+                )
+            self._changed.clear()
+            self._changed.wait(timeout=remaining)
+
+    def _transact(self, document):
+        for row in document["expected_rev"]:
+            item = self._items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                return _respond(412, {"items": [item] if item else []})
+        for row in document["writes"]:
+            self._write(row["key"], base64.b64decode(row["value"]))
+        return _respond(200, {"revision": self._revision})
+
+    def _write(self, key, value):
+        self._revision += 1
+        previous = self._items.get(key)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self._revision,
+            "created_rev": previous["created_rev"]
+            if previous
+            else self._revision,
+            "lease": 0,
+        }
+        self._items[key] = item
+        self._append(item)
+
+    def _append(self, row):
+        self._log.append(row)
+        self._changed.set()
+
+
+def _respond(status, document=None, headers=()):
+    body = b"" if document is None else json.dumps(document).encode()
+    return http1.HttpResponse(
+        status=status,
+        headers=(*headers, (b"content-type", b"application/json")),
+        body=body,
+    )
--- a/wigeonrouter/platform/_endless_bytes_test.py
+++ b/wigeonrouter/platform/_endless_bytes_test.py
@@ -7,7 +7,6 @@
 import pytest
 
 from wigeonrouter.platform import _emulator
-from wigeonrouter.platform import _end_to_end_test
 from wigeonrouter.platform import conftest
 
 # An eighth of it may be buffered.
@@ -37,7 +36,7 @@
     task.kill()
 
 
-@pytest.mark.parametrize("fault", sorted(_emulator._ENDLESS_BYTES))
+@pytest.mark.parametrize("fault", sorted(_emulator.ENDLESS_BYTES))
 def test_endless_response_ends_at_once_and_may_have_run(
     backend, node, caller, watch_buffers, fault
 ):
@@ -45,7 +44,7 @@
 
     The server has the request, so "not executed" would not be true.
     """
-    (server,) = _end_to_end_test.start_ready(backend, node, "i-1")
+    (server,) = conftest.start_ready(backend, node, "i-1")
     server.fault = fault
     response = caller.send("/write/a", method="POST", body=b"x")
     assert response.status == 502 and len(server.runs) == 1
@@ -63,7 +62,7 @@
     requests, which may repeat and are served by the others.
     """
     names = [f"i-{number}" for number in range(10)]
-    servers = _end_to_end_test.start_ready(backend, node, *names)
+    servers = conftest.start_ready(backend, node, *names)
     for server, fault in zip(
         servers,
         ("endless-body", "endless-chunks", "endless-head"),
@@ -116,7 +115,7 @@
     """
     # Enough slots for the callers whose first request is valid.
     names = [f"i-{number}" for number in range(8)]
-    _end_to_end_test.start_ready(backend, node, *names)
+    conftest.start_ready(backend, node, *names)
     address = node.settings.caller_address
 
     def send_endless(sock):
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -220,6 +220,13 @@
         gevent.sleep(0.01)
 
 
+def start_ready(backend, node, *instances, **options):
+    """Start backend servers and wait until the node knows them."""
+    servers = [backend(instance, **options) for instance in instances]
+    wait_until(lambda: set(instances) <= node.servers)
+    return servers
+
+
 @pytest.fixture
 def node(make_settings, start_node):
     """Run one node without backend servers."""
