Do not close idle connections when the limit of buffered bytes is lowered

A reload may lower the limit below the bytes of complete messages. The next received byte then gave up every message that was being waited for, also those without a byte, which closed idle connections and freed nothing. Only messages of which bytes were received are given up now; the test failed before. Whether a message is being received follows from that count, so the property for it is gone.

--- a/wigeonrouter/http1/_buffer_budget.py
+++ b/wigeonrouter/http1/_buffer_budget.py
@@ -49,11 +49,9 @@
         self._used += count
         while self._used > self._limit:
             largest = max(
-                (other for other in self._reservations if other.receiving),
-                key=lambda other: other.received,
-                default=None,
+                self._reservations, key=lambda other: other.received
             )
-            if largest is None:
+            if not largest.received:
                 return
             largest.abort()
 
@@ -91,11 +89,6 @@
         """Number of bytes of the message that is being received."""
         return self._received
 
-    @property
-    def receiving(self):
-        """Whether a message is being received, so that it can be aborted."""
-        return self._abort_connection is not None
-
     @property
     def aborted(self):
         """Whether the latest message was given up because of the limit."""
--- a/wigeonrouter/http1/_buffer_budget_test.py
+++ b/wigeonrouter/http1/_buffer_budget_test.py
@@ -97,3 +97,21 @@
     )
     assert receive_again() == b"whole"
     assert budget.used == 5
+
+
+def test_lowered_limit_closes_no_connection_that_waits(
+    budget, start_receiving
+):
+    """Guards against closing idle connections, which frees no memory.
+
+    Complete messages alone may be over a limit that was lowered.
+    """
+    complete, receive, _ = start_receiving(b"x" * 900)
+    receive()
+    complete.keep()
+    _, _, waiting_aborted = start_receiving(b"x")
+    _, receive_next, aborted = start_receiving(b"x")
+    budget.configure(limit=500)
+    with pytest.raises(http1.MalformedMessage):
+        receive_next()
+    assert aborted and not waiting_aborted
