Read processor time and memory from /proc in one place

The soak test had a copy of what stood three times in bench. All use the functions of bench/_measuring now; the one for processor time is public, since the soak test needs it.

--- a/wigeonrouter/bench/_capacity.py
+++ b/wigeonrouter/bench/_capacity.py
@@ -4,7 +4,6 @@
 """
 
 import json
-import os
 import statistics
 import subprocess
 import sys
@@ -18,6 +17,7 @@
 
 from wigeonrouter import core
 from wigeonrouter.bench import _capacity_parts
+from wigeonrouter.bench import _measuring
 from wigeonrouter.bench import _processes
 from wigeonrouter.schema import settings_pb2
 
@@ -25,6 +25,7 @@
 _BACKEND_ADDRESSES = [f"127.0.0.1:{port}" for port in range(27510, 27518)]
 _PORTS = (27520, 27521, 27522)
 _ADMIN_ADDRESS = f"127.0.0.1:{_PORTS[1]}"
+_DAEMON_ID = "entry-1"
 _PLACE = core.Place(region="region-0", failure_domain="domain-0")
 _SIZES_BY_PART = {
     "replica": (200, 600, 1700),
@@ -45,7 +46,6 @@
 _IDLE_CONNECTIONS = (100, 300, 900)
 _SERVICE_COUNTS = (200, 600, 1700)
 _SERVICES_PER_CHANGE = 100
-_CLOCK_TICK_S = 1 / os.sysconf("SC_CLK_TCK")
 
 
 @click.command()
@@ -125,7 +125,7 @@
     fleet.start_store(_STORE_ADDRESS)
     fleet.start_backends("backends", _BACKEND_ADDRESSES, service_ms=0)
     fleet.start_daemon(
-        daemon_id="entry-1",
+        daemon_id=_DAEMON_ID,
         place=_PLACE,
         ports=_PORTS,
         store=_STORE_ADDRESS,
@@ -172,9 +172,11 @@
             if response.status_code != 200:
                 raise click.ClickException(f"status {response.status_code}")
 
-    before, started = _cpu_seconds(fleet), time.monotonic()
+    pid = fleet.pid(_DAEMON_ID)
+    before, started = _measuring.process_cpu_seconds(pid), time.monotonic()
     pool.Pool(connections).map(call, clients)
-    seconds, wall = _cpu_seconds(fleet) - before, time.monotonic() - started
+    seconds = _measuring.process_cpu_seconds(pid) - before
+    wall = time.monotonic() - started
     for client in clients:
         client.close()
     request_count = count // connections * connections
@@ -185,14 +187,14 @@
 
 
 def _measure_idle(fleet, connections):
-    before = _resident_bytes(fleet)
+    before = _measuring.resident_bytes(fleet.pid(_DAEMON_ID))
     clients = [
         geventhttpclient.HTTPClient("127.0.0.1", _PORTS[0])
         for _ in range(connections)
     ]
     for client in clients:
         client.get("/load?n=1").read()
-    added_bytes = _resident_bytes(fleet) - before
+    added_bytes = _measuring.resident_bytes(fleet.pid(_DAEMON_ID)) - before
     for client in clients:
         client.close()
     return {"resident_bytes": added_bytes}
@@ -221,17 +223,6 @@
         entry_ttl_ms=100,
     )
     seconds = time.monotonic() - started
-    resident = _resident_bytes(fleet, "entry-2")
+    resident = _measuring.resident_bytes(fleet.pid("entry-2"))
     fleet.end("entry-2")
     return {"ready_s": seconds, "resident_bytes": resident}
-
-
-def _cpu_seconds(fleet, name="entry-1"):
-    with open(f"/proc/{fleet.pid(name)}/stat", encoding="ascii") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) * _CLOCK_TICK_S
-
-
-def _resident_bytes(fleet, name="entry-1"):
-    with open(f"/proc/{fleet.pid(name)}/statm", encoding="ascii") as file:
-        return int(file.read().split()[1]) * 4096
--- a/wigeonrouter/bench/_control.py
+++ b/wigeonrouter/bench/_control.py
@@ -3,7 +3,6 @@
 import collections
 import dataclasses
 import gc
-import os
 import random
 import statistics
 import subprocess
@@ -21,6 +20,7 @@
 from wigeonrouter import standins
 from wigeonrouter import store as store_api
 from wigeonrouter.bench import _in_process_daemons
+from wigeonrouter.bench import _measuring
 from wigeonrouter.bench import _ports
 from wigeonrouter.bench import _processes
 from wigeonrouter.bench import _result_lines
@@ -31,7 +31,6 @@
 CHANGES_PER_DAY = 70_000
 _DAY_S = 86_400
 _LOOPBACK = core.Address(host="127.0.0.1", port=0)
-_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 # Services of one team share a parent, as in the settings of operators.
 _SERVICES_PER_TEAM = 20
 _REPEAT_COUNT = 100
@@ -245,7 +244,7 @@
     """Measure a replica of a settings tree in this process."""
     root = build_tree(services, upstreams)
     gc.collect()
-    memory = resident_bytes()
+    memory = _measuring.resident_bytes()
     replica = configuration.Replica()
     snapshot = settings_pb2.Snapshot(revision=1, root=root)
     started = time.process_time()
@@ -254,7 +253,9 @@
     print_result(f"{name}.load", 1e3 * (time.process_time() - started), "ms")
     del snapshot
     gc.collect()
-    print_result(f"{name}.memory", (resident_bytes() - memory) / 1e6, "MB")
+    print_result(
+        f"{name}.memory", (_measuring.resident_bytes() - memory) / 1e6, "MB"
+    )
     print_result(f"{name}.size", root.ByteSize() / 1e3, "kB")
     entries = _make_service_changes(root, services, _REPEAT_COUNT)
     pending = iter(entries)
@@ -302,10 +303,10 @@
             )
         gevent.sleep(_SETTLE_S)
         pids = [fleet.pid(f"d{number}") for number in range(count)]
-        before = [_cpu_seconds(pid) for pid in pids]
+        before = [_measuring.process_cpu_seconds(pid) for pid in pids]
         gevent.sleep(seconds)
         used = [
-            _cpu_seconds(pid) - cpu
+            _measuring.process_cpu_seconds(pid) - cpu
             for pid, cpu in zip(pids, before, strict=True)
         ]
         name = f"processes.{count}.{services}.{upstreams}"
@@ -313,7 +314,9 @@
             f"{name}.cpu_max", 100 * max(used) / seconds, "% of a core"
         )
         print_result(
-            f"{name}.memory_max", max(map(resident_bytes, pids)) / 1e6, "MB"
+            f"{name}.memory_max",
+            max(map(_measuring.resident_bytes, pids)) / 1e6,
+            "MB",
         )
 
 
@@ -332,14 +335,6 @@
     raise click.ClickException("store stand-in is unavailable")
 
 
-def _cpu_seconds(pid):
-    """Return the processor time of a process in seconds."""
-    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
-        fields = file.read().rpartition(")")[2].split()
-    # User and system time are fields 14 and 15 of the whole line.
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def build_tree(services, upstreams):
     """Return a settings_pb2.Node that resembles a large deployment."""
     root = settings_pb2.Node()
@@ -389,11 +384,5 @@
     return statistics.median(times)
 
 
-def resident_bytes(pid="self"):
-    """Return the resident memory of a process in bytes."""
-    with open(f"/proc/{pid}/statm", encoding="ascii") as file:
-        return int(file.read().split()[1]) * _PAGE_BYTES
-
-
 if __name__ == "__main__":
     measure_tree(int(sys.argv[1]), int(sys.argv[2]))
--- a/wigeonrouter/bench/_latency.py
+++ b/wigeonrouter/bench/_latency.py
@@ -1,7 +1,6 @@
 """Measures the latency that the daemon adds and its throughput."""
 
 import json
-import os
 import pathlib
 import subprocess
 import sys
@@ -11,6 +10,7 @@
 import click
 
 from wigeonrouter import core
+from wigeonrouter.bench import _measuring
 from wigeonrouter.bench import _processes
 from wigeonrouter.bench import _result_lines
 
@@ -156,11 +156,11 @@
 
 
 def _report_throughput(pid, daemon, seconds, seed):
-    before = _cpu_seconds(pid)
+    before = _measuring.process_cpu_seconds(pid)
     result = _run_generator(
         daemon, (), _SATURATING_CALLERS, 0.0, seconds, seed
     )
-    cpu_seconds = _cpu_seconds(pid) - before
+    cpu_seconds = _measuring.process_cpu_seconds(pid) - before
     count = len(result["latencies"][0])
     _print_result("saturated: failures", result["failures"], "1", 0)
     _print_result("saturated: throughput", count / result["elapsed_s"], "1/s")
@@ -177,9 +177,3 @@
 def _percentile_ms(ordered, percent):
     index = min(len(ordered) - 1, int(len(ordered) * percent / 100))
     return ordered[index] * 1000
-
-
-def _cpu_seconds(pid):
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
-    user, system = fields.split()[11:13]
-    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
