Skip stray responses in one place, and render no unused rosters

Sender and prober each had a loop that skips late responses to earlier requests; they differ only in which response is their own. Both call one function now.

The sender takes for granted that a request has a reservation, as every request that a server has read does, in place of three checks; the test that made one by hand reserves its bytes.

The hub rendered the whole roster at each change, though only followers of earlier versions get it.

Behaviour is unchanged.

--- a/wigeonrouter/http1/_buffer_budget.py
+++ b/wigeonrouter/http1/_buffer_budget.py
@@ -48,9 +48,7 @@
         """
         self._used += count
         while self._used > self._limit:
-            largest = max(
-                self._reservations, key=lambda other: other.received
-            )
+            largest = max(self._reservations, key=lambda other: other.received)
             if not largest.received:
                 return
             largest.abort()
--- a/wigeonrouter/http1/_messages.py
+++ b/wigeonrouter/http1/_messages.py
@@ -72,7 +72,7 @@
     Attributes:
       fields: what index_headers() returns.
       reservation: Reservation that counts the bytes of the request and of its
-        responses, None if they are not limited.
+        responses; requests that a CallerServer has read have one.
     """
 
     method: bytes
--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -176,12 +176,11 @@
             return
         self._sent_roster = roster
         change_message = node_pb2.PeerMessage(roster_change=change)
-        whole_message = _whole_roster(roster)
         for follower in self._followers.values():
             follower.enqueue(
                 change_message
                 if follower.accepts_roster_changes
-                else whole_message
+                else _whole_roster(roster)
             )
 
     def _heartbeat_message(self, *, leaving=False):
--- a/wigeonrouter/node/_prober.py
+++ b/wigeonrouter/node/_prober.py
@@ -5,15 +5,13 @@
 
 import gevent
 
-from wigeonrouter import core
 from wigeonrouter import http1
+from wigeonrouter.node import _stray_responses
 from wigeonrouter.node import messages
 
 # Responses to health checks are short.
 _MAX_RESPONSE_BYTES = 16 << 10
 _CONNECTIONS_PER_SERVER = 32
-# Responses to earlier requests that are skipped before that to the probe.
-_MAX_STRAY_RESPONSES = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -95,8 +93,15 @@
                 reader = http1.ResponseReader(
                     receive=connection.receive, max_bytes=_MAX_RESPONSE_BYTES
                 )
-                metadata, response, stray = self._read(reader)
-                reusable = reader.reusable and not stray
+                # A probe has no request ID, so a response with one is a late
+                # copy of that to an earlier request.
+                response, metadata, skipped = _stray_responses.read_own(
+                    reader,
+                    method=b"GET",
+                    codec=self._codec,
+                    is_own=lambda metadata, _: not metadata.request_id,
+                )
+                reusable = reader.reusable and not skipped
         except (
             OSError,
             http1.RequestNotSent,
@@ -114,24 +119,3 @@
             load=metadata.load,
             round_trip=self._clock() - started,
         )
-
-    def _read(self, reader):
-        """Read the response to a probe.
-
-        A probe has no request ID, so a response with one is a late copy of a
-        response to a request that used the connection before.
-
-        Returns:
-          messages.ResponseMetadata, HttpResponse, and the number of
-          responses to earlier requests that came first.
-        Raises:
-          http1.MalformedMessage: too many responses of earlier requests.
-        """
-        for stray in range(_MAX_STRAY_RESPONSES + 1):
-            response = reader.read(b"GET")
-            metadata = self._codec.read_response(response)
-            if not metadata.request_id:
-                return metadata, response, stray
-        raise http1.MalformedMessage(
-            core.problems.ANSWER_INVALID, "responses of other requests"
-        )
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -8,6 +8,7 @@
 from wigeonrouter import core
 from wigeonrouter import http1
 from wigeonrouter import placement
+from wigeonrouter.node import _stray_responses
 from wigeonrouter.node import messages
 
 _CONNECTIONS_PER_SERVER = 64
@@ -19,8 +20,6 @@
 MAX_RESPONSE_BYTES = 64 << 20
 # Status of a backend server whose deadline for the request has passed.
 _GATEWAY_TIMEOUT_STATUS = 504
-# Responses to earlier requests that are skipped before the matching one.
-_MAX_STRAY_RESPONSES = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,8 +98,7 @@
                 request, request_id, registration, response_deadline
             )
         finally:
-            if request.reservation is not None:
-                request.reservation.drop()
+            request.reservation.drop()
             if exchange.reusable:
                 self._pool.checkin(registration.address, connection)
             else:
@@ -163,27 +161,27 @@
           http1.MalformedMessage: too many responses of other requests.
         """
         reader = http1.ResponseReader(
-            receive=self._counting_receive(request.reservation),
+            receive=request.reservation.counting(
+                self._connection.receive,
+                abort=self._connection.abort,
+                problem=core.problems.ANSWER_TOO_LARGE,
+            ),
             max_bytes=MAX_RESPONSE_BYTES,
             allow_close_delimited=True,
         )
-        stray = 0
-        while True:
-            response = reader.read(request.method)
-            metadata = self._codec.read_response(response)
-            if metadata.request_id == request_id:
-                break
-            unnamed = not metadata.request_id and not stray
-            if unnamed and metadata.not_executed and fresh:
-                break
-            stray += 1
-            if stray > _MAX_STRAY_RESPONSES:
-                raise http1.MalformedMessage(
-                    core.problems.ANSWER_INVALID, "responses of other requests"
-                )
-        if request.reservation is not None:
-            request.reservation.keep()
-        self.reusable = reader.reusable and not stray
+
+        def is_own(metadata, skipped):
+            if metadata.request_id:
+                return metadata.request_id == request_id
+            return not request_id or (
+                fresh and not skipped and metadata.not_executed
+            )
+
+        response, metadata, skipped = _stray_responses.read_own(
+            reader, method=request.method, codec=self._codec, is_own=is_own
+        )
+        request.reservation.keep()
+        self.reusable = reader.reusable and not skipped
         return Attempt(
             outcome=_classify(response, metadata),
             may_have_run=not metadata.not_executed,
@@ -192,15 +190,6 @@
             metadata=metadata,
         )
 
-    def _counting_receive(self, reservation):
-        if reservation is None:
-            return self._connection.receive
-        return reservation.counting(
-            self._connection.receive,
-            abort=self._connection.abort,
-            problem=core.problems.ANSWER_TOO_LARGE,
-        )
-
 
 def _classify(response, metadata):
     if metadata.not_executed:
--- a/wigeonrouter/platform/_stray_responses_test.py
+++ b/wigeonrouter/platform/_stray_responses_test.py
@@ -117,6 +117,7 @@
                 headers=((b"request-id", request_id),),
                 body=b"",
                 keep_alive=True,
+                reservation=http1.BufferBudget(limit=1 << 20).reserve(),
             )
             return sender.send(
                 request=request,
