Log the rate limits that servers name, and the number of each attempt

What was missing to tell the hypotheses of the incident apart: whether a node had been told a limit, by which kind of response, and whether an attempt was the first of its request. The header is read and logged; it has no effect on the choice of servers yet.

The codec reports three cases: a limit, no limit, and a header that cannot be used, which says neither. Of two headers the smaller limit counts.

--- a/wigeonrouter/cli/_explain.py
+++ b/wigeonrouter/cli/_explain.py
@@ -73,12 +73,14 @@
 def _describe_attempt(event):
     age = event.get("report_age_ms")
     known = "no load report" if age is None else f"report {age} ms old"
+    limit = event.get("rate_limit")
+    limited = "" if limit is None else f"; limit {limit} requests/s"
     detail = f" ({event['detail']})" if event.get("detail") else ""
     return (
         f"sent to {event.get('instance')} after {event.get('waited_ms')} ms"
         f" at this node: load {event.get('load')}, slowness"
         f" {event.get('slowness')}, {known}; {event.get('ended')} after"
-        f" {event.get('latency_ms')} ms{detail}"
+        f" {event.get('latency_ms')} ms{limited}{detail}"
     )
 
 
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -97,7 +97,7 @@
             self._wake_head()
 
     def release(
-        self, grant, *, route, outcome, load, latency, timed_out=False
+        self, grant, *, route, outcome, metadata, latency, timed_out=False
     ):
         """Release a server's slot and record the outcome of the attempt.
 
@@ -105,7 +105,7 @@
           grant: Grant.
           route: topology.Route of the request.
           outcome: placement.AttemptOutcome.
-          load: messages.ServerLoad of the response, or None.
+          metadata: messages.ResponseMetadata, None without a response.
           latency: duration of the attempt, seconds.
           timed_out: whether the attempt ended because its deadline passed.
         """
@@ -113,7 +113,7 @@
             grant,
             route=route,
             outcome=outcome,
-            load=load,
+            metadata=metadata,
             latency=latency,
             timed_out=timed_out,
         )
--- a/wigeonrouter/node/_balancer_test.py
+++ b/wigeonrouter/node/_balancer_test.py
@@ -67,7 +67,7 @@
         grant,
         route=route,
         outcome=placement.AttemptOutcome.CANCELLED,
-        load=None,
+        metadata=None,
         latency=0.1,
     )
 
--- a/wigeonrouter/node/_prober.py
+++ b/wigeonrouter/node/_prober.py
@@ -22,13 +22,13 @@
       healthy: whether the status is 200.
       instance_matches: whether the probed instance responded, and not
         another server at the same address.
-      load: messages.ServerLoad, None if the response reports none.
+      metadata: messages.ResponseMetadata of the response.
       round_trip: time from sending to the response, seconds.
     """
 
     healthy: bool
     instance_matches: bool
-    load: messages.ServerLoad | None
+    metadata: messages.ResponseMetadata
     round_trip: float
 
 
@@ -116,6 +116,6 @@
         return ProbeResult(
             healthy=response.status == 200,
             instance_matches=metadata.instance in ("", registration.instance),
-            load=metadata.load,
+            metadata=metadata,
             round_trip=self._clock() - started,
         )
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -230,20 +230,18 @@
             outcome = placement.AttemptOutcome.RESPONSE_LOST
             raise
         finally:
-            load = None
             if attempt is None:
                 # The attempt was cancelled or failed unexpectedly, so the
                 # server may have received the request.
                 context.may_have_run = True
             else:
                 outcome = attempt.outcome
-                load = attempt.metadata.load if attempt.metadata else None
             latency = self._clock() - started
             balancer.release(
                 grant,
                 route=context.route,
                 outcome=outcome,
-                load=load,
+                metadata=attempt.metadata if attempt else None,
                 latency=latency,
                 timed_out=attempt is not None and attempt.timed_out,
             )
@@ -321,9 +319,11 @@
         )
 
     def _log_attempt(self, context, grant, attempt, outcome, latency):
+        metadata = attempt.metadata if attempt else None
         self._events.event(
             "attempt",
             id=context.request_id,
+            number=context.attempts + context.connect_failures + 1,
             instance=grant.registration.instance,
             waited_ms=_ms(grant.granted_at - context.pending.arrived),
             load=round(grant.expected_load, 1),
@@ -332,6 +332,7 @@
                 None if grant.report_age is None else _ms(grant.report_age)
             ),
             worth=round(grant.expected_utility, 2),
+            rate_limit=metadata.rate_limit if metadata else None,
             ended=outcome.value,
             latency_ms=_ms(latency),
             detail=attempt.detail if attempt else "",
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -81,6 +81,8 @@
         self._health_path = ""
         self._registrations = {}
         self._views = {}
+        # Requests per second that servers named, by instance.
+        self._rate_limits = {}
         self._local_instances = ()
         self._remote_instances = ()
         self._service_times = placement.ServiceTimes()
@@ -250,9 +252,12 @@
         )
         return grant
 
-    def release(self, grant, *, route, outcome, load, latency, timed_out):
+    def release(self, grant, *, route, outcome, metadata, latency, timed_out):
         """Record the end of an attempt; see Balancer.release()."""
         instance = grant.registration.instance
+        load = metadata.load if metadata is not None else None
+        if metadata is not None:
+            self._record_rate_limit(instance, metadata, source="response")
         view = self._views.get(instance)
         if (
             timed_out
@@ -351,9 +356,10 @@
         if not result.instance_matches:
             self.remove_server(instance)
             return
+        self._record_rate_limit(instance, result.metadata, source="probe")
         report = None
-        if result.load is not None:
-            report = self._make_report(result.load, view, now)
+        if result.metadata.load is not None:
+            report = self._make_report(result.metadata.load, view, now)
         self._replace_view(
             placement.after_probe(
                 view,
@@ -364,6 +370,20 @@
             )
         )
 
+    def _record_rate_limit(self, instance, metadata, *, source):
+        """Log each change of the limit that a server names."""
+        previous = self._rate_limits.get(instance)
+        if not metadata.rate_limit_valid or metadata.rate_limit == previous:
+            return
+        self._rate_limits[instance] = metadata.rate_limit
+        self._events.event(
+            "server-rate-limit",
+            instance=instance,
+            per_second=metadata.rate_limit,
+            previous=previous,
+            source=source,
+        )
+
     def _make_report(self, load, view, now):
         self._service_times.record_slowdown(load.slowdown)
         return placement.LoadReport(
--- a/wigeonrouter/node/messages.py
+++ b/wigeonrouter/node/messages.py
@@ -49,6 +49,10 @@
         request.
       misdirected: whether the address now belongs to another server.
       load: the server's load, None if it reports none.
+      rate_limit: requests per second that the server accepts from all nodes
+        together, None if the response names no limit.
+      rate_limit_valid: false if the response names a limit that cannot be
+        used. It then says nothing about the limit.
     """
 
     request_id: str
@@ -56,6 +60,8 @@
     not_executed: bool
     misdirected: bool
     load: ServerLoad | None
+    rate_limit: float | None = None
+    rate_limit_valid: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -65,6 +65,9 @@
 
     Attributes:
       slowdown: current service time divided by the undisturbed one.
+      rate_limit: limit that its responses name, requests per second; None
+        for no limit. The server does not enforce it.
+      names_limit_in_probes: whether responses to health checks name it too.
       runs: Run of each request that it began to execute.
       probes: number of health checks received.
       rejected_count: number of requests rejected for lack of a slot.
@@ -82,6 +85,8 @@
         self.instance = instance
         self.service = service
         self.slowdown = 1.0
+        self.rate_limit = None
+        self.names_limit_in_probes = True
         self.fault = ""
         self.runs = []
         self.probes = 0
@@ -215,6 +220,14 @@
                 (b"server-stamp", b"stamp." + self.instance.encode()),
                 (b"instance-id", self.instance.encode()),
                 (b"server-load", load.encode()),
+                *self._limit_headers(request),
             ),
             body=body,
         )
+
+    def _limit_headers(self, request):
+        if self.rate_limit is None or (
+            request.target == b"/health" and not self.names_limit_in_probes
+        ):
+            return ()
+        return ((b"server-limit", b"%g" % self.rate_limit),)
--- a/wigeonrouter/platform/_http.py
+++ b/wigeonrouter/platform/_http.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import re
 
 from wigeonrouter import core
 from wigeonrouter import http1
@@ -17,6 +18,7 @@
 _INSTANCE = b"instance-id"
 _NOT_EXECUTED = b"not-executed"
 _LOAD = b"server-load"
+_RATE_LIMIT = b"server-limit"
 _NOT_FORWARDED = http1.HOP_BY_HOP | {
     b"content-length",
     b"expect",
@@ -27,6 +29,9 @@
 _UNDISTURBED_SLOWDOWN_PERCENT = 100.0
 # A load report with a larger number is ignored.
 _MAX_LOAD_NUMBER = 1e6
+# Requests per second. A larger limit would not limit anything.
+_MAX_RATE_LIMIT = 1e6
+_DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 _READINESS_PATH = "/api/readiness"
 _RESOLVE_PATH = "/api/resolve"
 
@@ -72,12 +77,15 @@
         not_executed = (
             bool(response.header(_NOT_EXECUTED)) or response.status == 421
         )
+        rate_limit, rate_limit_valid = _read_rate_limit(response)
         return messages.ResponseMetadata(
             request_id=response.header(_REQUEST_ID).decode("latin-1"),
             instance=response.header(_INSTANCE).decode("latin-1"),
             not_executed=not_executed,
             misdirected=response.status == 421,
             load=_read_load(response.header(_LOAD)),
+            rate_limit=rate_limit,
+            rate_limit_valid=rate_limit_valid,
         )
 
     def render_rejection(self, *, rejection, request_id):
@@ -161,3 +169,17 @@
         slots=max(1, int(numbers[2])),
         slowdown=slowdown,
     )
+
+
+def _read_rate_limit(response):
+    """Return the smallest limit that a response names, and its validity.
+
+    The limit is None if the response names none or an invalid one.
+    """
+    if _RATE_LIMIT not in response.fields:
+        return None, True
+    values = [value for name, value in response.headers if name == _RATE_LIMIT]
+    limits = [float(value) for value in values if _DECIMAL.fullmatch(value)]
+    if len(limits) < len(values) or max(limits) > _MAX_RATE_LIMIT:
+        return None, False
+    return min(limits), True
--- a/wigeonrouter/platform/_http_test.py
+++ b/wigeonrouter/platform/_http_test.py
@@ -1,4 +1,4 @@
-"""Tests of headers of backend servers that cannot be used."""
+"""Tests of headers of backend servers, also of unusable ones."""
 
 import hypothesis
 from hypothesis import strategies
@@ -53,3 +53,45 @@
     if load is not None:
         assert load.running >= 0 and load.queued >= 0
         assert load.slots >= 1 and 0 < load.slowdown < 1e6
+
+
+def _read_rate_limit(*values):
+    response = http1.HttpResponse(
+        status=200,
+        headers=tuple((b"server-limit", value) for value in values),
+        body=b"",
+    )
+    metadata = _http.HttpCodec().read_response(response)
+    return metadata.rate_limit, metadata.rate_limit_valid
+
+
+def test_rate_limit_is_read():
+    """Guards against ignoring the limit that a server names."""
+    assert _read_rate_limit(b"1.4") == (1.4, True)
+    assert _read_rate_limit(b"0") == (0.0, True)
+    assert _read_rate_limit() == (None, True)
+
+
+def test_smallest_of_two_rate_limits_is_used():
+    """Guards against overloading a server that names two limits."""
+    assert _read_rate_limit(b"9", b"2.5") == (2.5, True)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"-1",
+        b"nan",
+        b"inf",
+        b"1e9",
+        b"1000000000000",
+        b"1,2",
+        b"+1",
+        b"",
+        b" ",
+    ],
+)
+def test_absurd_rate_limit_is_neither_a_limit_nor_its_end(value):
+    """Guards against a limit that ends because a header is malformed."""
+    assert _read_rate_limit(value) == (None, False)
+    assert _read_rate_limit(b"1.4", value) == (None, False)
--- a/wigeonrouter/platform/_stray_responses_test.py
+++ b/wigeonrouter/platform/_stray_responses_test.py
@@ -69,7 +69,7 @@
 def test_response_to_a_probe_is_used_and_the_connection_kept(probe):
     """Guards against probes that need a new connection each."""
     result, kept = probe(REJECTION)
-    assert not result.healthy and result.load.queued == 3
+    assert not result.healthy and result.metadata.load.queued == 3
     assert kept
 
 
@@ -84,7 +84,7 @@
     that must not run twice then took that rejection for its own.
     """
     result, kept = probe(*segments)
-    assert not result.healthy and result.load.queued == 3
+    assert not result.healthy and result.metadata.load.queued == 3
     assert not kept
 
 
