--- a/wigeonrouter/platform/_multi_node_test.py
+++ b/wigeonrouter/platform/_multi_node_test.py
@@ -1,52 +1,17 @@
 """Tests of several nodes of a region, on different loopback addresses."""
 
 import gevent
-import pytest
 
-from wigeonrouter import topology
 from wigeonrouter.platform import conftest
 
+callers_of = conftest.callers_of
+hubs = conftest.hubs
 wait_until = conftest.wait_until
-_HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 # Maximum time until a changed configuration is in force.
 _CONFIG_APPLY_S = 2.5
 _RETRY_RATIO = 0.2
 
 
-@pytest.fixture
-def region(make_settings, start_node, free_port):
-    """Run three nodes of a region and wait for one hub and two followers."""
-    port = free_port()
-    nodes = [
-        start_node(make_settings(f"node-{host}", host, peer_ports=(port, 0)))
-        for host in _HOSTS
-    ]
-    wait_until(lambda: len(hubs(nodes)) == 1 and followers(nodes) == 2)
-    wait_until(
-        lambda: all(len(node.region_member.peers) == 3 for node in nodes)
-    )
-    return nodes
-
-
-def hubs(nodes):
-    """Return the nodes that are hubs."""
-    kind = topology.RoleKind.HUB
-    return [node for node in nodes if node.region_member.role.kind is kind]
-
-
-def followers(nodes):
-    """Return the number of nodes that are followers."""
-    kind = topology.RoleKind.FOLLOWER
-    return sum(node.region_member.role.kind is kind for node in nodes)
-
-
-def callers_of(nodes):
-    """Return a Caller of each node."""
-    return [
-        conftest.Caller(address=node.settings.caller_address) for node in nodes
-    ]
-
-
 def add_route(store, version):
     """Write a configuration version that adds the route /new/."""
     document = conftest.configuration(version)
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -20,6 +20,7 @@
 
 HOST = "shop.example"
 _READY_TIMEOUT_S = 10.0
+_HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 # Pause between two segments, so that they are received one after the other.
 _SEGMENT_PAUSE_S = 0.02
 
@@ -239,6 +240,38 @@
     return Caller(address=node.settings.caller_address)
 
 
+def hubs(nodes):
+    """Return the nodes that are hubs."""
+    kind = topology.RoleKind.HUB
+    return [node for node in nodes if node.region_member.role.kind is kind]
+
+
+def followers(nodes):
+    """Return the number of nodes that are followers."""
+    kind = topology.RoleKind.FOLLOWER
+    return sum(node.region_member.role.kind is kind for node in nodes)
+
+
+def callers_of(nodes):
+    """Return a Caller of each node."""
+    return [Caller(address=node.settings.caller_address) for node in nodes]
+
+
+@pytest.fixture
+def region(make_settings, start_node, free_port):
+    """Run three nodes of a region and wait for one hub and two followers."""
+    port = free_port()
+    nodes = [
+        start_node(make_settings(f"node-{host}", host, peer_ports=(port, 0)))
+        for host in _HOSTS
+    ]
+    wait_until(lambda: len(hubs(nodes)) == 1 and followers(nodes) == 2)
+    wait_until(
+        lambda: all(len(node.region_member.peers) == 3 for node in nodes)
+    )
+    return nodes
+
+
 @pytest.fixture
 def scripted_server():
     """Return a function that runs a server which sends prepared bytes.
