Send requests without an id over new connections

Operators of a similar system saw: a server wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which the server ran.

Here a request with an id is not affected: a refusal with another id, or one without an id on a used connection, is skipped. A request without an id took such a refusal for its own and was sent to a second server.

Change: a request without an id gets a new connection, where no earlier refusal can come. Tests replay a refusal with the earlier id, without an id and as a misdirection, before the own response and instead of it.

--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -170,7 +170,7 @@
           deadline: end of waiting for a permit and of connecting, seconds on
             the monotonic clock.
           max_idle: longest time since the last use, seconds; None for the
-            default of the pool.
+            default of the pool, negative for a new connection.
         Raises:
           ConnectFailed: no permit or connection was available before the
             deadline, or the connection attempt failed.
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -17,6 +17,9 @@
 # request could not be retried then. It therefore only uses connections that
 # were idle for a short time.
 _MAX_IDLE_NON_IDEMPOTENT_S = 0.5
+# No idle connection is used for a request without an ID, since nothing tells
+# its response from a late one to an earlier request.
+_MAX_IDLE_WITHOUT_ID_S = -1.0
 MAX_RESPONSE_BYTES = 64 << 20
 # Status of a backend server whose deadline for the request has passed.
 _GATEWAY_TIMEOUT_STATUS = 504
@@ -82,7 +85,7 @@
                 deadline=min(
                     response_deadline, self._clock() + _CONNECT_TIMEOUT_S
                 ),
-                max_idle=None if idempotent else _MAX_IDLE_NON_IDEMPOTENT_S,
+                max_idle=_max_idle(request_id, idempotent),
             )
         except http1.ConnectFailed as error:
             return Attempt(
@@ -191,6 +194,13 @@
         )
 
 
+def _max_idle(request_id, idempotent):
+    """Return the longest idle time of a connection, None for the default."""
+    if not request_id:
+        return _MAX_IDLE_WITHOUT_ID_S
+    return None if idempotent else _MAX_IDLE_NON_IDEMPOTENT_S
+
+
 def _classify(response, metadata):
     if metadata.not_executed:
         return placement.AttemptOutcome.REJECTED
--- a/wigeonrouter/platform/_stray_responses_test.py
+++ b/wigeonrouter/platform/_stray_responses_test.py
@@ -110,7 +110,7 @@
             pool=http1.ConnectionPool(), codec=_http.HttpCodec()
         )
 
-        def send(request_id):
+        def send(request_id, timeout=WAIT_S):
             request = http1.HttpRequest(
                 method=b"POST",
                 target=b"/",
@@ -124,7 +124,7 @@
                 request_id=request_id.decode(),
                 registration=registration,
                 idempotent=False,
-                response_deadline=time.monotonic() + 5.0,
+                response_deadline=time.monotonic() + timeout,
             )
 
         return send
@@ -182,3 +182,52 @@
     send = make_send([_response(b"one") + _response(b"one")])
     assert send(b"one").response.body == b"one"
     assert send(b"one").response.body == b"one"
+
+
+EARLIER_REFUSALS = {
+    "other id": REJECTION.replace(b"\r\n", b"\r\nRequest-Id: one\r\n", 1),
+    "no id": REJECTION,
+    "misdirected": b"HTTP/1.1 421 Misdirected Request\r\n"
+    b"Content-Length: 0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("refusal", EARLIER_REFUSALS.values())
+@pytest.mark.parametrize("late", [False, True])
+def test_refusal_written_again_is_not_that_of_the_next_request(
+    make_send, refusal, late
+):
+    """Guards against "has not run" for a request that a server runs."""
+    own = _response(b"two")
+    send = make_send(
+        [EARLIER_REFUSALS["other id"]], [refusal, own] if late else [own]
+    )
+    assert not send(b"one").may_have_run
+    attempt = send(b"two")
+    assert attempt.outcome is placement.AttemptOutcome.SUCCEEDED
+    assert attempt.may_have_run and attempt.response.body == b"two"
+
+
+@pytest.mark.parametrize("refusal", EARLIER_REFUSALS.values())
+def test_refusal_written_again_while_a_request_runs_is_no_answer(
+    make_send, refusal
+):
+    """Guards against running a request twice.
+
+    The server closes the connection instead of responding to the second one.
+    """
+    send = make_send([EARLIER_REFUSALS["other id"]], [refusal])
+    assert not send(b"one").may_have_run
+    attempt = send(b"two", timeout=0.3)
+    assert attempt.outcome is placement.AttemptOutcome.RESPONSE_LOST
+    assert attempt.may_have_run and attempt.response is None
+
+
+@pytest.mark.parametrize("refusal", EARLIER_REFUSALS.values())
+def test_refusal_written_again_is_not_that_of_a_request_without_id(
+    make_send, refusal
+):
+    """Guards against a request that no id tells from earlier ones."""
+    send = make_send([_response(b"one")], [refusal])
+    assert send(b"one").may_have_run
+    assert send(b"", timeout=0.3).may_have_run
