Close a backend server's connection after a refusal

Operators of a similar system saw: a server wrote an earlier refusal once more on a kept connection, and a request ran at two servers, or its caller was told that it had not run.

The daemon had this fault. Its servers need not return the request's id, so nothing told a refusal that was written again from that of the next request.

Change: a connection on which a server refused a request is closed, so no later request can get its refusal. A refusal then costs a new connection.

Evidence: with two servers that repeat their refusals, the first request of the new test ran although its caller was told not-run; with the change none runs.

--- a/wigeonrouter/request_path/_attempt.py
+++ b/wigeonrouter/request_path/_attempt.py
@@ -129,6 +129,10 @@
                     problem=core.problems.ANSWER_INVALID,
                     detail="response to another request",
                 )
+            if outcome_of(response) is core.Outcome.NOT_RUN:
+                # The server may write a refusal once more, and nothing would
+                # tell it from the refusal of the next request.
+                reusable = False
             return response
         except TimeoutError:
             return core.Problem(problem=core.problems.ANSWER_LATE)
--- a/wigeonrouter/request_path/_forwarder_test.py
+++ b/wigeonrouter/request_path/_forwarder_test.py
@@ -3,15 +3,18 @@
 The backend servers are stand-ins with faults.
 """
 
+import re
 import time
 
 import gevent
+from gevent import server as gevent_server
 from gevent import socket
 import pytest
 
 from wigeonrouter import core
 from wigeonrouter.http1 import _caller_connection
 from wigeonrouter.http1 import _pool
+from wigeonrouter.request_path.conftest import PathHarness
 from wigeonrouter.request_path.conftest import receive_response
 from wigeonrouter.request_path.conftest import render
 from wigeonrouter.request_path.conftest import send
@@ -302,3 +305,59 @@
     assert refused
     assert {a.headers[b"x-retry-budget"] for a in refused} == {b"0"}
     path.assert_released()
+
+
+class RepeatingServer:
+    """Refuses the first request on each connection.
+
+    Before the response to a later one it writes that refusal once more.
+    """
+
+    _REFUSAL = (
+        b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+
+    def __init__(self):
+        self.execution_counts = {}
+        self._server = gevent_server.StreamServer(
+            ("127.0.0.1", 0), self._serve
+        )
+        self._server.start()
+
+    @property
+    def port(self):
+        return self._server.server_port
+
+    def stop(self):
+        self._server.stop(timeout=0.1)
+
+    def _serve(self, sock, _):
+        sock.recv(65536)
+        sock.sendall(self._REFUSAL)
+        while data := sock.recv(65536):
+            request_id = re.search(rb"X-Request-Id: (\S+)", data, re.I)[1]
+            self.execution_counts[request_id.decode()] = 1
+            sock.sendall(self._REFUSAL)
+            gevent.sleep(0.05)
+            sock.sendall(f"{_OK}\r\nabcd".encode())
+
+
+@pytest.fixture
+def repeating_path():
+    """A PathHarness with two RepeatingServers."""
+    servers = [RepeatingServer(), RepeatingServer()]
+    harness = PathHarness(servers)
+    yield harness
+    harness.server.stop()
+    for server in servers:
+        server.stop()
+
+
+def test_refusal_written_again_is_not_that_of_the_next_request(
+    repeating_path,
+):
+    """Guards against "not-run" for a request that two servers run."""
+    for number in range(4):
+        response = send(repeating_path, request_id=f"w{number}")
+        assert response.problem == "refused-by-server"
+        assert repeating_path.runs(f"w{number}") == 0
