Test responses whose head is cut short

Operators of a similar system saw: a server stopped in the middle of a response's head and closed, and callers got a success with an empty or short body, framed as a whole one.

This cannot happen here: the node and the daemon take a head only with its end. The test cuts five kinds of heads at every byte, with and without an interim response before them; none is taken for a response. End to end, a request that must not run twice gets 502 and runs once, and an idempotent one is sent to another server. The soak test injects the fault as well.

--- a/wigeonrouter/http1/_readers_test.py
+++ b/wigeonrouter/http1/_readers_test.py
@@ -91,3 +91,31 @@
     )
     assert response.body == b"ab"
     assert not reusable
+
+
+_INTERIM_HEAD = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+_HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 2\r\n\r\n",
+    "chunked": b"HTTP/1.1 200 OK\r\nX-Id: one\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n",
+    "until close": b"HTTP/1.1 200 OK\r\nX-Id: one\r\n"
+    b"Connection: close\r\n\r\n",
+    "empty": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: one\r\n\r\n",
+    "no content": b"HTTP/1.1 204 No Content\r\nX-Id: one\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("head", _HEADS.values(), ids=_HEADS)
+@pytest.mark.parametrize("interim", [b"", _INTERIM_HEAD])
+def test_response_whose_head_is_cut_short_is_no_response(head, interim):
+    """Guards against a success with an empty body, framed as a whole one."""
+    data = interim + head
+    for end in range(len(data)):
+        reader = _response_reader.ResponseReader(
+            receive=iter([data[:end], b"", b""]).__next__,
+            max_bytes=1000,
+            allow_close_delimited=True,
+        )
+        with pytest.raises(_messages.MalformedMessage):
+            reader.read(b"GET")
+        assert not reader.reusable
--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -75,7 +75,7 @@
       cancelled: IDs whose connection was closed before the response.
       ended: dict from ID to the end of its execution, monotonic seconds.
       fault: "" or one of "errors", "hang", "reset", "shed", "garbage",
-        "truncate", "stray", "unframed", or a key of
+        "truncate", "cut-head", "stray", "unframed", or a key of
         ENDLESS_BYTES.
     """
 
@@ -145,6 +145,8 @@
             return b"\x00garbage\r\n\r\n"
         if self.fault == "truncate":
             return data[:-3]
+        if self.fault == "cut-head":
+            return data[: data.index(b"\r\n\r\n") - 3]
         if self.fault == "stray":
             stray = dataclasses.replace(
                 response, headers=((b"request-id", b"other"),), fields=None
@@ -169,7 +171,7 @@
 
     def closes_after_response(self):
         """Return whether the connection is closed after each response."""
-        return self.fault in ("unframed", "truncate")
+        return self.fault in ("unframed", "truncate", "cut-head")
 
     def _run(self, request, sock):
         self.runs.append(
--- a/wigeonrouter/platform/_end_to_end_test.py
+++ b/wigeonrouter/platform/_end_to_end_test.py
@@ -65,7 +65,7 @@
     assert str(node.settings.caller_address).encode() in response.body
 
 
-@pytest.mark.parametrize("fault", ["truncate", "garbage", "reset"])
+@pytest.mark.parametrize("fault", ["truncate", "cut-head", "garbage", "reset"])
 def test_non_idempotent_request_runs_once_if_its_response_is_lost(
     backend, node, caller, fault
 ):
@@ -81,7 +81,9 @@
     assert len(one.runs) + len(two.runs) == 1
 
 
-@pytest.mark.parametrize("fault", ["truncate", "garbage", "reset", "errors"])
+@pytest.mark.parametrize(
+    "fault", ["truncate", "cut-head", "garbage", "reset", "errors"]
+)
 def test_idempotent_request_is_retried_on_another_server(
     backend, node, caller, fault
 ):
--- a/wigeonrouter/request_path/_forwarder_test.py
+++ b/wigeonrouter/request_path/_forwarder_test.py
@@ -24,6 +24,8 @@
 # Responses that are not one complete response to the request.
 _INVALID_RESPONSES = {
     "truncated": {"raw": _OK + "\r\nab", "close": True},
+    "head cut short": {"raw": _OK, "close": True},
+    "head cut in a line": {"raw": _OK[:-5], "close": True},
     "no response": {"raw": " ", "close": True},
     "garbled": {"raw": "\x00\x01\r\n\r\n", "close": True},
     "too large": {"raw": "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n"},
--- a/wigeonrouter/soak/_faults.py
+++ b/wigeonrouter/soak/_faults.py
@@ -28,6 +28,7 @@
     "shed",
     "garbage",
     "truncate",
+    "cut-head",
     "stray",
     "unframed",
 )
