--- a/wigeonrouter/soak/_faults.py
+++ b/wigeonrouter/soak/_faults.py
@@ -28,7 +28,6 @@
     "shed",
     "garbage",
     "truncate",
-    "cut-head",
     "stray",
     "unframed",
 )
