Reject requests that a stopping node could not finish

Operators of a similar system saw: in a planned stop of one VM, in calm, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated.

The node had this fault: it took requests for 0.7 of the grace and exited at 0.95 of it, whatever was running. With a grace of 6 s, a request that was sent at 4.1 s and took longer than 1.6 s was cut.

Change: a stopping node sends a request to a server only if its response comes before the node ends: because its deadline is earlier, or because one and a half times the longest recent latency of the route still fits. Others are rejected at once as stopping, with not-run and a Retry-After, also those that wait in the queue. A request that may not run again and whose route has no measured latency is sent only if its deadline is before the end.

Evidence: the new end-to-end test sends writes until the end of a node's grace. Before, some that a server had begun got no answer; now each of them gets the server's response, and the others 503.

--- a/wigeonrouter/core/_problems.py
+++ b/wigeonrouter/core/_problems.py
@@ -71,6 +71,9 @@
     "deadline-passed", "The deadline passed before the request was sent", 504
 )
 NOT_READY = _not_run("not-ready", "The daemon has no configuration", 503)
+STOPPING = _not_run(
+    "stopping", "The node stops before the request could finish", 503
+)
 REFUSED_BY_SERVER = _not_run(
     "refused-by-server", "Backend servers refused the request", 503
 )
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -4,6 +4,7 @@
 requests by priority, and rejects requests that cannot be served in time.
 """
 
+import math
 import time
 
 from gevent import event
@@ -26,6 +27,8 @@
 _ARRIVAL_WINDOW_S = 2.0
 # Mean Retry-After of requests that are rejected because no server is known.
 _NO_SERVER_RETRY_S = 0.5
+# Mean Retry-After of a stopping node. Its callers ask for other entries first.
+_STOPPING_RETRY_S = 0.3
 
 
 class Balancer:
@@ -34,9 +37,20 @@
     Args:
       server_pool: ServerPool of the service.
       budget: placement.RetryBudget.
+      stop_deadline: function that returns the time at which this node ends,
+        monotonic seconds, inf while it is not stopping.
     """
 
-    def __init__(self, *, server_pool, budget, rng, clock=time.monotonic):
+    def __init__(
+        self,
+        *,
+        server_pool,
+        budget,
+        rng,
+        stop_deadline=lambda: math.inf,
+        clock=time.monotonic,
+    ):
+        self._stop_deadline = stop_deadline
         self._server_pool = server_pool
         self._budget = budget
         self._rng = rng
@@ -85,13 +99,15 @@
         self._arrivals.record(now)
         if not placement.is_late(request, service_time=service_time, now=now):
             self._on_time_arrivals.record(now)
-        rejection = self._check_admission(request, service_time, now)
+        rejection = self._check_stopping(
+            request, route, now
+        ) or self._check_admission(request, service_time, now)
         if rejection is not None:
             return rejection
         waiter = event.Event()
         self._queue.add(waiter, request, service_time)
         try:
-            return self._wait_for_grant(waiter, request, service_time)
+            return self._wait_for_grant(waiter, request, route)
         finally:
             self._queue.remove(waiter)
             self._wake_head()
@@ -124,6 +140,11 @@
         """Dict from instance to the limit that it named to this node."""
         return self._server_pool.named_rate_limits
 
+    def on_stopping(self):
+        """Check the queued requests again, since this node began to stop."""
+        for waiter in self._queue:
+            waiter.set()
+
     def refresh_rate_limits(self, peer_limits):
         """Apply changed roles and limits; see ServerPool."""
         if self._server_pool.refresh_rate_limits(peer_limits):
@@ -134,12 +155,13 @@
         self._server_pool.remove_server(instance)
         self._on_servers_changed()
 
-    def _wait_for_grant(self, waiter, request, service_time):
+    def _wait_for_grant(self, waiter, request, route):
         """Wait in the queue; return a Grant or messages.Rejection.
 
         Only the head of the queue looks for a server. The others wait until
         they are woken at the head, or until their admission changes.
         """
+        service_time = self._server_pool.service_times.service_time(route)
         poll_interval = min(
             _MAX_POLL_S, max(_MIN_POLL_S, _POLL_SHARE * service_time)
         )
@@ -158,7 +180,7 @@
             else:
                 if was_at_head:
                     self._wake_head()
-                timeout = self._time_to_check(request, service_time, now)
+                timeout = self._time_to_check(request, route, now)
             was_at_head = at_head
             waiter.wait(timeout=timeout)
             waiter.clear()
@@ -167,19 +189,45 @@
                 late,
                 placement.is_late(request, service_time=service_time, now=now),
             )
-            rejection = self._check_still_admissible(
+            rejection = self._check_stopping(
+                request, route, now
+            ) or self._check_still_admissible(
                 request, service_time, now, became_late=late and not was_late
             )
             if rejection is not None:
                 return rejection
 
-    def _time_to_check(self, request, service_time, now):
+    def _time_to_check(self, request, route, now):
         """Return the seconds until the admission has to be checked again."""
-        check_time = placement.next_check_time(
-            request, service_time=service_time, now=now
+        service_times = self._server_pool.service_times
+        check_time = min(
+            self._latest_start(request, route),
+            placement.next_check_time(
+                request,
+                service_time=service_times.service_time(route),
+                now=now,
+            ),
         )
         return max(0.0, check_time - now) + _CHECK_MARGIN_S
 
+    def _latest_start(self, request, route):
+        return placement.latest_start(
+            request,
+            longest_latency=self._server_pool.service_times.longest_latency(
+                route
+            ),
+            stop_deadline=self._stop_deadline(),
+        )
+
+    def _check_stopping(self, request, route, now):
+        """Return the Rejection of a request that this node cannot finish."""
+        if now <= self._latest_start(request, route):
+            return None
+        return messages.Rejection(
+            problem=core.problems.STOPPING,
+            retry_after=_STOPPING_RETRY_S * self._rng.uniform(0.5, 1.5),
+        )
+
     def _record_dispatch(self, request, service_time):
         now = self._clock()
         if placement.is_late(request, service_time=service_time, now=now):
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -1,6 +1,7 @@
 """Connects the components of a node and manages their life cycle."""
 
 import collections
+import math
 import os
 import random
 import time
@@ -39,6 +40,8 @@
 # Share of the stop grace after which the node exits, finished or not.
 _DRAIN_GRACE_SHARE = 0.95
 _STOP_POLL_INTERVAL_S = 0.02
+# Time to return a response to its caller before the node exits.
+_STOP_MARGIN_S = 0.05
 # A directory request to a node that has just started waits this long for the
 # configuration.
 _STARTUP_WAIT_S = 0.4
@@ -74,6 +77,7 @@
         self._feed = feed
         self._rng = rng or random.Random()
         self._stopping = False
+        self._stop_deadline = math.inf
         self._was_ready = False
         self._buffer_budget = http1.BufferBudget(limit=_buffer_limit(settings))
         self._pool = http1.ConnectionPool(max_idle=_MAX_BACKEND_IDLE_S)
@@ -199,20 +203,23 @@
         """Stop gracefully, without aborting requests.
 
         The node leaves the roster and keeps accepting requests for a share
-        of the stop grace. It then waits for those in progress. Returns
-        within the stop grace.
+        of the stop grace, but rejects those that it could not finish. It then
+        waits for those in progress. Returns within the stop grace.
         """
         started = time.monotonic()
         grace = self._settings.bounds.stop_grace
         self._stopping = True
+        drain_deadline = started + grace * _DRAIN_GRACE_SHARE
+        self._stop_deadline = drain_deadline - _STOP_MARGIN_S
         self._events.notice(
             "stopping", requests=self._caller_server.requests_in_progress
         )
         self._caller_server.drain()
         self._region_member.leave()
+        for balancer in self._balancers.values():
+            balancer.on_stopping()
         while time.monotonic() - started < grace * _ACCEPT_GRACE_SHARE:
             gevent.sleep(_STOP_POLL_INTERVAL_S)
-        drain_deadline = started + grace * _DRAIN_GRACE_SHARE
         drain_task = gevent.spawn(self._caller_server.stop)
         drain_task.join(timeout=max(0.0, drain_deadline - time.monotonic()))
         self._events.notice(
@@ -371,6 +378,7 @@
                     window=self._settings.bounds.retry_window,
                 ),
                 rng=self._rng,
+                stop_deadline=lambda: self._stop_deadline,
             )
             self._balancers[service] = balancer
             self._reconfigure()
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -310,6 +310,7 @@
         if view is not None:
             self._update_view(view, outcome, load)
         if outcome is placement.AttemptOutcome.SUCCEEDED:
+            self._service_times.record_latency(route, latency)
             self._service_times.record_service_time(
                 route,
                 placement.undisturbed_service_time(
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -14,6 +14,7 @@
 from wigeonrouter.placement import _rate_limits
 from wigeonrouter.placement import _records
 from wigeonrouter.placement import _request_queue
+from wigeonrouter.placement import _stopping
 
 AttemptOutcome = _health.AttemptOutcome
 PendingRequest = _records.PendingRequest
@@ -37,6 +38,7 @@
 expected_wait = _admission.expected_wait
 is_late = _request_queue.is_late
 late_from = _request_queue.late_from
+latest_start = _stopping.latest_start
 is_nearly_full = _estimate.is_nearly_full
 choose = _choice.choose
 EXPECTED_SLOT_WAIT_S = _choice.EXPECTED_SLOT_WAIT_S
--- a/wigeonrouter/placement/_estimate.py
+++ b/wigeonrouter/placement/_estimate.py
@@ -28,6 +28,8 @@
 # Mean slowdown until reports have arrived.
 _INITIAL_SLOWDOWN = 1.5
 _EWMA_WEIGHT = 0.05
+# Factor by which the longest latency decays with each response.
+_LONGEST_LATENCY_DECAY = 0.99
 # Service time of a route as a share of its target latency, until responses
 # have been measured.
 _INITIAL_SERVICE_TIME_SHARE = 0.35
@@ -36,12 +38,13 @@
 class ServiceTimes:
     """Learns the service time of each route on an undisturbed server.
 
-    Also keeps the mean slowdown of the servers. Both are exponentially
-    weighted moving averages.
+    Also keeps the mean slowdown of the servers; both are exponentially
+    weighted moving averages. The longest latency of each route decays.
     """
 
     def __init__(self):
         self._service_times = {}
+        self._longest_latencies = {}
         self._mean_slowdown = _INITIAL_SLOWDOWN
 
     @property
@@ -63,6 +66,21 @@
             seconds - previous
         )
 
+    def longest_latency(self, route):
+        """Return the longest recent latency of a route at the servers.
+
+        Returns:
+          Seconds, None if the route had no response yet.
+        """
+        return self._longest_latencies.get(route.name)
+
+    def record_latency(self, route, seconds):
+        """Add the latency of one response, in seconds."""
+        previous = self._longest_latencies.get(route.name, 0.0)
+        self._longest_latencies[route.name] = max(
+            seconds, previous * _LONGEST_LATENCY_DECAY
+        )
+
     def record_slowdown(self, slowdown):
         """Add the slowdown of a load report."""
         self._mean_slowdown += _EWMA_WEIGHT * (slowdown - self._mean_slowdown)
--- a/wigeonrouter/placement/_estimate_test.py
+++ b/wigeonrouter/placement/_estimate_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from wigeonrouter import placement
+from wigeonrouter import topology
 
 
 def test_own_requests_in_a_report_are_not_counted_twice(make_view, now):
@@ -50,3 +51,27 @@
         for changes in (better, worse)
     ]
     assert times[0] < times[1]
+
+
+def test_longest_latency_is_kept_and_decays():
+    """Guards against one slow response that counts forever."""
+    route = topology.Route(
+        name="reads",
+        host="reads.example",
+        prefix="/",
+        shares=(),
+        idempotent=True,
+        timeout=4.0,
+        target_latency=0.4,
+        priority=1,
+        max_attempts=3,
+    )
+    service_times = placement.ServiceTimes()
+    assert service_times.longest_latency(route) is None
+    service_times.record_latency(route, 2.0)
+    for _ in range(20):
+        service_times.record_latency(route, 0.1)
+    assert service_times.longest_latency(route) > 1.0
+    for _ in range(500):
+        service_times.record_latency(route, 0.1)
+    assert service_times.longest_latency(route) < 0.2
--- a/wigeonrouter/platform/_end_to_end_test.py
+++ b/wigeonrouter/platform/_end_to_end_test.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from wigeonrouter import topology
 from wigeonrouter.platform import _http
 from wigeonrouter.platform import conftest
 
@@ -181,6 +182,54 @@
     stop_task.join()
 
 
+def test_late_requests_to_a_stopping_node_are_finished_or_rejected(
+    backend, make_settings, start_node
+):
+    """Guards against requests that a planned stop cuts off unanswered.
+
+    Callers with an old entry send requests until the node is gone, and each
+    takes longer than the rest of the stop grace towards its end.
+    """
+    settings = make_settings(
+        bounds=topology.Bounds(stop_grace=2.0, retry_ratio=0.2)
+    )
+    node = start_node(settings)
+    servers = start_ready(
+        backend, node, "i-1", "i-2", service_time=0.6, slots=30
+    )
+    caller = conftest.Caller(address=settings.caller_address)
+    callers = [gevent.spawn(caller.send, "/read/a") for _ in range(4)]
+    gevent.joinall(callers, raise_error=True)
+    ran_before = sum(len(server.runs) for server in servers)
+    sent = {}
+
+    def send(request_id):
+        try:
+            sent[request_id] = caller.send(
+                "/write/a", method="POST", body=b"x", request_id=request_id
+            ).status
+        except OSError:
+            sent[request_id] = None
+
+    tasks = [gevent.spawn(node.stop)]
+    for number in range(36):
+        tasks.append(gevent.spawn(send, f"late-{number}"))
+        gevent.sleep(0.05)
+    tasks[0].join()
+    # The process ends here, with the connections of what is not finished.
+    gevent.killall(tasks, exception=OSError)
+    run_ids = {run.request_id for server in servers for run in server.runs} - {
+        "id-1",
+        "id-2",
+        "id-3",
+        "id-4",
+    }
+    assert len(run_ids) > 5 and ran_before == 4
+    assert {sent.get(request_id) for request_id in run_ids} == {200}
+    rejected = [status for status in sent.values() if status == 503]
+    assert rejected
+
+
 def test_metrics_count_requests_by_route_and_outcome(backend, node, caller):
     """Guards against failures that no metric counts."""
     (server,) = start_ready(backend, node, "i-1")
