Split the servers' views and limits from the server pool

ServerPool had grown to probing, granting and the bookkeeping of limits. What a node knows of the servers of a service and which of them it may use is now in ServerViews; behaviour is unchanged. Tests cover who may use a limited server.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -138,7 +138,7 @@
     @property
     def named_rate_limits(self):
         """Dict from instance to the limit that it named to this node."""
-        return self._server_pool.named_rate_limits
+        return self._server_pool.views.named_rate_limits
 
     def on_stopping(self):
         """Check the queued requests again, since this node began to stop."""
@@ -147,12 +147,12 @@
 
     def refresh_rate_limits(self, peer_limits):
         """Apply changed roles and limits; see ServerPool."""
-        if self._server_pool.refresh_rate_limits(peer_limits):
+        if self._server_pool.views.refresh_rate_limits(peer_limits):
             self._on_servers_changed()
 
     def remove_server(self, instance):
         """Remove a server whose address now belongs to another one."""
-        self._server_pool.remove_server(instance)
+        self._server_pool.views.remove(instance)
         self._on_servers_changed()
 
     def _wait_for_grant(self, waiter, request, route):
@@ -235,13 +235,16 @@
 
     def _check_admission(self, request, service_time, now):
         """Return the Rejection of a new request, None to admit it."""
-        if not self._server_pool.has_servers:
+        if not self._server_pool.views.has_usable:
             return self._reject_no_server()
-        wait = self._server_pool.time_to_next_send + placement.expected_wait(
-            ahead=self._queue.count_ahead(request, service_time, now),
-            service_time=service_time,
-            slowdown=self._server_pool.service_times.mean_slowdown,
-            slots=self._server_pool.usable_slots(service_time),
+        wait = (
+            self._server_pool.views.time_to_next_send
+            + placement.expected_wait(
+                ahead=self._queue.count_ahead(request, service_time, now),
+                service_time=service_time,
+                slowdown=self._server_pool.service_times.mean_slowdown,
+                slots=self._server_pool.usable_slots(service_time),
+            )
         )
         if placement.should_reject(
             request, wait=wait, service_time=service_time, now=now
@@ -264,7 +267,7 @@
             arrival_rate=self._on_time_arrivals.per_second(now),
         )
         wait = (
-            self._server_pool.time_to_next_send
+            self._server_pool.views.time_to_next_send
             + placement.expected_late_wait(
                 ahead=self._queue.count_late(now),
                 rate=max(spare, self._late_rate.per_second(now)),
@@ -281,9 +284,9 @@
 
         A request that became late is admitted again, now as a late one.
         """
-        if not self._server_pool.has_servers:
+        if not self._server_pool.views.has_usable:
             return self._reject_no_server()
-        wait = self._server_pool.time_to_next_send
+        wait = self._server_pool.views.time_to_next_send
         if placement.should_reject(
             request, wait=wait, service_time=service_time, now=now
         ):
@@ -363,9 +366,9 @@
         the reports fresh while the own region has too few free slots. Only
         without any local server are remote ones probed for each request.
         """
-        if not self._server_pool.remote:
+        if not self._server_pool.views.remote:
             return placement.Pick(view=None)
-        if not self._server_pool.local:
+        if not self._server_pool.views.local:
             return self._probe_and_choose(
                 request, service_time, _server_pool.REMOTE_PROBES, remote=True
             )
@@ -388,7 +391,7 @@
         """
         server_pool = self._server_pool
         sampled = placement.sample_views(
-            server_pool.remote if remote else server_pool.local,
+            server_pool.views.remote if remote else server_pool.views.local,
             request=request,
             now=self._clock(),
             rng=self._rng,
@@ -404,7 +407,7 @@
         if candidates:
             server_pool.probe(candidates, remote=remote)
         return placement.choose(
-            server_pool.latest(sampled),
+            server_pool.views.latest(sampled),
             request=request,
             service_time=service_time,
             mean_slowdown=server_pool.service_times.mean_slowdown,
@@ -414,7 +417,7 @@
 
     def _on_servers_changed(self):
         """Wake the requests that the set of servers may concern."""
-        if self._server_pool.has_servers:
+        if self._server_pool.views.has_usable:
             self._wake_head()
             return
         for waiter in self._queue:
--- /dev/null
+++ b/wigeonrouter/node/_server_views.py
@@ -0,0 +1,255 @@
+"""The backend servers of one service that a node may use, and their limits."""
+
+import dataclasses
+import time
+
+from wigeonrouter import placement
+from wigeonrouter import topology
+
+# Assumed round trip to another region until one is measured.
+_REMOTE_ROUND_TRIP_S = 0.042
+# Assumed round trip within the region until one is measured.
+_LOCAL_ROUND_TRIP_S = 0.0015
+
+
+class ServerViews:
+    """Owns the registrations, ServerViews and rate limits of one service.
+
+    Args:
+      place: core.Place of this node.
+      events: events.EventLog.
+      limit_share: function that returns the share of the servers' rate limits
+        that this node may use, from 0 to 1.
+    """
+
+    def __init__(self, *, place, events, limit_share, clock=time.monotonic):
+        self._place = place
+        self._events = events
+        self._limit_share = limit_share
+        self._clock = clock
+        self._rate_limits = placement.RateLimits()
+        self._registrations = {}
+        self._views = {}
+        self._local_instances = ()
+        self._remote_instances = ()
+
+    @property
+    def all(self):
+        """Iterable of all ServerViews, also those it may not use."""
+        return self._views.values()
+
+    @property
+    def local(self):
+        """List of the ServerViews in this node's region that it may use."""
+        return [self._views[instance] for instance in self._local_instances]
+
+    @property
+    def remote(self):
+        """List of the ServerViews in other regions that it may use."""
+        return [self._views[instance] for instance in self._remote_instances]
+
+    @property
+    def has_usable(self):
+        """Whether this node may use any server, at once or later."""
+        return bool(self._local_instances or self._remote_instances)
+
+    @property
+    def named_rate_limits(self):
+        """Dict from instance to the limit that it named to this node."""
+        return self._rate_limits.named(self._clock())
+
+    @property
+    def time_to_next_send(self):
+        """Seconds until the rate limit of some server allows a request."""
+        if not self._rate_limits.limited:
+            return 0.0
+        times = (view.next_send_at for view in (*self.local, *self.remote))
+        return max(0.0, min(times, default=0.0) - self._clock())
+
+    def get(self, instance):
+        """Return the ServerView of an instance, None if it is unknown."""
+        return self._views.get(instance)
+
+    def registration(self, instance):
+        """Return the topology.Registration of a known instance."""
+        return self._registrations[instance]
+
+    def latest(self, views):
+        """Return the current state of some ServerViews that still exist."""
+        return [
+            self._views[view.instance]
+            for view in views
+            if view.instance in self._views
+        ]
+
+    def configure(self, registered):
+        """Update the set of servers; draining ones are left out.
+
+        A server that was restarted under the same instance gets a new view.
+
+        Args:
+          registered: iterable of topology.KnownServer of the service.
+        """
+        registrations, views = {}, {}
+        for record in registered:
+            registration = record.registration
+            if registration.state is topology.RegistrationState.DRAINING:
+                continue
+            instance = registration.instance
+            registrations[instance] = registration
+            view = self._views.get(instance)
+            previous = self._registrations.get(instance)
+            if view is None or previous.started_ms != registration.started_ms:
+                view = self._new_view(registration)
+                self._rate_limits.forget([instance])
+            views[instance] = dataclasses.replace(
+                view,
+                slots=registration.slots,
+                slow_start_until=record.learned_at + registration.slow_start,
+            )
+        self._rate_limits.forget(self._views.keys() - views.keys())
+        self._registrations, self._views = registrations, views
+        self._group_by_locality()
+
+    def remove(self, instance):
+        """Remove a server whose address now belongs to another one."""
+        self._registrations.pop(instance, None)
+        self._views.pop(instance, None)
+        self._rate_limits.forget([instance])
+        self._group_by_locality()
+
+    def replace(self, view):
+        """Store an updated view; log an ejection or a recovery."""
+        previous = self._views[view.instance]
+        self._views[view.instance] = view
+        if view.ejected_until > previous.ejected_until:
+            self._events.event(
+                "server-paused",
+                instance=view.instance,
+                failures=view.consecutive_failures,
+                silent=view.consecutive_no_response,
+                for_ms=round((view.ejected_until - self._clock()) * 1000),
+            )
+        elif _has_recent_failures(previous) and not _has_recent_failures(view):
+            self._events.event("server-back", instance=view.instance)
+
+    def find_sendable(self, instance):
+        """Return the view of a server that may get a request now, or None."""
+        now = self._clock()
+        view = self._views.get(instance)
+        if view is not None and view.rate_limit is not None:
+            self._rate_limits.set_share(self._limit_share(), now)
+            view = self._apply_rate_limit(view, now)
+        if view is None or view.next_send_at > now:
+            return None
+        return view
+
+    def record_sent(self, view):
+        """Count a request that is sent to a server."""
+        now = self._clock()
+        view = dataclasses.replace(view, in_flight=view.in_flight + 1)
+        self._views[view.instance] = view
+        self._rate_limits.record_sent(view.instance, now)
+        if view.rate_limit is not None:
+            self._apply_rate_limit(view, now)
+
+    def record_rate_limit(self, instance, metadata, *, from_probe):
+        """Apply what a response says about its server's limit.
+
+        Args:
+          metadata: messages.ResponseMetadata of the response.
+          from_probe: whether it is the response to a health check.
+        """
+        if not metadata.rate_limit_valid or instance not in self._views:
+            return
+        changed = self._rate_limits.record_response(
+            instance,
+            limit=metadata.rate_limit,
+            from_probe=from_probe,
+            now=self._clock(),
+        )
+        if changed:
+            self._events.event(
+                "server-rate-limit",
+                instance=instance,
+                per_second=metadata.rate_limit,
+                source="probe" if from_probe else "response",
+                share=self._limit_share(),
+            )
+            self._apply_rate_limits()
+
+    def refresh_rate_limits(self, peer_limits):
+        """Apply which node may use the servers with limits, and peers' limits.
+
+        Args:
+          peer_limits: dict from instance to the requests per second that it
+            named to other nodes of the region.
+        Returns:
+          Whether any server has a limit.
+        """
+        known = {
+            instance: limit
+            for instance, limit in peer_limits.items()
+            if instance in self._views
+        }
+        self._rate_limits.record_peer_limits(known, self._clock())
+        if not self._rate_limits.limited:
+            return False
+        self._apply_rate_limits()
+        return True
+
+    def _apply_rate_limits(self):
+        """Update the views from the limits, and which servers may be used."""
+        now = self._clock()
+        self._rate_limits.set_share(self._limit_share(), now)
+        for instance in self._rate_limits.limited:
+            self._apply_rate_limit(self._views[instance], now)
+        self._group_by_locality()
+
+    def _apply_rate_limit(self, view, now):
+        """Update one view from its limit and return it."""
+        rate = self._rate_limits.rate(
+            view.instance,
+            local=view.locality is not placement.Locality.REMOTE,
+            now=now,
+        )
+        view = dataclasses.replace(
+            view,
+            rate_limit=rate,
+            next_send_at=self._rate_limits.next_send_time(
+                view.instance, rate=rate, now=now
+            ),
+        )
+        self._views[view.instance] = view
+        return view
+
+    def _group_by_locality(self):
+        """Sort the servers that this node may use by their locality."""
+        local, remote = [], []
+        for instance, view in self._views.items():
+            if view.rate_limit == 0.0:
+                continue
+            is_remote = view.locality is placement.Locality.REMOTE
+            (remote if is_remote else local).append(instance)
+        self._local_instances = tuple(local)
+        self._remote_instances = tuple(remote)
+
+    def _new_view(self, registration):
+        place = registration.place
+        if place.failure_domain == self._place.failure_domain:
+            locality = placement.Locality.DOMAIN
+        elif place.region == self._place.region:
+            locality = placement.Locality.REGION
+        else:
+            locality = placement.Locality.REMOTE
+        remote = locality is placement.Locality.REMOTE
+        return placement.ServerView(
+            instance=registration.instance,
+            locality=locality,
+            slots=registration.slots,
+            round_trip=_REMOTE_ROUND_TRIP_S if remote else _LOCAL_ROUND_TRIP_S,
+        )
+
+
+def _has_recent_failures(view):
+    return view.consecutive_failures > 0 or view.consecutive_no_response > 1
--- /dev/null
+++ b/wigeonrouter/node/_server_views_test.py
@@ -0,0 +1,119 @@
+"""Tests of the servers that a node may use when they name rate limits."""
+
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter import placement
+from wigeonrouter.node import _prober
+from wigeonrouter.node import conftest
+from wigeonrouter.node import messages
+
+LIMIT_PER_S = 1.5
+
+
+@pytest.fixture
+def share():
+    """Return a list whose only item is this node's share of the limits."""
+    return [1.0]
+
+
+@pytest.fixture
+def server_pool(make_server_pool, make_known_server, share):
+    """Return a ServerPool of a local and a remote server."""
+    pool = make_server_pool(limit_share=lambda: share[0])
+    remote = core.Place(region="south", failure_domain="south-a")
+    pool.configure(
+        health_path="/health",
+        registered=[
+            make_known_server("near"),
+            make_known_server("far", place=remote),
+        ],
+    )
+    return pool
+
+
+def _metadata(**changes):
+    return messages.ResponseMetadata(
+        **{
+            "request_id": "",
+            "instance": "",
+            "not_executed": False,
+            "misdirected": False,
+            "load": None,
+            "rate_limit": LIMIT_PER_S,
+        }
+        | changes
+    )
+
+
+def _name_limit(server_pool, instance):
+    server_pool.views.record_rate_limit(
+        instance, _metadata(), from_probe=False
+    )
+
+
+def _pick(server_pool, instance):
+    return placement.Pick(view=server_pool.views.get(instance))
+
+
+def test_home_uses_a_limited_server_at_its_rate(server_pool):
+    """Guards against a home that does not use a server with a limit."""
+    _name_limit(server_pool, "near")
+    view = server_pool.views.get("near")
+    assert [view] == server_pool.views.local
+    assert view.rate_limit == LIMIT_PER_S
+    # This node has just become the sender, so it waits at first.
+    assert server_pool.grant(_pick(server_pool, "near"), 0.1) is None
+
+
+def test_other_nodes_do_not_use_a_limited_server(server_pool, share):
+    """Guards against a limit that each node keeps for itself."""
+    share[0] = 0.0
+    _name_limit(server_pool, "near")
+    assert server_pool.views.local == []
+    _name_limit(server_pool, "far")
+    assert not server_pool.views.has_usable
+
+
+def test_nodes_of_other_regions_do_not_use_a_limited_server(server_pool):
+    """Guards against a home in each region that uses the whole limit."""
+    _name_limit(server_pool, "far")
+    assert server_pool.views.remote == []
+    assert server_pool.views.local
+
+
+def test_former_home_stops_when_another_node_is_the_home(server_pool, share):
+    """Guards against two homes around a hand-over."""
+    _name_limit(server_pool, "near")
+    share[0] = 0.0
+    assert server_pool.grant(_pick(server_pool, "near"), 0.1) is None
+    server_pool.views.refresh_rate_limits({})
+    assert server_pool.views.local == []
+
+
+def test_limit_that_a_peer_was_told_is_known(server_pool, share):
+    """Guards against a new home that learns limits by exceeding them."""
+    share[0] = 0.0
+    assert server_pool.views.refresh_rate_limits({"near": LIMIT_PER_S})
+    assert server_pool.views.local == []
+    assert not server_pool.views.named_rate_limits
+
+
+def test_limit_of_a_server_at_a_reused_address_is_not_taken(
+    make_server_pool, make_known_server
+):
+    """Guards against the limit of another server at the same address."""
+    result = _prober.ProbeResult(
+        healthy=True,
+        instance_matches=False,
+        metadata=_metadata(instance="other"),
+        round_trip=0.001,
+    )
+    pool = make_server_pool(
+        limit_share=lambda: 1.0, prober=conftest.AnsweringProber(result)
+    )
+    pool.configure(
+        health_path="/health", registered=[make_known_server("near")]
+    )
+    pool.probe(pool.views.local, remote=False)
+    assert pool.views.named_rate_limits == {}
--- a/wigeonrouter/node/conftest.py
+++ b/wigeonrouter/node/conftest.py
@@ -33,6 +33,36 @@
         gevent.sleep(0)
 
 
+class AnsweringProber:
+    """Prober that gets the same ProbeResult of every server."""
+
+    def __init__(self, result):
+        self._result = result
+
+    def probe(self, targets, *, timeout, deliver):
+        for registration, _ in targets:
+            deliver(registration.instance, self._result)
+
+
+@pytest.fixture
+def make_server_pool():
+    """Return a function that makes a ServerPool without servers."""
+
+    def make(**options):
+        return _server_pool.ServerPool(
+            **{
+                "place": _PLACE,
+                "prober": _IdleProber(),
+                "events": _SilentEvents(),
+                "rng": random.Random(1),
+                "limit_share": lambda: 1.0,
+            }
+            | options
+        )
+
+    return make
+
+
 @pytest.fixture
 def make_known_server():
     """Return a function that makes a topology.KnownServer in the region."""
@@ -71,19 +101,12 @@
 
 
 @pytest.fixture
-def make_balancer(make_known_server):
+def make_balancer(make_known_server, make_server_pool):
     """Return a function that makes a Balancer of some servers."""
 
     def make(*, servers):
-        server_pool = _server_pool.ServerPool(
-            place=_PLACE,
-            prober=_IdleProber(),
-            events=_SilentEvents(),
-            rng=random.Random(1),
-            limit_share=lambda: 1.0,
-        )
         balancer = _balancer.Balancer(
-            server_pool=server_pool,
+            server_pool=make_server_pool(),
             budget=placement.RetryBudget(ratio=0.2, window=10.0),
             rng=random.Random(1),
         )
