Keep a rate limit that a response to a health check named

Callers would have seen nothing; a server got requests beyond its limit for up to 0.25 s, since the view from before the health check replaced the one with the limit. The view is read after the limit is recorded. The new test failed before (the view had no limit).

--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -252,6 +252,10 @@
             gevent.sleep(_REMOTE_POLL_INTERVAL_S)
 
     def _on_probe(self, instance, result):
+        if result is not None and result.instance_matches:
+            self._views.record_rate_limit(
+                instance, result.metadata, from_probe=True
+            )
         view = self._views.get(instance)
         if view is None:
             return
@@ -262,9 +266,6 @@
         if not result.instance_matches:
             self._views.remove(instance)
             return
-        self._views.record_rate_limit(
-            instance, result.metadata, from_probe=True
-        )
         report = None
         if result.metadata.load is not None:
             report = self._make_report(result.metadata.load, view, now)
--- a/wigeonrouter/node/_server_views_test.py
+++ b/wigeonrouter/node/_server_views_test.py
@@ -99,6 +99,26 @@
     assert not server_pool.views.named_rate_limits
 
 
+def test_server_pool_keeps_a_limit_that_a_probe_named(
+    make_server_pool, make_known_server
+):
+    """Guards against an update by a probe that undoes the limit it named."""
+    result = _prober.ProbeResult(
+        healthy=True,
+        instance_matches=True,
+        metadata=_metadata(),
+        round_trip=0.001,
+    )
+    pool = make_server_pool(
+        limit_share=lambda: 1.0, prober=conftest.AnsweringProber(result)
+    )
+    pool.configure(
+        health_path="/health", registered=[make_known_server("near")]
+    )
+    pool.probe(pool.views.local, remote=False)
+    assert pool.views.get("near").rate_limit == LIMIT_PER_S
+
+
 def test_limit_of_a_server_at_a_reused_address_is_not_taken(
     make_server_pool, make_known_server
 ):
