Ignore the rate limit in a misdirected response

A response that says that the address belongs to another server could name that server's limit, which was taken for the one that had the address before; its callers got fewer requests served. The new test failed before.

--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -200,7 +200,7 @@
         """Record the end of an attempt; see Balancer.release()."""
         instance = grant.registration.instance
         load = metadata.load if metadata is not None else None
-        if metadata is not None:
+        if metadata is not None and not metadata.misdirected:
             self._views.record_rate_limit(instance, metadata, from_probe=False)
         view = self._views.get(instance)
         if (
--- a/wigeonrouter/node/_server_views_test.py
+++ b/wigeonrouter/node/_server_views_test.py
@@ -18,9 +18,15 @@
 
 
 @pytest.fixture
-def server_pool(make_server_pool, make_known_server, share):
+def now():
+    """Return a list whose only item is the time of the monotonic clock."""
+    return [1000.0]
+
+
+@pytest.fixture
+def server_pool(make_server_pool, make_known_server, share, now):
     """Return a ServerPool of a local and a remote server."""
-    pool = make_server_pool(limit_share=lambda: share[0])
+    pool = make_server_pool(limit_share=lambda: share[0], clock=lambda: now[0])
     remote = core.Place(region="south", failure_domain="south-a")
     pool.configure(
         health_path="/health",
@@ -46,9 +52,9 @@
     )
 
 
-def _name_limit(server_pool, instance):
+def _name_limit(server_pool, instance, **changes):
     server_pool.views.record_rate_limit(
-        instance, _metadata(), from_probe=False
+        instance, _metadata(**changes), from_probe=False
     )
 
 
@@ -137,3 +143,17 @@
     )
     pool.probe(pool.views.local, remote=False)
     assert pool.views.named_rate_limits == {}
+
+
+def test_limit_in_a_misdirected_response_is_not_taken(server_pool, route):
+    """Guards against the limit of another server at the same address."""
+    grant = server_pool.grant(_pick(server_pool, "near"), 0.1)
+    server_pool.release(
+        grant,
+        route=route,
+        outcome=placement.AttemptOutcome.REJECTED,
+        metadata=_metadata(not_executed=True, misdirected=True),
+        latency=0.01,
+        timed_out=False,
+    )
+    assert server_pool.views.named_rate_limits == {}
