Let a home that regains its role wait before it uses a limit

While no server named a limit it was not tracked whether this node was the home. A node that had kept a limit once, lost its role and regained it while none was named would have counted as the home all along, and used the limit at once, beside what the home before it had sent. The new test failed before.

--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -194,6 +194,9 @@
         }
         self._rate_limits.record_peer_limits(known, self._clock())
         if not self._rate_limits.limited:
+            # Without limits it is not tracked whether this node is the home,
+            # so it counts as a new one when a server names a limit.
+            self._rate_limits.set_share(0.0, self._clock())
             return False
         self._apply_rate_limits()
         return True
--- a/wigeonrouter/node/_server_views_test.py
+++ b/wigeonrouter/node/_server_views_test.py
@@ -97,6 +97,21 @@
     assert server_pool.views.local == []
 
 
+def test_new_home_waits_also_if_it_was_the_home_before(
+    server_pool, share, now
+):
+    """Guards against a home that does not know who was it meanwhile."""
+    _name_limit(server_pool, "near")
+    now[0] += 10.0
+    _name_limit(server_pool, "near", rate_limit=None)
+    share[0] = 0.0
+    server_pool.views.refresh_rate_limits({})
+    share[0] = 1.0
+    now[0] += 10.0
+    _name_limit(server_pool, "near")
+    assert server_pool.grant(_pick(server_pool, "near"), 0.1) is None
+
+
 def test_limit_that_a_peer_was_told_is_known(server_pool, share):
     """Guards against a new home that learns limits by exceeding them."""
     share[0] = 0.0
