Let the homes of other regions find the end of a server's rate limit

Callers of other regions could not be served by a server again once its limit had ended: the home there kept the limit until a response named none, and sent the server no request that could get one. It stayed unused until its process ended.

Each home outside the server's region now sends it one request in ten seconds, which for seven such regions is less than three requests in four seconds. The share of a part of a region no longer goes below one request in ten seconds, since requests older than that are not kept.

--- a/wigeonrouter/placement/_rate_limits.py
+++ b/wigeonrouter/placement/_rate_limits.py
@@ -3,7 +3,8 @@
 Load pattern: a server in need names a limit of about one request a second,
 while dozens of nodes know the server. Equal shares of such a limit would be of
 no use, so only one node, the sender, uses the server: the home of its service
-in its region. The others do not use it for as long as they know of the limit.
+in its region. The others do not use it for as long as they know of the limit,
+but for a rare request of the home in each other region, which finds its end.
 
 The sender counts what it sent in sliding windows, retries included, and also
 what it sent before the limit was named. A new sender assumes that the one
@@ -152,8 +153,7 @@
         """Return how many requests per second this node may send to a server.
 
         Args:
-          local: whether the server is in this node's region. Only nodes of
-            its region use a server with a limit.
+          local: whether the server is in this node's region.
           now: seconds on the monotonic clock.
         Returns:
           None if the server names no limit.
@@ -162,8 +162,11 @@
         if limit is None:
             self._limited.discard(instance)
             return None
-        share = self._share if local else 0.0
-        return share * max(limit, _MIN_LIMIT_PER_S)
+        if self._share <= 0.0:
+            return 0.0
+        if not local:
+            return _MIN_LIMIT_PER_S
+        return max(self._share * limit, _MIN_LIMIT_PER_S)
 
     def next_send_time(self, instance, *, rate, now):
         """Return the earliest time at which a request may be sent.
