Count remote servers when each local one has a rate limit

Callers of a region whose servers all named limits were rejected while servers of other regions had free slots: the expected wait counted only the slots that the limits left. The new test failed before.

--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -82,9 +82,7 @@
         return sum(view.in_flight for view in self._views.all)
 
     def usable_slots(self, service_time):
-        """Return the slots of the local servers that can be kept busy.
-
-        These are the slots of the remote servers if none is local.
+        """Return the slots of the preferred servers that can be kept busy.
 
         Args:
           service_time: undisturbed service time, seconds.
@@ -239,7 +237,15 @@
         )
 
     def _preferred(self):
-        return self._views.local or self._views.remote
+        """Return the servers that the requests are expected to use.
+
+        These are the local ones. The remote ones belong to them if each local
+        one has a rate limit, or if none is local.
+        """
+        local = self._views.local
+        if any(view.rate_limit is None for view in local):
+            return local
+        return local + self._views.remote
 
     def _poll_remote(self):
         """Probe random remote servers at intervals while they are needed."""
--- a/wigeonrouter/node/_server_views_test.py
+++ b/wigeonrouter/node/_server_views_test.py
@@ -176,3 +176,10 @@
         timed_out=False,
     )
     assert server_pool.views.named_rate_limits == {}
+
+
+def test_remote_servers_count_if_all_local_ones_have_limits(server_pool):
+    """Guards against rejections while servers of other regions are free."""
+    _name_limit(server_pool, "near")
+    far = server_pool.views.get("far")
+    assert server_pool.usable_slots(0.1) > far.slots
