Split the admission of requests from the balancer

What decides whether a request may wait is now in AdmissionController. Behaviour is unchanged, but that each check of a queued request uses the present estimate of its service time, not the one from its arrival.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -1,7 +1,7 @@
 """Assigns the requests of one service to backend servers.
 
-Applies the decisions of `placement`: probes servers for their load, queues
-requests by priority, and rejects requests that cannot be served in time.
+Applies the decisions of `placement`: probes servers for their load and queues
+the admitted requests by priority.
 """
 
 import math
@@ -9,10 +9,9 @@
 
 from gevent import event
 
-from wigeonrouter import core
 from wigeonrouter import placement
+from wigeonrouter.node import _admission_controller
 from wigeonrouter.node import _server_pool
-from wigeonrouter.node import messages
 
 # A request at the head of the queue looks for a server again after this share
 # of its service time, within the bounds below, because other nodes release
@@ -20,15 +19,6 @@
 _POLL_SHARE = 0.2
 _MIN_POLL_S = 0.012
 _MAX_POLL_S = 0.03
-# Timers may fire a little early or late, so a queued request is checked this
-# much after the time at which its admission changes.
-_CHECK_MARGIN_S = 0.001
-# Window over which the arrival rates of the service are measured.
-_ARRIVAL_WINDOW_S = 2.0
-# Mean Retry-After of requests that are rejected because no server is known.
-_NO_SERVER_RETRY_S = 0.5
-# Mean Retry-After of a stopping node. Its callers ask for other entries first.
-_STOPPING_RETRY_S = 0.3
 
 
 class Balancer:
@@ -50,17 +40,17 @@
         stop_deadline=lambda: math.inf,
         clock=time.monotonic,
     ):
-        self._stop_deadline = stop_deadline
         self._server_pool = server_pool
         self._budget = budget
         self._rng = rng
         self._clock = clock
         self._queue = placement.RequestQueue()
-        self._late_rate = placement.late_dispatch_rate()
-        self._arrivals = placement.SlidingWindowRate(window=_ARRIVAL_WINDOW_S)
-        # Arrivals that could still meet their target latency.
-        self._on_time_arrivals = placement.SlidingWindowRate(
-            window=_ARRIVAL_WINDOW_S
+        self._admission = _admission_controller.AdmissionController(
+            server_pool=server_pool,
+            queue=self._queue,
+            rng=rng,
+            stop_deadline=stop_deadline,
+            clock=clock,
         )
 
     @property
@@ -78,6 +68,11 @@
         """Number of this node's requests in flight at the servers."""
         return self._server_pool.in_flight
 
+    @property
+    def named_rate_limits(self):
+        """Dict from instance to the limit that it named to this node."""
+        return self._server_pool.views.named_rate_limits
+
     def configure(self, *, health_path, registered):
         """Update the set of servers; see ServerPool.configure()."""
         self._server_pool.configure(
@@ -94,16 +89,10 @@
         Returns:
           Grant, which must be released, or messages.Rejection.
         """
-        service_time = self._server_pool.service_times.service_time(route)
-        now = self._clock()
-        self._arrivals.record(now)
-        if not placement.is_late(request, service_time=service_time, now=now):
-            self._on_time_arrivals.record(now)
-        rejection = self._check_stopping(
-            request, route, now
-        ) or self._check_admission(request, service_time, now)
+        rejection = self._admission.check_arrival(request, route)
         if rejection is not None:
             return rejection
+        service_time = self._server_pool.service_times.service_time(route)
         waiter = event.Event()
         self._queue.add(waiter, request, service_time)
         try:
@@ -135,11 +124,6 @@
         )
         self._wake_head()
 
-    @property
-    def named_rate_limits(self):
-        """Dict from instance to the limit that it named to this node."""
-        return self._server_pool.views.named_rate_limits
-
     def on_stopping(self):
         """Check the queued requests again, since this node began to stop."""
         for waiter in self._queue:
@@ -174,13 +158,13 @@
             if at_head:
                 grant = self._try_grant(request, service_time)
                 if grant is not None:
-                    self._record_dispatch(request, service_time)
+                    self._admission.record_dispatch(request, route)
                     return grant
                 timeout = poll_interval
             else:
                 if was_at_head:
                     self._wake_head()
-                timeout = self._time_to_check(request, route, now)
+                timeout = self._admission.time_to_check(request, route)
             was_at_head = at_head
             waiter.wait(timeout=timeout)
             waiter.clear()
@@ -189,133 +173,12 @@
                 late,
                 placement.is_late(request, service_time=service_time, now=now),
             )
-            rejection = self._check_stopping(
-                request, route, now
-            ) or self._check_still_admissible(
-                request, service_time, now, became_late=late and not was_late
+            rejection = self._admission.check_queued(
+                request, route, became_late=late and not was_late
             )
             if rejection is not None:
                 return rejection
 
-    def _time_to_check(self, request, route, now):
-        """Return the seconds until the admission has to be checked again."""
-        service_times = self._server_pool.service_times
-        check_time = min(
-            self._latest_start(request, route),
-            placement.next_check_time(
-                request,
-                service_time=service_times.service_time(route),
-                now=now,
-            ),
-        )
-        return max(0.0, check_time - now) + _CHECK_MARGIN_S
-
-    def _latest_start(self, request, route):
-        return placement.latest_start(
-            request,
-            longest_latency=self._server_pool.service_times.longest_latency(
-                route
-            ),
-            stop_deadline=self._stop_deadline(),
-        )
-
-    def _check_stopping(self, request, route, now):
-        """Return the Rejection of a request that this node cannot finish."""
-        if now <= self._latest_start(request, route):
-            return None
-        return messages.Rejection(
-            problem=core.problems.STOPPING,
-            retry_after=_STOPPING_RETRY_S * self._rng.uniform(0.5, 1.5),
-        )
-
-    def _record_dispatch(self, request, service_time):
-        now = self._clock()
-        if placement.is_late(request, service_time=service_time, now=now):
-            self._late_rate.record(now)
-
-    def _check_admission(self, request, service_time, now):
-        """Return the Rejection of a new request, None to admit it."""
-        if not self._server_pool.views.has_usable:
-            return self._reject_no_server()
-        wait = (
-            self._server_pool.views.time_to_next_send
-            + placement.expected_wait(
-                ahead=self._queue.count_ahead(request, service_time, now),
-                service_time=service_time,
-                slowdown=self._server_pool.service_times.mean_slowdown,
-                slots=self._server_pool.usable_slots(service_time),
-            )
-        )
-        if placement.should_reject(
-            request, wait=wait, service_time=service_time, now=now
-        ):
-            return self._reject_overload(request, wait, service_time, now)
-        return self._check_late_admission(request, service_time, now)
-
-    def _check_late_admission(self, request, service_time, now):
-        """Return the Rejection of a late request, None to keep it.
-
-        Late requests, which miss their target latency anyway, only get the
-        throughput that the on-time ones leave.
-        """
-        if not placement.is_late(request, service_time=service_time, now=now):
-            return None
-        spare = placement.spare_throughput(
-            slots=self._server_pool.usable_slots(service_time),
-            service_time=service_time,
-            slowdown=self._server_pool.service_times.mean_slowdown,
-            arrival_rate=self._on_time_arrivals.per_second(now),
-        )
-        wait = (
-            self._server_pool.views.time_to_next_send
-            + placement.expected_late_wait(
-                ahead=self._queue.count_late(now),
-                rate=max(spare, self._late_rate.per_second(now)),
-            )
-        )
-        if placement.should_reject_late(request, wait=wait, now=now):
-            return self._reject_overload(request, wait, service_time, now)
-        return None
-
-    def _check_still_admissible(
-        self, request, service_time, now, *, became_late
-    ):
-        """Return the Rejection of a queued request, None to keep it.
-
-        A request that became late is admitted again, now as a late one.
-        """
-        if not self._server_pool.views.has_usable:
-            return self._reject_no_server()
-        wait = self._server_pool.views.time_to_next_send
-        if placement.should_reject(
-            request, wait=wait, service_time=service_time, now=now
-        ):
-            return self._reject_overload(
-                request, max(wait, service_time), service_time, now
-            )
-        if became_late:
-            return self._check_late_admission(request, service_time, now)
-        return None
-
-    def _reject_no_server(self):
-        return messages.Rejection(
-            problem=core.problems.NO_SERVER,
-            retry_after=_NO_SERVER_RETRY_S * self._rng.uniform(0.5, 1.5),
-        )
-
-    def _reject_overload(self, request, wait, service_time, now):
-        return messages.Rejection(
-            problem=core.problems.DEADLINE_TOO_SHORT,
-            retry_after=placement.retry_after(wait=wait, rng=self._rng),
-            detail=(
-                f"expected wait {wait * 1000:.0f} ms, service time"
-                f" {service_time * 1000:.0f} ms, time to deadline"
-                f" {(request.deadline - now) * 1000:.0f} ms, time to target"
-                f" {(request.target_time - now) * 1000:.0f} ms,"
-                f" {len(self._queue)} queued"
-            ),
-        )
-
     def _local_utilization(self):
         """Return the utilization of the slots, 1.0 if requests are queued.
 
@@ -331,9 +194,7 @@
         Returns:
           Grant, None if the request has to wait.
         """
-        max_probes = placement.probe_count(
-            self._arrivals.per_second(self._clock())
-        )
+        max_probes = placement.probe_count(self._admission.arrival_rate)
         pick = self._probe_and_choose(
             request, service_time, max_probes, remote=False
         )
