Spread the Retry-After of long waits

Callers that were rejected with an expected wait above four seconds were all told to come back after exactly two seconds, together: the bound was applied after the jitter. It is now applied to the mean. Both new cases failed before.

--- a/wigeonrouter/placement/_admission.py
+++ b/wigeonrouter/placement/_admission.py
@@ -16,6 +16,8 @@
 # Bounds of the retry delay that rejected callers are given.
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
+_MIN_JITTER = 0.5
+_MAX_JITTER = 1.5
 _RATE_WINDOW_S = 1.0
 # Shorter periods since the first event give no usable rate, so at least this
 # much time is assumed.
@@ -157,5 +159,6 @@
       wait: expected seconds in the queue.
       rng: random.Random.
     """
-    jitter = rng.uniform(0.5, 1.5)
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait * jitter))
+    mean = min(wait, MAX_RETRY_AFTER_S / _MAX_JITTER)
+    jitter = rng.uniform(_MIN_JITTER, _MAX_JITTER)
+    return max(MIN_RETRY_AFTER_S, mean * jitter)
--- a/wigeonrouter/placement/_admission_test.py
+++ b/wigeonrouter/placement/_admission_test.py
@@ -1,7 +1,10 @@
 """Tests of expected waits and load shedding."""
 
+import math
 import random
 
+import pytest
+
 from wigeonrouter import placement
 
 SERVICE_TIME_S = 0.16
@@ -61,3 +64,12 @@
     times = [placement.retry_after(wait=0.8, rng=rng) for _ in range(100)]
     assert max(times) - min(times) > 0.6
     assert min(times) >= 0.05
+
+
+@pytest.mark.parametrize("wait", [5.0, math.inf])
+def test_long_waits_give_different_retry_delays_too(wait):
+    """Guards against callers that all come back after the longest delay."""
+    rng = random.Random(1)
+    times = [placement.retry_after(wait=wait, rng=rng) for _ in range(100)]
+    assert max(times) - min(times) > 0.6
+    assert max(times) <= 2.0
