Reject what servers with rate limits could only serve late

Callers of a service whose servers all named limits got most responses late: requests waited in the order of their target times until their deadline was in doubt, so each got its share of the limits when it was just too late.

If each server that a service prefers has a limit, a request that would have to wait until it misses its target time is treated as a late one on arrival, and late ones get what the limits leave beside the on-time ones.

Of the new tests, the one for the rejection on arrival failed before.

--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -152,7 +152,23 @@
             request, wait=wait, service_time=service_time, now=now
         ):
             return self._reject_overload(request, wait, service_time, now)
-        return self._check_late_admission(request, service_time, now)
+        if placement.is_late(
+            request, service_time=service_time, now=now
+        ) or self._will_miss_target(request, wait, service_time, now):
+            return self._check_late_admission(request, service_time, now)
+        return None
+
+    def _will_miss_target(self, request, wait, service_time, now):
+        """Return whether rate limits keep a request until it is late."""
+        if self._server_pool.limited_throughput is None:
+            return False
+        return placement.will_miss_target(
+            request,
+            wait=wait,
+            latency=service_time
+            * self._server_pool.service_times.mean_slowdown,
+            now=now,
+        )
 
     def _check_late_admission(self, request, service_time, now):
         """Return the Rejection of a late request, None to keep it.
@@ -160,25 +176,31 @@
         Late requests, which miss their target latency anyway, only get the
         throughput that the on-time ones leave.
         """
-        if not placement.is_late(request, service_time=service_time, now=now):
-            return None
-        spare = placement.spare_throughput(
-            slots=self._server_pool.usable_slots(service_time),
-            service_time=service_time,
-            slowdown=self._server_pool.service_times.mean_slowdown,
-            arrival_rate=self._on_time_arrivals.per_second(now),
-        )
         wait = (
             self._server_pool.views.time_to_next_send
             + placement.expected_late_wait(
                 ahead=self._queue.count_late(now),
-                rate=max(spare, self._late_rate.per_second(now)),
+                rate=self._late_throughput(service_time, now),
             )
         )
         if placement.should_reject_late(request, wait=wait, now=now):
             return self._reject_overload(request, wait, service_time, now)
         return None
 
+    def _late_throughput(self, service_time, now):
+        """Return how many late requests per second can be served."""
+        arrival_rate = self._on_time_arrivals.per_second(now)
+        throughput = self._server_pool.limited_throughput
+        if throughput is not None:
+            return throughput - arrival_rate
+        spare = placement.spare_throughput(
+            slots=self._server_pool.usable_slots(service_time),
+            service_time=service_time,
+            slowdown=self._server_pool.service_times.mean_slowdown,
+            arrival_rate=arrival_rate,
+        )
+        return max(spare, self._late_rate.per_second(now))
+
     def _check_still_admissible(
         self, request, service_time, now, *, became_late
     ):
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -96,6 +96,15 @@
             for view in self._preferred()
         )
 
+    @property
+    def limited_throughput(self):
+        """Requests per second that rate limits allow, None without limits.
+
+        Without limits means that any preferred server has none.
+        """
+        rates = [view.rate_limit for view in self._preferred()]
+        return None if None in rates else sum(rates)
+
     @property
     def utilization(self):
         """Expected load of the servers that are preferred, per slot."""
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -53,6 +53,7 @@
 late_dispatch_rate = _admission.late_dispatch_rate
 expected_late_wait = _admission.expected_late_wait
 should_reject_late = _admission.should_reject_late
+will_miss_target = _admission.will_miss_target
 should_reject = _admission.should_reject
 usable_slots = _estimate.usable_slots
 utility_of_waiting = _choice.utility_of_waiting
--- a/wigeonrouter/placement/_admission.py
+++ b/wigeonrouter/placement/_admission.py
@@ -107,9 +107,29 @@
       ahead: number of late requests that are served before it.
       rate: late requests per second that get a server.
     """
+    if rate <= 0.0:
+        return math.inf
     return ahead / rate
 
 
+def will_miss_target(request, *, wait, latency, now):
+    """Return whether a request would wait until it misses its target time.
+
+    Load pattern: all servers of a service name rate limits below the arrivals.
+    If requests waited in the order of their target times, each would get a
+    server when it is just too late. So only those wait that can get one in
+    time; the others are late ones already.
+
+    Args:
+      request: PendingRequest.
+      wait: expected seconds in the queue. A request that need not wait takes
+        nothing from another one.
+      latency: expected seconds from its sending to the response.
+      now: seconds on the monotonic clock.
+    """
+    return wait > 0.0 and now + wait + latency > request.target_time
+
+
 def should_reject(request, *, wait, service_time, now):
     """Return whether a request cannot be served before its deadline.
 
--- a/wigeonrouter/placement/_admission_test.py
+++ b/wigeonrouter/placement/_admission_test.py
@@ -73,3 +73,41 @@
     times = [placement.retry_after(wait=wait, rng=rng) for _ in range(100)]
     assert max(times) - min(times) > 0.6
     assert max(times) <= 2.0
+
+
+def test_arrivals_beyond_the_rate_limits_are_rejected_or_in_time(make_request):
+    """Guards against a queue in which each request waits until it is late."""
+    throughput, arrivals, latency = 8.4, 16.0, 0.28
+    rng, queue = random.Random(1), placement.RequestQueue()
+    requests, next_send = [], 100.0
+    sent = in_time = 0
+    for step in range(6000):
+        now = 100.0 + step / 100
+        if rng.random() < arrivals / 100:
+            request = make_request(
+                target_time=now - 100.0 + 0.4, deadline=now - 100.0 + 4.0
+            )
+            ahead = queue.count_ahead(request, SERVICE_TIME_S, now)
+            if not placement.will_miss_target(
+                request,
+                wait=max(0.0, next_send - now) + ahead / throughput,
+                latency=latency,
+                now=now,
+            ):
+                queue.add(len(requests), request, SERVICE_TIME_S)
+                requests.append(request)
+        if now >= next_send and len(queue):
+            entry = queue.head(now)[0]
+            queue.remove(entry)
+            next_send = now + 1 / throughput
+            sent += 1
+            in_time += now + latency <= requests[entry].target_time + 0.01
+    assert sent >= 0.9 * throughput * 60
+    assert in_time >= 0.95 * sent
+
+
+def test_no_late_request_waits_for_throughput_that_is_not_there(make_request):
+    """Guards against late requests that take the limits of on-time ones."""
+    wait = placement.expected_late_wait(ahead=0, rate=0.0)
+    request = make_request(target_time=-0.1)
+    assert placement.should_reject_late(request, wait=wait, now=100.0)
