Track the nodes of a region for shares of limits in one place

A node kept the time at which it had last seen each host of its region for as long as it ran, also of hosts that had left for good. RegionHistory forgets them after ten minutes, and takes the bookkeeping out of RegionMember.

Tried and not taken: a home that has been it for long used a limit as soon as it was named, since its own requests of the last seconds are counted anyway.

--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -78,8 +78,7 @@
         # Dict from host to NodeState of the region's nodes.
         self._roster = {}
         self._peers = ()
-        # Dict from host to the time at which it was last a peer.
-        self._last_seen = {}
+        self._history = topology.RegionHistory()
         self._avoided_until = {}
         self._state_changed = event.Event()
         self._leaving = False
@@ -108,11 +107,9 @@
         """Return the share of its servers' rate limits this node may use."""
         if not self._is_ready():
             return 0.0
-        return topology.limit_share(
+        return self._history.limit_share(
             service=service,
             own_host=self._settings.host,
-            peers=self._peers,
-            last_seen=self._last_seen,
             now=self._clock(),
         )
 
@@ -428,11 +425,9 @@
         return {self._settings.host: self._own_state()}
 
     def _on_roster(self, roster):
-        now = self._clock()
-        # The nodes of the last roster were peers until now.
-        self._last_seen.update(dict.fromkeys((*self._roster, *roster), now))
         self._roster = roster
         self._peers = _roster.to_peers(roster)
+        self._history.update(self._peers, self._clock())
 
     def _apply(self, items, revision, complete):
         self._cluster_state.apply(self._feed.decode(items, complete=complete))
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -3,6 +3,7 @@
 from wigeonrouter.topology import _directory
 from wigeonrouter.topology import _records
 from wigeonrouter.topology import _region
+from wigeonrouter.topology import _region_history
 from wigeonrouter.topology import _routing
 
 Bounds = _records.Bounds
@@ -30,10 +31,10 @@
 RouteTable = _routing.RouteTable
 CallerTimeoutLearned = _records.CallerTimeoutLearned
 HubAction = _region.HubAction
+RegionHistory = _region_history.RegionHistory
 
 candidate_order = _region.candidate_order
 decide_role = _region.decide_role
 home_nodes = _region.home_nodes
-limit_share = _region.limit_share
 should_check_store = _region.should_check_store
 should_step_down = _region.should_step_down
--- a/wigeonrouter/topology/_region.py
+++ b/wigeonrouter/topology/_region.py
@@ -13,8 +13,6 @@
 # Followers of a region that check the store at a time, by their place among
 # the candidates for the hub, and as many others at random.
 _STORE_CHECKERS = 2
-# A node that is no peer for longer is not in another part of the region.
-_ABSENCE_S = 600.0
 
 
 class RoleKind(enum.Enum):
@@ -189,33 +187,3 @@
     ]
     order = core.rendezvous_order(f"home of {service}", large_hosts)
     return tuple(ready[host] for host in order[:count])
-
-
-def limit_share(*, service, own_host, peers, last_seen, now):
-    """Return the share of rate limits that a node may use of a service.
-
-    A backend server's limit holds for all nodes together. Only the home of
-    its service uses the server. In a partition each part of the region has a
-    home, so a home uses the share of the limit that its part has of all nodes
-    that were seen lately.
-
-    Args:
-      service: name of the service.
-      own_host: host of the node.
-      peers: iterable of Peer of the region.
-      last_seen: dict from host to the time at which it was last a peer,
-        seconds on the monotonic clock.
-      now: seconds on the monotonic clock.
-    Returns:
-      A number from 0 to 1, 0 if the node is not the home.
-    """
-    homes = home_nodes(service=service, peers=peers, count=1)
-    if not homes or homes[0].host != own_host:
-        return 0.0
-    live_hosts = {peer.host for peer in peers}
-    recent_hosts = {
-        host
-        for host, seen_at in last_seen.items()
-        if now - seen_at <= _ABSENCE_S
-    }
-    return len(live_hosts) / len(live_hosts | recent_hosts)
--- /dev/null
+++ b/wigeonrouter/topology/_region_history.py
@@ -0,0 +1,54 @@
+"""Remembers the nodes of a region, to divide what holds for all of them.
+
+A backend server's rate limit holds for all nodes together, and only the home
+of its service uses the server. In a partition each part of the region has a
+home, so a home uses the share of the limit that its part has of all nodes that
+were seen lately.
+"""
+
+from wigeonrouter.topology import _region
+
+# A node that is no peer for longer is not in another part of the region.
+_ABSENCE_S = 600.0
+
+
+class RegionHistory:
+    """Remembers which nodes were in the region of a node.
+
+    All times are seconds on the monotonic clock.
+    """
+
+    def __init__(self):
+        self._peers = ()
+        self._last_seen = {}
+
+    def update(self, peers, now):
+        """Record the present Peers of the region."""
+        # The nodes of the last update were peers until now.
+        hosts = [peer.host for peer in (*self._peers, *peers)]
+        self._last_seen = self._seen_lately(now) | dict.fromkeys(hosts, now)
+        self._peers = tuple(peers)
+
+    def limit_share(self, *, service, own_host, now):
+        """Return the share of rate limits that a node may use of a service.
+
+        Args:
+          service: name of the service.
+          own_host: host of the node.
+          now: the present time.
+        Returns:
+          A number from 0 to 1, 0 if the node is not the home.
+        """
+        homes = _region.home_nodes(service=service, peers=self._peers, count=1)
+        if not homes or homes[0].host != own_host:
+            return 0.0
+        live_hosts = {peer.host for peer in self._peers}
+        known_hosts = live_hosts | self._seen_lately(now).keys()
+        return len(live_hosts) / len(known_hosts)
+
+    def _seen_lately(self, now):
+        return {
+            host: seen_at
+            for host, seen_at in self._last_seen.items()
+            if now - seen_at <= _ABSENCE_S
+        }
--- /dev/null
+++ b/wigeonrouter/topology/_region_history_test.py
@@ -0,0 +1,54 @@
+"""Tests of how the nodes of a region divide rate limits."""
+
+import pytest
+
+from wigeonrouter import topology
+from wigeonrouter.topology import conftest
+
+HOSTS = tuple(f"host-{number}" for number in range(20))
+SERVICE = "reads"
+
+
+@pytest.fixture
+def make_history():
+    """Return a function that makes the RegionHistory of a node.
+
+    Args:
+      updates: (time in seconds, hosts of the ready nodes) of each update.
+    """
+
+    def make(*updates):
+        history = topology.RegionHistory()
+        for now, hosts in updates:
+            history.update([conftest.peer(host) for host in hosts], now)
+        return history
+
+    return make
+
+
+def _shares(history, hosts, *, now=1000.0):
+    return [
+        history.limit_share(service=SERVICE, own_host=host, now=now)
+        for host in hosts
+    ]
+
+
+def test_one_node_uses_the_whole_limit_of_a_server(make_history):
+    """Guards against a limit that several nodes or none use."""
+    shares = _shares(make_history((0.0, HOSTS)), HOSTS)
+    assert sorted(shares) == [0.0] * 19 + [1.0]
+
+
+def test_homes_of_two_parts_of_a_region_use_one_limit_together(make_history):
+    """Guards against two homes in a partition that each use all of it."""
+    total = 0.0
+    for part in (HOSTS[:7], HOSTS[7:]):
+        history = make_history((0.0, HOSTS), (990.0, part))
+        total += sum(_shares(history, part))
+    assert total == pytest.approx(1.0)
+
+
+def test_node_that_left_long_ago_reserves_no_share(make_history):
+    """Guards against limits that shrink with each replaced node."""
+    history = make_history((0.0, ("host-0", "host-1")), (300.0, ("host-0",)))
+    assert _shares(history, ["host-0"], now=1000.0) == [1.0]
--- a/wigeonrouter/topology/_region_test.py
+++ b/wigeonrouter/topology/_region_test.py
@@ -6,10 +6,12 @@
 import pytest
 
 from wigeonrouter import topology
+from wigeonrouter.topology import conftest
 
 Kind = topology.RoleKind
 HubAction = topology.HubAction
 ORDER = ["a", "b", "c"]
+peer = conftest.peer
 
 
 def role(kind, hub="", store_reachable=True):
@@ -87,16 +89,6 @@
     )
 
 
-def peer(host, *, ready=True, capacity=1000):
-    return topology.Peer(
-        host=host,
-        caller_address=f"{host}:80",
-        failure_domain="za",
-        ready=ready,
-        capacity=capacity,
-    )
-
-
 def test_homes_are_ready_and_of_large_capacity():
     """Guards against sending a region's callers to its smallest VM."""
     peers = [
@@ -153,39 +145,3 @@
         topology.should_check_store(own_host=host, order=order, rng=rng)
         for host in order
     )
-
-
-def _limit_share(own_host, hosts, *, last_seen, now=1000.0):
-    return topology.limit_share(
-        service="reads",
-        own_host=own_host,
-        peers=[peer(host) for host in hosts],
-        last_seen=last_seen,
-        now=now,
-    )
-
-
-def test_one_node_uses_the_whole_limit_of_a_server():
-    """Guards against a limit that several nodes or none use."""
-    hosts = [f"host-{number}" for number in range(20)]
-    shares = [_limit_share(host, hosts, last_seen={}) for host in hosts]
-    assert sorted(shares) == [0.0] * 19 + [1.0]
-
-
-def test_homes_of_two_parts_of_a_region_use_one_limit_together():
-    """Guards against two homes in a partition that each use all of it."""
-    hosts = [f"host-{number}" for number in range(20)]
-    last_seen = dict.fromkeys(hosts, 990.0)
-    parts = hosts[:7], hosts[7:]
-    total = sum(
-        _limit_share(host, part, last_seen=last_seen)
-        for part in parts
-        for host in part
-    )
-    assert total == pytest.approx(1.0)
-
-
-def test_node_that_left_long_ago_reserves_no_share():
-    """Guards against limits that shrink with each replaced node."""
-    last_seen = {"host-0": 1000.0, "host-1": 300.0}
-    assert _limit_share("host-0", ["host-0"], last_seen=last_seen) == 1.0
