Expose how many servers of each service name a rate limit

Operators could see limits only in the log of each node. What was a tuple for each service is now a record with names.

--- a/wigeonrouter/daemon/_daemon.py
+++ b/wigeonrouter/daemon/_daemon.py
@@ -298,10 +298,12 @@
                 ready=self.ready,
                 members=observability.count_states(self.table.members),
                 services=tuple(
-                    (
-                        name,
-                        dispatcher.queue_length,
-                        sum(view.in_flight for view in dispatcher.views),
+                    observability.ServiceGauges(
+                        service=name,
+                        queue_length=dispatcher.queue_length,
+                        in_flight=sum(
+                            view.in_flight for view in dispatcher.views
+                        ),
                     )
                     for name, dispatcher in self._handler.dispatchers.items()
                 ),
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -73,6 +73,11 @@
         """Dict from instance to the limit that it named to this node."""
         return self._server_pool.views.named_rate_limits
 
+    @property
+    def limited_servers(self):
+        """Number of servers that name a rate limit, as far as is known."""
+        return self._server_pool.views.limited_count
+
     def configure(self, *, health_path, registered):
         """Update the set of servers; see ServerPool.configure()."""
         self._server_pool.configure(
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -286,7 +286,12 @@
                 "not ready": len(self._region_member.peers) - ready,
             },
             services=tuple(
-                (name, balancer.queue_length, balancer.in_flight)
+                observability.ServiceGauges(
+                    service=name,
+                    queue_length=balancer.queue_length,
+                    in_flight=balancer.in_flight,
+                    limited_servers=balancer.limited_servers,
+                )
                 for name, balancer in sorted(self._balancers.items())
             ),
             unanswered_requests=self._caller_server.requests_in_progress,
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -102,8 +102,10 @@
 
         Without limits means that any preferred server has none.
         """
-        rates = [view.rate_limit for view in self._preferred()]
-        return None if None in rates else sum(rates)
+        views = self._preferred()
+        if any(view.rate_limit is None for view in views):
+            return None
+        return sum(view.rate_limit for view in views)
 
     @property
     def utilization(self):
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -58,6 +58,11 @@
         """Dict from instance to the limit that it named to this node."""
         return self._rate_limits.named(self._clock())
 
+    @property
+    def limited_count(self):
+        """Number of servers with a rate limit that this node knows."""
+        return len(self._rate_limits.limited)
+
     @property
     def time_to_next_send(self):
         """Seconds until the rate limit of some server allows a request."""
--- a/wigeonrouter/observability/__init__.py
+++ b/wigeonrouter/observability/__init__.py
@@ -17,6 +17,7 @@
     "LogOutput": ("_logs", "LogOutput"),
     "METRICS_CONTENT_TYPE": ("_exposition", "CONTENT_TYPE"),
     "RequestLog": ("_logs", "RequestLog"),
+    "ServiceGauges": ("_exposition", "ServiceGauges"),
     "count_states": ("_exposition", "count_states"),
     "expose": ("_exposition", "expose"),
     "logger": ("_logs", "logger"),
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -12,6 +12,22 @@
 _SERIES_LABELS = ("service", "kind", "tenant")
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceGauges:
+    """Values of one service at the time of a scrape.
+
+    Attributes:
+      queue_length: requests that wait for a slot.
+      in_flight: requests at backend servers.
+      limited_servers: backend servers that name a rate limit.
+    """
+
+    service: str
+    queue_length: int
+    in_flight: int
+    limited_servers: int = 0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Gauges:
     """Values of a daemon at the time of a scrape.
@@ -20,7 +36,7 @@
       revision: configuration revision that is applied.
       ready: whether callers may be sent to the daemon.
       members: dict from member state to number of daemons.
-      services: iterable of (service, queue length, requests in flight).
+      services: tuple of ServiceGauges.
       unanswered_requests: requests of callers without a response yet.
       events: dict from the name of a log event to its count since the start.
       dropped: log lines that were not written since the start.
@@ -79,22 +95,36 @@
     for state, count in sorted(gauges.members.items()):
         members.add_metric((state,), count)
     yield members
-    queue = prometheus_core.GaugeMetricFamily(
-        "wigeonrouter_queue_length", "Waiting requests", labels=("service",)
-    )
-    in_flight = prometheus_core.GaugeMetricFamily(
-        "wigeonrouter_in_flight",
-        "Requests at backend servers",
-        labels=("service",),
-    )
-    for service, length, requests_in_flight in gauges.services:
-        queue.add_metric((service,), length)
-        in_flight.add_metric((service,), requests_in_flight)
-    yield queue
-    yield in_flight
+    yield from _collect_services(gauges.services)
     yield from _collect_events(gauges)
 
 
+def _collect_services(services):
+    for name, text, value_of in (
+        (
+            "queue_length",
+            "Waiting requests",
+            lambda gauges: gauges.queue_length,
+        ),
+        (
+            "in_flight",
+            "Requests at backend servers",
+            lambda gauges: gauges.in_flight,
+        ),
+        (
+            "limited_servers",
+            "Backend servers that name a rate limit",
+            lambda gauges: gauges.limited_servers,
+        ),
+    ):
+        family = prometheus_core.GaugeMetricFamily(
+            f"wigeonrouter_{name}", text, labels=("service",)
+        )
+        for gauges in services:
+            family.add_metric((gauges.service,), value_of(gauges))
+        yield family
+
+
 def _collect_events(gauges):
     events = prometheus_core.CounterMetricFamily(
         "wigeonrouter_events",
--- a/wigeonrouter/observability/_metrics_test.py
+++ b/wigeonrouter/observability/_metrics_test.py
@@ -84,7 +84,14 @@
             revision=7,
             ready=True,
             members={"alive": 3},
-            services=(("/a", 2, 4),),
+            services=(
+                observability.ServiceGauges(
+                    service="/a",
+                    queue_length=2,
+                    in_flight=4,
+                    limited_servers=3,
+                ),
+            ),
             unanswered_requests=1,
         ),
     ).decode()
@@ -95,6 +102,7 @@
     }
     assert samples["wigeonrouter_revision", None] == 7
     assert samples["wigeonrouter_queue_length", None] == 2
+    assert samples["wigeonrouter_limited_servers", None] == 3
     assert samples["wigeonrouter_in_flight", None] == 4
     assert samples["wigeonrouter_requests_total", 'x"\n\\y'] == 3
     assert samples["wigeonrouter_latency_seconds_count", 'x"\n\\y'] == 3
