Let a stopping server wait for the longest timeout

In a planned stop a request that was accepted with a timeout of 45 to 60 seconds could be cut off without a response: the server waited 45 s for the requests in progress, and settings allow timeouts of 60 s. The node ends by its stop grace and is not affected.

--- a/wigeonrouter/http1/__init__.py
+++ b/wigeonrouter/http1/__init__.py
@@ -23,6 +23,7 @@
 RequestNotSent = _pool.RequestNotSent
 RequestReader = _request_reader.RequestReader
 ResponseReader = _response_reader.ResponseReader
+STOP_TIMEOUT_S = _server.STOP_TIMEOUT_S
 TaskSocket = _sockets.TaskSocket
 
 read_response = _response_reader.read_response
--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -19,8 +19,8 @@
 
 MAX_CONNECTIONS = 10_000
 _LISTEN_BACKLOG = 1024
-# Longer than it takes to handle a request with the longest timeout.
-_STOP_TIMEOUT_S = 45.0
+# Longer than it takes to handle a request with the longest timeout, 60 s.
+STOP_TIMEOUT_S = 65.0
 _STOP_POLL_S = 0.02
 _EXPIRY_CHECK_INTERVAL_S = 0.5
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -99,12 +99,12 @@
     def stop(self):
         """Stop accepting, finish the requests that have arrived, then close.
 
-        Returns after _STOP_TIMEOUT_S at the latest.
+        Returns after STOP_TIMEOUT_S at the latest.
         """
         self._draining = True
         self._accept_backlog()
         self._server.close()
-        stop_deadline = time.monotonic() + _STOP_TIMEOUT_S
+        stop_deadline = time.monotonic() + STOP_TIMEOUT_S
         for connection in list(self._waiting):
             connection.expire_if_idle()
         while self._connections and time.monotonic() < stop_deadline:
