--- a/wigeonrouter/placement/_rate_limits_test.py
+++ b/wigeonrouter/placement/_rate_limits_test.py
@@ -2,6 +2,8 @@
 
 import math
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from wigeonrouter import placement
@@ -128,6 +130,38 @@
     assert busiest_window(old.sent + new.sent) <= 1.5 * LIMIT_PER_S * WINDOW_S
 
 
+@hypothesis.settings(deadline=None, max_examples=60)
+@hypothesis.given(
+    limit=strategies.sampled_from([0.3, 1.4, 7.0, 40.0]),
+    terms=strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 3), strategies.integers(1, 300)
+        ),
+        max_size=12,
+    ),
+)
+def test_any_series_of_hand_overs_keeps_the_limit(limit, terms):
+    """Guards against senders that each use the limit in their short term.
+
+    A term is a node and the number of steps for which it is the sender.
+    """
+    nodes = [Sender(share=0.0) for _ in range(4)]
+    now = 0.0
+    for node in nodes:
+        node.limits.record_peer_limits({"server": limit}, now)
+    for number, duration in terms:
+        node = nodes[number]
+        node.limits.set_share(1.0, now)
+        for now in steps(now, now + duration * STEP_S):
+            node.send_if_allowed(now)
+        for other in nodes:
+            other.limits.set_share(0.0, now)
+            other.limits.record_peer_limits({"server": limit}, now)
+    times = sorted(at for node in nodes for at in node.sent)
+    if times:
+        assert busiest_window(times) <= 1.5 * limit * WINDOW_S + 5
+
+
 def test_senders_of_two_parts_of_a_region_share_the_limit():
     """Guards against a partition in which both parts use the whole limit."""
     parts = [Sender(share=0.35, now=-100.0), Sender(share=0.65, now=-100.0)]
--- a/wigeonrouter/platform/_rate_limit_test.py
+++ b/wigeonrouter/platform/_rate_limit_test.py
@@ -113,3 +113,48 @@
     assert all("retry-after" in r.headers for r in rejected)
     rejected.sort(key=lambda response: response.seconds)
     assert rejected[len(rejected) // 2].seconds < _IMMEDIATE_S
+
+
+def _home_of(region):
+    """Return the node that the directory names."""
+    directory = conftest.Caller(address=region[0].settings.directory_address)
+    body = directory.send(f"/api/resolve?name={conftest.HOST}&region=r1").body
+    return next(
+        node
+        for node in region
+        if str(node.settings.caller_address).encode() in body
+    )
+
+
+def test_limit_holds_while_its_home_is_killed_and_replaced(
+    region, limited_server, traffic
+):
+    """Guards against two homes that each use a limit, and against none."""
+    traffic(conftest.callers_of(region))
+    named_at = time.monotonic()
+    limited_server.rate_limit = _LIMIT_PER_S
+    gevent.sleep(5.0)
+    _home_of(region).kill()
+    killed_at = time.monotonic()
+    gevent.sleep(9.0)
+    assert busiest_window(limited_server, named_at) <= allowed_requests(
+        _LIMIT_PER_S
+    )
+    assert any(at > killed_at for at, _ in limited_server.arrivals)
+
+
+def test_all_nodes_use_a_server_again_after_its_limit(
+    region, limited_server, traffic
+):
+    """Guards against a limit that outlasts the need of the server."""
+    limited_server.rate_limit = _LIMIT_PER_S
+    responses = traffic(conftest.callers_of(region))
+    gevent.sleep(6.0)
+    limited_server.rate_limit = None
+    ended_at = time.monotonic()
+    wait_until(
+        lambda: sum(at > ended_at for at, _ in limited_server.arrivals) > 40
+    )
+    del responses[:]
+    gevent.sleep(1.0)
+    assert {response.status for response in responses} == {200}
