--- a/wigeonrouter/node/_admission_controller_test.py
+++ b/wigeonrouter/node/_admission_controller_test.py
@@ -19,19 +19,13 @@
 
 
 @pytest.fixture
-def server_pool(make_server_pool, make_known_server, now):
+def server_pool(make_server_pool, make_known_server, make_metadata, now):
     """Return a ServerPool whose only server names a limit."""
     pool = make_server_pool(clock=lambda: now[0])
     pool.configure(health_path="/health", registered=[make_known_server("a")])
-    metadata = messages.ResponseMetadata(
-        request_id="",
-        instance="",
-        not_executed=False,
-        misdirected=False,
-        load=None,
-        rate_limit=LIMIT_PER_S,
+    pool.views.record_rate_limit(
+        "a", make_metadata(rate_limit=LIMIT_PER_S), from_probe=False
     )
-    pool.views.record_rate_limit("a", metadata, from_probe=False)
     now[0] += 10.0
     pool.views.refresh_rate_limits({})
     return pool
--- a/wigeonrouter/node/_server_views_test.py
+++ b/wigeonrouter/node/_server_views_test.py
@@ -6,7 +6,6 @@
 from wigeonrouter import placement
 from wigeonrouter.node import _prober
 from wigeonrouter.node import conftest
-from wigeonrouter.node import messages
 
 LIMIT_PER_S = 1.5
 
@@ -38,33 +37,53 @@
     return pool
 
 
-def _metadata(**changes):
-    return messages.ResponseMetadata(
-        **{
-            "request_id": "",
-            "instance": "",
-            "not_executed": False,
-            "misdirected": False,
-            "load": None,
-            "rate_limit": LIMIT_PER_S,
-        }
-        | changes
-    )
+@pytest.fixture
+def probe_server(make_server_pool, make_known_server, make_metadata):
+    """Return a function that probes a server that names a limit.
+
+    Args:
+      instance_matches: whether the probed server responds, and not another
+        one at its address.
+    Returns:
+      The ServerPool.
+    """
+
+    def probe(*, instance_matches):
+        result = _prober.ProbeResult(
+            healthy=True,
+            instance_matches=instance_matches,
+            metadata=make_metadata(rate_limit=LIMIT_PER_S),
+            round_trip=0.001,
+        )
+        pool = make_server_pool(prober=conftest.AnsweringProber(result))
+        pool.configure(
+            health_path="/health", registered=[make_known_server("near")]
+        )
+        pool.probe(pool.views.local, remote=False)
+        return pool
+
+    return probe
 
 
-def _name_limit(server_pool, instance, **changes):
-    server_pool.views.record_rate_limit(
-        instance, _metadata(**changes), from_probe=False
-    )
+@pytest.fixture
+def name_limit(server_pool, make_metadata):
+    """Return a function by which a server names a limit, None for none."""
+
+    def name(instance, limit=LIMIT_PER_S):
+        server_pool.views.record_rate_limit(
+            instance, make_metadata(rate_limit=limit), from_probe=False
+        )
+
+    return name
 
 
 def _pick(server_pool, instance):
     return placement.Pick(view=server_pool.views.get(instance))
 
 
-def test_home_uses_a_limited_server_at_its_rate(server_pool):
+def test_home_uses_a_limited_server_at_its_rate(server_pool, name_limit):
     """Guards against a home that does not use a server with a limit."""
-    _name_limit(server_pool, "near")
+    name_limit("near")
     view = server_pool.views.get("near")
     assert [view] == server_pool.views.local
     assert view.rate_limit == LIMIT_PER_S
@@ -72,18 +91,22 @@
     assert server_pool.grant(_pick(server_pool, "near"), 0.1) is None
 
 
-def test_other_nodes_do_not_use_a_limited_server(server_pool, share):
+def test_other_nodes_do_not_use_a_limited_server(
+    server_pool, share, name_limit
+):
     """Guards against a limit that each node keeps for itself."""
     share[0] = 0.0
-    _name_limit(server_pool, "near")
+    name_limit("near")
     assert server_pool.views.local == []
-    _name_limit(server_pool, "far")
+    name_limit("far")
     assert not server_pool.views.has_usable
 
 
-def test_home_rarely_uses_a_limited_server_of_another_region(server_pool, now):
+def test_home_rarely_uses_a_limited_server_of_another_region(
+    server_pool, now, name_limit
+):
     """Guards against a home in each region that uses the whole limit."""
-    _name_limit(server_pool, "far")
+    name_limit("far")
     grants = 0
     for _ in range(30):
         now[0] += 1.0
@@ -92,9 +115,11 @@
     assert 2 <= grants <= 3
 
 
-def test_former_home_stops_when_another_node_is_the_home(server_pool, share):
+def test_former_home_stops_when_another_node_is_the_home(
+    server_pool, share, name_limit
+):
     """Guards against two homes around a hand-over."""
-    _name_limit(server_pool, "near")
+    name_limit("near")
     share[0] = 0.0
     assert server_pool.grant(_pick(server_pool, "near"), 0.1) is None
     server_pool.views.refresh_rate_limits({})
@@ -102,17 +127,17 @@
 
 
 def test_new_home_waits_also_if_it_was_the_home_before(
-    server_pool, share, now
+    server_pool, share, now, name_limit
 ):
     """Guards against a home that does not know who was it meanwhile."""
-    _name_limit(server_pool, "near")
+    name_limit("near")
     now[0] += 10.0
-    _name_limit(server_pool, "near", rate_limit=None)
+    name_limit("near", None)
     share[0] = 0.0
     server_pool.views.refresh_rate_limits({})
     share[0] = 1.0
     now[0] += 10.0
-    _name_limit(server_pool, "near")
+    name_limit("near")
     assert server_pool.grant(_pick(server_pool, "near"), 0.1) is None
 
 
@@ -124,62 +149,40 @@
     assert not server_pool.views.named_rate_limits
 
 
-def test_server_pool_keeps_a_limit_that_a_probe_named(
-    make_server_pool, make_known_server
-):
+def test_server_pool_keeps_a_limit_that_a_probe_named(probe_server):
     """Guards against an update by a probe that undoes the limit it named."""
-    result = _prober.ProbeResult(
-        healthy=True,
-        instance_matches=True,
-        metadata=_metadata(),
-        round_trip=0.001,
-    )
-    pool = make_server_pool(
-        limit_share=lambda: 1.0, prober=conftest.AnsweringProber(result)
-    )
-    pool.configure(
-        health_path="/health", registered=[make_known_server("near")]
-    )
-    pool.probe(pool.views.local, remote=False)
+    pool = probe_server(instance_matches=True)
     assert pool.views.get("near").rate_limit == LIMIT_PER_S
 
 
-def test_limit_of_a_server_at_a_reused_address_is_not_taken(
-    make_server_pool, make_known_server
-):
+def test_limit_of_a_server_at_a_reused_address_is_not_taken(probe_server):
     """Guards against the limit of another server at the same address."""
-    result = _prober.ProbeResult(
-        healthy=True,
-        instance_matches=False,
-        metadata=_metadata(instance="other"),
-        round_trip=0.001,
-    )
-    pool = make_server_pool(
-        limit_share=lambda: 1.0, prober=conftest.AnsweringProber(result)
-    )
-    pool.configure(
-        health_path="/health", registered=[make_known_server("near")]
-    )
-    pool.probe(pool.views.local, remote=False)
+    pool = probe_server(instance_matches=False)
     assert pool.views.named_rate_limits == {}
 
 
-def test_limit_in_a_misdirected_response_is_not_taken(server_pool, route):
+def test_limit_in_a_misdirected_response_is_not_taken(
+    server_pool, route, make_metadata
+):
     """Guards against the limit of another server at the same address."""
     grant = server_pool.grant(_pick(server_pool, "near"), 0.1)
     server_pool.release(
         grant,
         route=route,
         outcome=placement.AttemptOutcome.REJECTED,
-        metadata=_metadata(not_executed=True, misdirected=True),
+        metadata=make_metadata(
+            not_executed=True, misdirected=True, rate_limit=LIMIT_PER_S
+        ),
         latency=0.01,
         timed_out=False,
     )
     assert server_pool.views.named_rate_limits == {}
 
 
-def test_remote_servers_count_if_all_local_ones_have_limits(server_pool):
+def test_remote_servers_count_if_all_local_ones_have_limits(
+    server_pool, name_limit
+):
     """Guards against rejections while servers of other regions are free."""
-    _name_limit(server_pool, "near")
+    name_limit("near")
     far = server_pool.views.get("far")
     assert server_pool.usable_slots(0.1) > far.slots
--- a/wigeonrouter/node/conftest.py
+++ b/wigeonrouter/node/conftest.py
@@ -10,6 +10,7 @@
 from wigeonrouter import topology
 from wigeonrouter.node import _balancer
 from wigeonrouter.node import _server_pool
+from wigeonrouter.node import messages
 
 _PLACE = core.Place(region="north", failure_domain="north-a")
 
@@ -63,6 +64,25 @@
     return make
 
 
+@pytest.fixture
+def make_metadata():
+    """Return a function that makes a messages.ResponseMetadata."""
+
+    def make(**changes):
+        return messages.ResponseMetadata(
+            **{
+                "request_id": "",
+                "instance": "",
+                "not_executed": False,
+                "misdirected": False,
+                "load": None,
+            }
+            | changes
+        )
+
+    return make
+
+
 @pytest.fixture
 def make_known_server():
     """Return a function that makes a topology.KnownServer in the region."""
--- a/wigeonrouter/placement/_rate_limits_test.py
+++ b/wigeonrouter/placement/_rate_limits_test.py
@@ -150,10 +150,11 @@
     for node in nodes:
         node.limits.record_peer_limits({"server": limit}, now)
     for number, duration in terms:
-        node = nodes[number]
+        node, end = nodes[number], now + duration * STEP_S
         node.limits.set_share(1.0, now)
-        for now in steps(now, now + duration * STEP_S):
-            node.send_if_allowed(now)
+        for moment in steps(now, end):
+            node.send_if_allowed(moment)
+        now = end
         for other in nodes:
             other.limits.set_share(0.0, now)
             other.limits.record_peer_limits({"server": limit}, now)
