Let backend servers name rate limits in the soak test

The new check sums what a server got from all undisturbed nodes. Arrivals at servers are records in place of tuples.

--- a/wigeonrouter/soak/_checks.py
+++ b/wigeonrouter/soak/_checks.py
@@ -28,6 +28,11 @@
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10.0
 RETRY_SLACK_COUNT = 20
+# A server that names a rate limit gets at most this factor of what the limit
+# allows in a window, and this number of requests in addition.
+LIMIT_FACTOR = 1.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_SLACK_COUNT = 5
 # A response is due at most this long after the timeout of its route.
 RESPONSE_SLACK_S = 0.5
 # A probe that misses a version counts as a rollback only if it was sent more
@@ -303,12 +308,12 @@
     seen_ids = set()
     retries = collections.defaultdict(list)
     first_attempts = collections.defaultdict(list)
-    for at, request_id, service in sorted(observations.arrivals):
-        if request_id in seen_ids:
-            retries[service].append(at)
+    for arrival in sorted(observations.arrivals, key=lambda a: a.at):
+        if arrival.request_id in seen_ids:
+            retries[arrival.service].append(arrival.at)
         else:
-            seen_ids.add(request_id)
-            first_attempts[service].append(at)
+            seen_ids.add(arrival.request_id)
+            first_attempts[arrival.service].append(arrival.at)
     for service, times in retries.items():
         for start in times:
             retries_in_window = sum(
@@ -329,6 +334,40 @@
                 break
 
 
+@check
+def named_limits_are_kept(observations):
+    """All undisturbed nodes together keep the limit that a server names.
+
+    A window counts from the settling time after the server began to name it.
+    """
+    nodes = {r.request_id: r.node for r in observations.requests}
+    by_instance = collections.defaultdict(list)
+    for arrival in sorted(observations.arrivals, key=lambda a: a.at):
+        by_instance[arrival.instance].append(arrival)
+    for period in observations.limit_periods:
+        allowed = (
+            LIMIT_FACTOR * period.per_second * LIMIT_WINDOW_S
+            + LIMIT_SLACK_COUNT
+        )
+        arrivals = by_instance[period.instance]
+        for end in [arrival.at for arrival in arrivals]:
+            if not period.began + SETTLING_TIME_S <= end <= period.ended:
+                continue
+            count = sum(
+                end - LIMIT_WINDOW_S < arrival.at <= end
+                and was_undisturbed(
+                    observations,
+                    nodes.get(arrival.request_id),
+                    period.began,
+                    end,
+                )
+                for arrival in arrivals
+            )
+            if count > allowed:
+                yield _violation("named limit", f"{period}: {count} at {end}")
+                break
+
+
 @check
 def processes_end_only_when_asked(observations):
     """A node only exits after SIGTERM, in time and with exit code 0.
--- a/wigeonrouter/soak/_checks_test.py
+++ b/wigeonrouter/soak/_checks_test.py
@@ -54,6 +54,13 @@
     return dataclasses.replace(execution, **changes)
 
 
+def make_arrival(at, request_id):
+    """Return the arrival of a request at i-1."""
+    return _records.Arrival(
+        at=at, request_id=request_id, instance="i-1", service="alpha"
+    )
+
+
 def make_probe(**changes):
     """Return a probe that found its version after the time bound."""
     probe = _records.Probe(
@@ -188,14 +195,40 @@
 
 def test_retries_beyond_the_budget_are_detected(observations):
     """Guards against a retry of every request while a service fails."""
-    observations.arrivals = [(t * 0.1, f"r{t}", "alpha") for t in range(100)]
+    observations.arrivals = [
+        make_arrival(t * 0.1, f"r{t}") for t in range(100)
+    ]
     assert "retry budget" not in violated_invariants(observations)
     observations.arrivals += [
-        (t * 0.1 + 0.05, f"r{t}", "alpha") for t in range(100)
+        make_arrival(t * 0.1 + 0.05, f"r{t}") for t in range(100)
     ]
     assert "retry budget" in violated_invariants(observations)
 
 
+@pytest.mark.parametrize(
+    ("first", "count", "violated"),
+    [(6.0, 12, True), (6.0, 11, False), (3.0, 12, False), (11.0, 12, False)],
+    ids=["beyond", "within", "before settling", "after its end"],
+)
+def test_requests_beyond_a_named_limit_are_detected(
+    observations, first, count, violated
+):
+    """Guards against a limit that the nodes do not keep together.
+
+    The server names one request a second from second 2 to second 10.
+    """
+    observations.arrivals = [
+        make_arrival(first + number / count, f"r{number}")
+        for number in range(count)
+    ]
+    observations.limit_periods = [
+        _records.LimitPeriod(
+            instance="i-1", per_second=1.0, began=2.0, ended=10.0
+        )
+    ]
+    assert ("named limit" in violated_invariants(observations)) == violated
+
+
 def test_requests_not_cancelled_after_disconnection_are_detected(observations):
     """Guards against cancellation that reaches too few backend servers."""
     left = make_request(end=End.LEFT, idempotent=True, reply=None)
--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -239,7 +239,12 @@
             for execution in server.runs
         )
         observations.arrivals.extend(
-            (at, request_id, backend.service)
+            _records.Arrival(
+                at=at,
+                request_id=request_id,
+                instance=backend.instance,
+                service=backend.service,
+            )
             for at, request_id in server.arrivals
         )
         for request_id, at in server.ended.items():
--- a/wigeonrouter/soak/_records.py
+++ b/wigeonrouter/soak/_records.py
@@ -56,6 +56,31 @@
     started: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Arrival:
+    """A request that reached a backend server, executed or not."""
+
+    at: float
+    request_id: str
+    instance: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LimitPeriod:
+    """A period in which a backend server named a rate limit.
+
+    Attributes:
+      instance: instance id of the backend server.
+      per_second: requests per second that it accepted from all nodes.
+    """
+
+    instance: str
+    per_second: float
+    began: float
+    ended: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Drain:
     """The drain of a backend server.
@@ -145,8 +170,7 @@
     """All observations of one soak run.
 
     Attributes:
-      arrivals: list of (time, request id, service), one for each request that
-        reached a backend server.
+      arrivals: list of Arrival.
       allowed_services: dict from a route name to the set of services that
         any version of the configuration routes it to.
       execution_ended_at: dict from (request id, instance) to the time at
@@ -158,6 +182,7 @@
     executions: list = dataclasses.field(default_factory=list)
     arrivals: list = dataclasses.field(default_factory=list)
     execution_ended_at: dict = dataclasses.field(default_factory=dict)
+    limit_periods: list = dataclasses.field(default_factory=list)
     drains: list = dataclasses.field(default_factory=list)
     probes: list = dataclasses.field(default_factory=list)
     exits: list = dataclasses.field(default_factory=list)
--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -13,6 +13,7 @@
 from wigeonrouter.soak import _environment
 from wigeonrouter.soak import _faults
 from wigeonrouter.soak import _fleet
+from wigeonrouter.soak import _limits
 from wigeonrouter.soak import _records
 
 _STARTUP_S = 3.0
@@ -110,7 +111,12 @@
         gevent.sleep(_STARTUP_S)
         tasks = _start_callers(environment, size, rng)
         tasks.append(gevent.spawn(environment.probe_configuration))
+        limits_task = gevent.spawn(
+            _limits.name_limits, environment, random.Random(f"limits {seed}")
+        )
+        tasks.append(limits_task)
         _inject_faults(environment, make_plan(seed, size))
+        limits_task.kill()
         observations.faults_over_at = time.monotonic()
         gevent.sleep(_RECOVERY_OBSERVATION_S)
     finally:
