Let servers name limits also while a soak run recovers

A node now counts if no fault affected it from the settling time before the window on, and a tenth of the servers names limits after the last fault.

--- a/wigeonrouter/soak/_checks.py
+++ b/wigeonrouter/soak/_checks.py
@@ -358,7 +358,7 @@
                 and was_undisturbed(
                     observations,
                     nodes.get(arrival.request_id),
-                    period.began,
+                    max(period.began, end - LIMIT_WINDOW_S),
                     end,
                 )
                 for arrival in arrivals
--- a/wigeonrouter/soak/_limits.py
+++ b/wigeonrouter/soak/_limits.py
@@ -13,15 +13,21 @@
 _DURATION_S = (4.0, 9.0)
 _GAP_S = (0.5, 3.0)
 # Shares of the active servers that name a limit at the same time.
-_SHARES = (0.1, 0.3, 1.0)
+SHARES = (0.1, 0.3, 1.0)
+# During recovery nearly all requests have to be served.
+SHARES_IN_RECOVERY = (0.1,)
 
 
-def name_limits(environment, rng):
-    """Let some servers name limits, again and again until it is killed."""
+def name_limits(environment, rng, shares):
+    """Let some servers name limits, again and again until it is killed.
+
+    Args:
+      shares: shares of the active servers to choose from.
+    """
     while True:
         gevent.sleep(rng.uniform(*_GAP_S))
         active = environment.active
-        count = max(1, round(len(active) * rng.choice(_SHARES)))
+        count = max(1, round(len(active) * rng.choice(shares)))
         backends = rng.sample(active, count)
         limit = rng.uniform(*_LIMIT_PER_S)
         in_probes = rng.choice((False, True))
--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -1,5 +1,6 @@
 """Executes one seeded run: a fleet, its callers, and a plan of faults."""
 
+import contextlib
 import dataclasses
 import os
 import random
@@ -111,14 +112,14 @@
         gevent.sleep(_STARTUP_S)
         tasks = _start_callers(environment, size, rng)
         tasks.append(gevent.spawn(environment.probe_configuration))
-        limits_task = gevent.spawn(
-            _limits.name_limits, environment, random.Random(f"limits {seed}")
-        )
-        tasks.append(limits_task)
-        _inject_faults(environment, make_plan(seed, size))
-        limits_task.kill()
+        limits_rng = random.Random(f"limits {seed}")
+        with _naming_limits(environment, limits_rng, _limits.SHARES):
+            _inject_faults(environment, make_plan(seed, size))
         observations.faults_over_at = time.monotonic()
-        gevent.sleep(_RECOVERY_OBSERVATION_S)
+        with _naming_limits(
+            environment, limits_rng, _limits.SHARES_IN_RECOVERY
+        ):
+            gevent.sleep(_RECOVERY_OBSERVATION_S)
     finally:
         gevent.killall(tasks)
         # Requests that are cut off by the end of the run are no violations.
@@ -133,6 +134,16 @@
     return observations, _checks.find_violations(observations)
 
 
+@contextlib.contextmanager
+def _naming_limits(environment, rng, shares):
+    """Let servers name rate limits in the body of the with statement."""
+    task = gevent.spawn(_limits.name_limits, environment, rng, shares)
+    try:
+        yield
+    finally:
+        task.kill()
+
+
 def _make_fleet(environment, size, directory):
     port_rng = random.Random(os.getpid())
     first_port = port_rng.randrange(*_PORT_RANGE, 1000)
