Do not reserve limits for nodes that left on purpose

After a planned stop or a smaller region, callers got less of a server's limit than it allowed for ten minutes: the home kept the part of the nodes that were gone, as if a partition hid them. A node that leaves is not ready before; such nodes no longer count. The new test failed before.

--- a/wigeonrouter/topology/_region_history.py
+++ b/wigeonrouter/topology/_region_history.py
@@ -24,9 +24,16 @@
 
     def update(self, peers, now):
         """Record the present Peers of the region."""
-        # The nodes of the last update were peers until now.
-        hosts = [peer.host for peer in (*self._peers, *peers)]
-        self._last_seen = self._seen_lately(now) | dict.fromkeys(hosts, now)
+        # The ready nodes of the last update were there until now. Nodes that
+        # are to leave are not ready before, so they are not missed.
+        present = {peer.host: peer.ready for peer in (*self._peers, *peers)}
+        last_seen = self._seen_lately(now)
+        for host, ready in present.items():
+            if ready:
+                last_seen[host] = now
+            else:
+                last_seen.pop(host, None)
+        self._last_seen = last_seen
         self._peers = tuple(peers)
 
     def limit_share(self, *, service, own_host, now):
@@ -42,7 +49,7 @@
         homes = _region.home_nodes(service=service, peers=self._peers, count=1)
         if not homes or homes[0].host != own_host:
             return 0.0
-        live_hosts = {peer.host for peer in self._peers}
+        live_hosts = {peer.host for peer in self._peers if peer.ready}
         known_hosts = live_hosts | self._seen_lately(now).keys()
         return len(live_hosts) / len(known_hosts)
 
--- a/wigeonrouter/topology/_region_history_test.py
+++ b/wigeonrouter/topology/_region_history_test.py
@@ -52,3 +52,12 @@
     """Guards against limits that shrink with each replaced node."""
     history = make_history((0.0, ("host-0", "host-1")), (300.0, ("host-0",)))
     assert _shares(history, ["host-0"], now=1000.0) == [1.0]
+
+
+def test_node_that_left_on_purpose_reserves_no_share(make_history):
+    """Guards against limits that are not used after a planned stop."""
+    history = make_history((0.0, ("host-0", "host-1")))
+    stopping = conftest.peer("host-1", ready=False)
+    history.update([conftest.peer("host-0"), stopping], 10.0)
+    history.update([conftest.peer("host-0")], 16.0)
+    assert _shares(history, ["host-0"], now=17.0) == [1.0]
