Keep a server's rate limit when it rejects a request without naming it

A server in need that was also full could get requests beyond its limit: the first rejection without the header ended the limit at all nodes until the next response named it. Only the response to an executed request ends it now. The new test failed before.

--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -167,6 +167,9 @@
         """
         if not metadata.rate_limit_valid or instance not in self._views:
             return
+        if metadata.rate_limit is None and metadata.not_executed:
+            # A server that rejects requests may well need its limit still.
+            return
         changed = self._rate_limits.record_response(
             instance,
             limit=metadata.rate_limit,
--- a/wigeonrouter/node/_server_views_test.py
+++ b/wigeonrouter/node/_server_views_test.py
@@ -161,6 +161,19 @@
     assert pool.views.named_rate_limits == {}
 
 
+def test_rejection_without_a_limit_does_not_end_it(
+    server_pool, name_limit, make_metadata, now
+):
+    """Guards against a full server that loses its limit by rejecting."""
+    name_limit("near")
+    now[0] += 10.0
+    for not_executed, limits in ((True, {"near": LIMIT_PER_S}), (False, {})):
+        server_pool.views.record_rate_limit(
+            "near", make_metadata(not_executed=not_executed), from_probe=False
+        )
+        assert server_pool.views.named_rate_limits == limits
+
+
 def test_limit_in_a_misdirected_response_is_not_taken(
     server_pool, route, make_metadata
 ):
