Tell the nodes of a region that a server's rate limit has ended

Callers with an entry other than the home were rejected with no-server for up to ten seconds after the servers had ended their limits, while these were free.

Cause: the other nodes kept a limit for ten seconds after a peer or the server last stated it, and nobody stated its end. The home now states in the roster for ten seconds that a limit has ended. It goes before what others were told earlier, and a later response goes before it.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -69,9 +69,9 @@
         return self._server_pool.in_flight
 
     @property
-    def named_rate_limits(self):
-        """Dict from instance to the limit that it named to this node."""
-        return self._server_pool.views.named_rate_limits
+    def rate_limit_statements(self):
+        """What servers said about their limits; see ServerViews."""
+        return self._server_pool.views.rate_limit_statements
 
     @property
     def limited_servers(self):
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -94,7 +94,7 @@
             feed=feed,
             cluster_state=self._cluster_state,
             is_ready=lambda: self.ready,
-            named_rate_limits=self._named_rate_limits,
+            rate_limits=self._rate_limit_statements,
             events=events,
             rng=self._rng,
         )
@@ -307,23 +307,24 @@
             self._pool.close_idle()
             self._metrics.rotate()
 
-    def _named_rate_limits(self):
+    def _rate_limit_statements(self):
         limits = {}
         for balancer in self._balancers.values():
-            limits.update(balancer.named_rate_limits)
+            limits.update(balancer.rate_limit_statements)
         return limits
 
     def _refresh_rate_limits(self):
-        """Exchange the limits that servers named with the other nodes."""
-        peer_limits = {}
-        for peer in self._region_member.peers:
-            if peer.host != self._settings.host:
-                peer_limits.update(peer.rate_limits)
+        """Exchange what servers said about their limits with other nodes."""
+        peer_limits = topology.merge_rate_limits(
+            peer
+            for peer in self._region_member.peers
+            if peer.host != self._settings.host
+        )
         for balancer in self._balancers.values():
             balancer.refresh_rate_limits(peer_limits)
-        named = self._named_rate_limits()
-        if named != self._published_rate_limits:
-            self._published_rate_limits = named
+        statements = self._rate_limit_statements()
+        if statements != self._published_rate_limits:
+            self._published_rate_limits = statements
             self._region_member.broadcast_state()
 
     def _store_caller_timeouts(self):
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -45,8 +45,9 @@
       feed: the adapter's interface to the store.
       cluster_state: ClusterState, which gets the store's records.
       is_ready: function that returns whether this node is ready for callers.
-      named_rate_limits: function that returns a dict from instance to the
-        requests per second that the backend server named to this node.
+      rate_limits: function that returns a dict from instance to the requests
+        per second that the backend server named to this node, None for a
+        limit that has ended.
       events: events.EventLog.
       rng: random.Random, for the jitter of waits.
       clock: function that returns monotonic seconds.
@@ -59,7 +60,7 @@
         feed,
         cluster_state,
         is_ready,
-        named_rate_limits,
+        rate_limits,
         events,
         rng,
         clock=None,
@@ -68,7 +69,7 @@
         self._feed = feed
         self._cluster_state = cluster_state
         self._is_ready = is_ready
-        self._named_rate_limits = named_rate_limits
+        self._rate_limits = rate_limits
         self._events = events
         self._rng = rng
         self._clock = clock or time.monotonic
@@ -418,7 +419,7 @@
         return _roster.own_state(
             settings=self._settings,
             ready=self._is_ready(),
-            rate_limits=self._named_rate_limits(),
+            rate_limits=self._rate_limits(),
         )
 
     def _own_roster(self):
--- a/wigeonrouter/node/_roster.py
+++ b/wigeonrouter/node/_roster.py
@@ -63,7 +63,7 @@
       settings: topology.NodeSettings.
       ready: whether the node accepts callers.
       rate_limits: dict from instance to the requests per second that the
-        backend server named to this node.
+        backend server named to this node, None for a limit that has ended.
     """
     return node_pb2.NodeState(
         host=settings.host,
@@ -72,10 +72,7 @@
         ready=ready,
         capacity_millicores=settings.capacity,
         rate_limits=[
-            node_pb2.RateLimit(
-                instance=instance,
-                millihertz=round(rate_limits[instance] * _MILLIHERTZ),
-            )
+            _encode_rate_limit(instance, rate_limits[instance])
             for instance in sorted(rate_limits)
         ],
     )
@@ -91,9 +88,21 @@
             ready=state.ready,
             capacity=state.capacity_millicores,
             rate_limits={
-                limit.instance: limit.millihertz / _MILLIHERTZ
+                limit.instance: _decode_rate_limit(limit)
                 for limit in state.rate_limits
             },
         )
         for state in roster.values()
     )
+
+
+def _encode_rate_limit(instance, per_second):
+    if per_second is None:
+        return node_pb2.RateLimit(instance=instance, ended=True)
+    return node_pb2.RateLimit(
+        instance=instance, millihertz=round(per_second * _MILLIHERTZ)
+    )
+
+
+def _decode_rate_limit(limit):
+    return None if limit.ended else limit.millihertz / _MILLIHERTZ
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -54,9 +54,14 @@
         return bool(self._local_instances or self._remote_instances)
 
     @property
-    def named_rate_limits(self):
-        """Dict from instance to the limit that it named to this node."""
-        return self._rate_limits.named(self._clock())
+    def rate_limit_statements(self):
+        """Dict from instance to the limit that it named to this node.
+
+        None stands for a limit that has ended.
+        """
+        return self._rate_limits.statements(
+            self._clock(), is_sender=self._limit_share() > 0.0
+        )
 
     @property
     def limited_count(self):
@@ -191,7 +196,7 @@
 
         Args:
           peer_limits: dict from instance to the requests per second that it
-            named to other nodes of the region.
+            named to other nodes of the region, None for an ended limit.
         Returns:
           Whether any server has a limit.
         """
--- a/wigeonrouter/node/_server_views_test.py
+++ b/wigeonrouter/node/_server_views_test.py
@@ -146,7 +146,7 @@
     share[0] = 0.0
     assert server_pool.views.refresh_rate_limits({"near": LIMIT_PER_S})
     assert server_pool.views.local == []
-    assert not server_pool.views.named_rate_limits
+    assert not server_pool.views.rate_limit_statements
 
 
 def test_server_pool_keeps_a_limit_that_a_probe_named(probe_server):
@@ -158,7 +158,7 @@
 def test_limit_of_a_server_at_a_reused_address_is_not_taken(probe_server):
     """Guards against the limit of another server at the same address."""
     pool = probe_server(instance_matches=False)
-    assert pool.views.named_rate_limits == {}
+    assert pool.views.rate_limit_statements == {}
 
 
 def test_rejection_without_a_limit_does_not_end_it(
@@ -167,11 +167,11 @@
     """Guards against a full server that loses its limit by rejecting."""
     name_limit("near")
     now[0] += 10.0
-    for not_executed, limits in ((True, {"near": LIMIT_PER_S}), (False, {})):
+    for not_executed, limit in ((True, LIMIT_PER_S), (False, None)):
         server_pool.views.record_rate_limit(
             "near", make_metadata(not_executed=not_executed), from_probe=False
         )
-        assert server_pool.views.named_rate_limits == limits
+        assert server_pool.views.rate_limit_statements == {"near": limit}
 
 
 def test_limit_in_a_misdirected_response_is_not_taken(
@@ -189,7 +189,7 @@
         latency=0.01,
         timed_out=False,
     )
-    assert server_pool.views.named_rate_limits == {}
+    assert server_pool.views.rate_limit_statements == {}
 
 
 def test_remote_servers_count_if_all_local_ones_have_limits(
--- a/wigeonrouter/placement/_rate_limits.py
+++ b/wigeonrouter/placement/_rate_limits.py
@@ -40,8 +40,10 @@
         None if it named none.
       told_at: time of the response that said so.
       named_in_probes: whether responses to its health checks name the limit.
-      peer_limit: limit that it named to other nodes of the region.
+      peer_limit: limit that it named to other nodes of the region, None if
+        it no longer names one to them.
       peer_told_at: time at which a peer last said so.
+      peer_changed_at: time at which a peer first said so.
       sent: times of this node's requests, oldest first.
     """
 
@@ -50,6 +52,7 @@
     named_in_probes: bool = False
     peer_limit: float | None = None
     peer_told_at: float = -math.inf
+    peer_changed_at: float = -math.inf
     sent: collections.deque = dataclasses.field(
         default_factory=collections.deque
     )
@@ -62,6 +65,8 @@
         self._servers = {}
         # Servers that named a limit to this node or to a peer.
         self._limited = set()
+        # Dict from the servers that ended their limit to the time of that.
+        self._ended = {}
         self._share = 0.0
         self._sender_since = math.inf
 
@@ -114,41 +119,62 @@
         server.told_at = now
         if limit is not None:
             self._limited.add(instance)
+            self._ended.pop(instance, None)
+        elif previous is not None:
+            self._ended[instance] = now
         return limit != previous
 
     def record_peer_limits(self, limits, now):
-        """Record the limits that servers named to other nodes.
+        """Record what servers said about their limits to other nodes.
 
         Args:
-          limits: dict from instance to requests per second.
+          limits: dict from instance to requests per second, None for a limit
+            that has ended.
           now: seconds on the monotonic clock.
         """
         for instance, limit in limits.items():
             server = self._servers.setdefault(instance, _Server())
+            if limit != server.peer_limit or not _knows_peer(server, now):
+                server.peer_changed_at = now
             server.peer_limit = limit
             server.peer_told_at = now
-            self._limited.add(instance)
+            if limit is not None:
+                self._limited.add(instance)
 
     def forget(self, instances):
         """Forget servers that have left or restarted."""
         for instance in instances:
             self._servers.pop(instance, None)
             self._limited.discard(instance)
+            self._ended.pop(instance, None)
 
-    def named(self, now):
-        """Return the limits that servers named to this node.
+    def statements(self, now, *, is_sender):
+        """Return what servers said about their limits to this node.
 
+        Args:
+          now: seconds on the monotonic clock.
+          is_sender: whether this node is the sender. Only the sender states
+            that a limit has ended, since others may have been told earlier.
         Returns:
-          Dict from instance to requests per second.
+          Dict from instance to requests per second, None for a limit that
+          has ended.
         """
         servers = {
             instance: self._servers[instance] for instance in self._limited
         }
-        return {
+        limits = {
             instance: server.limit
             for instance, server in servers.items()
             if server.limit is not None and self._is_current(server, now)
         }
+        self._ended = {
+            instance: ended_at
+            for instance, ended_at in self._ended.items()
+            if now - ended_at <= _KNOWLEDGE_LIFETIME_S
+        }
+        if is_sender:
+            limits.update(dict.fromkeys(self._ended))
+        return limits
 
     def rate(self, instance, *, local, now):
         """Return how many requests per second this node may send to a server.
@@ -198,11 +224,17 @@
         server = self._servers.get(instance)
         if server is None:
             return None
+        knows_peer = _knows_peer(server, now)
         if self._is_current(server, now):
+            ended_since = (
+                knows_peer
+                and server.peer_limit is None
+                and server.peer_changed_at > server.told_at
+            )
+            if ended_since and self._share <= 0.0:
+                return None
             return server.limit
-        if now - server.peer_told_at <= _KNOWLEDGE_LIFETIME_S:
-            return server.peer_limit
-        return None
+        return server.peer_limit if knows_peer else None
 
     def _is_current(self, server, now):
         """Return whether what the server said itself still holds.
@@ -214,6 +246,11 @@
         return now - server.told_at <= _KNOWLEDGE_LIFETIME_S
 
 
+def _knows_peer(server, now):
+    """Return whether what a peer said of a server still holds."""
+    return now - server.peer_told_at <= _KNOWLEDGE_LIFETIME_S
+
+
 def _window_opens_at(sent, maximum, window):
     """Return when fewer than `maximum` requests are in a sliding window.
 
--- a/wigeonrouter/placement/_rate_limits_test.py
+++ b/wigeonrouter/placement/_rate_limits_test.py
@@ -219,6 +219,34 @@
     assert other.next_send_time(11.0) == -math.inf
 
 
+def test_end_of_a_limit_reaches_nodes_that_were_told_the_limit():
+    """Guards against nodes that reject while a server is free again."""
+    home, other = Sender(), Sender(share=0.0)
+    for node in (home, other):
+        node.hear(LIMIT_PER_S, 0.0)
+    home.hear(None, 2.0)
+    stated = home.limits.statements(2.0, is_sender=True)
+    other.limits.record_peer_limits(stated, 2.5)
+    assert other.next_send_time(2.5) == -math.inf
+    other.hear(LIMIT_PER_S, 3.0)
+    assert other.next_send_time(3.0) == math.inf
+
+
+def test_only_the_sender_states_the_end_of_a_limit():
+    """Guards against an old end that hides a new limit."""
+    other = Sender(share=0.0)
+    other.hear(LIMIT_PER_S, 0.0)
+    other.hear(None, 2.0)
+    assert not other.limits.statements(2.0, is_sender=False)
+
+
+def test_home_keeps_the_limit_that_it_was_told_itself(sender):
+    """Guards against the end of a limit that the former home was told."""
+    sender.hear(LIMIT_PER_S, 0.0)
+    sender.limits.record_peer_limits({"server": None}, 1.0)
+    assert sender.limits.rate("server", local=True, now=1.0) == LIMIT_PER_S
+
+
 def test_own_response_goes_before_what_a_peer_said(sender):
     """Guards against a peer's old limit that holds on at the sender."""
     sender.limits.record_peer_limits({"server": LIMIT_PER_S}, 0.0)
@@ -231,4 +259,4 @@
     sender.hear(LIMIT_PER_S, 0.0)
     sender.limits.forget(["server"])
     assert sender.next_send_time(1.0) == -math.inf
-    assert not sender.limits.named(1.0)
+    assert not sender.limits.statements(1.0, is_sender=True)
--- a/wigeonrouter/platform/_rate_limit_test.py
+++ b/wigeonrouter/platform/_rate_limit_test.py
@@ -144,17 +144,18 @@
 
 
 def test_all_nodes_use_a_server_again_after_its_limit(
-    region, limited_server, traffic
+    backend, region, traffic
 ):
-    """Guards against a limit that outlasts the need of the server."""
-    limited_server.rate_limit = _LIMIT_PER_S
+    """Guards against nodes that reject requests while a server is free."""
+    (server,) = conftest.start_ready(backend, region[0], "i-limited", slots=30)
+    wait_until(lambda: all(len(node.servers) == 1 for node in region))
     responses = traffic(conftest.callers_of(region))
-    gevent.sleep(6.0)
-    limited_server.rate_limit = None
-    ended_at = time.monotonic()
-    wait_until(
-        lambda: sum(at > ended_at for at, _ in limited_server.arrivals) > 40
-    )
+    gevent.sleep(1.0)
+    server.rate_limit = _LIMIT_PER_S
+    gevent.sleep(5.0)
+    assert any(response.status == 503 for response in responses)
+    server.rate_limit = None
+    gevent.sleep(_SETTLING_S)
     del responses[:]
     gevent.sleep(1.0)
     assert {response.status for response in responses} == {200}
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -36,5 +36,6 @@
 candidate_order = _region.candidate_order
 decide_role = _region.decide_role
 home_nodes = _region.home_nodes
+merge_rate_limits = _region.merge_rate_limits
 should_check_store = _region.should_check_store
 should_step_down = _region.should_step_down
--- a/wigeonrouter/topology/_region.py
+++ b/wigeonrouter/topology/_region.py
@@ -46,7 +46,8 @@
       ready: whether it accepts callers.
       capacity: CPU time that it may use, in millicores.
       rate_limits: dict from instance to the requests per second to which
-        that backend server limits all nodes, as it told this peer.
+        that backend server limits all nodes, as it told this peer; None for
+        a limit that has ended.
     """
 
     host: str
@@ -54,7 +55,9 @@
     failure_domain: str
     ready: bool
     capacity: int
-    rate_limits: dict[str, float] = dataclasses.field(default_factory=dict)
+    rate_limits: dict[str, float | None] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class HubAction(enum.Enum):
@@ -187,3 +190,24 @@
     ]
     order = core.rendezvous_order(f"home of {service}", large_hosts)
     return tuple(ready[host] for host in order[:count])
+
+
+def merge_rate_limits(peers):
+    """Return what servers said about their limits to any of the peers.
+
+    The end of a limit counts before a limit, since it is only stated by the
+    home, which knows best; of two limits the smaller one counts.
+
+    Args:
+      peers: iterable of Peer.
+    Returns:
+      Dict from instance to requests per second, None for a limit that has
+      ended.
+    """
+    merged = {}
+    for peer in peers:
+        for instance, limit in peer.rate_limits.items():
+            known = merged.get(instance, limit)
+            ended = limit is None or known is None
+            merged[instance] = None if ended else min(limit, known)
+    return merged
--- a/wigeonrouter/topology/_region_test.py
+++ b/wigeonrouter/topology/_region_test.py
@@ -1,6 +1,8 @@
 """Tests of the selection of the hub and of home nodes."""
 
 import collections
+import dataclasses
+import itertools
 import random
 
 import pytest
@@ -145,3 +147,15 @@
         topology.should_check_store(own_host=host, order=order, rng=rng)
         for host in order
     )
+
+
+def test_end_of_a_limit_goes_before_limits_of_other_peers():
+    """Guards against a limit that holds until the last node forgets it."""
+    stated = [{"a": 2.0, "b": 3.0}, {"a": None}, {"a": 4.0, "b": 1.0}]
+    peers = [
+        dataclasses.replace(peer(f"host-{number}"), rate_limits=limits)
+        for number, limits in enumerate(stated)
+    ]
+    for order in itertools.permutations(peers):
+        merged = topology.merge_rate_limits(order)
+        assert merged == {"a": None, "b": 1.0}
