Exit with 0 when a node is stopped while it starts

Operators saw a planned stop as a crash: SIGTERM ended a process that was still loading its modules with the signal's exit status. The signals to stop now end the process with 0 from its first line on; it has taken no request by then. Two of the new tests failed before.

--- a/wigeonrouter/platform/main.py
+++ b/wigeonrouter/platform/main.py
@@ -3,14 +3,16 @@
 Exit codes: 0 after SIGTERM or SIGINT, 78 if the settings are invalid.
 """
 
+import os
 import signal
 
 if __name__ == "__main__":
-    # SIGHUP must not end the process while the other modules are loaded,
-    # which takes a while.
+    # While the other modules are loaded, which takes a while, SIGHUP must not
+    # end the process, and the signals to stop end it as they do later.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    for _stop_signal in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(_stop_signal, lambda *_: os._exit(0))
 
-import os  # noqa: E402
 import sys  # noqa: E402
 
 import gevent  # noqa: E402
