--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -6,6 +6,7 @@
 
 from wigeonrouter import core
 from wigeonrouter import topology
+from wigeonrouter.bench import _ports
 from wigeonrouter.platform import _emulator
 from wigeonrouter.platform import testing
 from wigeonrouter.soak import _fault_proxy
@@ -48,8 +49,11 @@
             zone=domain,
             service_time=_SERVICE_TIME_S,
         )
+        # The port may be used again by another server. It is below the range
+        # of outgoing connections, so none of these takes it in between.
         self.proxy = _fault_proxy.FaultProxy(
-            listen=("127.0.0.1", port), target=("127.0.0.1", self.server.port)
+            listen=("127.0.0.1", port or _ports.free_ports(1)[0]),
+            target=("127.0.0.1", self.server.port),
         )
         self.sequence = 0
         self.draining = False
