Let no response to a health check end a server's rate limit

A server that names its limit in some health checks only got more requests than the limit allows.

Only responses to executed requests end a limit now, which the home gets at the limit's rate anyway. The test that health checks may end a limit which they named is replaced by its opposite, which failed before.

--- a/wigeonrouter/placement/_rate_limits.py
+++ b/wigeonrouter/placement/_rate_limits.py
@@ -39,7 +39,6 @@
       limit: limit that the server named to this node, requests per second;
         None if it named none.
       told_at: time of the response that said so.
-      named_in_probes: whether responses to its health checks name the limit.
       peer_limit: limit that it named to other nodes of the region, None if
         it no longer names one to them.
       peer_told_at: time at which a peer last said so.
@@ -49,7 +48,6 @@
 
     limit: float | None = None
     told_at: float = -math.inf
-    named_in_probes: bool = False
     peer_limit: float | None = None
     peer_told_at: float = -math.inf
     peer_changed_at: float = -math.inf
@@ -100,21 +98,19 @@
 
         Args:
           limit: requests per second, None if the response names no limit.
-          from_probe: whether it is the response to a health check. Servers
-            may name the limit in other responses only.
+          from_probe: whether it is the response to a health check. It does
+            not end a limit, since servers may name it in other responses
+            only.
           now: seconds on the monotonic clock.
         Returns:
           Whether the limit differs from the one named before.
         """
         server = self._servers.setdefault(instance, _Server())
         previous = server.limit
-        if limit is None:
-            if from_probe and not server.named_in_probes:
-                return False
-            if previous is not None and now - server.told_at < _REORDERING_S:
+        if limit is None and previous is not None:
+            overtaken = now - server.told_at < _REORDERING_S
+            if from_probe or overtaken:
                 return False
-        elif from_probe:
-            server.named_in_probes = True
         server.limit = limit
         server.told_at = now
         if limit is not None:
--- a/wigeonrouter/placement/_rate_limits_test.py
+++ b/wigeonrouter/placement/_rate_limits_test.py
@@ -189,12 +189,22 @@
     assert sender.limits.rate("server", local=True, now=0.01) == LIMIT_PER_S
 
 
-def test_probe_ends_only_a_limit_that_probes_name(sender):
-    """Guards against a limit that ends with each health check."""
+def test_no_probe_ends_a_limit(sender):
+    """Guards against a limit that ends with each health check.
+
+    Servers may name a limit in some of their health checks only.
+    """
     sender.hear(LIMIT_PER_S, 0.0)
     assert not sender.hear(None, 1.0, from_probe=True)
     sender.hear(LIMIT_PER_S, 2.0, from_probe=True)
-    assert sender.hear(None, 3.0, from_probe=True)
+    assert not sender.hear(None, 3.0, from_probe=True)
+    assert sender.hear(None, 4.0)
+
+
+def test_overtaken_response_does_not_end_a_limit_of_zero(sender):
+    """Guards against a limit that is taken for none because it is zero."""
+    sender.hear(0.0, 0.0)
+    assert not sender.hear(None, 0.01)
 
 
 def test_silent_server_keeps_its_limit(sender):
