Believe the latest statement on a server's rate limit

A node that is not the home and was answered without a limit could go on using a server for ten seconds after the server had named a limit to the home: what a node was told itself went before what the home stated, whichever was older. The later one counts now, for the beginning of a limit as for its end. The new test failed before.

--- a/wigeonrouter/placement/_rate_limits.py
+++ b/wigeonrouter/placement/_rate_limits.py
@@ -161,7 +161,8 @@
         limits = {
             instance: server.limit
             for instance, server in servers.items()
-            if server.limit is not None and self._is_current(server, now)
+            if server.limit is not None
+            and self._own_statement_holds(server, now)
         }
         self._ended = {
             instance: ended_at
@@ -220,26 +221,21 @@
         server = self._servers.get(instance)
         if server is None:
             return None
-        knows_peer = _knows_peer(server, now)
-        if self._is_current(server, now):
-            ended_since = (
-                knows_peer
-                and server.peer_limit is None
-                and server.peer_changed_at > server.told_at
-            )
-            if ended_since and self._share <= 0.0:
-                return None
+        if self._own_statement_holds(server, now):
             return server.limit
-        return server.peer_limit if knows_peer else None
+        return server.peer_limit if _knows_peer(server, now) else None
 
-    def _is_current(self, server, now):
-        """Return whether what the server said itself still holds.
+    def _own_statement_holds(self, server, now):
+        """Return whether what the server said to this node is the latest.
 
         A limit holds for the sender until a response names none.
         """
         if server.limit is not None and self._share > 0.0:
             return True
-        return now - server.told_at <= _KNOWLEDGE_LIFETIME_S
+        if now - server.told_at > _KNOWLEDGE_LIFETIME_S:
+            return False
+        is_older = server.peer_changed_at > server.told_at
+        return not (is_older and _knows_peer(server, now))
 
 
 def _knows_peer(server, now):
--- a/wigeonrouter/placement/_rate_limits_test.py
+++ b/wigeonrouter/placement/_rate_limits_test.py
@@ -242,6 +242,14 @@
     assert other.next_send_time(3.0) == math.inf
 
 
+def test_limit_that_a_peer_was_told_goes_before_an_older_response():
+    """Guards against nodes that exceed a limit until they are told it too."""
+    other = Sender(share=0.0)
+    other.hear(None, 0.0)
+    other.limits.record_peer_limits({"server": LIMIT_PER_S}, 1.0)
+    assert other.next_send_time(1.0) == math.inf
+
+
 def test_only_the_sender_states_the_end_of_a_limit():
     """Guards against an old end that hides a new limit."""
     other = Sender(share=0.0)
