Compute no shares of limits where no server named one

Telling the others that a limit has ended made each node compute its share four times a second for each service, also without any limit, which grows with the services and with the nodes of the region. The new test failed before.

--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -59,6 +59,8 @@
 
         None stands for a limit that has ended.
         """
+        if not self._rate_limits.has_statements:
+            return {}
         return self._rate_limits.statements(
             self._clock(), is_sender=self._limit_share() > 0.0
         )
--- a/wigeonrouter/node/_server_views_test.py
+++ b/wigeonrouter/node/_server_views_test.py
@@ -199,3 +199,15 @@
     name_limit("near")
     far = server_pool.views.get("far")
     assert server_pool.usable_slots(0.1) > far.slots
+
+
+def test_share_is_not_computed_without_limits(
+    make_server_pool, make_known_server
+):
+    """Guards against work for each service that grows with the region."""
+    calls = []
+    pool = make_server_pool(limit_share=lambda: calls.append(1) or 1.0)
+    pool.configure(health_path="/health", registered=[make_known_server("a")])
+    pool.views.refresh_rate_limits({})
+    assert pool.views.rate_limit_statements == {}
+    assert not calls
--- a/wigeonrouter/placement/_rate_limits.py
+++ b/wigeonrouter/placement/_rate_limits.py
@@ -73,6 +73,11 @@
         """Frozenset of the instances that may have a limit."""
         return frozenset(self._limited)
 
+    @property
+    def has_statements(self):
+        """Whether any server named a limit, or ended one, lately."""
+        return bool(self._limited or self._ended)
+
     def set_share(self, share, now):
         """Set the share of the limits that this node may use.
 
