Split the checks of sums over all nodes from the soak's other checks

The registry and what checks share have a module each now, behind soak/checks.py; the 14 checks are unchanged.

--- a/wigeonrouter/soak/_checks_test.py
+++ b/wigeonrouter/soak/_checks_test.py
@@ -6,8 +6,8 @@
 import pytest
 
 from wigeonrouter.platform import testing
-from wigeonrouter.soak import _checks
 from wigeonrouter.soak import _records
+from wigeonrouter.soak import checks
 
 End = _records.End
 
@@ -102,7 +102,7 @@
 
 def violated_invariants(observations):
     """Return the set of violated invariants."""
-    return {found.invariant for found in _checks.find_violations(observations)}
+    return {found.invariant for found in checks.find_violations(observations)}
 
 
 def test_correct_run_has_no_violations(observations):
@@ -282,7 +282,7 @@
 
 @pytest.mark.parametrize(
     ("early_hang_up", "allowed"),
-    [(0.01, True), (_checks.INTERPRETER_START_CPU_S, False), (None, False)],
+    [(0.01, True), (checks.INTERPRETER_START_CPU_S, False), (None, False)],
 )
 def test_hang_up_may_only_end_a_process_that_has_not_begun(
     observations, early_hang_up, allowed
--- a/wigeonrouter/soak/_fleet.py
+++ b/wigeonrouter/soak/_fleet.py
@@ -13,10 +13,10 @@
 from wigeonrouter import core
 from wigeonrouter import topology
 from wigeonrouter.platform import testing
-from wigeonrouter.soak import _checks
 from wigeonrouter.soak import _fault_proxy
 from wigeonrouter.soak import _processes
 from wigeonrouter.soak import _records
+from wigeonrouter.soak import checks
 
 _RESTART_DELAY_S = 0.2
 _POLL_INTERVAL_S = 0.02
@@ -24,11 +24,11 @@
 _HEARTBEAT_INTERVAL_S = 1.5
 _NODE_MEMORY_BYTES = 256_000_000
 _BOUNDS = {
-    "drain": f"{_checks.DRAIN_BOUND_S * 1000:.0f}ms",
-    "grace": f"{_checks.STOP_GRACE_PERIOD_S * 1000:.0f}ms",
-    "config_apply": f"{_checks.CONFIG_APPLY_BOUND_S * 1000:.0f}ms",
-    "retry_budget_ratio": f"{_checks.RETRY_RATIO}",
-    "budget_window": f"{_checks.RETRY_WINDOW_S:.0f}s",
+    "drain": f"{checks.DRAIN_BOUND_S * 1000:.0f}ms",
+    "grace": f"{checks.STOP_GRACE_PERIOD_S * 1000:.0f}ms",
+    "config_apply": f"{checks.CONFIG_APPLY_BOUND_S * 1000:.0f}ms",
+    "retry_budget_ratio": f"{checks.RETRY_RATIO}",
+    "budget_window": f"{checks.RETRY_WINDOW_S:.0f}s",
     "ttl_max": "5s",
 }
 
--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -10,17 +10,17 @@
 
 from wigeonrouter import core
 from wigeonrouter.soak import _callers
-from wigeonrouter.soak import _checks
 from wigeonrouter.soak import _environment
 from wigeonrouter.soak import _faults
 from wigeonrouter.soak import _fleet
 from wigeonrouter.soak import _limits
 from wigeonrouter.soak import _records
+from wigeonrouter.soak import checks
 
 _STARTUP_S = 3.0
 # Callers go on after the last fault for as long as recovery may take, plus
 # 3 s in which the requests for the recovery check are sent.
-_RECOVERY_OBSERVATION_S = _checks.RECOVERY_TIME_S + 3.0
+_RECOVERY_OBSERVATION_S = checks.RECOVERY_TIME_S + 3.0
 _FAULT_JOIN_TIMEOUT_S = 8.0
 # Range below the ephemeral ports, which the system assigns to outgoing
 # connections.
@@ -131,7 +131,7 @@
         environment.fleet.stop()
         environment.collect_observations()
         environment.stop()
-    return observations, _checks.find_violations(observations)
+    return observations, checks.find_violations(observations)
 
 
 @contextlib.contextmanager
