Let each follower of a small region check a store that rejects its hub

Only the first two candidates for the hub check the store each second, here the hub itself and a stopping node; the others do so at random, two in five times.

Up to 16 candidates now all check, and the hub and nodes that are not ready are no candidates. The bound for large regions and its test are unchanged. The new cases of 5 and 16 nodes failed before.

--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -356,9 +356,14 @@
 
     def _has_better_hub(self):
         """Return whether to leave a hub that does not reach the store."""
+        ready_hosts = {peer.host for peer in self._peers if peer.ready}
         checks_store = topology.should_check_store(
             own_host=self._settings.host,
-            order=self._candidate_order(),
+            candidates=[
+                host
+                for host in self._candidate_order()
+                if host in ready_hosts and host != self._role.hub
+            ],
             rng=self._rng,
         )
         if checks_store and self._probe_store():
--- a/wigeonrouter/topology/_region.py
+++ b/wigeonrouter/topology/_region.py
@@ -13,6 +13,8 @@
 # Followers of a region that check the store at a time, by their place among
 # the candidates for the hub, and as many others at random.
 _STORE_CHECKERS = 2
+# Candidates for the hub up to which each of them checks the store.
+_MAX_SMALL_REGION = 16
 
 
 class RoleKind(enum.Enum):
@@ -147,23 +149,27 @@
     return False
 
 
-def should_check_store(*, own_host, order, rng):
+def should_check_store(*, own_host, candidates, rng):
     """Return whether a follower checks the store that its hub cannot reach.
 
     Load pattern: the store does not respond for seconds, and every call to it
     is paid for. If each of hundreds of followers checked it every second,
     nearly all calls would be checks. The first candidates check it, since one
     of them would be the next hub, and a few others at random, since the store
-    may reject some nodes only.
+    may reject some nodes only. In a small region all of them check it: the
+    first ones may be rejected as well, and the others would find out too late.
 
     Args:
       own_host: host of the follower.
-      order: candidate_order() of the region.
+      candidates: hosts that may become the hub, in order of preference. The
+        present hub and nodes that are not ready do not belong to them.
       rng: random.Random.
     """
-    if own_host in order[:_STORE_CHECKERS]:
+    if len(candidates) <= _MAX_SMALL_REGION:
+        return True
+    if own_host in candidates[:_STORE_CHECKERS]:
         return True
-    return rng.random() * len(order) < _STORE_CHECKERS
+    return rng.random() * len(candidates) < _STORE_CHECKERS
 
 
 def home_nodes(*, service, peers, count):
--- a/wigeonrouter/topology/_region_test.py
+++ b/wigeonrouter/topology/_region_test.py
@@ -132,21 +132,32 @@
         host
         for _ in range(rounds)
         for host in hosts
-        if topology.should_check_store(own_host=host, order=order, rng=rng)
+        if topology.should_check_store(
+            own_host=host, candidates=order, rng=rng
+        )
     )
     assert checks.total() / rounds < 5
     assert checks[order[0]] == rounds
     assert all(checks[host] for host in hosts)
 
 
-def test_small_region_checks_the_store_with_every_follower():
-    """Guards against a region without a node that notices the store."""
-    order = topology.candidate_order("north", ["192.0.2.1", "192.0.2.2"])
+@pytest.mark.parametrize("count", [2, 5, 16])
+def test_small_region_checks_the_store_with_every_follower(count):
+    """Guards against a region without a node that notices the store.
+
+    The store rejected the hub and another node of five, and two were stopping.
+    The fifth one checked at random, and a change was not in force in time.
+    """
+    hosts = [f"192.0.2.{number}" for number in range(count)]
+    order = topology.candidate_order("north", hosts)
     rng = random.Random(1)
-    assert all(
-        topology.should_check_store(own_host=host, order=order, rng=rng)
-        for host in order
-    )
+    for _ in range(100):
+        assert all(
+            topology.should_check_store(
+                own_host=host, candidates=order, rng=rng
+            )
+            for host in order
+        )
 
 
 def test_end_of_a_limit_goes_before_limits_of_other_peers():
