Let the homes that get a service's requests use its limited servers

Callers of a host with several services were rejected with no-server for all but the first one while the servers named limits, and after that, since the home of the other service got no request that could show the end.

Cause: callers of a host are sent to the home of its first service, but only the home of the service itself could use its limited servers. The homes of all services whose hosts have routes to the service now divide the limit. The new end-to-end test failed before.

--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -108,8 +108,9 @@
         """Return the share of its servers' rate limits this node may use."""
         if not self._is_ready():
             return 0.0
+        routes = self._cluster_state.routes
         return self._history.limit_share(
-            service=service,
+            leading_services=routes.leading_services(service),
             own_host=self._settings.host,
             now=self._clock(),
         )
--- a/wigeonrouter/platform/_rate_limit_test.py
+++ b/wigeonrouter/platform/_rate_limit_test.py
@@ -159,3 +159,39 @@
     del responses[:]
     gevent.sleep(1.0)
     assert {response.status for response in responses} == {200}
+
+
+def test_second_service_of_a_host_uses_its_servers_within_their_limit(
+    store, backend, region
+):
+    """Guards against a limit that is kept by a home without requests.
+
+    Callers of a host go to the home of its first service.
+    """
+    document = conftest.configuration(2)
+    for prefix in ("/a/", "/b/"):
+        document["routes"][prefix] = dict(
+            document["routes"]["r-read"], prefix=prefix
+        )
+    document["routes"]["r-beta"] = dict(
+        document["routes"]["r-read"], prefix="/beta/", service="beta"
+    )
+    store.put("op/config", document)
+    backend("i-alpha")
+    (server,) = conftest.start_ready(
+        backend, region[0], "i-beta", service="beta"
+    )
+    server.rate_limit = _LIMIT_PER_S
+    caller = conftest.Caller(address=_home_of(region).settings.caller_address)
+    wait_until(lambda: caller.send("/beta/a").status == 200)
+    gevent.sleep(_WINDOW_S)
+    statuses = []
+    for _ in range(10):
+        statuses.append(caller.send("/beta/a").status)
+        gevent.sleep(1 / _LIMIT_PER_S)
+    assert statuses.count(200) >= 8
+    server.rate_limit = None
+    wait_until(
+        lambda: {caller.send("/beta/a").status for _ in range(5)} == {200},
+        timeout=_SETTLING_S,
+    )
--- a/wigeonrouter/topology/_region_history.py
+++ b/wigeonrouter/topology/_region_history.py
@@ -1,9 +1,9 @@
 """Remembers the nodes of a region, to divide what holds for all of them.
 
-A backend server's rate limit holds for all nodes together, and only the home
-of its service uses the server. In a partition each part of the region has a
-home, so a home uses the share of the limit that its part has of all nodes that
-were seen lately.
+A backend server's rate limit holds for all nodes together, and only the homes
+that get the requests of its service use the server, mostly a single one. In a
+partition each part of the region has such homes, so they use the share of the
+limit that their part has of all nodes that were seen lately.
 """
 
 from wigeonrouter.topology import _region
@@ -36,22 +36,29 @@
         self._last_seen = last_seen
         self._peers = tuple(peers)
 
-    def limit_share(self, *, service, own_host, now):
+    def limit_share(self, *, leading_services, own_host, now):
         """Return the share of rate limits that a node may use of a service.
 
         Args:
-          service: name of the service.
+          leading_services: services whose homes get the requests of the
+            service; see RouteTable.leading_services().
           own_host: host of the node.
           now: the present time.
         Returns:
-          A number from 0 to 1, 0 if the node is not the home.
+          A number from 0 to 1, 0 if the node is no such home.
         """
-        homes = _region.home_nodes(service=service, peers=self._peers, count=1)
-        if not homes or homes[0].host != own_host:
+        homes = {
+            home.host
+            for service in leading_services
+            for home in _region.home_nodes(
+                service=service, peers=self._peers, count=1
+            )
+        }
+        if own_host not in homes:
             return 0.0
         live_hosts = {peer.host for peer in self._peers if peer.ready}
         known_hosts = live_hosts | self._seen_lately(now).keys()
-        return len(live_hosts) / len(known_hosts)
+        return len(live_hosts) / len(known_hosts) / len(homes)
 
     def _seen_lately(self, now):
         return {
--- a/wigeonrouter/topology/_region_history_test.py
+++ b/wigeonrouter/topology/_region_history_test.py
@@ -26,9 +26,11 @@
     return make
 
 
-def _shares(history, hosts, *, now=1000.0):
+def _shares(history, hosts, *, now=1000.0, leading_services=(SERVICE,)):
     return [
-        history.limit_share(service=SERVICE, own_host=host, now=now)
+        history.limit_share(
+            leading_services=leading_services, own_host=host, now=now
+        )
         for host in hosts
     ]
 
@@ -39,6 +41,25 @@
     assert sorted(shares) == [0.0] * 19 + [1.0]
 
 
+def test_all_homes_that_get_the_requests_divide_a_limit(make_history):
+    """Guards against a home that gets requests and may not use the servers."""
+    services = [f"service-{number}" for number in range(3)]
+    history = make_history((0.0, HOSTS))
+    shares = _shares(history, HOSTS, leading_services=services)
+    homes = {
+        home.host
+        for service in services
+        for home in topology.home_nodes(
+            service=service,
+            peers=[conftest.peer(host) for host in HOSTS],
+            count=1,
+        )
+    }
+    assert sum(shares) == pytest.approx(1.0)
+    used = {host for host, share in zip(HOSTS, shares, strict=True) if share}
+    assert used == homes
+
+
 def test_homes_of_two_parts_of_a_region_use_one_limit_together(make_history):
     """Guards against two homes in a partition that each use all of it."""
     total = 0.0
--- a/wigeonrouter/topology/_routing.py
+++ b/wigeonrouter/topology/_routing.py
@@ -1,6 +1,7 @@
 """Finds the route of a request and selects its service."""
 
 import bisect
+import collections
 
 
 class RouteTable:
@@ -15,6 +16,11 @@
             host: sorted({len(prefix) for prefix in table}, reverse=True)
             for host, table in self._by_host.items()
         }
+        self._leading_services = collections.defaultdict(set)
+        for host in self._by_host:
+            services = self.services_of(host)
+            for service in services:
+                self._leading_services[service].add(services[0])
 
     def find(self, *, host, path):
         """Return the topology.Route of a request, or None."""
@@ -37,6 +43,14 @@
                 )
         return sorted(weights, key=lambda name: (-weights[name], name))
 
+    def leading_services(self, service):
+        """Return the services whose homes get the requests of a service.
+
+        Callers of a host are sent to the home of its first service, also with
+        requests of its other services.
+        """
+        return frozenset(self._leading_services.get(service, ()))
+
 
 class TrafficSplitter:
     """Splits the requests of each route between services by weight.
--- a/wigeonrouter/topology/_routing_test.py
+++ b/wigeonrouter/topology/_routing_test.py
@@ -50,3 +50,17 @@
     )
     assert table.services_of("h") == ["major", "minor"]
     assert table.services_of("unknown") == []
+
+
+def test_requests_of_a_service_get_to_the_homes_of_leading_services():
+    """Guards against a service whose home gets none of its requests."""
+    table = topology.RouteTable(
+        [
+            route("/a/", shares=(("alpha", 2),)),
+            route("/b/", shares=(("beta", 1),)),
+            route("/b/", host="other", shares=(("beta", 1),)),
+        ]
+    )
+    assert table.leading_services("alpha") == {"alpha"}
+    assert table.leading_services("beta") == {"alpha", "beta"}
+    assert not table.leading_services("unknown")
