Forget a rate limit at a home that has no requests

The home kept a limit until a response named none, and the other nodes for as long as the home stated it: without requests at the home, nobody used the server again. The home now forgets it 30 s after it was last told.

--- a/wigeonrouter/placement/_rate_limits.py
+++ b/wigeonrouter/placement/_rate_limits.py
@@ -29,6 +29,8 @@
 _REORDERING_S = 0.25
 # What a node other than the sender knows of a limit holds for this time.
 _KNOWLEDGE_LIFETIME_S = 10.0
+# What the sender was told itself holds for longer, since it may rarely send.
+_SENDER_KNOWLEDGE_LIFETIME_S = 30.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -233,11 +235,14 @@
     def _own_statement_holds(self, server, now):
         """Return whether what the server said to this node is the latest.
 
-        A limit holds for the sender until a response names none.
+        For the sender, what it was told goes before what others were told. If
+        it has no requests to send, the limit is forgotten, since others would
+        hold it for as long as the sender does.
         """
+        age = now - server.told_at
         if server.limit is not None and self._share > 0.0:
-            return True
-        if now - server.told_at > _KNOWLEDGE_LIFETIME_S:
+            return age <= _SENDER_KNOWLEDGE_LIFETIME_S
+        if age > _KNOWLEDGE_LIFETIME_S:
             return False
         is_older = server.peer_changed_at > server.told_at
         return not (is_older and _knows_peer(server, now))
