--- a/wigeonrouter/placement/_rate_limits.py
+++ b/wigeonrouter/placement/_rate_limits.py
@@ -1,12 +1,13 @@
 """Rate limits that backend servers name for the requests of all nodes.
 
 Load pattern: a server in need names a limit of about one request a second,
-while dozens of nodes know the server. Equal shares of such a limit would be of
-no use, so only one node, the sender, uses the server: the home of its service
-in its region. The others do not use it for as long as they know of the limit,
-but for a rare request of the home in each other region, which finds its end.
+while dozens of nodes know the server. A share for each of them would be of no
+use, so only the senders use the server: the homes in its region that get the
+requests of its service, mostly a single one. The others do not use it for as
+long as they know of the limit, but for a rare request of the home in each
+other region, which finds its end.
 
-The sender counts what it sent in sliding windows, retries included, and also
+A sender counts what it sent in sliding windows, retries included, and also
 what it sent before the limit was named. A new sender assumes that the one
 before it has used the limit.
 """
@@ -27,9 +28,9 @@
 # A response without a limit that arrives sooner after one with a limit may
 # have been overtaken by it on another connection.
 _REORDERING_S = 0.25
-# What a node other than the sender knows of a limit holds for this time.
+# What a node that is no sender knows of a limit holds for this time.
 _KNOWLEDGE_LIFETIME_S = 10.0
-# What the sender was told itself holds for longer, since it may rarely send.
+# What a sender was told itself holds for longer, since it may rarely send.
 _SENDER_KNOWLEDGE_LIFETIME_S = 30.0
 
 
@@ -84,7 +85,7 @@
         """Set the share of the limits that this node may use.
 
         Args:
-          share: from 0 to 1, 0 if another node is the sender.
+          share: from 0 to 1, 0 if this node is no sender.
           now: seconds on the monotonic clock.
         """
         if share <= 0.0:
@@ -156,8 +157,8 @@
 
         Args:
           now: seconds on the monotonic clock.
-          is_sender: whether this node is the sender. Only the sender states
-            that a limit has ended, since others may have been told earlier.
+          is_sender: whether this node is a sender. Only senders state that
+            a limit has ended, since others may have been told earlier.
         Returns:
           Dict from instance to requests per second, None for a limit that
           has ended.
@@ -235,8 +236,8 @@
     def _own_statement_holds(self, server, now):
         """Return whether what the server said to this node is the latest.
 
-        For the sender, what it was told goes before what others were told. If
-        it has no requests to send, the limit is forgotten, since others would
+        For a sender, what it was told goes before what others were told. If it
+        has no requests to send, the limit is forgotten, since others would
         hold it for as long as the sender does.
         """
         age = now - server.told_at
