--- a/wigeonrouter/platform/_multi_node_test.py
+++ b/wigeonrouter/platform/_multi_node_test.py
@@ -78,11 +78,7 @@
     directory = conftest.Caller(address=region[0].settings.directory_address)
     query = f"/api/resolve?name={conftest.HOST}&region=r1"
     home = directory.send(query).body
-    stopping_node = next(
-        node
-        for node in region
-        if str(node.settings.caller_address).encode() in home
-    )
+    stopping_node = conftest.home_of(region)
     task = gevent.spawn(stopping_node.stop)
     other_node = next(node for node in region if node is not stopping_node)
     directory = conftest.Caller(address=other_node.settings.directory_address)
--- a/wigeonrouter/platform/_rate_limit_test.py
+++ b/wigeonrouter/platform/_rate_limit_test.py
@@ -115,17 +115,6 @@
     assert rejected[len(rejected) // 2].seconds < _IMMEDIATE_S
 
 
-def _home_of(region):
-    """Return the node that the directory names."""
-    directory = conftest.Caller(address=region[0].settings.directory_address)
-    body = directory.send(f"/api/resolve?name={conftest.HOST}&region=r1").body
-    return next(
-        node
-        for node in region
-        if str(node.settings.caller_address).encode() in body
-    )
-
-
 def test_limit_holds_while_its_home_is_killed_and_replaced(
     region, limited_server, traffic
 ):
@@ -134,7 +123,7 @@
     named_at = time.monotonic()
     limited_server.rate_limit = _LIMIT_PER_S
     gevent.sleep(5.0)
-    _home_of(region).kill()
+    conftest.home_of(region).kill()
     killed_at = time.monotonic()
     gevent.sleep(9.0)
     assert busiest_window(limited_server, named_at) <= allowed_requests(
@@ -182,7 +171,8 @@
         backend, region[0], "i-beta", service="beta"
     )
     server.rate_limit = _LIMIT_PER_S
-    caller = conftest.Caller(address=_home_of(region).settings.caller_address)
+    home = conftest.home_of(region)
+    caller = conftest.Caller(address=home.settings.caller_address)
     wait_until(lambda: caller.send("/beta/a").status == 200)
     gevent.sleep(_WINDOW_S)
     statuses = []
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -257,6 +257,17 @@
     return [Caller(address=node.settings.caller_address) for node in nodes]
 
 
+def home_of(nodes):
+    """Return the node of a region that the directory names."""
+    directory = Caller(address=nodes[0].settings.directory_address)
+    body = directory.send(f"/api/resolve?name={HOST}&region=r1").body
+    return next(
+        node
+        for node in nodes
+        if str(node.settings.caller_address).encode() in body
+    )
+
+
 @pytest.fixture
 def region(make_settings, start_node, free_port):
     """Run three nodes of a region and wait for one hub and two followers."""
