Reuse what computes Retry-After and wakes the queue

Rejections without a server and of a stopping node computed the jitter that placement.retry_after has; the values are the same. Balancer woke all queued requests in two places. Whether a response says anything about a limit is decided in one place; the limit in a misdirected response to a health check is now ignored as well. Without any limit, no list of servers is built for each request to find that out.

--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -132,7 +132,9 @@
             return None
         return messages.Rejection(
             problem=core.problems.STOPPING,
-            retry_after=_STOPPING_RETRY_S * self._rng.uniform(0.5, 1.5),
+            retry_after=placement.retry_after(
+                wait=_STOPPING_RETRY_S, rng=self._rng
+            ),
         )
 
     def _check_admission(self, request, service_time, now):
@@ -204,6 +206,7 @@
     def _check_still_admissible(
         self, request, service_time, now, *, became_late
     ):
+        """Return the Rejection of a queued request, None to keep it."""
         if not self._server_pool.views.has_usable:
             return self._reject_no_server()
         wait = self._server_pool.views.time_to_next_send
@@ -220,7 +223,9 @@
     def _reject_no_server(self):
         return messages.Rejection(
             problem=core.problems.NO_SERVER,
-            retry_after=_NO_SERVER_RETRY_S * self._rng.uniform(0.5, 1.5),
+            retry_after=placement.retry_after(
+                wait=_NO_SERVER_RETRY_S, rng=self._rng
+            ),
         )
 
     def _reject_overload(self, request, wait, service_time, now):
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -131,11 +131,10 @@
 
     def on_stopping(self):
         """Check the queued requests again, since this node began to stop."""
-        for waiter in self._queue:
-            waiter.set()
+        self._wake_all()
 
     def refresh_rate_limits(self, peer_limits):
-        """Apply changed roles and limits; see ServerPool."""
+        """Apply changed roles and limits; see ServerViews."""
         if self._server_pool.views.refresh_rate_limits(peer_limits):
             self._on_servers_changed()
 
@@ -285,7 +284,10 @@
         """Wake the requests that the set of servers may concern."""
         if self._server_pool.views.has_usable:
             self._wake_head()
-            return
+        else:
+            self._wake_all()
+
+    def _wake_all(self):
         for waiter in self._queue:
             waiter.set()
 
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -102,6 +102,8 @@
 
         Without limits means that any preferred server has none.
         """
+        if not self._views.limited_count:
+            return None
         views = self._preferred()
         if any(view.rate_limit is None for view in views):
             return None
@@ -209,7 +211,7 @@
         """Record the end of an attempt; see Balancer.release()."""
         instance = grant.registration.instance
         load = metadata.load if metadata is not None else None
-        if metadata is not None and not metadata.misdirected:
+        if metadata is not None:
             self._views.record_rate_limit(instance, metadata, from_probe=False)
         view = self._views.get(instance)
         if (
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -174,6 +174,9 @@
         """
         if not metadata.rate_limit_valid or instance not in self._views:
             return
+        if metadata.misdirected:
+            # Another server has responded.
+            return
         if metadata.rate_limit is None and metadata.not_executed:
             # A server that rejects requests may well need its limit still.
             return
