--- a/wigeonrouter/platform/_emulated_server.py
+++ b/wigeonrouter/platform/_emulated_server.py
@@ -43,6 +43,10 @@
     def stop(self):
         """Stop the server and close all connections immediately."""
         self._server.stop(timeout=0.1)
+        self.close_connections()
+
+    def close_connections(self):
+        """Close all connections; the server goes on accepting new ones."""
         for sock in list(self._connections):
             sock.close()
 
--- a/wigeonrouter/platform/_emulated_store.py
+++ b/wigeonrouter/platform/_emulated_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import bisect
+import dataclasses
 import json
 import time
 from urllib import parse
@@ -14,6 +15,15 @@
 _PAGE_ITEMS = 500
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreCopy:
+    """A copy of the store's contents, from which it can be restored."""
+
+    items: dict
+    log: tuple
+    revision: int
+
+
 class EmulatedStore(_emulated_server.EmulatedServer):
     """Emulates the metadata store.
 
@@ -21,6 +31,7 @@
       refusing: respond with 503 to all calls.
       refusing_lists: respond with 503 to listings.
       calls: number of calls received.
+      era: number of the store's present era; each restore begins a new one.
     """
 
     def __init__(self):
@@ -32,6 +43,7 @@
         self._revision = 1
         self._changed = event.Event()
         self.calls = 0
+        self.era = 1
         super().__init__()
 
     def put(self, key, document):
@@ -51,6 +63,26 @@
         """Drop the change history, so that watches of old revisions fail."""
         self._log.clear()
 
+    def copy(self):
+        """Return a StoreCopy of the present contents."""
+        return StoreCopy(
+            items=dict(self._items),
+            log=tuple(self._log),
+            revision=self._revision,
+        )
+
+    def restore(self, copy):
+        """Go back to a StoreCopy; later writes are lost.
+
+        Revisions that the lost writes had are given out again. Connections
+        are closed.
+        """
+        self._items = dict(copy.items)
+        self._log = list(copy.log)
+        self._revision = copy.revision
+        self.era += 1
+        self.close_connections()
+
     @property
     def old_reads(self):
         """Whether stale listings return the items as of when this was set."""
@@ -65,7 +97,15 @@
         return sorted(self._items)
 
     def handle(self, request, sock):
-        """Handle one call."""
+        """Handle one call; the response names the era."""
+        response = self._handle(request)
+        return dataclasses.replace(
+            response,
+            headers=(*response.headers, (b"store-era", b"%d" % self.era)),
+            fields=None,
+        )
+
+    def _handle(self, request):
         self.calls += 1
         if self.refusing:
             return _respond(503)
@@ -100,10 +140,7 @@
         after = int(query["after"])
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            oldest = self._log[0]["revision"] if self._log else None
-            if after < self._revision and (
-                oldest is None or oldest > after + 1
-            ):
+            if self._has_lost_history(after):
                 return _respond(410)
             events = [
                 row
@@ -119,6 +156,11 @@
             self._changed.clear()
             self._changed.wait(timeout=remaining)
 
+    def _has_lost_history(self, after):
+        if after >= self._revision:
+            return after > self._revision
+        return not self._log or self._log[0]["revision"] > after + 1
+
     def _transact(self, document):
         for row in document["expected_rev"]:
             item = self._items.get(row["key"])
