Log when the store is restored and which listings are ignored

The logs could not tell whether a hub ignores the listing of a restored store or a watch succeeds and returns only the latest changes: nothing named the restore. The store client now reads the era that the store names in its responses, and listings, changes and messages between nodes carry it as a store.Position. A hub logs store-restored or store-listing-older with both positions, and the metric wigeonrouter_store_era stands beside the revision.

--- a/wigeonrouter/bench/_node_parts.py
+++ b/wigeonrouter/bench/_node_parts.py
@@ -45,7 +45,9 @@
     item = store.Item(
         key=testing.CONFIGURATION_KEY, value=value, version=services
     )
-    update = _store_cache.encode_update(items=[item], revision=services)
+    update = _store_cache.encode_update(
+        items=[item], position=store.Position(revision=services)
+    )
     feed = testing.make_feed(_REGION_BY_FAILURE_DOMAIN)
     cluster_state = _cluster_state.ClusterState(
         events=_DiscardedEvents(), on_change=lambda: None
@@ -70,17 +72,17 @@
     """Measure how a node loads the registrations of some servers."""
     items = [_registration_item(number) for number in range(servers)]
     update = _store_cache.encode_update(
-        items=items, revision=servers, complete=True
+        items=items, position=store.Position(revision=servers), complete=True
     )
     single_update = _store_cache.encode_update(
-        items=items[:1], revision=servers + 1
+        items=items[:1], position=store.Position(revision=servers + 1)
     )
     feed = testing.make_feed(_REGION_BY_FAILURE_DOMAIN)
     cluster_state = _cluster_state.ClusterState(
         events=_DiscardedEvents(), on_change=lambda: None
     )
     store_cache = _store_cache.StoreCache(
-        apply=lambda items, revision, complete: cluster_state.apply(
+        apply=lambda items, complete: cluster_state.apply(
             feed.decode(items, complete=complete)
         )
     )
--- a/wigeonrouter/node/_follower.py
+++ b/wigeonrouter/node/_follower.py
@@ -95,9 +95,11 @@
             channel.close()
 
     def _join(self, channel):
+        position = self._store_cache.position
         join = node_pb2.Join(
             state=self._callbacks.own_state(),
-            revision=self._store_cache.revision,
+            revision=position.revision,
+            era=position.era,
             accepts_roster_changes=True,
         )
         channel.send(
--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -12,6 +12,7 @@
 
 from wigeonrouter.node import _channel
 from wigeonrouter.node import _roster
+from wigeonrouter.node import _store_cache
 from wigeonrouter.schema import node_pb2
 
 HEARTBEAT_INTERVAL_S = 0.4
@@ -104,7 +105,9 @@
         self._followers[host] = follower
         follower.enqueue(
             node_pb2.PeerMessage(
-                update=self._store_cache.update_since(join.revision)
+                update=self._store_cache.update_since(
+                    _store_cache.read_position(join)
+                )
             )
         )
         follower.enqueue(self._heartbeat_message())
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -279,7 +279,8 @@
     def _read_gauges(self):
         ready = sum(peer.ready for peer in self._region_member.peers)
         return observability.Gauges(
-            revision=self._region_member.revision,
+            revision=self._region_member.position.revision,
+            store_era=self._region_member.position.era,
             ready=self.ready,
             members={
                 "ready": ready,
--- a/wigeonrouter/node/_peer_requests.py
+++ b/wigeonrouter/node/_peer_requests.py
@@ -41,13 +41,13 @@
     }
 
 
-def fetch_update(host, *, port, revision):
-    """Fetch a node's Update since a revision.
+def fetch_update(host, *, port, position):
+    """Fetch a node's Update since a store.Position.
 
     Returns:
       Update message, None if the node did not reply with one in time.
     """
-    fetch = node_pb2.Fetch(revision=revision)
+    fetch = node_pb2.Fetch(revision=position.revision, era=position.era)
     reply = _exchange(host, port, node_pb2.PeerMessage(fetch=fetch))
     if reply is None or not reply.HasField("update"):
         return None
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -95,9 +95,9 @@
         return self._peers
 
     @property
-    def revision(self):
-        """Revision of the store that this node has applied."""
-        return self._store_cache.revision
+    def position(self):
+        """store.Position that this node has applied."""
+        return self._store_cache.position
 
     @property
     def role(self):
@@ -155,20 +155,20 @@
         """
         region, host = self._settings.place.region, self._settings.host
         while host not in self._cluster_state.hosts(region):
-            if self._store_cache.revision:
+            if self._store_cache.filled:
                 try:
                     self._feed.register(region=region, host=host)
                     return
                 except store.StoreError as error:
                     self._events.notice("not-registered", error=str(error))
             gevent.sleep(
-                _REGISTER_RETRY_S if self._store_cache.revision else 0.05
+                _REGISTER_RETRY_S if self._store_cache.filled else 0.05
             )
 
     def run(self):
         """Follow the store, directly or through a hub, until killed."""
         retry = _MIN_LOAD_RETRY_S
-        while not self._store_cache.revision:
+        while not self._store_cache.filled:
             self._load_snapshot(retry)
             retry = min(_MAX_LOAD_RETRY_S, 2 * retry)
         while True:
@@ -191,7 +191,7 @@
             listing = self._feed.list(stale=True)
             self._reaches_store = True
             self._cluster_state.on_store_contact()
-            self._store_cache.replace_all(listing.items, listing.revision)
+            self._store_cache.replace_all(listing.items, listing.position)
             return
         except store.StoreError as error:
             self._events.notice("store-lost", error=str(error))
@@ -202,15 +202,18 @@
 
     def _fetch_from_peer(self, host):
         update = _peer_requests.fetch_update(
-            host, port=self._port, revision=self._store_cache.revision
+            host, port=self._port, position=self._store_cache.position
         )
         if update is None:
             return False
         self._store_cache.apply_update(update)
         self._events.notice(
-            "content-from-peer", host=host, revision=self._store_cache.revision
+            "content-from-peer",
+            host=host,
+            era=self._store_cache.position.era,
+            revision=self._store_cache.position.revision,
         )
-        return self._store_cache.revision > 0
+        return self._store_cache.filled
 
     def _run_one_role(self):
         decision = topology.decide_role(
@@ -307,7 +310,9 @@
     def _on_store_contact(self):
         if not self._reaches_store:
             self._events.notice(
-                "store-regained", revision=self._store_cache.revision
+                "store-regained",
+                era=self._store_cache.position.era,
+                revision=self._store_cache.position.revision,
             )
         self._reaches_store = True
         self._cluster_state.on_store_contact()
@@ -392,11 +397,11 @@
             kind = message.WhichOneof("body")
             if kind == "join" and self._hub is not None:
                 self._hub.serve(channel, message.join)
-            elif kind == "fetch" and self._store_cache.revision:
+            elif kind == "fetch" and self._store_cache.filled:
                 channel.send(
                     node_pb2.PeerMessage(
                         update=self._store_cache.update_since(
-                            message.fetch.revision
+                            _store_cache.read_position(message.fetch)
                         )
                     ),
                     timeout=_peer_requests.REQUEST_TIMEOUT_S,
@@ -436,5 +441,5 @@
         self._peers = _roster.to_peers(roster)
         self._history.update(self._peers, self._clock())
 
-    def _apply(self, items, revision, complete):
+    def _apply(self, items, complete):
         self._cluster_state.apply(self._feed.decode(items, complete=complete))
--- a/wigeonrouter/node/_store_cache.py
+++ b/wigeonrouter/node/_store_cache.py
@@ -12,45 +12,50 @@
 
 
 class StoreCache:
-    """Holds the items of the store as of a revision.
+    """Holds the items of the store as of a position in its history.
 
     It is filled from the store on the hub and from Update messages on the
     followers.
 
     Args:
-      apply: called with (items, revision, complete) after each change, where
+      apply: called with (items, complete) after each change, where
         `complete` tells whether these are all items of the store.
     """
 
     def __init__(self, *, apply):
         self._apply = apply
         self._items = {}
-        self._revision = 0
+        self._position = store.Position()
 
     @property
-    def revision(self):
-        """Revision of the store, 0 until something was read."""
-        return self._revision
+    def position(self):
+        """store.Position of the items."""
+        return self._position
 
-    def replace_all(self, items, revision):
+    @property
+    def filled(self):
+        """Whether anything was read from the store."""
+        return self._position.revision > 0
+
+    def replace_all(self, items, position):
         """Replace all items by a complete listing.
 
         A listing that is older than the cache is ignored.
         """
-        if revision < self._revision:
+        if position.revision < self._position.revision:
             return
         self._items = {item.key: item for item in items}
-        self._revision = revision
-        self._apply(tuple(items), revision, True)
+        self._position = position
+        self._apply(tuple(items), True)
 
-    def apply_changes(self, items, revision):
+    def apply_changes(self, items, position):
         """Apply changes, oldest first; the last change of a key wins.
 
         Changes up to the cache's revision are ignored: a new hub may have read
         less of the store than the previous one, and the removal of an item
         leaves nothing in the cache to compare with.
         """
-        known_revision = self._revision
+        known_revision = self._position.revision
         fresh = {}
         for item in items:
             if item.version <= known_revision:
@@ -64,46 +69,55 @@
                 self._items[item.key] = item
             fresh.pop(item.key, None)
             fresh[item.key] = item
-        self._revision = max(self._revision, revision)
+        if position.revision > known_revision:
+            self._position = position
         if fresh:
-            self._apply(tuple(fresh.values()), self._revision, False)
+            self._apply(tuple(fresh.values()), False)
 
-    def update_since(self, revision):
-        """Return the Update that brings a cache at a revision up to date.
+    def update_since(self, position):
+        """Return the Update that brings a cache at a position up to date.
 
         It has the newer items and all keys, so that the receiver also drops
         removed keys.
         """
         newer = [
-            item for item in self._items.values() if item.version > revision
+            item
+            for item in self._items.values()
+            if item.version > position.revision
         ]
         return encode_update(
             items=newer,
             keys=self._items,
-            revision=self._revision,
+            position=self._position,
             complete=True,
         )
 
     def apply_update(self, update):
         """Apply an Update message."""
         items, keys = decode_update(update)
+        position = read_position(update)
         if not update.whole:
-            self.apply_changes(items, update.revision)
+            self.apply_changes(items, position)
             return
-        if update.revision < self._revision:
+        if position.revision < self._position.revision:
             return
         merged = {key: self._items[key] for key in keys if key in self._items}
         for item in items:
             merged[item.key] = item
-        self.replace_all(merged.values(), update.revision)
+        self.replace_all(merged.values(), position)
+
+
+def read_position(message):
+    """Return the store.Position that a message between nodes names."""
+    return store.Position(era=message.era, revision=message.revision)
 
 
-def encode_update(*, items, revision, complete=False, keys=()):
+def encode_update(*, items, position, complete=False, keys=()):
     """Encode store items as an Update message.
 
     Args:
       items: store.Items; a removed one has no value.
-      revision: revision of the store that they belong to.
+      position: store.Position that they belong to.
       complete: whether `keys` lists all keys of the store.
       keys: keys of the store.
     """
@@ -123,7 +137,11 @@
     if compressed:
         data = zlib.compress(data, _COMPRESSION_LEVEL)
     return node_pb2.Update(
-        items=data, compressed=compressed, whole=complete, revision=revision
+        items=data,
+        compressed=compressed,
+        whole=complete,
+        revision=position.revision,
+        era=position.era,
     )
 
 
--- a/wigeonrouter/node/_store_cache_test.py
+++ b/wigeonrouter/node/_store_cache_test.py
@@ -21,7 +21,7 @@
 def cache(applied):
     """Return an empty StoreCache."""
     return _store_cache.StoreCache(
-        apply=lambda items, revision, complete: applied.append(
+        apply=lambda items, complete: applied.append(
             ({item.key: item.value for item in items}, complete)
         )
     )
@@ -31,8 +31,14 @@
     return store.Item(key=key, value=value, version=version)
 
 
-def _update(*items, revision):
-    return _store_cache.encode_update(items=items, revision=revision)
+def _position(revision, era=1):
+    return store.Position(era=era, revision=revision)
+
+
+def _update(*items, revision, era=1):
+    return _store_cache.encode_update(
+        items=items, position=_position(revision, era)
+    )
 
 
 def test_server_that_left_does_not_return_through_a_hub_that_lags(
@@ -43,21 +49,21 @@
     A follower whose hub was killed joins one that has read less of the store.
     The new hub then reads and passes on what the follower knows to be over.
     """
-    cache.replace_all([_item(SERVER, 90), _item(OTHER, 91)], 92)
+    cache.replace_all([_item(SERVER, 90), _item(OTHER, 91)], _position(92))
     cache.apply_update(_update(_item(SERVER, 95, None), revision=95))
     del applied[:]
     cache.apply_update(_update(_item(SERVER, 93), revision=93))
     cache.apply_update(_update(_item(OTHER, 94), revision=94))
-    assert not applied and cache.revision == 95
+    assert not applied and cache.position == _position(95)
     cache.apply_update(_update(_item(OTHER, 96), revision=96))
     assert applied == [({OTHER: b"{}"}, False)]
 
 
 def test_older_listing_is_ignored(cache, applied):
     """Guards against a stale listing that undoes changes."""
-    cache.replace_all([_item(SERVER, 95)], 95)
+    cache.replace_all([_item(SERVER, 95)], _position(95))
     del applied[:]
-    cache.replace_all([], 94)
+    cache.replace_all([], _position(94))
     assert not applied
 
 
@@ -86,12 +92,12 @@
     for cache, count in ((follower, seen), (hub, behind)):
         for item in history[:count]:
             cache.apply_update(_update(item, revision=item.version))
-    follower.apply_update(hub.update_since(follower.revision))
+    follower.apply_update(hub.update_since(follower.position))
     for item in history[behind:]:
-        hub.apply_changes([item], item.version)
+        hub.apply_changes([item], _position(item.version))
         follower.apply_update(_update(item, revision=item.version))
-    newest = hub.update_since(0)
-    assert follower.revision == hub.revision
+    newest = hub.update_since(store.Position())
+    assert follower.position == hub.position
     assert _store_cache.decode_update(
-        follower.update_since(0)
+        follower.update_since(store.Position())
     ) == _store_cache.decode_update(newest)
--- a/wigeonrouter/node/_store_reader.py
+++ b/wigeonrouter/node/_store_reader.py
@@ -70,28 +70,47 @@
     def _read_once(self):
         try:
             events = self._feed.watch(
-                revision=self._store_cache.revision, wait=_WATCH_TIMEOUT_S
+                revision=self._store_cache.position.revision,
+                wait=_WATCH_TIMEOUT_S,
             )
         except store.HistoryLost:
             self._events.notice(
-                "store-history-lost", after=self._store_cache.revision
+                "store-history-lost",
+                era=self._store_cache.position.era,
+                after=self._store_cache.position.revision,
             )
             self._relist()
             return
         self._on_store_contact()
-        self._store_cache.apply_changes(events.changes, events.revision)
+        self._store_cache.apply_changes(events.changes, events.position)
         if not events.changes:
             return
         self._on_update(
             _store_cache.encode_update(
-                items=events.changes, revision=events.revision
+                items=events.changes, position=events.position
             )
         )
         gevent.sleep(_BATCH_DELAY_S)
 
     def _relist(self):
-        before = self._store_cache.revision
+        before = self._store_cache.position
         listing = self._feed.list()
         self._on_store_contact()
-        self._store_cache.replace_all(listing.items, listing.revision)
+        self._log_listing(before, listing.position)
+        self._store_cache.replace_all(listing.items, listing.position)
         self._on_update(self._store_cache.update_since(before))
+
+    def _log_listing(self, known, listed):
+        if listed.era != known.era:
+            name = "store-restored"
+        elif listed < known:
+            name = "store-listing-older"
+        else:
+            return
+        self._events.notice(
+            name,
+            era=listed.era,
+            revision=listed.revision,
+            known_era=known.era,
+            known_revision=known.revision,
+        )
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -40,6 +40,7 @@
       unanswered_requests: requests of callers without a response yet.
       events: dict from the name of a log event to its count since the start.
       dropped: log lines that were not written since the start.
+      store_era: era of the store to which the revision belongs.
     """
 
     revision: int
@@ -49,6 +50,7 @@
     unanswered_requests: int
     events: dict = dataclasses.field(default_factory=dict)
     dropped: int = 0
+    store_era: int = 0
 
 
 class _Collector(registry.Collector):
@@ -79,6 +81,7 @@
 def _collect_gauges(gauges):
     for name, text, value in (
         ("revision", "Configuration revision in force", gauges.revision),
+        ("store_era", "Era of the store", gauges.store_era),
         ("ready", "1 if callers may be sent here", int(gauges.ready)),
         (
             "requests_unanswered",
--- a/wigeonrouter/observability/_metrics_test.py
+++ b/wigeonrouter/observability/_metrics_test.py
@@ -93,6 +93,7 @@
                 ),
             ),
             unanswered_requests=1,
+            store_era=2,
         ),
     ).decode()
     samples = {
@@ -101,6 +102,7 @@
         for sample in family.samples
     }
     assert samples["wigeonrouter_revision", None] == 7
+    assert samples["wigeonrouter_store_era", None] == 2
     assert samples["wigeonrouter_queue_length", None] == 2
     assert samples["wigeonrouter_limited_servers", None] == 3
     assert samples["wigeonrouter_in_flight", None] == 4
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -37,7 +37,7 @@
         return self._client.list(_ALL_KEYS, stale=stale)
 
     def watch(self, *, revision, wait):
-        """Return the store.Events after a revision.
+        """Return the store.Events after a revision of the present era.
 
         Args:
           revision: revision of the store.
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -2,7 +2,9 @@
 
 import base64
 import binascii
+import dataclasses
 import json
+import re
 import time
 from urllib import parse
 
@@ -20,6 +22,21 @@
 _MAX_CONNECTIONS = 8
 # Connections that were idle for longer are closed, not reused.
 _MAX_IDLE_S = 30.0
+_ERA = b"store-era"
+_ERA_NUMBER = re.compile(rb"[0-9]{1,15}")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Reply:
+    status: int
+    document: dict
+    era: int
+
+    def position(self):
+        """Return the store.Position that the reply names."""
+        return store.Position(
+            era=self.era, revision=_field(self.document, "as_of", int)
+        )
 
 
 class StoreClient:
@@ -34,6 +51,8 @@
         self._address = address
         self._timeout = timeout
         self._pool = http1.ConnectionPool(max_idle=_MAX_IDLE_S)
+        # The latest era that a reply has named.
+        self._era = 0
 
     def list(self, prefix, *, stale=False):
         """List all items whose keys have a prefix.
@@ -42,31 +61,34 @@
           prefix: key prefix, "" for all keys.
           stale: accept a response that may be seconds old.
         Returns:
-          store.Listing; a watch from its revision on misses no change. The
-          revision is that of the first page. For a stale listing it is at
-          most that of the newest item, because the store reports its
-          current revision even with old items.
+          store.Listing; a watch from its position on misses no change. The
+          position is that of the first page. For a stale listing its
+          revision is at most that of the newest item, because the store
+          reports its current revision even with old items.
         Raises:
           StoreError: the call failed.
         """
-        items, revision, after = [], None, None
+        items, position, after = [], None, None
         while True:
             query = {"prefix": prefix}
             if stale:
                 query["stale_ok"] = "1"
             if after is not None:
                 query["after"] = after
-            document = self._get(_RANGE_PATH, query, self._timeout)
-            rows = _field(document, "items", list)
+            reply = self._get(_RANGE_PATH, query, self._timeout)
+            rows = _field(reply.document, "items", list)
             items.extend(_read_item(row) for row in rows)
-            if revision is None:
-                revision = _field(document, "as_of", int)
-            if not document.get("has_more") or not rows:
-                if stale:
-                    newest = max((item.version for item in items), default=1)
-                    revision = min(revision, newest)
-                return store.Listing(items=tuple(items), revision=revision)
+            if position is None:
+                position = reply.position()
+            if not reply.document.get("has_more") or not rows:
+                break
             after = items[-1].key
+        if stale:
+            newest = max((item.version for item in items), default=1)
+            position = dataclasses.replace(
+                position, revision=min(position.revision, newest)
+            )
+        return store.Listing(items=tuple(items), position=position)
 
     def watch(self, prefix, *, revision, wait):
         """Wait for changes after a revision.
@@ -82,7 +104,7 @@
             revision; all items have to be listed again.
           StoreError: the call failed.
         """
-        document = self._get(
+        reply = self._get(
             _WATCH_PATH,
             {
                 "prefix": prefix,
@@ -93,9 +115,10 @@
         )
         return store.Events(
             changes=tuple(
-                _read_item(row) for row in _field(document, "events", list)
+                _read_item(row)
+                for row in _field(reply.document, "events", list)
             ),
-            revision=_field(document, "as_of", int),
+            position=reply.position(),
         )
 
     def create(self, key, value):
@@ -131,10 +154,10 @@
                 "remove": [],
             }
         )
-        status, _ = self._call("POST", _TRANSACTION_PATH, body, self._timeout)
-        if status not in (200, 412):
-            raise store.StoreUnavailable(f"status {status}")
-        return status
+        reply = self._call("POST", _TRANSACTION_PATH, body, self._timeout)
+        if reply.status not in (200, 412):
+            raise store.StoreUnavailable(f"status {reply.status}")
+        return reply.status
 
     def close(self):
         """Close the idle connections."""
@@ -142,18 +165,22 @@
 
     def _get(self, path, query, timeout):
         target = f"{path}?{parse.urlencode(query)}"
-        status, document = self._call("GET", target, "", timeout)
-        if status == 410:
+        reply = self._call("GET", target, "", timeout)
+        if reply.status == 410:
             raise store.HistoryLost()
-        if status != 200:
-            raise store.StoreUnavailable(f"status {status}")
-        return document
+        if reply.status != 200:
+            raise store.StoreUnavailable(f"status {reply.status}")
+        return reply
 
     def _call(self, method, target, body, timeout):
         try:
             with gevent.Timeout(timeout, TimeoutError("no answer in time")):
                 response = self._exchange(method, target, body)
-            return response.status, _parse(response.body)
+            return _Reply(
+                status=response.status,
+                document=_parse(response.body),
+                era=self._read_era(response),
+            )
         except (
             OSError,
             ValueError,
@@ -164,6 +191,15 @@
                 f"{type(error).__name__}: {error}"
             ) from error
 
+    def _read_era(self, response):
+        """Return the era of a response, the latest one if it names none."""
+        value = response.header(_ERA)
+        if not _ERA_NUMBER.fullmatch(value):
+            return self._era
+        era = int(value)
+        self._era = max(self._era, era)
+        return era
+
     def _exchange(self, method, target, body):
         self._pool.close_idle()
         connection = self._pool.checkout(
--- a/wigeonrouter/platform/_store_test.py
+++ b/wigeonrouter/platform/_store_test.py
@@ -38,13 +38,13 @@
 
 def test_watch_returns_writes_and_removals(emulated_store, client):
     """Guards against a removal that is mistaken for a write."""
-    revision = client.list("").revision
+    revision = client.list("").position.revision
     emulated_store.put("a", b"1")
     emulated_store.remove("a")
     events = client.watch("", revision=revision, wait=1.0)
     assert [item.value for item in events.changes] == [b"1", None]
-    later = client.watch("", revision=events.revision, wait=0.05)
-    assert later.changes == () and later.revision == events.revision
+    later = client.watch("", revision=events.position.revision, wait=0.05)
+    assert later.changes == () and later.position == events.position
 
 
 def test_watch_after_a_stale_listing_misses_nothing(emulated_store, client):
@@ -58,7 +58,7 @@
     emulated_store.put("b", b"2")
     listing = client.list("", stale=True)
     assert [item.key for item in listing.items] == ["a"]
-    events = client.watch("", revision=listing.revision, wait=1.0)
+    events = client.watch("", revision=listing.position.revision, wait=1.0)
     assert [item.key for item in events.changes] == ["b"]
 
 
@@ -92,7 +92,7 @@
 
 def test_lost_history_is_reported(emulated_store, client):
     """Guards against changes that are lost without an error."""
-    revision = client.list("").revision
+    revision = client.list("").position.revision
     emulated_store.put("a", b"1")
     emulated_store.forget_history()
     with pytest.raises(store_api.HistoryLost):
@@ -102,7 +102,7 @@
 def test_concurrent_calls_get_their_own_responses(emulated_store, client):
     """Guards against a response that is given to another task's call."""
     emulated_store.put("a", b"1")
-    revision = client.list("").revision
+    revision = client.list("").position.revision
     watch = gevent.spawn(client.watch, "", revision=revision, wait=0.2)
     calls = [gevent.spawn(client.list, "a") for _ in range(3)]
     assert [call.get().items[0].value for call in calls] == [b"1"] * 3
--- a/wigeonrouter/store/__init__.py
+++ b/wigeonrouter/store/__init__.py
@@ -8,6 +8,7 @@
 HistoryLost = _interface.HistoryLost
 Item = _interface.Item
 Listing = _interface.Listing
+Position = _interface.Position
 Store = _interface.Store
 StoreError = _interface.StoreError
 StoreReplyLost = _interface.StoreReplyLost
--- a/wigeonrouter/store/_interface.py
+++ b/wigeonrouter/store/_interface.py
@@ -36,20 +36,37 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, order=True, slots=True)
+class Position:
+    """A point in the history of the store.
+
+    A store that is restored from a copy gives out revisions again. Each
+    restore begins a new era, and all of an era is later than all of the
+    eras before it.
+
+    Attributes:
+      era: number of the era, 0 if the store does not name it.
+      revision: revision within the era, 0 before the first one.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Listing:
-    """Items, read at the given revision of the store or at a later one."""
+    """Items, read at the given position of the store or at a later one."""
 
     items: tuple[Item, ...]
-    revision: int
+    position: Position
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Events:
-    """Changes up to a revision; the value of a deleted key is None."""
+    """Changes up to a position; the value of a deleted key is None."""
 
     changes: tuple[Item, ...]
-    revision: int
+    position: Position
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
