Order states of the store by its era, and keep what a restore has lost

Cause: the revision alone decided which of two states of the store is newer. The store gives revisions out again after a restore, so a hub ignored its listing, watched from a revision that the store did not have, and listed it again without pause, until the store had come past that revision; then the watch returned only the latest of the changes.

Change: states are ordered by the pair of era and revision, in the cache of each node, in what hubs tell followers, and for listings and watches. The first answer of another era makes the hub list the store, and all of its followers replace their items. Since the copy is no statement of the operator or of the servers, nodes keep what they know better:

* the newest configuration stays in force, and a node that joins gets it from its region while the store has an older one;
* a listed registration that is not newer than the one seen before does not end a drain or bring back a server that left; nodes that join are told of both.
Doubts end with a listing ten seconds later, when the store has removed what nobody renewed;
* servers that the store has forgotten, however few, have the time that they have after an outage to register again;
* nodes register again, at random times within three seconds, and write what they learned of callers again.

A listing that is older than what is known counts as a failed call, so the next one waits. Listings across a restore and stale listings with items of an earlier era are read again.

--- a/wigeonrouter/bench/_node_parts.py
+++ b/wigeonrouter/bench/_node_parts.py
@@ -55,7 +55,9 @@
 
     def apply_version():
         items, _ = _store_cache.decode_update(update)
-        cluster_state.apply(feed.decode(items, complete=False))
+        cluster_state.apply(
+            feed.decode(items, scope=topology.ContentScope.CHANGES)
+        )
 
     before = _measuring.resident_bytes()
     apply_cpu_s = _measuring.cpu_seconds(apply_version)
@@ -82,8 +84,8 @@
         events=_DiscardedEvents(), on_change=lambda: None
     )
     store_cache = _store_cache.StoreCache(
-        apply=lambda items, complete: cluster_state.apply(
-            feed.decode(items, complete=complete)
+        apply=lambda items, scope: cluster_state.apply(
+            feed.decode(items, scope=scope)
         )
     )
     before = _measuring.resident_bytes()
--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -27,7 +27,12 @@
         self._configured = event.Event()
         self._routes = topology.RouteTable(())
         self._directory = topology.ServerDirectory()
+        # The version in the store, which may have lost the one in force.
+        self._stored_version = None
+        self._encoded_configuration = b""
+        # Hosts of nodes by region, also of those that the store has lost.
         self._hosts = {}
+        self._registered_nodes = set()
         self._caller_timeouts = {}
 
     @property
@@ -58,6 +63,40 @@
         """Return the frozenset of hosts registered as nodes of a region."""
         return frozenset(self._hosts.get(region, ()))
 
+    def is_registered(self, region, host):
+        """Return whether the store lists a node."""
+        return (region, host) in self._registered_nodes
+
+    @property
+    def memory(self):
+        """topology.StoreMemory of what a restored store has lost."""
+        lost = (
+            self._configuration is not None
+            and self._stored_version != self._configuration.version
+        )
+        return topology.StoreMemory(
+            configuration=self._encoded_configuration if lost else b"",
+            departures=self._directory.departures,
+        )
+
+    def recall_departures(self, departures):
+        """Apply the topology.Departures that another node has seen."""
+        self._directory.recall(departures, self._clock())
+
+    def recall_configuration(self, record):
+        """Apply a configuration that the store has lost.
+
+        Args:
+          record: topology.ConfigurationWritten or ConfigurationRejected.
+        """
+        if isinstance(record, topology.ConfigurationWritten):
+            self._take_newer(record)
+            self._on_change()
+
+    def listing_due(self):
+        """Return whether the store should be listed, to end doubts."""
+        return self._directory.listing_due(self._clock())
+
     def on_store_outage(self):
         """Record that the store is unreachable."""
         self._directory.on_store_outage()
@@ -69,15 +108,21 @@
     def apply(self, content):
         """Apply the store's records or changes (topology.StoreContent)."""
         now = self._clock()
-        if content.complete:
+        scope = content.scope
+        instances = _registered_instances(content.records)
+        if scope is topology.ContentScope.CHANGES:
+            self._directory.remove(_removed_instances(content.records), now)
+        elif scope is topology.ContentScope.COMPLETE:
             self._hosts = {}
-            self._directory.retain_only(
-                _registered_instances(content.records), now
-            )
+            self._registered_nodes = set()
+            self._directory.retain_only(instances, now)
         else:
-            self._directory.remove(_removed_instances(content.records), now)
+            self._registered_nodes = set()
+            self._caller_timeouts = {}
+            self._directory.on_store_restored(instances, now)
+        listed = scope is not topology.ContentScope.CHANGES
         for record in content.records:
-            self._apply_record(record, now)
+            self._apply_record(record, now, listed)
         self._on_change()
 
     def expire_servers(self):
@@ -86,11 +131,11 @@
             self._events.notice("lapsed-servers-forgotten")
             self._on_change()
 
-    def _apply_record(self, record, now):
+    def _apply_record(self, record, now, listed):
         if isinstance(record, topology.ConfigurationWritten):
             self._apply_configuration(record)
         elif isinstance(record, topology.RegistrationWritten):
-            self._apply_registration(record, now)
+            self._apply_registration(record, now, listed)
         elif isinstance(record, topology.RegistrationRemoved):
             self._events.notice(
                 "server-gone",
@@ -100,10 +145,12 @@
             )
         elif isinstance(record, topology.NodeWritten):
             self._hosts.setdefault(record.region, set()).add(record.host)
+            self._registered_nodes.add((record.region, record.host))
         elif isinstance(record, topology.CallerTimeoutLearned):
             self._caller_timeouts[record.route] = record.seconds
         elif isinstance(record, topology.NodeRemoved):
             self._hosts.get(record.region, set()).discard(record.host)
+            self._registered_nodes.discard((record.region, record.host))
         elif isinstance(record, topology.ConfigurationRejected):
             self._events.notice(
                 "configuration-rejected",
@@ -112,6 +159,10 @@
             )
 
     def _apply_configuration(self, record):
+        self._stored_version = record.configuration.version
+        self._take_newer(record)
+
+    def _take_newer(self, record):
         new = record.configuration
         old = self._configuration
         if old is not None and new.version <= old.version:
@@ -123,6 +174,7 @@
                 )
             return
         self._configuration = new
+        self._encoded_configuration = record.encoded
         self._configured.set()
         self._routes = topology.RouteTable(new.routes)
         self._events.notice(
@@ -132,10 +184,10 @@
             routes=len(new.routes),
         )
 
-    def _apply_registration(self, record, now):
+    def _apply_registration(self, record, now, listed):
         registration = record.registration
         previous = self._directory.known.get(registration.instance)
-        accepted = self._directory.put(registration, now)
+        accepted = self._directory.put(registration, now, listed=listed)
         if previous is not None and previous.registration == registration:
             return
         self._events.notice(
--- a/wigeonrouter/node/_follower.py
+++ b/wigeonrouter/node/_follower.py
@@ -14,6 +14,7 @@
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _peer_requests
 from wigeonrouter.node import _roster
+from wigeonrouter.node import _store_cache
 from wigeonrouter.schema import node_pb2
 
 _STORE_CHECK_INTERVAL_S = 1.0
@@ -121,7 +122,10 @@
             message = channel.receive(timeout=_hub.PEER_TIMEOUT_S)
             kind = message.WhichOneof("body")
             if kind == "update":
-                self._store_cache.apply_update(message.update)
+                try:
+                    self._store_cache.apply_update(message.update)
+                except _store_cache.RestoreMissed:
+                    return "missed a restore of the store"
             elif kind == "roster":
                 self._callbacks.on_roster(_roster.from_message(message.roster))
             elif kind == "roster_change":
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -184,7 +184,11 @@
         self._region_member.start()
         self._tasks = [
             gevent.spawn(self._supervise, "region", self._region_member.run),
-            gevent.spawn(self._register),
+            gevent.spawn(
+                self._supervise,
+                "register",
+                self._region_member.keep_registered,
+            ),
             gevent.spawn(
                 self._supervise, "waits", self._store_caller_timeouts
             ),
@@ -361,12 +365,6 @@
             return tuple(home_node.caller_address for home_node in home_nodes)
         return (self._settings.caller_address,) if self.ready else ()
 
-    def _register(self):
-        try:
-            self._region_member.register()
-        except Exception as error:
-            self._events.notice("task-failed", task="register", error=error)
-
     def _balancer_for(self, service):
         balancer = self._balancers.get(service)
         if balancer is None:
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -19,6 +19,7 @@
 from wigeonrouter.node import _peer_requests
 from wigeonrouter.node import _roster
 from wigeonrouter.node import _store_cache
+from wigeonrouter.node import _store_memory
 from wigeonrouter.node import _store_reader
 from wigeonrouter.schema import node_pb2
 
@@ -34,7 +35,8 @@
 # hub, this node becomes the hub itself.
 _MAX_HUB_WAITS = 4
 _HUB_CHECK_INTERVAL_S = 1.5
-_REGISTER_RETRY_S = 2.0
+_REGISTER_CHECK_S = 2.0
+_STARTUP_POLL_S = 0.05
 
 
 class RegionMember:
@@ -73,7 +75,11 @@
         self._events = events
         self._rng = rng
         self._clock = clock or time.monotonic
-        self._store_cache = _store_cache.StoreCache(apply=self._apply)
+        self._store_cache = _store_cache.StoreCache(
+            apply=self._apply,
+            export_memory=self._export_memory,
+            import_memory=self._import_memory,
+        )
         self._role = topology.Role(kind=topology.RoleKind.UNDECIDED)
         self._hub = None
         # Dict from host to NodeState of the region's nodes.
@@ -148,22 +154,28 @@
         self._server.stop(timeout=0)
         self._feed.close()
 
-    def register(self):
-        """Register this node in the store; returns once it is registered.
+    def keep_registered(self):
+        """Register this node in each era of the store, until killed.
 
-        Failed writes are logged and retried.
+        Failed writes are logged and retried. The times of all nodes differ,
+        since a restored store may have lost all registrations at once.
         """
         region, host = self._settings.place.region, self._settings.host
-        while host not in self._cluster_state.hosts(region):
-            if self._store_cache.filled:
+        registered_era = None
+        while True:
+            era = self._store_cache.position.era
+            if self._cluster_state.is_registered(region, host):
+                registered_era = era
+            elif self._store_cache.filled and registered_era != era:
                 try:
                     self._feed.register(region=region, host=host)
-                    return
+                    registered_era = era
                 except store.StoreError as error:
                     self._events.notice("not-registered", error=str(error))
-            gevent.sleep(
-                _REGISTER_RETRY_S if self._store_cache.filled else 0.05
-            )
+            if self._store_cache.filled:
+                gevent.sleep(_REGISTER_CHECK_S * self._rng.uniform(0.5, 1.5))
+            else:
+                gevent.sleep(_STARTUP_POLL_S)
 
     def run(self):
         """Follow the store, directly or through a hub, until killed."""
@@ -191,7 +203,9 @@
             listing = self._feed.list(stale=True)
             self._reaches_store = True
             self._cluster_state.on_store_contact()
-            self._store_cache.replace_all(listing.items, listing.position)
+            self._store_cache.replace_all(
+                listing.items, listing.position, stale=True
+            )
             return
         except store.StoreError as error:
             self._events.notice("store-lost", error=str(error))
@@ -294,6 +308,7 @@
             on_update=self._hub.broadcast_update,
             on_store_contact=self._on_store_contact,
             on_store_outage=self._on_store_outage,
+            listing_due=self._cluster_state.listing_due,
         )
 
     def _should_step_down(self):
@@ -441,5 +456,16 @@
         self._peers = _roster.to_peers(roster)
         self._history.update(self._peers, self._clock())
 
-    def _apply(self, items, complete):
-        self._cluster_state.apply(self._feed.decode(items, complete=complete))
+    def _apply(self, items, scope):
+        self._cluster_state.apply(self._feed.decode(items, scope=scope))
+
+    def _export_memory(self):
+        return _store_memory.encode(self._cluster_state.memory)
+
+    def _import_memory(self, message):
+        memory = _store_memory.decode(message)
+        self._cluster_state.recall_departures(memory.departures)
+        if memory.configuration:
+            self._cluster_state.recall_configuration(
+                self._feed.decode_configuration(memory.configuration)
+            )
--- a/wigeonrouter/node/_store_cache.py
+++ b/wigeonrouter/node/_store_cache.py
@@ -1,14 +1,22 @@
 """In-memory copy of the store's items and its messages between nodes."""
 
+import dataclasses
 import zlib
 
 from wigeonrouter import store
+from wigeonrouter import topology
 from wigeonrouter.schema import node_pb2
 
 # Larger messages are compressed, because traffic between failure domains is
 # billed.
 _MIN_COMPRESSED_BYTES = 1_000
 _COMPRESSION_LEVEL = 3
+# Era of a store that was never restored.
+_FIRST_ERA = 1
+
+
+class RestoreMissed(Exception):
+    """Changes belong to an era of which the cache has not all items."""
 
 
 class StoreCache:
@@ -18,14 +26,26 @@
     followers.
 
     Args:
-      apply: called with (items, complete) after each change, where
-        `complete` tells whether these are all items of the store.
+      apply: called with (items, topology.ContentScope) after each change.
+      export_memory: function that returns the StoreMemory message of what a
+        restored store has lost, None if there is nothing.
+      import_memory: called with the StoreMemory message of another node,
+        before its items are applied.
     """
 
-    def __init__(self, *, apply):
+    def __init__(
+        self,
+        *,
+        apply,
+        export_memory=lambda: None,
+        import_memory=lambda message: None,
+    ):
         self._apply = apply
+        self._export_memory = export_memory
+        self._import_memory = import_memory
         self._items = {}
         self._position = store.Position()
+        self._confirmed = True
 
     @property
     def position(self):
@@ -37,24 +57,50 @@
         """Whether anything was read from the store."""
         return self._position.revision > 0
 
-    def replace_all(self, items, position):
+    @property
+    def confirmed(self):
+        """Whether the items are those of the store at the position.
+
+        Items of a stale listing may be from before a restore of the store,
+        while the position is already that of the era that followed.
+        """
+        return self._confirmed or self._position.era <= _FIRST_ERA
+
+    def replace_all(self, items, position, *, stale=False):
         """Replace all items by a complete listing.
 
         A listing that is older than the cache is ignored.
+
+        Args:
+          items: store.Items.
+          position: store.Position.
+          stale: whether the listing may be seconds old.
         """
-        if position.revision < self._position.revision:
+        if position < self._position:
             return
+        self._confirmed = not stale
+        restored = self.filled and position.era > self._position.era
         self._items = {item.key: item for item in items}
         self._position = position
-        self._apply(tuple(items), True)
+        scope = topology.ContentScope.COMPLETE
+        if restored:
+            scope = topology.ContentScope.RESTORED
+        self._apply(tuple(items), scope)
 
     def apply_changes(self, items, position):
         """Apply changes, oldest first; the last change of a key wins.
 
-        Changes up to the cache's revision are ignored: a new hub may have read
+        Changes up to the cache's position are ignored: a new hub may have read
         less of the store than the previous one, and the removal of an item
         leaves nothing in the cache to compare with.
+
+        Raises:
+          RestoreMissed: the changes belong to a later era than the cache.
         """
+        if position.era > self._position.era:
+            raise RestoreMissed()
+        if position.era < self._position.era:
+            return
         known_revision = self._position.revision
         fresh = {}
         for item in items:
@@ -69,39 +115,55 @@
                 self._items[item.key] = item
             fresh.pop(item.key, None)
             fresh[item.key] = item
-        if position.revision > known_revision:
-            self._position = position
+        self._position = max(self._position, position)
         if fresh:
-            self._apply(tuple(fresh.values()), False)
+            self._apply(tuple(fresh.values()), topology.ContentScope.CHANGES)
 
     def update_since(self, position):
         """Return the Update that brings a cache at a position up to date.
 
         It has the newer items and all keys, so that the receiver also drops
-        removed keys.
+        removed keys. It has all items if those of the receiver may be from
+        before a restore of the store.
         """
+        memory = self._export_memory()
+        comparable = position.era == self._position.era and memory is None
         newer = [
             item
             for item in self._items.values()
-            if item.version > position.revision
+            if not comparable or item.version > position.revision
         ]
         return encode_update(
             items=newer,
             keys=self._items,
             position=self._position,
             complete=True,
+            memory=memory,
         )
 
     def apply_update(self, update):
-        """Apply an Update message."""
+        """Apply an Update message.
+
+        Raises:
+          RestoreMissed: it has changes of a later era than the cache.
+        """
         items, keys = decode_update(update)
         position = read_position(update)
+        if not position.era:
+            # A hub of an earlier build does not name it.
+            position = dataclasses.replace(position, era=self._position.era)
         if not update.whole:
             self.apply_changes(items, position)
             return
-        if position.revision < self._position.revision:
+        if position < self._position:
             return
-        merged = {key: self._items[key] for key in keys if key in self._items}
+        if update.HasField("memory"):
+            self._import_memory(update.memory)
+        merged = {}
+        if position.era == self._position.era:
+            merged = {
+                key: self._items[key] for key in keys if key in self._items
+            }
         for item in items:
             merged[item.key] = item
         self.replace_all(merged.values(), position)
@@ -112,7 +174,7 @@
     return store.Position(era=message.era, revision=message.revision)
 
 
-def encode_update(*, items, position, complete=False, keys=()):
+def encode_update(*, items, position, complete=False, keys=(), memory=None):
     """Encode store items as an Update message.
 
     Args:
@@ -120,6 +182,7 @@
       position: store.Position that they belong to.
       complete: whether `keys` lists all keys of the store.
       keys: keys of the store.
+      memory: StoreMemory message, None for none.
     """
     data = node_pb2.StoreItems(
         items=[
@@ -142,6 +205,7 @@
         whole=complete,
         revision=position.revision,
         era=position.era,
+        memory=memory,
     )
 
 
--- a/wigeonrouter/node/_store_cache_test.py
+++ b/wigeonrouter/node/_store_cache_test.py
@@ -5,28 +5,34 @@
 import pytest
 
 from wigeonrouter import store
+from wigeonrouter import topology
 from wigeonrouter.node import _store_cache
 
+CHANGES = topology.ContentScope.CHANGES
 SERVER = "servers/i-1"
 OTHER = "servers/i-2"
 
 
 @pytest.fixture
 def applied():
-    """Return a list of what the cache has applied: (keys, complete)."""
+    """Return a list of what the cache has applied: (values, scope)."""
     return []
 
 
 @pytest.fixture
 def cache(applied):
     """Return an empty StoreCache."""
-    return _store_cache.StoreCache(
-        apply=lambda items, complete: applied.append(
-            ({item.key: item.value for item in items}, complete)
+    return _make_cache(
+        lambda items, scope: applied.append(
+            ({item.key: item.value for item in items}, scope)
         )
     )
 
 
+def _make_cache(apply=lambda items, scope: None):
+    return _store_cache.StoreCache(apply=apply)
+
+
 def _item(key, version, value=b"{}"):
     return store.Item(key=key, value=value, version=version)
 
@@ -56,7 +62,7 @@
     cache.apply_update(_update(_item(OTHER, 94), revision=94))
     assert not applied and cache.position == _position(95)
     cache.apply_update(_update(_item(OTHER, 96), revision=96))
-    assert applied == [({OTHER: b"{}"}, False)]
+    assert applied == [({OTHER: b"{}"}, CHANGES)]
 
 
 def test_older_listing_is_ignored(cache, applied):
@@ -85,8 +91,10 @@
         _item(f"servers/i-{key}", version, b"{}" if exists else None)
         for version, (key, exists) in enumerate(changes, start=1)
     ]
-    follower = _store_cache.StoreCache(apply=lambda *_: None)
-    hub = _store_cache.StoreCache(apply=lambda *_: None)
+    follower = _make_cache()
+    hub = _make_cache()
+    for cache in (follower, hub):
+        cache.replace_all([], _position(0))
     seen = data.draw(strategies.integers(0, len(history)))
     behind = data.draw(strategies.integers(0, seen))
     for cache, count in ((follower, seen), (hub, behind)):
@@ -101,3 +109,60 @@
     assert _store_cache.decode_update(
         follower.update_since(store.Position())
     ) == _store_cache.decode_update(newest)
+
+
+def test_listing_of_a_later_era_replaces_newer_revisions(cache, applied):
+    """Guards against ignoring a restored store until its revision is higher.
+
+    Revisions go back with the restore and are given out again.
+    """
+    cache.replace_all([_item(SERVER, 90)], _position(300, era=1))
+    del applied[:]
+    cache.replace_all([_item(OTHER, 80)], _position(200, era=2))
+    assert applied == [({OTHER: b"{}"}, topology.ContentScope.RESTORED)]
+    cache.apply_update(_update(_item(SERVER, 201), revision=201, era=2))
+    assert cache.position == _position(201, era=2)
+    assert applied[1:] == [({SERVER: b"{}"}, CHANGES)]
+
+
+def test_answer_of_an_earlier_era_is_ignored(cache, applied):
+    """Guards against a late answer that brings back what was before."""
+    cache.replace_all([], _position(200, era=2))
+    del applied[:]
+    cache.replace_all([_item(SERVER, 299)], _position(300, era=1))
+    cache.apply_update(_update(_item(SERVER, 301), revision=301, era=1))
+    assert not applied and cache.position == _position(200, era=2)
+
+
+def test_changes_of_an_era_without_its_items_are_refused(cache):
+    """Guards against a cache that mixes the items of two eras."""
+    cache.replace_all([_item(SERVER, 90)], _position(300, era=1))
+    with pytest.raises(_store_cache.RestoreMissed):
+        cache.apply_update(_update(_item(OTHER, 301), revision=301, era=2))
+
+
+def test_follower_of_an_earlier_era_gets_all_items(cache):
+    """Guards against a follower that keeps what the restored store lost.
+
+    Its revision is above that of all items, and a key that both know may have
+    the same revision with another value.
+    """
+    follower = _make_cache()
+    follower.replace_all([_item(SERVER, 90, b"old")], _position(300, era=1))
+    cache.replace_all([_item(SERVER, 90, b"new")], _position(200, era=2))
+    follower.apply_update(cache.update_since(follower.position))
+    update = follower.update_since(store.Position())
+    items, keys = _store_cache.decode_update(update)
+    assert [item.value for item in items] == [b"new"] and keys == [SERVER]
+
+
+def test_hub_of_an_earlier_build_is_followed(cache, applied):
+    """Guards against followers without updates while nodes are replaced.
+
+    A hub of an earlier build does not name the era of its updates.
+    """
+    cache.replace_all([_item(SERVER, 90)], _position(300, era=2))
+    del applied[:]
+    cache.apply_update(_update(_item(OTHER, 301), revision=301, era=0))
+    assert applied == [({OTHER: b"{}"}, CHANGES)]
+    assert cache.position == _position(301, era=2)
--- a/wigeonrouter/node/_store_reader.py
+++ b/wigeonrouter/node/_store_reader.py
@@ -26,6 +26,7 @@
       on_store_contact: called without arguments after each successful call.
       on_store_outage: called after each failed call, with the StoreError and
         the number of consecutive failures.
+      listing_due: function that returns whether to list the store again.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         on_update,
         on_store_contact,
         on_store_outage,
+        listing_due,
     ):
         self._store_cache = store_cache
         self._feed = feed
@@ -46,6 +48,7 @@
         self._on_update = on_update
         self._on_store_contact = on_store_contact
         self._on_store_outage = on_store_outage
+        self._listing_due = listing_due
 
     def run(self):
         """Watch the store until the task is killed.
@@ -68,19 +71,24 @@
             failures = 0
 
     def _read_once(self):
+        if self._listing_due() or not self._store_cache.confirmed:
+            self._relist()
+        known = self._store_cache.position
         try:
             events = self._feed.watch(
-                revision=self._store_cache.position.revision,
-                wait=_WATCH_TIMEOUT_S,
+                revision=known.revision, wait=_WATCH_TIMEOUT_S
             )
         except store.HistoryLost:
             self._events.notice(
-                "store-history-lost",
-                era=self._store_cache.position.era,
-                after=self._store_cache.position.revision,
+                "store-history-lost", era=known.era, after=known.revision
             )
             self._relist()
             return
+        if events.position.era != known.era:
+            # The store has all of the revision's later changes again, but not
+            # those before it.
+            self._relist()
+            return
         self._on_store_contact()
         self._store_cache.apply_changes(events.changes, events.position)
         if not events.changes:
@@ -93,20 +101,23 @@
         gevent.sleep(_BATCH_DELAY_S)
 
     def _relist(self):
-        before = self._store_cache.position
+        """Replace the cache by a listing.
+
+        Raises:
+          StoreError: the listing failed, or is older than the cache.
+        """
+        known = self._store_cache.position
         listing = self._feed.list()
+        if listing.position < known:
+            self._log_positions("store-listing-older", known, listing.position)
+            raise store.StoreUnavailable("listing is older than what is known")
+        if listing.position.era != known.era:
+            self._log_positions("store-restored", known, listing.position)
         self._on_store_contact()
-        self._log_listing(before, listing.position)
         self._store_cache.replace_all(listing.items, listing.position)
-        self._on_update(self._store_cache.update_since(before))
+        self._on_update(self._store_cache.update_since(known))
 
-    def _log_listing(self, known, listed):
-        if listed.era != known.era:
-            name = "store-restored"
-        elif listed < known:
-            name = "store-listing-older"
-        else:
-            return
+    def _log_positions(self, name, known, listed):
         self._events.notice(
             name,
             era=listed.era,
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -1,5 +1,6 @@
 """The node's interface to the store: calls, and decoding of the items."""
 
+from wigeonrouter import store
 from wigeonrouter import topology
 from wigeonrouter.platform import _fields
 from wigeonrouter.platform import _store_values
@@ -64,17 +65,29 @@
             b"%d" % round(seconds * 1000),
         )
 
-    def decode(self, items, *, complete):
+    def decode(self, items, *, scope):
         """Decode store items into a topology.StoreContent.
 
         Args:
           items: store.Items.
-          complete: whether these are all items of the store.
+          scope: topology.ContentScope.
         """
         records = [self._decode_item(item) for item in items]
         return topology.StoreContent(
             records=tuple(r for r in records if r is not None),
-            complete=complete,
+            scope=scope,
+        )
+
+    def decode_configuration(self, value):
+        """Decode a configuration as the operator wrote it.
+
+        Returns:
+          topology.ConfigurationWritten or ConfigurationRejected.
+        """
+        return _decode_configuration(
+            store.Item(
+                key=_store_values.CONFIGURATION_KEY, value=value, version=0
+            )
         )
 
     def close(self):
@@ -122,7 +135,9 @@
             reason=str(error), revision=item.version
         )
     return topology.ConfigurationWritten(
-        configuration=configuration, revision=item.version
+        configuration=configuration,
+        revision=item.version,
+        encoded=item.value,
     )
 
 
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -80,11 +80,16 @@
             items.extend(_read_item(row) for row in rows)
             if position is None:
                 position = reply.position()
+            elif reply.era != position.era:
+                raise store.StoreUnavailable("restored during a listing")
             if not reply.document.get("has_more") or not rows:
                 break
             after = items[-1].key
         if stale:
             newest = max((item.version for item in items), default=1)
+            if newest > position.revision:
+                # The items are from before a restore of the store.
+                return self.list(prefix)
             position = dataclasses.replace(
                 position, revision=min(position.revision, newest)
             )
--- a/wigeonrouter/topology/_directory.py
+++ b/wigeonrouter/topology/_directory.py
@@ -3,22 +3,19 @@
 Load pattern: the store is unavailable for seconds, and the registrations
 expire in the meantime although the servers are alive. Servers whose
 registrations disappeared around such an outage are kept until they have had
-time to register again.
+time to register again. So are all that a restored store lacks.
 """
 
 import dataclasses
 
 from wigeonrouter.topology import _records
+from wigeonrouter.topology import _registration_history
 
 # Alive servers register again within about this time after an outage.
 REREGISTRATION_GRACE_S = 2.2
 # If more than this share of the registrations disappears at once, they have
 # lapsed because they were not renewed.
 _MASS_LAPSE_SHARE = 0.5
-# A write of a server may be executed late, but not later than this after the
-# server has left.
-_LATE_REGISTRATION_S = 600.0
-_FORGET_INTERVAL_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,12 +39,7 @@
 
     def __init__(self):
         self._known = {}
-        # The latest registration of each instance, kept for a while after the
-        # server has left, so that a delayed older one does not add it again.
-        self._latest_registrations = {}
-        # Times at which instances with a latest registration left.
-        self._left_at = {}
-        self._next_forget = 0.0
+        self._history = _registration_history.RegistrationHistory()
         self._outage_ended_at = float("-inf")
         self._in_outage = False
 
@@ -59,7 +51,20 @@
     @property
     def remembered(self):
         """Number of instances whose latest registration is kept."""
-        return len(self._latest_registrations)
+        return self._history.remembered
+
+    def listing_due(self, now):
+        """Return whether the store should be listed, to end doubts."""
+        return self._history.listing_due(now)
+
+    @property
+    def departures(self):
+        """Tuple of the Departures that a restored store may have lost."""
+        return self._history.departures(
+            known.registration
+            for known in self._known.values()
+            if _is_draining(known)
+        )
 
     def on_store_outage(self):
         """Record that the store does not respond."""
@@ -71,19 +76,18 @@
             self._in_outage = False
             self._outage_ended_at = now
 
-    def put(self, registration, now):
+    def put(self, registration, now, *, listed=False):
         """Apply a registration that was written.
 
         Args:
           registration: Registration.
           now: seconds on the monotonic clock.
+          listed: whether it comes from a listing of the store.
         Returns:
           Whether it is newer than the one known before.
         """
-        if not self._is_newer(registration):
+        if not self._history.accept(registration, listed=listed):
             return False
-        self._latest_registrations[registration.instance] = registration
-        self._left_at.pop(registration.instance, None)
         previous = self._known.get(registration.instance)
         learned_at = now
         if (
@@ -117,25 +121,45 @@
             removed
         ) > _MASS_LAPSE_SHARE * len(self._known)
         for instance in removed:
-            known = self._known[instance]
-            if lapsed_together and not _is_draining(known):
-                self._known[instance] = dataclasses.replace(
-                    known, lapsed_at=now
-                )
+            if lapsed_together:
+                self._lapse(instance, now)
             else:
                 self._drop(instance, now)
 
     def retain_only(self, instances, now):
         """Remove all registrations but those given, after a full listing."""
+        self._history.on_listing(now)
         self.remove(self._known.keys() - set(instances), now)
 
+    def on_store_restored(self, instances, now):
+        """Apply a full listing of a store that was restored from a copy.
+
+        The store may have lost the registrations of live servers, which
+        register again.
+
+        Args:
+          instances: those that are listed.
+          now: seconds on the monotonic clock.
+        """
+        self._history.on_store_restored(now)
+        self._in_outage = False
+        self._outage_ended_at = now
+        for instance in self._known.keys() - set(instances):
+            self._lapse(instance, now)
+
+    def recall(self, departures, now):
+        """Apply the Departures that another node has seen."""
+        for departure in departures:
+            if self._history.recall(departure, now):
+                self._known.pop(departure.instance, None)
+
     def expire(self, now):
         """Drop lapsed registrations that were not renewed in time.
 
         Returns:
           Whether any was dropped.
         """
-        self._forget_left(now)
+        self._history.forget(now)
         if (
             self._in_outage
             or now - self._outage_ended_at < REREGISTRATION_GRACE_S
@@ -150,31 +174,17 @@
             self._drop(instance, now)
         return bool(lapsed)
 
+    def _lapse(self, instance, now):
+        """Keep a server for a while, unless it was about to leave anyway."""
+        known = self._known[instance]
+        if _is_draining(known):
+            self._drop(instance, now)
+        elif known.lapsed_at is None:
+            self._known[instance] = dataclasses.replace(known, lapsed_at=now)
+
     def _drop(self, instance, now):
         del self._known[instance]
-        self._left_at[instance] = now
-
-    def _forget_left(self, now):
-        """Forget servers that left so long ago that no late write can come."""
-        if now < self._next_forget:
-            return
-        self._next_forget = now + _FORGET_INTERVAL_S
-        for instance, left_at in list(self._left_at.items()):
-            if now - left_at > _LATE_REGISTRATION_S:
-                del self._left_at[instance]
-                del self._latest_registrations[instance]
-
-    def _is_newer(self, registration):
-        latest = self._latest_registrations.get(registration.instance)
-        if (
-            latest is None
-            or not registration.started_ms
-            or not latest.started_ms
-        ):
-            return True
-        if registration.started_ms != latest.started_ms:
-            return registration.started_ms > latest.started_ms
-        return registration.sequence >= latest.sequence
+        self._history.on_left(instance, now)
 
     def _is_near_outage(self, now):
         return (
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -99,10 +99,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigurationWritten:
-    """The operator wrote a configuration."""
+    """The operator wrote a configuration.
+
+    Attributes:
+      encoded: the configuration as it was written.
+    """
 
     configuration: Configuration
     revision: int
+    encoded: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -159,17 +164,55 @@
     host: str
 
 
+class ContentScope(enum.Enum):
+    """What the records of a StoreContent are.
+
+    Attributes:
+      CHANGES: changes since the records before.
+      COMPLETE: all records of the store.
+      RESTORED: all records of a store that was restored from a copy since
+        the records before. What it lacks may exist, and what it has may be
+        over.
+    """
+
+    CHANGES = "changes"
+    COMPLETE = "complete"
+    RESTORED = "restored"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StoreContent:
-    """Records read from the store, either all of them or changes.
+    """Records read from the store; `records` has the oldest first."""
+
+    records: tuple
+    scope: ContentScope
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Departure:
+    """A backend server that left or drains, as of its last registration.
 
     Attributes:
-      records: the records above, oldest first.
-      complete: whether the store holds no other records.
+      started_ms, sequence: as in Registration.
     """
 
-    records: tuple
-    complete: bool
+    instance: str
+    started_ms: int
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreMemory:
+    """What a node knows that a restored store has lost.
+
+    Attributes:
+      configuration: the newest configuration as the operator wrote it, empty
+        if the store has it.
+      departures: tuple of Departure.
+    """
+
+    configuration: bytes = b""
+    departures: tuple[Departure, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
