Restore the store from older copies in the soak test

The restores are drawn apart from the plan of faults, and regression seeds run without them, so both keep their meaning.

--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -103,6 +103,7 @@
         # which the store accepted the latest version.
         self._probe_routes = []
         self._acknowledged_at = 0.0
+        self._configuration = {}
         self._read_service = SERVICES[0]
         self._write_configuration()
         for domain in DOMAINS:
@@ -195,6 +196,20 @@
             self.register(backend)
             gevent.sleep(_REREGISTRATION_TIME_S / max(1, len(self.running)))
 
+    def remove_lapsed(self):
+        """Delete registrations of servers that do not run, if there are any.
+
+        A store that was restored from a copy may have them again.
+        """
+        for backend in self.backends:
+            key = testing.server_key(backend.instance)
+            if backend.removed and key in self.store.keys():
+                self.store.remove(key)
+
+    def write_configuration_again(self):
+        """Write the latest configuration, which the store may have lost."""
+        self.store.put(testing.CONFIGURATION_KEY, self._configuration)
+
     def change_configuration(self):
         """Write a new version of the configuration.
 
@@ -271,10 +286,8 @@
         )
         for route in configuration.routes:
             self.observations.record_route(route)
-        self.store.put(
-            testing.CONFIGURATION_KEY,
-            testing.render_configuration(configuration),
-        )
+        self._configuration = testing.render_configuration(configuration)
+        self.store.put(testing.CONFIGURATION_KEY, self._configuration)
         self._acknowledged_at = time.monotonic()
 
     def _probe(self, node, version, route, acknowledged):
--- a/wigeonrouter/soak/_faults.py
+++ b/wigeonrouter/soak/_faults.py
@@ -45,7 +45,7 @@
 
 
 @contextlib.contextmanager
-def _recording_fault(
+def recording_fault(
     environment, *targets, graceful_stop=False, recovery_time=0.0
 ):
     """Record a FaultPeriod around the body of the with statement.
@@ -86,7 +86,7 @@
 def kill_nodes(environment, rng):
     """Kills some node processes; their supervisors restart them."""
     nodes = _sample_nodes(environment, rng)
-    with _recording_fault(environment, *nodes, recovery_time=_RESTART_TIME_S):
+    with recording_fault(environment, *nodes, recovery_time=_RESTART_TIME_S):
         for node in nodes:
             node.kill()
 
@@ -94,7 +94,7 @@
 @fault_kind
 def kill_all(environment, rng):
     """Kills all node processes at once."""
-    with _recording_fault(environment, recovery_time=_RESTART_TIME_S):
+    with recording_fault(environment, recovery_time=_RESTART_TIME_S):
         for node in environment.fleet.nodes:
             node.kill()
 
@@ -103,7 +103,7 @@
 def pause_nodes(environment, rng):
     """Suspends some node processes by SIGSTOP and resumes them later."""
     nodes = _sample_nodes(environment, rng)
-    with _recording_fault(environment, *nodes):
+    with recording_fault(environment, *nodes):
         for node in nodes:
             node.pause()
         gevent.sleep(rng.uniform(*_LONG_DURATION_S))
@@ -116,7 +116,7 @@
     """Stops some nodes one after the other by SIGTERM; they are restarted."""
     for node in _sample_nodes(environment, rng):
         incarnation = node.incarnation
-        with _recording_fault(
+        with recording_fault(
             environment,
             node,
             graceful_stop=True,
@@ -131,7 +131,7 @@
 def stop_then_kill(environment, rng):
     """Kills a node process during its graceful stop."""
     (node,) = rng.sample(environment.fleet.nodes, 1)
-    with _recording_fault(environment, node, recovery_time=_RESTART_TIME_S):
+    with recording_fault(environment, node, recovery_time=_RESTART_TIME_S):
         node.terminate()
         gevent.sleep(rng.uniform(*_SHORT_DURATION_S))
         node.kill()
@@ -175,7 +175,7 @@
 def store_links(environment, rng):
     """Injects a fault between some nodes and the store."""
     nodes = _sample_nodes(environment, rng)
-    with _recording_fault(environment, *nodes):
+    with recording_fault(environment, *nodes):
         _inject_proxy_fault([node.store_proxy for node in nodes], rng)
 
 
@@ -198,7 +198,7 @@
     # All invariants also hold for a node that is only partitioned from its
     # peers.
     with (
-        _recording_fault(environment, *nodes)
+        recording_fault(environment, *nodes)
         if proxy_fault not in _PARTITIONS
         else contextlib.nullcontext()
     ):
@@ -218,7 +218,7 @@
 def caller_links(environment, rng):
     """Injects a fault between callers and some nodes."""
     nodes = _sample_nodes(environment, rng)
-    with _recording_fault(environment, *nodes):
+    with recording_fault(environment, *nodes):
         _inject_proxy_fault([node.caller_proxy for node in nodes], rng)
 
 
@@ -226,7 +226,7 @@
 def backend_links(environment, rng):
     """Injects a fault between the nodes and some backend servers."""
     chosen = _sample_backends(environment, rng)
-    with _recording_fault(environment, *chosen):
+    with recording_fault(environment, *chosen):
         _inject_proxy_fault([backend.proxy for backend in chosen], rng)
 
 
@@ -234,7 +234,7 @@
 def backend_faults(environment, rng):
     """Makes some backend servers respond incorrectly or not at all."""
     chosen = _sample_backends(environment, rng)
-    with _recording_fault(environment, *chosen):
+    with recording_fault(environment, *chosen):
         for backend in chosen:
             backend.server.fault = rng.choice(_BACKEND_FAULTS)
         gevent.sleep(rng.uniform(*_LONG_DURATION_S))
@@ -268,7 +268,7 @@
 def crash_backend(environment, rng):
     """Stops a backend server and gives its address to another service."""
     backend = rng.choice(environment.active)
-    with _recording_fault(environment, backend):
+    with recording_fault(environment, backend):
         environment.replace(backend)
     gevent.sleep(rng.uniform(*_SHORT_DURATION_S))
     environment.add_backend(backend.service, rng.choice(("za", "zc")))
@@ -283,7 +283,7 @@
 
 
 def _inject_store_fault(environment, rng, attribute, value):
-    with _recording_fault(environment):
+    with recording_fault(environment):
         setattr(environment.store, attribute, value)
         gevent.sleep(rng.uniform(*_LONG_DURATION_S))
         # The previous value can be that of an overlapping fault, so the
@@ -337,7 +337,7 @@
     The configuration changes in the same outage, so that nodes cannot catch
     up from the history.
     """
-    with _recording_fault(environment):
+    with recording_fault(environment):
         environment.store.refusing = True
         environment.change_configuration()
         gevent.sleep(rng.uniform(0.5, 1.5))
@@ -348,7 +348,7 @@
 @fault_kind
 def registrations_lapse(environment, rng):
     """Lets all registrations expire during an outage of the store."""
-    with _recording_fault(environment):
+    with recording_fault(environment):
         environment.store.refusing = True
         gevent.sleep(rng.uniform(1.0, 4.0))
         environment.remove_registrations()
--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -15,6 +15,7 @@
 from wigeonrouter.soak import _fleet
 from wigeonrouter.soak import _limits
 from wigeonrouter.soak import _records
+from wigeonrouter.soak import _restores
 from wigeonrouter.soak import checks
 
 _STARTUP_S = 3.0
@@ -42,6 +43,7 @@
       servers: minimum number of backend servers of a service in each failure
         domain; runs with many nodes use more.
       pause: mean interval between two series of faults, in seconds.
+      restores: whether the store is restored from older copies.
     """
 
     nodes: int = 6
@@ -49,6 +51,7 @@
     servers: int = 3
     seconds: float = 15.0
     pause: float = 1.2
+    restores: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -113,7 +116,10 @@
         tasks = _start_callers(environment, size, rng)
         tasks.append(gevent.spawn(environment.probe_configuration))
         limits_rng = random.Random(f"limits {seed}")
-        with _naming_limits(environment, limits_rng, _limits.SHARES):
+        with (
+            _naming_limits(environment, limits_rng, _limits.SHARES),
+            _restoring_store(environment, seed, size),
+        ):
             _inject_faults(environment, make_plan(seed, size))
         observations.faults_over_at = time.monotonic()
         with _naming_limits(
@@ -144,6 +150,24 @@
         task.kill()
 
 
+@contextlib.contextmanager
+def _restoring_store(environment, seed, size):
+    """Restore the store in the body of the with statement, if wanted."""
+    if not size.restores:
+        yield
+        return
+    rng = random.Random(f"restores {seed}")
+    task = gevent.spawn(_restores.restore_store, environment, rng)
+    try:
+        yield
+    finally:
+        task.kill()
+        environment.store.refusing = False
+        environment.write_configuration_again()
+        environment.restore_registrations()
+        environment.remove_lapsed()
+
+
 def _make_fleet(environment, size, directory):
     port_rng = random.Random(os.getpid())
     first_port = port_rng.randrange(*_PORT_RANGE, 1000)
--- a/wigeonrouter/soak/main.py
+++ b/wigeonrouter/soak/main.py
@@ -36,7 +36,9 @@
 )
 def main(first, count, nodes, callers, seconds, regressions, directory):
     """Run seeded soak tests of real node processes under injected faults."""
-    size = _run.Size(nodes=nodes, callers=callers, seconds=seconds)
+    size = _run.Size(
+        nodes=nodes, callers=callers, seconds=seconds, restores=True
+    )
     cases = [(seed, size) for seed in range(first, first + count)]
     if regressions:
         cases = [
