Tell a hub that lost the store which hub replaces it

Cause: the hub of a region of 30 nodes lost the store, one of the few followers that check the store left it and became a hub, and the others learned of that hub 2.2 s later only. A node asks just the first six candidates for their roles, and while these still follow the old hub, nobody that it asks knows the new one.

Change: a new hub that had left its hub because of the store announces itself there with its first answer from the store. The old hub steps down at once and names its successor in the last heartbeat, which its followers ask first.

--- a/wigeonrouter/node/_follower.py
+++ b/wigeonrouter/node/_follower.py
@@ -29,6 +29,10 @@
       roster: returns the roster of this node, a dict from host to NodeState.
       on_roster: called with each new roster.
       on_heartbeat: called with whether the store responds to the hub.
+      on_successor: called with the host of the hub to follow next, "" if the
+        hub that stops knows none.
+      on_store_lost: called when this node leaves the hub because it does not
+        reach the store.
       has_better_hub: returns whether this node should leave a hub that does
         not reach the store.
     """
@@ -37,6 +41,8 @@
     roster: typing.Callable
     on_roster: typing.Callable
     on_heartbeat: typing.Callable
+    on_successor: typing.Callable
+    on_store_lost: typing.Callable
     has_better_hub: typing.Callable
 
 
@@ -138,6 +144,7 @@
                 return "is not a hub"
             elif kind == "pulse":
                 if message.pulse.leaving:
+                    self._callbacks.on_successor(message.pulse.successor)
                     return "stops"
                 self._callbacks.on_heartbeat(message.pulse.store_answers)
                 now = self._clock()
@@ -147,6 +154,7 @@
                 ):
                     last_store_check = now
                     if self._callbacks.has_better_hub():
+                        self._callbacks.on_store_lost()
                         return "does not reach the store"
 
     def _send_states(self, channel):
--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -146,13 +146,16 @@
                 _ROSTER_BATCH_DELAY_S, self._send_roster
             )
 
-    def send_heartbeat(self, *, leaving=False):
+    def send_heartbeat(self, *, leaving=False, successor=""):
         """Send a heartbeat to all followers.
 
         Args:
           leaving: whether the followers should choose another hub.
+          successor: host of that hub, if it is known.
         """
-        self._broadcast(self._heartbeat_message(leaving=leaving))
+        self._broadcast(
+            self._heartbeat_message(leaving=leaving, successor=successor)
+        )
 
     def run_heartbeats(self):
         """Send heartbeats until the task is killed.
@@ -186,10 +189,12 @@
                 else _whole_roster(roster)
             )
 
-    def _heartbeat_message(self, *, leaving=False):
+    def _heartbeat_message(self, *, leaving=False, successor=""):
         return node_pb2.PeerMessage(
             pulse=node_pb2.Pulse(
-                store_answers=self._store_reachable, leaving=leaving
+                store_answers=self._store_reachable,
+                leaving=leaving,
+                successor=successor,
             )
         )
 
--- a/wigeonrouter/node/_peer_requests.py
+++ b/wigeonrouter/node/_peer_requests.py
@@ -54,6 +54,31 @@
     return reply.update
 
 
+def announce_role(host, *, port, role):
+    """Tell a host this node's topology.Role, without waiting for a reply."""
+    try:
+        channel = _channel.connect(
+            host=host, port=port, timeout=CONNECT_TIMEOUT_S
+        )
+    except _channel.ChannelClosed:
+        return
+    try:
+        channel.send(encode_role(role), timeout=REQUEST_TIMEOUT_S)
+    except _channel.ChannelClosed:
+        pass
+    finally:
+        channel.close()
+
+
+def decode_role(message):
+    """Decode a Role message into a topology.Role."""
+    return topology.Role(
+        kind=_ROLE_KINDS.get(message.kind, topology.RoleKind.UNDECIDED),
+        hub=message.hub,
+        store_reachable=message.store_answers,
+    )
+
+
 def encode_role(role):
     """Encode a topology.Role as a PeerMessage."""
     return node_pb2.PeerMessage(
@@ -69,11 +94,7 @@
     reply = _exchange(host, port, node_pb2.PeerMessage(ask=node_pb2.Ask()))
     if reply is None or not reply.HasField("role"):
         return None
-    return topology.Role(
-        kind=_ROLE_KINDS.get(reply.role.kind, topology.RoleKind.UNDECIDED),
-        hub=reply.role.hub,
-        store_reachable=reply.role.store_answers,
-    )
+    return decode_role(reply.role)
 
 
 def _exchange(host, port, message):
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -90,6 +90,11 @@
         self._state_changed = event.Event()
         self._leaving = False
         self._hub_waits = 0
+        # The hub that this node left because it does not reach the store.
+        self._abandoned_hub = ""
+        # The hub that this node should follow next, "" if none is known.
+        self._successor = ""
+        self._replaced = event.Event()
         self._reaches_store = False
         self._server = gevent_server.StreamServer(
             (settings.host, settings.peer_ports[0]), self._serve
@@ -269,6 +274,10 @@
             for host in self._candidate_order()
             if host != self._settings.host and host not in avoided
         ]
+        # Known to be a hub, while those that are asked may not know it.
+        if self._successor in hosts:
+            hosts.remove(self._successor)
+            hosts.insert(0, self._successor)
         return _peer_requests.query_roles(hosts, port=self._port)
 
     def _run_as_hub(self):
@@ -283,20 +292,22 @@
                 if host not in self._avoided_hosts()
             ],
         )
+        self._successor = ""
+        self._replaced.clear()
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
         self._hub.broadcast_roster()
         heartbeats = gevent.spawn(self._hub.run_heartbeats)
         reader = gevent.spawn(self._make_reader().run)
         try:
             while not reader.ready():
-                gevent.sleep(_HUB_CHECK_INTERVAL_S)
-                if self._should_step_down():
+                replaced = self._replaced.wait(timeout=_HUB_CHECK_INTERVAL_S)
+                if replaced or self._should_step_down():
                     return
         finally:
             reader.kill()
             heartbeats.kill()
             hub, self._hub = self._hub, None
-            hub.send_heartbeat(leaving=True)
+            hub.send_heartbeat(leaving=True, successor=self._successor)
             self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
     def _make_reader(self):
@@ -333,6 +344,31 @@
         self._cluster_state.on_store_contact()
         self._hub.set_store_reachable(True)
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
+        if self._abandoned_hub:
+            gevent.spawn(
+                _peer_requests.announce_role,
+                self._abandoned_hub,
+                port=self._port,
+                role=self._role,
+            )
+            self._abandoned_hub = ""
+
+    def _on_hub_announced(self, role):
+        """Step down if this node is a hub that does not reach the store."""
+        if (
+            self._hub is not None
+            and not self._reaches_store
+            and role.kind is topology.RoleKind.HUB
+            and role.store_reachable
+        ):
+            self._successor = role.hub
+            self._replaced.set()
+
+    def _on_successor(self, hub):
+        self._successor = hub
+
+    def _on_hub_lost_store(self, hub):
+        self._abandoned_hub = hub
 
     def _on_store_outage(self, error, failures):
         self._cluster_state.on_store_outage()
@@ -344,6 +380,7 @@
 
     def _run_as_follower(self, hub):
         """Follow a hub until it fails, leaves or loses the store."""
+        self._successor = self._abandoned_hub = ""
         follower = _follower.Follower(
             hub=hub,
             port=self._port,
@@ -356,6 +393,8 @@
                 on_heartbeat=lambda reachable: self._on_heartbeat(
                     hub, reachable
                 ),
+                on_successor=self._on_successor,
+                on_store_lost=lambda: self._on_hub_lost_store(hub),
                 has_better_hub=self._has_better_hub,
             ),
         )
@@ -410,7 +449,11 @@
         try:
             message = channel.receive(timeout=_FIRST_MESSAGE_TIMEOUT_S)
             kind = message.WhichOneof("body")
-            if kind == "join" and self._hub is not None:
+            if kind == "role":
+                self._on_hub_announced(
+                    _peer_requests.decode_role(message.role)
+                )
+            elif kind == "join" and self._hub is not None:
                 self._hub.serve(channel, message.join)
             elif kind == "fetch" and self._store_cache.filled:
                 channel.send(
--- a/wigeonrouter/platform/_emulated_store.py
+++ b/wigeonrouter/platform/_emulated_store.py
@@ -190,6 +190,18 @@
         self._changed.set()
 
 
+class StoreAddress(_emulated_server.EmulatedServer):
+    """Another address of an EmulatedStore, with faults of its own."""
+
+    def __init__(self, *, store):
+        self._store = store
+        super().__init__()
+
+    def handle(self, request, sock):
+        """Handle one call."""
+        return self._store.handle(request, sock)
+
+
 def _respond(status, document=None, headers=()):
     body = b"" if document is None else json.dumps(document).encode()
     return http1.HttpResponse(
--- a/wigeonrouter/platform/_emulator.py
+++ b/wigeonrouter/platform/_emulator.py
@@ -12,4 +12,5 @@
 EmulatedBackend = _emulated_backend.EmulatedBackend
 EmulatedServer = _emulated_server.EmulatedServer
 EmulatedStore = _emulated_store.EmulatedStore
+StoreAddress = _emulated_store.StoreAddress
 Run = _emulated_backend.Run
--- a/wigeonrouter/platform/_multi_node_test.py
+++ b/wigeonrouter/platform/_multi_node_test.py
@@ -1,7 +1,12 @@
 """Tests of several nodes of a region, on different loopback addresses."""
 
 import gevent
+import pytest
 
+from wigeonrouter import core
+from wigeonrouter import topology
+from wigeonrouter.node import _peer_requests
+from wigeonrouter.platform import _emulator
 from wigeonrouter.platform import conftest
 
 callers_of = conftest.callers_of
@@ -10,6 +15,7 @@
 # Maximum time until a changed configuration is in force.
 _CONFIG_APPLY_S = 2.5
 _RETRY_RATIO = 0.2
+_HOSTS = tuple(f"127.0.0.{number}" for number in range(21, 26))
 
 
 def add_route(store, version):
@@ -103,3 +109,59 @@
     arrivals = sum(len(server.arrivals) for server in servers)
     assert arrivals - sent <= _RETRY_RATIO * sent + len(region)
     assert arrivals > sent
+
+
+@pytest.fixture
+def large_region(monkeypatch, store, make_settings, start_node, free_port):
+    """Run five nodes that find each other as in a region of dozens.
+
+    Returns the pair of the nodes and a dict from host to the StoreAddress
+    that the node uses. Only the last candidate for the hub checks the store
+    itself, and a node asks only the first candidate for its role.
+    """
+    order = topology.candidate_order("r1", _HOSTS)
+    monkeypatch.setattr(_peer_requests, "_MAX_QUERIED_HOSTS", 1)
+    monkeypatch.setattr(
+        topology,
+        "should_check_store",
+        lambda *, own_host, candidates, rng: own_host == order[-1],
+    )
+    addresses = {host: _emulator.StoreAddress(store=store) for host in _HOSTS}
+    port = free_port()
+    nodes = []
+    for host in order:
+        nodes.append(
+            start_node(
+                make_settings(
+                    f"node-{host}",
+                    host,
+                    peer_ports=(port, 0),
+                    store_address=core.parse_address(addresses[host].address),
+                )
+            )
+        )
+        wait_until(lambda: len(hubs(nodes)) == 1)
+    wait_until(lambda: conftest.followers(nodes) == len(nodes) - 1)
+    yield nodes, addresses
+    for address in addresses.values():
+        address.stop()
+
+
+def test_nodes_find_a_new_hub_that_none_of_the_first_candidates_knows(
+    store, large_region
+):
+    """Guards against nodes that learn a change late because of their hub.
+
+    The hub of a large region is cut off from the store, and the one node that
+    notices becomes the new hub. The others ask just some nodes for it.
+    """
+    nodes, addresses = large_region
+    (hub,) = hubs(nodes)
+    addresses[hub.settings.host].resetting = True
+    wait_until(lambda: not hub.region_member.role.store_reachable)
+    add_route(store, 2)
+    for caller in callers_of(nodes):
+        wait_until(
+            lambda caller=caller: caller.send("/new/a").status != 404,
+            timeout=_CONFIG_APPLY_S,
+        )
