Log what equal requests have in common

The logs could not tell whether the attempts that ended a server were of equal requests, since the ids differ. attempt lines now have a digest of method, host, target, credentials and body. The emulated backend server can end when it runs a given target.

--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -8,6 +8,7 @@
 from wigeonrouter import http1
 from wigeonrouter import placement
 from wigeonrouter import topology
+from wigeonrouter.node import _request_digest
 from wigeonrouter.node import messages
 
 # Failed connects do not count as attempts, because the server never got the
@@ -36,10 +37,12 @@
       attempts: attempts that reached a server.
       connect_failures: attempts that could not connect to their server.
       may_have_run: whether any server may have begun to execute it.
+      digest: what equal requests have in common.
     """
 
     request: http1.HttpRequest
     request_id: str
+    digest: str
     route: topology.Route
     service: str
     pending: placement.PendingRequest
@@ -170,6 +173,7 @@
         return _RequestContext(
             request=request,
             request_id=request_metadata.request_id,
+            digest=_request_digest.compute(request),
             route=route,
             service=self._splitter.choose(route),
             pending=self._make_pending(route, request_metadata, arrived),
@@ -323,6 +327,7 @@
         self._events.event(
             "attempt",
             id=context.request_id,
+            digest=context.digest,
             number=context.attempts + context.connect_failures + 1,
             instance=grant.registration.instance,
             waited_ms=_ms(grant.granted_at - context.pending.arrived),
--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -74,6 +74,9 @@
       arrivals: (monotonic seconds, ID) of each request, rejected or not.
       cancelled: IDs whose connection was closed before the response.
       ended: dict from ID to the end of its execution, monotonic seconds.
+      crash_target: the server ends when it runs a request with this target;
+        None for no such target.
+      on_crash: called with the server after it has ended so.
       fault: "" or one of "errors", "hang", "reset", "shed", "garbage",
         "truncate", "cut-head", "stray", "unframed", or a key of
         ENDLESS_BYTES.
@@ -87,6 +90,8 @@
         self.slowdown = 1.0
         self.rate_limit = None
         self.names_limit_in_probes = True
+        self.crash_target = None
+        self.on_crash = lambda server: None
         self.fault = ""
         self.runs = []
         self.probes = 0
@@ -184,6 +189,11 @@
                 started=time.monotonic(),
             )
         )
+        if request.target == self.crash_target:
+            gevent.sleep(self._service_time)
+            self.stop()
+            self.on_crash(self)
+            raise ConnectionResetError("crashed")
         if self.fault == "hang":
             return None
         if self.fault == "reset":
