--- /dev/null
+++ b/wigeonrouter/platform/_crashing_request_test.py
@@ -0,0 +1,156 @@
+"""End-to-end tests of requests that crash the servers that run them."""
+
+import gevent
+import pytest
+
+from wigeonrouter import core
+from wigeonrouter.platform import conftest
+
+wait_until = conftest.wait_until
+CRASHING = "/read/crash"
+# Servers that may end before a request is known to crash them, and as many
+# requests that may already be on their way.
+_MAX_CRASHES = 3 + 3
+_RESTART_S = 0.6
+
+
+@pytest.fixture
+def crashes():
+    """Return the list of the instances that have crashed."""
+    return []
+
+
+@pytest.fixture
+def start_servers(store, backend, crashes):
+    """Return a function that starts servers which restart after a crash."""
+
+    def start(count, *, crash_target=CRASHING):
+        for _ in range(count):
+            _start(f"i-{len(store.keys())}-{count}", crash_target)
+
+    def _start(instance, crash_target):
+        server = backend(instance)
+        server.crash_target = crash_target and crash_target.encode()
+        server.on_crash = on_crash
+        return server
+
+    def on_crash(server):
+        crashes.append(server.instance)
+        gevent.spawn_later(_RESTART_S, restart, server)
+
+    def restart(server):
+        store.remove(f"servers/{server.instance}")
+        target = server.crash_target.decode()
+        _start(f"{server.instance}r", target)
+
+    return start
+
+
+def _wait_for_servers(nodes, count):
+    wait_until(lambda: all(len(node.servers) == count for node in nodes))
+
+
+def _send_in_turn(nodes, path, *, count, pause):
+    """Send a request at all nodes in turn; return the responses."""
+    callers = conftest.callers_of(nodes)
+    responses = []
+    for number in range(count):
+        responses.append(
+            callers[number % len(callers)].send(
+                path, request_id=f"{path}-{number}"
+            )
+        )
+        gevent.sleep(pause)
+    return responses
+
+
+def test_request_that_crashes_servers_is_stopped_at_all_nodes(
+    region, start_servers, crashes
+):
+    """Guards against one request that ends server after server.
+
+    It comes again with other ids at every node. Other requests are served.
+    """
+    start_servers(8)
+    _wait_for_servers(region, 8)
+    responses = _send_in_turn(region, CRASHING, count=40, pause=0.1)
+    assert len(crashes) <= _MAX_CRASHES
+    assert {response.status for response in responses} <= {502, 503}
+    others = _send_in_turn(region, "/read/other", count=12, pause=0.0)
+    assert {response.status for response in others} == {200}
+
+
+def test_other_region_does_not_crash_its_servers_too(
+    region, start_servers, crashes, make_settings, start_node
+):
+    """Guards against regions that each find out for themselves."""
+    start_servers(8)
+    _wait_for_servers(region, 8)
+    _send_in_turn(region, CRASHING, count=12, pause=0.1)
+    known = len(crashes)
+    place = core.Place(region="r2", failure_domain="zc")
+    elsewhere = start_node(
+        make_settings("node-9", "127.0.0.19", place=place), servers=1
+    )
+    _send_in_turn([elsewhere], CRASHING, count=6, pause=0.1)
+    assert len(crashes) == known <= _MAX_CRASHES
+
+
+def test_request_with_an_equal_path_but_another_body_is_served(
+    region, start_servers, crashes
+):
+    """Guards against a path that is blocked because of one request to it."""
+    start_servers(8)
+    _wait_for_servers(region, 8)
+    _send_in_turn(region, CRASHING, count=9, pause=0.1)
+    (caller, *_) = conftest.callers_of(region)
+    assert caller.send(CRASHING + "?page=2").status == 200
+
+
+def test_hot_request_is_served_when_servers_crash_for_another_reason(
+    region, start_servers, backend, crashes
+):
+    """Guards against blocking a request because it runs everywhere.
+
+    Five servers end at the same time, each while it runs the request that
+    all callers send.
+    """
+    servers = [backend(f"i-hot-{number}") for number in range(8)]
+    _wait_for_servers(region, 8)
+    callers = conftest.callers_of(region)
+    statuses = []
+
+    def send_again_and_again(caller):
+        for number in range(40):
+            status = caller.send("/read/hot", request_id=f"h{number}").status
+            statuses.append(status)
+
+    tasks = [
+        gevent.spawn(send_again_and_again, caller)
+        for caller in callers
+        for _ in range(3)
+    ]
+    gevent.sleep(0.2)
+    for server in servers[:5]:
+        server.stop()
+    gevent.joinall(tasks)
+    del statuses[:]
+    gevent.joinall(
+        [gevent.spawn(send_again_and_again, caller) for caller in callers]
+    )
+    assert statuses.count(200) == len(statuses)
+
+
+def test_node_that_starts_later_knows_the_request(
+    region, start_servers, crashes, make_settings, start_node
+):
+    """Guards against a restart that makes the system forget the request."""
+    start_servers(8)
+    _wait_for_servers(region, 8)
+    _send_in_turn(region, CRASHING, count=12, pause=0.1)
+    known = len(crashes)
+    for node in region:
+        node.kill()
+    started = start_node(make_settings("node-4", "127.0.0.14"), servers=1)
+    _send_in_turn([started], CRASHING, count=6, pause=0.1)
+    assert len(crashes) == known <= _MAX_CRASHES
