Hold back requests that crash the servers that run them

Cause: nothing connected the attempts of equal requests. Each was retried up to the limits of its route, its caller came again, and health moved it on to the servers that still ran.

Change: a request is known by a digest of method, host, target, credentials and body. If a connection breaks during a request and the server accepts no new one, the server has ended under it. After two such ends an equal request is sent to one server at a time and not retried by the node; after three it is rejected at once with 503 crashes-servers, which has truly not run, and a Retry-After of ten minutes less the time since. A complete response of any server clears it. A crash does not count if an equal request has succeeded in the last two seconds, so a request that all callers send is not blamed when servers end for another reason. Crashes are kept in the store with a lease of ten minutes, at once from the second one on and after half a second for a lone one, which a retry mostly clears before. All regions follow the store, and a node that starts reads it. Nodes keep what a restored store has lost: those that saw the crash, and the hubs, write it again.

--- a/wigeonrouter/core/__init__.py
+++ b/wigeonrouter/core/__init__.py
@@ -9,6 +9,7 @@
 AttemptResult = _records.AttemptResult
 BackendServer = _records.BackendServer
 BackendView = _records.BackendView
+Crash = _records.Crash
 DispatchRequest = _records.DispatchRequest
 EffectiveService = _records.EffectiveService
 Grant = _records.Grant
--- a/wigeonrouter/core/_problems.py
+++ b/wigeonrouter/core/_problems.py
@@ -77,6 +77,9 @@
 REFUSED_BY_SERVER = _not_run(
     "refused-by-server", "Backend servers refused the request", 503
 )
+CRASHES_SERVERS = _not_run(
+    "crashes-servers", "Backend servers ended while they ran it", 503
+)
 CONNECT_FAILED = _not_run(
     "connect-failed", "No connection to a backend server could be made", 503
 )
--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -384,3 +384,16 @@
     report: LoadReport | None = None
     cancelled: bool = False
     refused: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Crash:
+    """The end of a server under a request.
+
+    Attributes:
+      digest: what equal requests have in common.
+      name: identifies the end of the server, at all nodes alike.
+    """
+
+    digest: str
+    name: str
--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -8,6 +8,7 @@
 
 from gevent import event
 
+from wigeonrouter import placement
 from wigeonrouter import topology
 
 
@@ -34,6 +35,8 @@
         self._hosts = {}
         self._registered_nodes = set()
         self._caller_timeouts = {}
+        self._crash_history = placement.CrashHistory()
+        self._stored_crashes = set()
 
     @property
     def configuration(self):
@@ -55,6 +58,16 @@
         """topology.ServerDirectory."""
         return self._directory
 
+    @property
+    def crash_history(self):
+        """placement.CrashHistory of all nodes."""
+        return self._crash_history
+
+    @property
+    def stored_crashes(self):
+        """Set of the core.Crashes that the store has."""
+        return self._stored_crashes
+
     def wait_configured(self, timeout):
         """Wait for a configuration, for at most `timeout` seconds."""
         self._configured.wait(timeout=timeout)
@@ -109,6 +122,8 @@
         """Apply the store's records or changes (topology.StoreContent)."""
         now = self._clock()
         scope = content.scope
+        if scope is not topology.ContentScope.CHANGES:
+            self._replace_crashes(content.records, scope)
         instances = _registered_instances(content.records)
         if scope is topology.ContentScope.CHANGES:
             self._directory.remove(_removed_instances(content.records), now)
@@ -148,6 +163,8 @@
             self._registered_nodes.add((record.region, record.host))
         elif isinstance(record, topology.CallerTimeoutLearned):
             self._caller_timeouts[record.route] = record.seconds
+        elif isinstance(record, topology.CrashStored):
+            self._apply_crash(record, now)
         elif isinstance(record, topology.NodeRemoved):
             self._hosts.get(record.region, set()).discard(record.host)
             self._registered_nodes.discard((record.region, record.host))
@@ -158,6 +175,29 @@
                 reason=record.reason,
             )
 
+    def _replace_crashes(self, records, scope):
+        """Drop crashes that the store lists no longer.
+
+        A restored store may have lost them, so they go on to count.
+        """
+        listed = {
+            record.crash
+            for record in records
+            if isinstance(record, topology.CrashStored)
+        }
+        if scope is topology.ContentScope.COMPLETE:
+            for crash in self._stored_crashes - listed:
+                self._crash_history.remove(crash)
+        self._stored_crashes &= listed
+
+    def _apply_crash(self, record, now):
+        if record.removed:
+            self._stored_crashes.discard(record.crash)
+            self._crash_history.remove(record.crash)
+        elif record.crash not in self._stored_crashes:
+            self._stored_crashes.add(record.crash)
+            self._crash_history.add(record.crash, now)
+
     def _apply_configuration(self, record):
         self._stored_version = record.configuration.version
         self._take_newer(record)
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -16,6 +16,7 @@
 from wigeonrouter import topology
 from wigeonrouter.node import _balancer
 from wigeonrouter.node import _cluster_state
+from wigeonrouter.node import _crash_monitor
 from wigeonrouter.node import _directory_handler
 from wigeonrouter.node import _metrics
 from wigeonrouter.node import _prober
@@ -98,10 +99,18 @@
             events=events,
             rng=self._rng,
         )
+        self._crash_monitor = _crash_monitor.CrashMonitor(
+            cluster_state=self._cluster_state,
+            feed=feed,
+            store_era=lambda: self._region_member.position.era,
+            stores_all=lambda: self._region_member.is_hub,
+            events=events,
+        )
         self._proxy = _proxy.Proxy(
             cluster_state=self._cluster_state,
             balancer_for=self._balancer_for,
             sender=_sender.Sender(pool=self._pool, codec=codec),
+            crash_monitor=self._crash_monitor,
             codec=codec,
             splitter=topology.TrafficSplitter(rng=self._rng),
             events=events,
@@ -192,6 +201,7 @@
             gevent.spawn(
                 self._supervise, "waits", self._store_caller_timeouts
             ),
+            gevent.spawn(self._supervise, "crashes", self._crash_monitor.run),
             gevent.spawn(self._supervise, "housekeeping", self._housekeep),
         ]
         self._events.notice(
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -25,6 +25,11 @@
 # An estimated caller timeout is written to the store again when it differs
 # from the stored one by more than this share of it.
 _MIN_TIMEOUT_CHANGE_SHARE = 0.2
+# Outcomes of attempts whose server has run the request to its end.
+_COMPLETED = (
+    placement.AttemptOutcome.SUCCEEDED,
+    placement.AttemptOutcome.FAILED,
+)
 # Network time of a response to the caller, subtracted from the target latency.
 _RESPONSE_TRANSIT_S = 0.003
 
@@ -58,6 +63,7 @@
       cluster_state: ClusterState.
       balancer_for: function from a service's name to its Balancer.
       sender: Sender.
+      crash_monitor: CrashMonitor.
       codec: the adapter's HTTP codec.
       splitter: topology.TrafficSplitter, chooses the service of a route.
       events: events.EventLog.
@@ -70,6 +76,7 @@
         cluster_state,
         balancer_for,
         sender,
+        crash_monitor,
         codec,
         splitter,
         events,
@@ -80,6 +87,7 @@
         self._cluster_state = cluster_state
         self._balancer_for = balancer_for
         self._sender = sender
+        self._crash_monitor = crash_monitor
         self._codec = codec
         self._splitter = splitter
         self._events = events
@@ -203,18 +211,51 @@
 
     def _run(self, context, balancer):
         while True:
-            grant = balancer.acquire(context.pending, context.route)
+            grant = self._acquire(context, balancer)
             if isinstance(grant, messages.Rejection):
                 if context.may_have_run:
                     return messages.Rejection(
                         problem=core.problems.ANSWER_LOST
                     )
                 return grant
-            attempt = self._attempt(context, balancer, grant)
+            try:
+                attempt = self._attempt(context, balancer, grant)
+                self._record_crash(context, grant, attempt)
+            finally:
+                self._crash_monitor.end(context.digest)
             result = self._handle_result(context, balancer, grant, attempt)
             if result is not None:
                 return result
 
+    def _acquire(self, context, balancer):
+        """Wait for a server; return a Grant or messages.Rejection."""
+        rejection = self._crash_monitor.check(context.digest)
+        if rejection is not None:
+            return rejection
+        grant = balancer.acquire(context.pending, context.route)
+        if isinstance(grant, messages.Rejection):
+            return grant
+        rejection = self._crash_monitor.begin(context.digest)
+        if rejection is None:
+            return grant
+        balancer.release(
+            grant,
+            route=context.route,
+            outcome=placement.AttemptOutcome.CANCELLED,
+            metadata=None,
+            latency=0.0,
+        )
+        return rejection
+
+    def _record_crash(self, context, grant, attempt):
+        """Record whether the server ended or ran the request to its end."""
+        if attempt.disconnected:
+            self._crash_monitor.on_disconnect(
+                context.digest, grant.registration
+            )
+        elif attempt.outcome in _COMPLETED:
+            self._crash_monitor.on_response(context.digest)
+
     def _attempt(self, context, balancer, grant):
         started = self._clock()
         attempt = None
@@ -281,6 +322,8 @@
             return False
         if context.attempts >= context.route.max_attempts:
             return False
+        if not self._crash_monitor.may_retry(context.digest):
+            return False
         now = self._clock()
         if now >= context.pending.deadline:
             return False
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -110,6 +110,11 @@
         """store.Position that this node has applied."""
         return self._store_cache.position
 
+    @property
+    def is_hub(self):
+        """Whether this node is the hub of its region."""
+        return self._role.kind is topology.RoleKind.HUB
+
     @property
     def role(self):
         """topology.Role of this node."""
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -35,6 +35,7 @@
       response: the server's whole HttpResponse, None without one.
       metadata: messages.ResponseMetadata of the response.
       timed_out: whether the attempt ended because its deadline passed.
+      disconnected: whether the server broke the connection during the attempt.
       detail: diagnostic text for the log.
     """
 
@@ -43,6 +44,7 @@
     response: http1.HttpResponse | None = None
     metadata: messages.ResponseMetadata | None = None
     timed_out: bool = False
+    disconnected: bool = False
     detail: str = ""
 
 
@@ -150,6 +152,7 @@
                 outcome=placement.AttemptOutcome.RESPONSE_LOST,
                 may_have_run=True,
                 timed_out=isinstance(error, TimeoutError),
+                disconnected=_is_disconnect(error),
                 detail=f"{type(error).__name__}: {error}",
             )
 
@@ -201,6 +204,12 @@
     return None if idempotent else _MAX_IDLE_NON_IDEMPOTENT_S
 
 
+def _is_disconnect(error):
+    if isinstance(error, http1.MalformedMessage):
+        return error.problem is core.problems.ANSWER_LOST
+    return not isinstance(error, TimeoutError)
+
+
 def _classify(response, metadata):
     if metadata.not_executed:
         return placement.AttemptOutcome.REJECTED
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -9,6 +9,7 @@
 from wigeonrouter.placement import _budget
 from wigeonrouter.placement import _caller_timeout
 from wigeonrouter.placement import _choice
+from wigeonrouter.placement import _crashes
 from wigeonrouter.placement import _estimate
 from wigeonrouter.placement import _health
 from wigeonrouter.placement import _rate_limits
@@ -17,6 +18,8 @@
 from wigeonrouter.placement import _stopping
 
 AttemptOutcome = _health.AttemptOutcome
+CrashHistory = _crashes.CrashHistory
+Standing = _crashes.Standing
 PendingRequest = _records.PendingRequest
 LoadReport = _records.LoadReport
 Pick = _choice.Pick
@@ -41,6 +44,7 @@
 latest_start = _stopping.latest_start
 is_nearly_full = _estimate.is_nearly_full
 choose = _choice.choose
+CRASH_RETENTION_S = _crashes.CRASH_RETENTION_S
 EXPECTED_SLOT_WAIT_S = _choice.EXPECTED_SLOT_WAIT_S
 is_available = _health.is_available
 sample_views = _choice.sample_views
--- a/wigeonrouter/platform/_emulated_store.py
+++ b/wigeonrouter/platform/_emulated_store.py
@@ -7,10 +7,12 @@
 import time
 from urllib import parse
 
+import gevent
 from gevent import event
 
 from wigeonrouter import http1
 from wigeonrouter.platform import _emulated_server
+from wigeonrouter.platform import _fields
 
 _PAGE_ITEMS = 500
 
@@ -44,6 +46,8 @@
         self._changed = event.Event()
         self.calls = 0
         self.era = 1
+        self._last_lease = 0
+        self._lease_ends = {}
         super().__init__()
 
     def put(self, key, document):
@@ -119,6 +123,8 @@
             return self._watch(query)
         if path == "/api/kv-txn":
             return self._transact(json.loads(request.body))
+        if path == "/api/kv-lease":
+            return self._grant_lease(json.loads(request.body))
         return _respond(404)
 
     def _range(self, query):
@@ -166,10 +172,31 @@
             item = self._items.get(row["key"])
             if (item["revision"] if item else 0) != row["revision"]:
                 return _respond(412, {"items": [item] if item else []})
+        for row in document["writes"]:
+            if row["lease"] and row["lease"] not in self._lease_ends:
+                return _respond(404)
         for row in document["writes"]:
             self._write(row["key"], base64.b64decode(row["value"]))
+            if row["lease"]:
+                gevent.spawn_later(
+                    self._lease_ends[row["lease"]] - time.monotonic(),
+                    self.remove,
+                    row["key"],
+                )
+        for key in document["remove"]:
+            if key in self._items:
+                self.remove(key)
         return _respond(200, {"revision": self._revision})
 
+    def _grant_lease(self, document):
+        self._last_lease += 1
+        ttl = _fields.parse_duration(document["ttl_time"])
+        self._lease_ends[self._last_lease] = time.monotonic() + ttl
+        return _respond(
+            200,
+            {"lease": self._last_lease, "ttl_time": document["ttl_time"]},
+        )
+
     def _write(self, key, value):
         self._revision += 1
         previous = self._items.get(key)
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -1,5 +1,6 @@
 """The node's interface to the store: calls, and decoding of the items."""
 
+from wigeonrouter import placement
 from wigeonrouter import store
 from wigeonrouter import topology
 from wigeonrouter.platform import _fields
@@ -9,6 +10,7 @@
 # registrations and the nodes' own keys.
 _ALL_KEYS = ""
 _REGISTERED = b"{}"
+_CRASHED = b"{}"
 
 
 class StoreFeed:
@@ -65,6 +67,22 @@
             b"%d" % round(seconds * 1000),
         )
 
+    def write_crashes(self, crashes):
+        """Store some core.Crashes for as long as they count."""
+        self._client.write_leased(
+            {
+                _store_values.encode_crash_key(crash): _CRASHED
+                for crash in crashes
+            },
+            ttl=placement.CRASH_RETENTION_S,
+        )
+
+    def remove_crashes(self, crashes):
+        """Remove some core.Crashes from the store."""
+        self._client.remove(
+            [_store_values.encode_crash_key(crash) for crash in crashes]
+        )
+
     def decode(self, items, *, scope):
         """Decode store items into a topology.StoreContent.
 
@@ -103,6 +121,8 @@
             return _decode_node(item)
         if item.key.startswith(_store_values.CALLER_TIMEOUT_PREFIX):
             return _decode_caller_timeout(item)
+        if item.key.startswith(_store_values.CRASH_PREFIX):
+            return _decode_crash(item)
         return None
 
     def _decode_registration(self, item):
@@ -159,3 +179,10 @@
         route=item.key.removeprefix(_store_values.CALLER_TIMEOUT_PREFIX),
         seconds=int(item.value) / 1000,
     )
+
+
+def _decode_crash(item):
+    crash = _store_values.decode_crash_key(item.key)
+    if crash is None:
+        return None
+    return topology.CrashStored(crash=crash, removed=item.value is None)
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -12,11 +12,14 @@
 
 from wigeonrouter import http1
 from wigeonrouter import store
+from wigeonrouter.platform import _fields
 
 _CONNECT_TIMEOUT_S = 0.5
 _RANGE_PATH = "/api/kv-range"
 _WATCH_PATH = "/api/kv-watch"
 _TRANSACTION_PATH = "/api/kv-txn"
+_LEASE_PATH = "/api/kv-lease"
+_MAX_TRANSACTION_ROWS = 32
 _MAX_RESPONSE_BYTES = 64 << 20
 # One watch and a few short concurrent calls.
 _MAX_CONNECTIONS = 8
@@ -138,31 +141,55 @@
           StoreReplyLost: the key may have been or may still be written.
           StoreError: the key was not written.
         """
-        expected = [{"key": key, "revision": 0}]
-        return self._write(key, value, expected) == 200
+        return self._transact(
+            expected=[{"key": key, "revision": 0}],
+            writes=[_write(key, value)],
+        )
 
     def write(self, key, value):
         """Write a key unconditionally; raises the errors of create()."""
-        self._write(key, value, [])
+        self._transact(writes=[_write(key, value)])
+
+    def write_leased(self, values, *, ttl):
+        """Write some keys that the store removes after a time.
+
+        Args:
+          values: dict from key to bytes.
+          ttl: the time in seconds.
+        Raises the errors of create().
+        """
+        lease = self._grant_lease(ttl)
+        writes = [_write(key, value, lease) for key, value in values.items()]
+        for first in range(0, len(writes), _MAX_TRANSACTION_ROWS):
+            self._transact(
+                writes=writes[first : first + _MAX_TRANSACTION_ROWS]
+            )
 
-    def _write(self, key, value, expected):
+    def remove(self, keys):
+        """Remove some keys; raises the errors of create()."""
+        for first in range(0, len(keys), _MAX_TRANSACTION_ROWS):
+            self._transact(remove=keys[first : first + _MAX_TRANSACTION_ROWS])
+
+    def _grant_lease(self, ttl):
+        body = json.dumps({"ttl_time": _fields.format_duration(ttl)})
+        reply = self._call("POST", _LEASE_PATH, body, self._timeout)
+        if reply.status != 200:
+            raise store.StoreUnavailable(f"status {reply.status}")
+        return _field(reply.document, "lease", int)
+
+    def _transact(self, *, expected=(), writes=(), remove=()):
+        """Execute a transaction; return whether the expectations were met."""
         body = json.dumps(
             {
-                "expected_rev": expected,
-                "writes": [
-                    {
-                        "key": key,
-                        "value": base64.b64encode(value).decode("ascii"),
-                        "lease": 0,
-                    }
-                ],
-                "remove": [],
+                "expected_rev": list(expected),
+                "writes": list(writes),
+                "remove": list(remove),
             }
         )
         reply = self._call("POST", _TRANSACTION_PATH, body, self._timeout)
         if reply.status not in (200, 412):
             raise store.StoreUnavailable(f"status {reply.status}")
-        return reply.status
+        return reply.status == 200
 
     def close(self):
         """Close the idle connections."""
@@ -237,6 +264,14 @@
         ).encode() + data
 
 
+def _write(key, value, lease=0):
+    return {
+        "key": key,
+        "value": base64.b64encode(value).decode("ascii"),
+        "lease": lease,
+    }
+
+
 def _parse(data):
     # Error responses may have no JSON body.
     if not data.startswith(b"{"):
--- a/wigeonrouter/platform/_store_values.py
+++ b/wigeonrouter/platform/_store_values.py
@@ -13,9 +13,13 @@
 NODE_PREFIX = "wigeonrouter/nodes/"
 # The callers' usual timeout in ms, by route, is stored under this prefix.
 CALLER_TIMEOUT_PREFIX = "wigeonrouter/waits/"
+# The ends of servers under requests are stored under this prefix, with keys
+# DIGEST/NAME.
+CRASH_PREFIX = "wigeonrouter/crashes/"
 # An instance ID is sent in a header.
 _INSTANCE = re.compile(r"[!-~]{1,200}")
 _MAX_SLOTS = 1 << 16
+_CRASH = re.compile(r"([0-9a-f]{32})/([0-9a-f]{16}\.[0-9]{1,9})")
 
 
 def decode_configuration(value):
@@ -98,6 +102,19 @@
     )
 
 
+def encode_crash_key(crash):
+    """Return the key of a core.Crash."""
+    return f"{CRASH_PREFIX}{crash.digest}/{crash.name}"
+
+
+def decode_crash_key(key):
+    """Return the core.Crash of a key, None if the key is invalid."""
+    match = _CRASH.fullmatch(key.removeprefix(CRASH_PREFIX))
+    if match is None:
+        return None
+    return core.Crash(digest=match[1], name=match[2])
+
+
 def _decode_object(value):
     try:
         document = json.loads(value)
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -12,6 +12,7 @@
 ConfigurationRejected = _records.ConfigurationRejected
 ConfigurationWritten = _records.ConfigurationWritten
 ContentScope = _records.ContentScope
+CrashStored = _records.CrashStored
 Departure = _records.Departure
 KnownServer = _directory.KnownServer
 NodeRemoved = _records.NodeRemoved
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -156,6 +156,14 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CrashStored:
+    """The end of a server under a request was stored, or no longer counts."""
+
+    crash: core.Crash
+    removed: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NodeRemoved:
     """The registration of a node was removed."""
