Leave out entries of the store that nobody can read

The client now leaves such rows out and logs store-row-unreadable, nodes have to be IPv4 addresses, and numbers are bounded before they are used. A reader that dies nevertheless is logged as task-failed.

--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -309,6 +309,13 @@
                 if replaced or self._should_step_down():
                     return
         finally:
+            if reader.exception is not None:
+                self._events.notice(
+                    "task-failed",
+                    task="store-reader",
+                    error=f"{type(reader.exception).__name__}:"
+                    f" {reader.exception}",
+                )
             reader.kill()
             heartbeats.kill()
             hub, self._hub = self._hub, None
--- a/wigeonrouter/platform/_emulated_store.py
+++ b/wigeonrouter/platform/_emulated_store.py
@@ -46,6 +46,7 @@
         self._changed = event.Event()
         self.calls = 0
         self.era = 1
+        self._odd_fields = {}
         self._last_lease = 0
         self._lease_ends = {}
         super().__init__()
@@ -57,6 +58,11 @@
             value = json.dumps(document).encode()
         self._write(key, value)
 
+    def put_row(self, key, fields):
+        """Write a key whose row has some other fields than it should."""
+        self._odd_fields[key] = fields
+        self._write(key, b"{}")
+
     def remove(self, key):
         """Remove a key."""
         self._revision += 1
@@ -136,7 +142,9 @@
         return _respond(
             200,
             {
-                "items": [items[key] for key in keys[:_PAGE_ITEMS]],
+                "items": [
+                    self._render(items[key]) for key in keys[:_PAGE_ITEMS]
+                ],
                 "has_more": len(keys) > _PAGE_ITEMS,
                 "as_of": self._revision,
             },
@@ -149,7 +157,7 @@
             if self._has_lost_history(after):
                 return _respond(410)
             events = [
-                row
+                self._render(row)
                 for row in self._log
                 if row["revision"] > after
                 and row["key"].startswith(query["prefix"])
@@ -162,6 +170,9 @@
             self._changed.clear()
             self._changed.wait(timeout=remaining)
 
+    def _render(self, row):
+        return {**row, **self._odd_fields.get(row["key"], {})}
+
     def _has_lost_history(self, after):
         if after >= self._revision:
             return after > self._revision
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -1,5 +1,7 @@
 """The node's interface to the store: calls, and decoding of the items."""
 
+import re
+
 from wigeonrouter import placement
 from wigeonrouter import store
 from wigeonrouter import topology
@@ -11,6 +13,7 @@
 _ALL_KEYS = ""
 _REGISTERED = b"{}"
 _CRASHED = b"{}"
+_TIMEOUT_MS = re.compile(rb"[1-9][0-9]{0,8}")
 
 
 class StoreFeed:
@@ -165,7 +168,7 @@
     region, _, host = item.key.removeprefix(
         _store_values.NODE_PREFIX
     ).partition("/")
-    if not host:
+    if not _fields.is_ipv4(host):
         return None
     if item.value is None:
         return topology.NodeRemoved(region=region, host=host)
@@ -173,7 +176,7 @@
 
 
 def _decode_caller_timeout(item):
-    if item.value is None or not item.value.isdigit():
+    if item.value is None or not _TIMEOUT_MS.fullmatch(item.value):
         return None
     return topology.CallerTimeoutLearned(
         route=item.key.removeprefix(_store_values.CALLER_TIMEOUT_PREFIX),
--- a/wigeonrouter/platform/_fields.py
+++ b/wigeonrouter/platform/_fields.py
@@ -69,14 +69,24 @@
     """Parse HOST:PORT, where HOST is an IPv4 address, into a core.Address."""
     try:
         parsed = core.parse_address(text)
-        ipaddress.IPv4Address(parsed.host)
     except ValueError as error:
         raise FieldError(str(error)) from error
+    if not is_ipv4(parsed.host):
+        raise FieldError(f"{text!r} has no IPv4 address")
     if not 0 < parsed.port < 65536:
         raise FieldError(f"{text!r} is not an address of the form HOST:PORT")
     return parsed
 
 
+def is_ipv4(text):
+    """Return whether a text is an IPv4 address."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def format_duration(seconds):
     """Format a duration in seconds as whole milliseconds, such as 1500ms."""
     return f"{round(seconds * 1000)}ms"
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -1,7 +1,6 @@
 """Client of the platform's metadata store."""
 
 import base64
-import binascii
 import dataclasses
 import json
 import re
@@ -20,6 +19,7 @@
 _TRANSACTION_PATH = "/api/kv-txn"
 _LEASE_PATH = "/api/kv-lease"
 _MAX_TRANSACTION_ROWS = 32
+_MAX_REVISION = (1 << 63) - 1
 _MAX_RESPONSE_BYTES = 64 << 20
 # One watch and a few short concurrent calls.
 _MAX_CONNECTIONS = 8
@@ -29,6 +29,10 @@
 _ERA_NUMBER = re.compile(rb"[0-9]{1,15}")
 
 
+class _InvalidRow(ValueError):
+    """A row of a response is no item."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Reply:
     status: int
@@ -37,9 +41,10 @@
 
     def position(self):
         """Return the store.Position that the reply names."""
-        return store.Position(
-            era=self.era, revision=_field(self.document, "as_of", int)
-        )
+        revision = _field(self.document, "as_of", int)
+        if not 0 <= revision <= _MAX_REVISION:
+            raise store.StoreUnavailable("response with an invalid revision")
+        return store.Position(era=self.era, revision=revision)
 
 
 class StoreClient:
@@ -48,11 +53,14 @@
     Args:
       address: core.Address of the store.
       timeout: timeout of a call; a watch has it in addition to its wait.
+      on_unreadable: called with the description of each row that is left out
+        because it is no item.
     """
 
-    def __init__(self, *, address, timeout):
+    def __init__(self, *, address, timeout, on_unreadable=lambda detail: None):
         self._address = address
         self._timeout = timeout
+        self._on_unreadable = on_unreadable
         self._pool = http1.ConnectionPool(max_idle=_MAX_IDLE_S)
         # The latest era that a reply has named.
         self._era = 0
@@ -80,14 +88,17 @@
                 query["after"] = after
             reply = self._get(_RANGE_PATH, query, self._timeout)
             rows = _field(reply.document, "items", list)
-            items.extend(_read_item(row) for row in rows)
+            page = self._read_items(rows)
+            items.extend(page)
             if position is None:
                 position = reply.position()
             elif reply.era != position.era:
                 raise store.StoreUnavailable("restored during a listing")
             if not reply.document.get("has_more") or not rows:
                 break
-            after = items[-1].key
+            if not page:
+                raise store.StoreUnavailable("page without a readable row")
+            after = page[-1].key
         if stale:
             newest = max((item.version for item in items), default=1)
             if newest > position.revision:
@@ -123,8 +134,7 @@
         )
         return store.Events(
             changes=tuple(
-                _read_item(row)
-                for row in _field(reply.document, "events", list)
+                self._read_items(_field(reply.document, "events", list))
             ),
             position=reply.position(),
         )
@@ -170,6 +180,19 @@
         for first in range(0, len(keys), _MAX_TRANSACTION_ROWS):
             self._transact(remove=keys[first : first + _MAX_TRANSACTION_ROWS])
 
+    def _read_items(self, rows):
+        """Return the store.Items of some rows, without the unreadable ones.
+
+        A row that another writer spoiled must not hide the others.
+        """
+        items = []
+        for row in rows:
+            try:
+                items.append(_read_item(row))
+            except _InvalidRow as error:
+                self._on_unreadable(str(error))
+        return items
+
     def _grant_lease(self, ttl):
         body = json.dumps({"ttl_time": _fields.format_duration(ttl)})
         reply = self._call("POST", _LEASE_PATH, body, self._timeout)
@@ -216,6 +239,7 @@
         except (
             OSError,
             ValueError,
+            RecursionError,
             http1.RequestNotSent,
             http1.MalformedMessage,
         ) as error:
@@ -287,12 +311,30 @@
 
 
 def _read_item(row):
-    key = _field(row, "key", str)
-    version = _field(row, "revision", int)
+    """Return the store.Item of a row.
+
+    Raises:
+      _InvalidRow: the row is no item.
+    """
+    if not isinstance(row, dict):
+        raise _InvalidRow("not an object")
+    key, version = row.get("key"), row.get("revision")
+    if not isinstance(key, str) or not _is_encodable(key):
+        raise _InvalidRow(f"key {key!r:.80} is no text")
+    if not isinstance(version, int) or not 0 <= version <= _MAX_REVISION:
+        raise _InvalidRow(f"{key}: invalid revision")
     if row.get("deleted"):
         return store.Item(key=key, value=None, version=version)
     try:
-        value = base64.b64decode(_field(row, "value", str), validate=True)
-    except binascii.Error as error:
-        raise store.StoreUnavailable(f"value of {key}: {error}") from error
+        value = base64.b64decode(row.get("value"), validate=True)
+    except (TypeError, ValueError) as error:
+        raise _InvalidRow(f"{key}: {error}") from error
     return store.Item(key=key, value=value, version=version)
+
+
+def _is_encodable(text):
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/wigeonrouter/platform/_store_values.py
+++ b/wigeonrouter/platform/_store_values.py
@@ -18,6 +18,7 @@
 CRASH_PREFIX = "wigeonrouter/crashes/"
 # An instance ID is sent in a header.
 _INSTANCE = re.compile(r"[!-~]{1,200}")
+_VERSION = re.compile(r"[0-9a-fA-F]{1,16}")
 _MAX_SLOTS = 1 << 16
 _CRASH = re.compile(r"([0-9a-f]{32})/([0-9a-f]{16}\.[0-9]{1,9})")
 
@@ -127,10 +128,9 @@
 
 def _read_version(document):
     text = _fields.get_string(document, "version")
-    try:
-        return int(text, 16)
-    except ValueError as error:
-        raise _fields.FieldError(f"version: {error}") from error
+    if not _VERSION.fullmatch(text):
+        raise _fields.FieldError("version: not a hexadecimal number")
+    return int(text, 16)
 
 
 def _read_route(name, route):
--- a/wigeonrouter/platform/main.py
+++ b/wigeonrouter/platform/main.py
@@ -46,7 +46,11 @@
         settings=settings,
         feed=_feed.StoreFeed(
             client=_store.StoreClient(
-                address=settings.store_address, timeout=_STORE_TIMEOUT_S
+                address=settings.store_address,
+                timeout=_STORE_TIMEOUT_S,
+                on_unreadable=lambda detail: events.notice(
+                    "store-row-unreadable", detail=detail
+                ),
             ),
             regions=settings.regions,
         ),
