--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -1,6 +1,5 @@
 """Handles a caller's request from route lookup to the final response."""
 
-import dataclasses
 import time
 from urllib import parse
 
@@ -8,6 +7,7 @@
 from wigeonrouter import http1
 from wigeonrouter import placement
 from wigeonrouter import topology
+from wigeonrouter.node import _request_context
 from wigeonrouter.node import _request_digest
 from wigeonrouter.node import messages
 
@@ -34,28 +34,6 @@
 _RESPONSE_TRANSIT_S = 0.003
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _RequestContext:
-    """State of a request in progress. Times on the monotonic clock.
-
-    Attributes:
-      attempts: attempts that reached a server.
-      connect_failures: attempts that could not connect to their server.
-      may_have_run: whether any server may have begun to execute it.
-      digest: what equal requests have in common.
-    """
-
-    request: http1.HttpRequest
-    request_id: str
-    digest: str
-    route: topology.Route
-    service: str
-    pending: placement.PendingRequest
-    attempts: int = 0
-    connect_failures: int = 0
-    may_have_run: bool = False
-
-
 class Proxy:
     """Routes requests to backend servers and retries where allowed.
 
@@ -178,7 +156,7 @@
             return messages.Rejection(
                 problem=core.problems.NO_ROUTE, detail=f"{host}{path}"
             )
-        return _RequestContext(
+        return _request_context.RequestContext(
             request=request,
             request_id=request_metadata.request_id,
             digest=_request_digest.compute(request),
@@ -297,7 +275,7 @@
         instance = grant.registration.instance
         if attempt.outcome is placement.AttemptOutcome.UNREACHABLE:
             context.connect_failures += 1
-            context.pending = _exclude(context.pending, instance)
+            context.exclude(instance)
             if context.connect_failures <= _MAX_CONNECT_FAILURES:
                 return None
             return messages.Rejection(
@@ -313,7 +291,7 @@
         if attempt.outcome is placement.AttemptOutcome.SUCCEEDED:
             return attempt.response
         if self._may_retry(context, balancer, attempt):
-            context.pending = _exclude(context.pending, instance)
+            context.exclude(instance)
             return None
         return _final_result(attempt, context)
 
@@ -387,10 +365,6 @@
         )
 
 
-def _exclude(pending, instance):
-    return dataclasses.replace(pending, excluded=pending.excluded | {instance})
-
-
 def _final_result(attempt, context):
     if attempt.response is not None and not attempt.metadata.not_executed:
         return attempt.response
