Split loading, registering and finding the hub from the region member

What fills the first copy of the store, what keeps the node registered and what finds the hub are classes of their own now. No behaviour changes.

--- /dev/null
+++ b/wigeonrouter/node/_hub_search.py
@@ -0,0 +1,90 @@
+"""Finds the hub of a region among the nodes that are known.
+
+A node asks only some candidates for their roles, so it also keeps what it was
+told of hubs, and which of them it has lost.
+"""
+
+import time
+
+from wigeonrouter import topology
+from wigeonrouter.node import _peer_requests
+
+# A hub that this node lost is not followed again for this time.
+_FAILED_HUB_AVOID_S = 2.0
+
+
+class HubSearch:
+    """Asks the nodes of a region for their roles.
+
+    Args:
+      settings: topology.NodeSettings.
+      cluster_state: ClusterState, which has the hosts of the region.
+    """
+
+    def __init__(self, *, settings, cluster_state, clock=time.monotonic):
+        self._host = settings.host
+        self._region = settings.place.region
+        self._port = settings.peer_ports[0]
+        self._cluster_state = cluster_state
+        self._clock = clock
+        self._avoided_until = {}
+        # A hub that those which are asked may not know, "" for none.
+        self._successor = ""
+
+    @property
+    def successor(self):
+        """Host of the hub that is asked first, "" for none."""
+        return self._successor
+
+    @successor.setter
+    def successor(self, host):
+        self._successor = host
+
+    def candidate_order(self):
+        """Return the hosts of the region in order of preference."""
+        hosts = self._cluster_state.hosts(self._region)
+        return topology.candidate_order(self._region, hosts | {self._host})
+
+    def avoid(self, host):
+        """Do not follow or ask a host for a while."""
+        self._avoided_until[host] = self._clock() + _FAILED_HUB_AVOID_S
+
+    def avoided_hosts(self):
+        """Return the frozenset of hosts that are not followed now."""
+        now = self._clock()
+        self._avoided_until = {
+            host: until
+            for host, until in self._avoided_until.items()
+            if until > now
+        }
+        return frozenset(self._avoided_until)
+
+    def query_roles(self):
+        """Query some peers for their roles; return a dict by host."""
+        avoided = self.avoided_hosts()
+        hosts = [
+            host
+            for host in self.candidate_order()
+            if host != self._host and host not in avoided
+        ]
+        if self._successor in hosts:
+            hosts.remove(self._successor)
+            hosts.insert(0, self._successor)
+        return _peer_requests.query_roles(hosts, port=self._port)
+
+    def other_hub_reaches_store(self):
+        """Return whether another hub is found that reaches the store."""
+        return any(
+            role.kind is topology.RoleKind.HUB and role.store_reachable
+            for role in self.query_roles().values()
+        )
+
+    def decide_role(self, *, reaches_store):
+        """Return the topology.Decision of which hub to follow."""
+        return topology.decide_role(
+            own_host=self._host,
+            order=self.candidate_order(),
+            roles=self.query_roles(),
+            excluded_hosts=self.avoided_hosts(),
+            reaches_store=reaches_store,
+        )
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -16,27 +16,22 @@
 from wigeonrouter.node import _channel
 from wigeonrouter.node import _follower
 from wigeonrouter.node import _hub
+from wigeonrouter.node import _hub_search
 from wigeonrouter.node import _peer_requests
+from wigeonrouter.node import _registrar
 from wigeonrouter.node import _roster
 from wigeonrouter.node import _store_cache
+from wigeonrouter.node import _store_loader
 from wigeonrouter.node import _store_memory
 from wigeonrouter.node import _store_reader
 from wigeonrouter.schema import node_pb2
 
-# Delay before the store is listed again, which doubles up to the maximum.
-# Hundreds of nodes may start while the store does not respond.
-_MIN_LOAD_RETRY_S = 0.1
-_MAX_LOAD_RETRY_S = 0.5
 _FIRST_MESSAGE_TIMEOUT_S = 1.0
-# A hub that this node lost is not followed again for this time.
-_FAILED_HUB_AVOID_S = 2.0
 _HUB_WAIT_S = 0.1
 # After this number of waits for a better candidate that does not become the
 # hub, this node becomes the hub itself.
 _MAX_HUB_WAITS = 4
 _HUB_CHECK_INTERVAL_S = 1.5
-_REGISTER_CHECK_S = 2.0
-_STARTUP_POLL_S = 0.05
 
 
 class RegionMember:
@@ -86,16 +81,35 @@
         self._roster = {}
         self._peers = ()
         self._history = topology.RegionHistory()
-        self._avoided_until = {}
         self._state_changed = event.Event()
         self._leaving = False
         self._hub_waits = 0
         # The hub that this node left because it does not reach the store.
         self._abandoned_hub = ""
-        # The hub that this node should follow next, "" if none is known.
-        self._successor = ""
+        # Set when another hub is known to reach the store, unlike this one.
         self._replaced = event.Event()
         self._reaches_store = False
+        self._hub_search = _hub_search.HubSearch(
+            settings=settings,
+            cluster_state=cluster_state,
+            clock=self._clock,
+        )
+        self._loader = _store_loader.StoreLoader(
+            settings=settings,
+            seeds=lambda: self._settings.seeds,
+            feed=feed,
+            store_cache=self._store_cache,
+            events=events,
+            rng=rng,
+        )
+        self._registrar = _registrar.Registrar(
+            settings=settings,
+            feed=feed,
+            cluster_state=cluster_state,
+            store_cache=self._store_cache,
+            events=events,
+            rng=rng,
+        )
         self._server = gevent_server.StreamServer(
             (settings.host, settings.peer_ports[0]), self._serve
         )
@@ -165,34 +179,14 @@
         self._feed.close()
 
     def keep_registered(self):
-        """Register this node in each era of the store, until killed.
-
-        Failed writes are logged and retried. The times of all nodes differ,
-        since a restored store may have lost all registrations at once.
-        """
-        region, host = self._settings.place.region, self._settings.host
-        registered_era = None
-        while True:
-            era = self._store_cache.position.era
-            if self._cluster_state.is_registered(region, host):
-                registered_era = era
-            elif self._store_cache.filled and registered_era != era:
-                try:
-                    self._feed.register(region=region, host=host)
-                    registered_era = era
-                except store.StoreError as error:
-                    self._events.notice("not-registered", error=str(error))
-            if self._store_cache.filled:
-                gevent.sleep(_REGISTER_CHECK_S * self._rng.uniform(0.5, 1.5))
-            else:
-                gevent.sleep(_STARTUP_POLL_S)
+        """Keep this node registered in the store, until killed."""
+        self._registrar.run()
 
     def run(self):
         """Follow the store, directly or through a hub, until killed."""
-        retry = _MIN_LOAD_RETRY_S
-        while not self._store_cache.filled:
-            self._load_snapshot(retry)
-            retry = min(_MAX_LOAD_RETRY_S, 2 * retry)
+        if self._loader.load():
+            self._reaches_store = True
+            self._cluster_state.on_store_contact()
         while True:
             self._run_one_role()
 
@@ -200,52 +194,9 @@
     def _port(self):
         return self._settings.peer_ports[0]
 
-    def _load_snapshot(self, retry):
-        """Load all items once, from the store or else from a seed node.
-
-        If neither has them, wait for about `retry` seconds.
-
-        A stale listing, which may be seconds old, is accepted because it is
-        cheaper: the hub's first update, or the watch from the listing's
-        revision on, has the newer changes.
-        """
-        try:
-            listing = self._feed.list(stale=True)
-            self._reaches_store = True
-            self._cluster_state.on_store_contact()
-            self._store_cache.replace_all(
-                listing.items, listing.position, stale=True
-            )
-            return
-        except store.StoreError as error:
-            self._events.notice("store-lost", error=str(error))
-        for host in self._settings.seeds:
-            if host != self._settings.host and self._fetch_from_peer(host):
-                return
-        gevent.sleep(retry * self._rng.uniform(0.7, 1.3))
-
-    def _fetch_from_peer(self, host):
-        update = _peer_requests.fetch_update(
-            host, port=self._port, position=self._store_cache.position
-        )
-        if update is None:
-            return False
-        self._store_cache.apply_update(update)
-        self._events.notice(
-            "content-from-peer",
-            host=host,
-            era=self._store_cache.position.era,
-            revision=self._store_cache.position.revision,
-        )
-        return self._store_cache.filled
-
     def _run_one_role(self):
-        decision = topology.decide_role(
-            own_host=self._settings.host,
-            order=self._candidate_order(),
-            roles=self._query_roles(),
-            excluded_hosts=self._avoided_hosts(),
-            reaches_store=self._reaches_store,
+        decision = self._hub_search.decide_role(
+            reaches_store=self._reaches_store
         )
         should_wait = decision.action is topology.HubAction.WAIT
         self._hub_waits = self._hub_waits + 1 if should_wait else 0
@@ -256,35 +207,6 @@
         else:
             self._run_as_hub()
 
-    def _candidate_order(self):
-        hosts = self._cluster_state.hosts(self._settings.place.region)
-        return topology.candidate_order(
-            self._settings.place.region, hosts | {self._settings.host}
-        )
-
-    def _avoided_hosts(self):
-        now = self._clock()
-        self._avoided_until = {
-            host: until
-            for host, until in self._avoided_until.items()
-            if until > now
-        }
-        return frozenset(self._avoided_until)
-
-    def _query_roles(self):
-        """Query some peers for their roles; return a dict by host."""
-        avoided = self._avoided_hosts()
-        hosts = [
-            host
-            for host in self._candidate_order()
-            if host != self._settings.host and host not in avoided
-        ]
-        # Known to be a hub, while those that are asked may not know it.
-        if self._successor in hosts:
-            hosts.remove(self._successor)
-            hosts.insert(0, self._successor)
-        return _peer_requests.query_roles(hosts, port=self._port)
-
     def _run_as_hub(self):
         """Read the store and serve followers until another hub is better."""
         self._hub = _hub.Hub(
@@ -294,10 +216,10 @@
             expected_members=[
                 state
                 for host, state in self._roster.items()
-                if host not in self._avoided_hosts()
+                if host not in self._hub_search.avoided_hosts()
             ],
         )
-        self._successor = ""
+        self._hub_search.successor = ""
         self._replaced.clear()
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
         self._hub.broadcast_roster()
@@ -319,7 +241,9 @@
             reader.kill()
             heartbeats.kill()
             hub, self._hub = self._hub, None
-            hub.send_heartbeat(leaving=True, successor=self._successor)
+            hub.send_heartbeat(
+                leaving=True, successor=self._hub_search.successor
+            )
             self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
     def _make_reader(self):
@@ -335,12 +259,12 @@
         )
 
     def _should_step_down(self):
-        order = self._candidate_order()
+        order = self._hub_search.candidate_order()
         if order[0] == self._settings.host and self._reaches_store:
             return False
         if not self._reaches_store:
-            return self._other_hub_reaches_store()
-        roles = self._query_roles()
+            return self._hub_search.other_hub_reaches_store()
+        roles = self._hub_search.query_roles()
         return topology.should_step_down(
             own_host=self._settings.host, order=order, roles=roles
         )
@@ -373,11 +297,11 @@
             and role.kind is topology.RoleKind.HUB
             and role.store_reachable
         ):
-            self._successor = role.hub
+            self._hub_search.successor = role.hub
             self._replaced.set()
 
     def _on_successor(self, hub):
-        self._successor = hub
+        self._hub_search.successor = hub
 
     def _on_hub_lost_store(self, hub):
         self._abandoned_hub = hub
@@ -392,7 +316,7 @@
 
     def _run_as_follower(self, hub):
         """Follow a hub until it fails, leaves or loses the store."""
-        self._successor = self._abandoned_hub = ""
+        self._hub_search.successor = self._abandoned_hub = ""
         follower = _follower.Follower(
             hub=hub,
             port=self._port,
@@ -414,7 +338,7 @@
         try:
             reason = follower.run()
         finally:
-            self._avoided_until[hub] = self._clock() + _FAILED_HUB_AVOID_S
+            self._hub_search.avoid(hub)
             self._events.notice("hub-lost", hub=hub, reason=reason)
             self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
@@ -433,14 +357,14 @@
             own_host=self._settings.host,
             candidates=[
                 host
-                for host in self._candidate_order()
+                for host in self._hub_search.candidate_order()
                 if host in ready_hosts and host != self._role.hub
             ],
             rng=self._rng,
         )
         if checks_store and self._probe_store():
             return True
-        return self._other_hub_reaches_store()
+        return self._hub_search.other_hub_reaches_store()
 
     def _probe_store(self):
         try:
@@ -450,12 +374,6 @@
         self._reaches_store = True
         return True
 
-    def _other_hub_reaches_store(self):
-        return any(
-            role.kind is topology.RoleKind.HUB and role.store_reachable
-            for role in self._query_roles().values()
-        )
-
     def _serve(self, sock, _):
         channel = _channel.Channel(sock=sock)
         try:
