Use a server again that starts again while its clock is behind

Found while looking for other counters that may start again: a server that starts again under its instance after its clock was set back seems to be older than its previous process, so its registration was taken for a late write and ignored for as long as the nodes remembered it, ten minutes after it had left.

A rejected registration is now doubted like those of a restored store: ten seconds later the hub lists the store, which by then has removed what nobody renews, and what it still lists is believed.

--- a/wigeonrouter/topology/_directory.py
+++ b/wigeonrouter/topology/_directory.py
@@ -86,7 +86,7 @@
         Returns:
           Whether it is newer than the one known before.
         """
-        if not self._history.accept(registration, listed=listed):
+        if not self._history.accept(registration, now, listed=listed):
             return False
         previous = self._known.get(registration.instance)
         learned_at = now
