Count requests from before a suspicion as running

A request that was sent while nothing was suspected ended the trial of a later equal one, so that two of them ran at servers at a time. The requests at servers are now counted by digest. The test failed before.

--- a/wigeonrouter/placement/_crashes.py
+++ b/wigeonrouter/placement/_crashes.py
@@ -49,7 +49,8 @@
         # request whose last crash is the oldest comes first.
         self._crashes = collections.OrderedDict()
         self._succeeded_at = collections.OrderedDict()
-        self._on_trial = set()
+        # Number of requests at servers, by digest.
+        self._in_flight = collections.Counter()
 
     @property
     def crashes(self):
@@ -81,16 +82,18 @@
         success has to be followed by end().
         """
         standing = self.standing(digest)
-        if standing is Standing.CLEAR:
-            return True
-        if standing is Standing.BLOCKED or digest in self._on_trial:
+        if standing is Standing.BLOCKED:
             return False
-        self._on_trial.add(digest)
+        if standing is Standing.SUSPECTED and self._in_flight[digest]:
+            return False
+        self._in_flight[digest] += 1
         return True
 
     def end(self, digest):
         """Record that a request is no longer at a server."""
-        self._on_trial.discard(digest)
+        self._in_flight[digest] -= 1
+        if not self._in_flight[digest]:
+            del self._in_flight[digest]
 
     def record_crash(self, digest, instance, now):
         """Record that a server ended while it ran a request.
--- a/wigeonrouter/placement/_crashes_test.py
+++ b/wigeonrouter/placement/_crashes_test.py
@@ -43,6 +43,18 @@
     assert history.try_begin(DIGEST)
 
 
+def test_requests_from_before_the_suspicion_count_as_running(history):
+    """Guards against a second trial once an earlier request has ended."""
+    assert history.try_begin(DIGEST)
+    assert history.try_begin(DIGEST)
+    for number in range(2):
+        history.record_crash(DIGEST, f"i-{number}", 1.0)
+    history.end(DIGEST)
+    assert not history.try_begin(DIGEST)
+    history.end(DIGEST)
+    assert history.try_begin(DIGEST)
+
+
 def test_success_clears_a_request(history):
     """Guards against blocking a request that was there by chance."""
     crashes = {
