Exit with 0 when a stopped node is told to stop again

Nothing was lost, but a planned stop looked like a crash.

The interpreter drops the signal handlers before it exits. Once the node has stopped, further stop signals are ignored.

--- a/wigeonrouter/platform/main.py
+++ b/wigeonrouter/platform/main.py
@@ -28,6 +28,7 @@
 _EX_CONFIG = 78
 _STORE_TIMEOUT_S = 0.7
 _LOG_LINES_PER_SECOND = 400
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # The settings file may change without a SIGHUP, so it is polled.
 _SETTINGS_CHECK_INTERVAL_S = 1.0
 
@@ -58,8 +59,10 @@
         events=events,
     )
     stop_requested = event.Event()
-    gevent.signal_handler(signal.SIGTERM, stop_requested.set)
-    gevent.signal_handler(signal.SIGINT, stop_requested.set)
+    stop_handlers = [
+        gevent.signal_handler(number, stop_requested.set)
+        for number in _STOP_SIGNALS
+    ]
     settings_file = _settings.SettingsFile(path=path, current=settings)
     gevent.signal_handler(
         signal.SIGHUP, _on_hangup, node, settings_file, events
@@ -70,6 +73,11 @@
     watcher.kill()
     node.stop()
     events.stop()
+    # The interpreter drops handlers before it exits, and another signal would
+    # then end the process as if it had failed.
+    for number, handler in zip(_STOP_SIGNALS, stop_handlers, strict=True):
+        handler.cancel()
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _poll_settings(node, settings_file, events):
--- a/wigeonrouter/platform/main_test.py
+++ b/wigeonrouter/platform/main_test.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from wigeonrouter.platform import testing
+
 _TIMEOUT_S = 30.0
 
 
@@ -52,3 +54,31 @@
     starting_process.send_signal(signal.SIGHUP)
     with pytest.raises(subprocess.TimeoutExpired):
         starting_process.wait(0.3)
+
+
+def test_node_that_is_told_to_stop_again_and_again_exits_with_0(
+    tmp_path, make_settings
+):
+    """Guards against a stop that looks like a crash at its very end.
+
+    The second SIGTERM arrives while the interpreter exits.
+    """
+    path = tmp_path / "settings"
+    path.write_text(
+        testing.render_settings(make_settings(), bounds={"grace": "1s"})
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "wigeonrouter.platform.main"],
+        env={**os.environ, "WIGEONROUTER_SETTINGS": str(path)},
+        stdout=subprocess.PIPE,
+    )
+    line = process.stdout.readline()
+    while b'"started"' not in line:
+        line = process.stdout.readline()
+    deadline = time.monotonic() + _TIMEOUT_S
+    while process.poll() is None:
+        assert time.monotonic() < deadline, "the process did not stop"
+        process.send_signal(signal.SIGTERM)
+        time.sleep(0.002)
+    process.stdout.close()
+    assert process.returncode == 0
