Use one call for messages between peers, and one setup in crash tests

Read again as a whole: announcing a role repeated the exchange with a peer, the preferred hub had a property, a setter and a callback for one assignment, registered instances were collected for changes too, which do not use them, and seven tests repeated the start of their servers. CrashMonitor said that it owns the history, which the ClusterState owns. No behaviour and no assertion changes.

--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -122,20 +122,13 @@
         """Apply the store's records or changes (topology.StoreContent)."""
         now = self._clock()
         scope = content.scope
-        if scope is not topology.ContentScope.CHANGES:
-            self._replace_crashes(content.records, scope)
-        instances = _registered_instances(content.records)
-        if scope is topology.ContentScope.CHANGES:
-            self._directory.remove(_removed_instances(content.records), now)
-        elif scope is topology.ContentScope.COMPLETE:
-            self._hosts = {}
+        listed = scope is not topology.ContentScope.CHANGES
+        if listed:
             self._registered_nodes = set()
-            self._directory.retain_only(instances, now)
+            self._replace_crashes(content.records, scope)
+            self._replace_registrations(content.records, scope, now)
         else:
-            self._registered_nodes = set()
-            self._caller_timeouts = {}
-            self._directory.on_store_restored(instances, now)
-        listed = scope is not topology.ContentScope.CHANGES
+            self._directory.remove(_removed_instances(content.records), now)
         for record in content.records:
             self._apply_record(record, now, listed)
         self._on_change()
@@ -175,6 +168,20 @@
                 reason=record.reason,
             )
 
+    def _replace_registrations(self, records, scope, now):
+        """Apply which servers a listing has, before its records.
+
+        A restored store may have lost the hosts of nodes and the timeouts of
+        callers. The hosts are kept, and the timeouts are written again.
+        """
+        instances = _registered_instances(records)
+        if scope is topology.ContentScope.COMPLETE:
+            self._hosts = {}
+            self._directory.retain_only(instances, now)
+        else:
+            self._caller_timeouts = {}
+            self._directory.on_store_restored(instances, now)
+
     def _replace_crashes(self, records, scope):
         """Drop crashes that the store lists no longer.
 
--- a/wigeonrouter/node/_crash_monitor.py
+++ b/wigeonrouter/node/_crash_monitor.py
@@ -28,7 +28,7 @@
 
 
 class CrashMonitor:
-    """Owns the CrashHistory of a node.
+    """Applies the CrashHistory of a node, and stores what changes in it.
 
     Args:
       cluster_state: ClusterState, which has the store's crashes.
--- a/wigeonrouter/node/_hub_search.py
+++ b/wigeonrouter/node/_hub_search.py
@@ -36,8 +36,8 @@
         """Host of the hub that is asked first, "" for none."""
         return self._successor
 
-    @successor.setter
-    def successor(self, host):
+    def prefer(self, host):
+        """Ask a host first, which is known to be a hub; "" for none."""
         self._successor = host
 
     def candidate_order(self):
--- a/wigeonrouter/node/_peer_requests.py
+++ b/wigeonrouter/node/_peer_requests.py
@@ -55,19 +55,8 @@
 
 
 def announce_role(host, *, port, role):
-    """Tell a host this node's topology.Role, without waiting for a reply."""
-    try:
-        channel = _channel.connect(
-            host=host, port=port, timeout=CONNECT_TIMEOUT_S
-        )
-    except _channel.ChannelClosed:
-        return
-    try:
-        channel.send(encode_role(role), timeout=REQUEST_TIMEOUT_S)
-    except _channel.ChannelClosed:
-        pass
-    finally:
-        channel.close()
+    """Tell a host this node's topology.Role; there is no reply."""
+    _exchange(host, port, encode_role(role))
 
 
 def decode_role(message):
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -219,7 +219,7 @@
                 if host not in self._hub_search.avoided_hosts()
             ],
         )
-        self._hub_search.successor = ""
+        self._hub_search.prefer("")
         self._replaced.clear()
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
         self._hub.broadcast_roster()
@@ -297,12 +297,9 @@
             and role.kind is topology.RoleKind.HUB
             and role.store_reachable
         ):
-            self._hub_search.successor = role.hub
+            self._hub_search.prefer(role.hub)
             self._replaced.set()
 
-    def _on_successor(self, hub):
-        self._hub_search.successor = hub
-
     def _on_hub_lost_store(self, hub):
         self._abandoned_hub = hub
 
@@ -316,7 +313,8 @@
 
     def _run_as_follower(self, hub):
         """Follow a hub until it fails, leaves or loses the store."""
-        self._hub_search.successor = self._abandoned_hub = ""
+        self._hub_search.prefer("")
+        self._abandoned_hub = ""
         follower = _follower.Follower(
             hub=hub,
             port=self._port,
@@ -329,7 +327,7 @@
                 on_heartbeat=lambda reachable: self._on_heartbeat(
                     hub, reachable
                 ),
-                on_successor=self._on_successor,
+                on_successor=self._hub_search.prefer,
                 on_store_lost=lambda: self._on_hub_lost_store(hub),
                 has_better_hub=self._has_better_hub,
             ),
--- a/wigeonrouter/platform/_crashing_request_test.py
+++ b/wigeonrouter/platform/_crashing_request_test.py
@@ -13,6 +13,7 @@
 _MAX_CRASHES = 3 + 3
 _CRASHES_TO_BLOCK = 3
 _RESTART_S = 0.6
+_SERVERS = 8
 _AMPLE_SLOTS = 12
 
 
@@ -23,18 +24,21 @@
 
 
 @pytest.fixture
-def start_servers(store, backend, crashes):
-    """Return a function that starts servers which restart after a crash."""
+def start_servers(store, backend, region, crashes):
+    """Return a function that starts eight servers and waits for the region.
 
-    def start(count, *, crash_target=CRASHING):
-        for _ in range(count):
-            _start(f"i-{len(store.keys())}-{count}", crash_target)
+    They end when they run the target, and restart after that.
+    """
+
+    def start(crash_target=CRASHING):
+        for number in range(_SERVERS):
+            start_one(f"i-{number}", crash_target.encode())
+        _wait_for_servers(region, _SERVERS)
 
-    def _start(instance, crash_target):
+    def start_one(instance, crash_target):
         server = backend(instance)
-        server.crash_target = crash_target and crash_target.encode()
+        server.crash_target = crash_target
         server.on_crash = on_crash
-        return server
 
     def on_crash(server):
         crashes.append(server.instance)
@@ -42,8 +46,7 @@
 
     def restart(server):
         store.remove(f"servers/{server.instance}")
-        target = server.crash_target.decode()
-        _start(f"{server.instance}r", target)
+        start_one(f"{server.instance}r", server.crash_target)
 
     return start
 
@@ -73,8 +76,7 @@
 
     It comes again with other ids at every node. Other requests are served.
     """
-    start_servers(8)
-    _wait_for_servers(region, 8)
+    start_servers()
     responses = _send_in_turn(region, CRASHING, count=40, pause=0.1)
     assert len(crashes) <= _MAX_CRASHES
     assert {response.status for response in responses} <= {502, 503}
@@ -86,8 +88,7 @@
     region, start_servers, crashes, make_settings, start_node
 ):
     """Guards against regions that each find out for themselves."""
-    start_servers(8)
-    _wait_for_servers(region, 8)
+    start_servers()
     _send_in_turn(region, CRASHING, count=12, pause=0.1)
     known = len(crashes)
     place = core.Place(region="r2", failure_domain="zc")
@@ -102,15 +103,14 @@
     region, start_servers, crashes
 ):
     """Guards against a path that is blocked because of one request to it."""
-    start_servers(8)
-    _wait_for_servers(region, 8)
+    start_servers()
     _send_in_turn(region, CRASHING, count=9, pause=0.1)
     (caller, *_) = conftest.callers_of(region)
     assert caller.send(CRASHING + "?page=2").status == 200
 
 
 def test_hot_request_is_served_when_servers_crash_for_another_reason(
-    region, start_servers, backend, crashes
+    region, backend
 ):
     """Guards against blocking a request because it runs everywhere.
 
@@ -119,9 +119,10 @@
     """
     # Three nodes choose for themselves, so servers need slots to spare.
     servers = [
-        backend(f"i-hot-{number}", slots=_AMPLE_SLOTS) for number in range(8)
+        backend(f"i-hot-{number}", slots=_AMPLE_SLOTS)
+        for number in range(_SERVERS)
     ]
-    _wait_for_servers(region, 8)
+    _wait_for_servers(region, _SERVERS)
     callers = conftest.callers_of(region)
     statuses = []
 
@@ -152,8 +153,7 @@
     region, start_servers, crashes, make_settings, start_node
 ):
     """Guards against a restart that makes the system forget the request."""
-    start_servers(8)
-    _wait_for_servers(region, 8)
+    start_servers()
     _send_in_turn(region, CRASHING, count=12, pause=0.1)
     known = len(crashes)
     for node in region:
@@ -171,8 +171,7 @@
     store, region, start_servers, crashes
 ):
     """Guards against a request that runs again since the store forgot it."""
-    start_servers(8)
-    _wait_for_servers(region, 8)
+    start_servers()
     copy = store.copy()
     _send_in_turn(region, CRASHING, count=12, pause=0.1)
     known = len(crashes)
@@ -192,8 +191,7 @@
     While the store is out, each node counts the crashes that it sees.
     """
     place = core.Place(region="r2", failure_domain="zc")
-    start_servers(8)
-    _wait_for_servers(region, 8)
+    start_servers()
     elsewhere = start_node(
         make_settings("node-9", "127.0.0.19", place=place), servers=1
     )
@@ -212,8 +210,7 @@
     region, start_servers, crashes
 ):
     """Guards against orders that end servers: each may have run once."""
-    start_servers(8, crash_target="/write/crash")
-    _wait_for_servers(region, 8)
+    start_servers("/write/crash")
     statuses = []
     for caller in conftest.callers_of(region) * 4:
         response = caller.send("/write/crash", method="POST", body=b"x")
--- a/wigeonrouter/topology/_directory.py
+++ b/wigeonrouter/topology/_directory.py
@@ -53,10 +53,6 @@
         """Number of instances whose latest registration is kept."""
         return self._history.remembered
 
-    def listing_due(self, now):
-        """Return whether the store should be listed, to end doubts."""
-        return self._history.listing_due(now)
-
     @property
     def departures(self):
         """Tuple of the Departures that a restored store may have lost."""
@@ -66,6 +62,10 @@
             if _is_draining(known)
         )
 
+    def listing_due(self, now):
+        """Return whether the store should be listed, to end doubts."""
+        return self._history.listing_due(now)
+
     def on_store_outage(self):
         """Record that the store does not respond."""
         self._in_outage = True
