Show that callers of a node that lost all servers are not served

EmulatedLinks cuts the paths of one node to the servers: connections hang, are reset, or live on while new ones are refused.

--- /dev/null
+++ b/wigeonrouter/platform/_partitioned_node_test.py
@@ -0,0 +1,191 @@
+"""Tests of nodes that are partitioned from all backend servers."""
+
+import dataclasses
+import time
+
+import gevent
+import pytest
+
+from wigeonrouter import topology
+from wigeonrouter.platform import _emulated_links
+from wigeonrouter.platform import _feed
+from wigeonrouter.platform import conftest
+
+Cut = _emulated_links.Cut
+wait_until = conftest.wait_until
+_SERVERS = 6
+_HOSTS = ("127.0.0.41", "127.0.0.42", "127.0.0.43")
+# Time after which callers of a cut node are to be served like the others.
+_RECOVERY_S = 3.0
+_MEASURED_S = 2.0
+_REQUEST_INTERVAL_S = 0.06
+_MIN_SERVED_SHARE = 2 / 3
+# Longer than a cut needs to be noticed.
+_NOTICED_S = 1.5
+
+
+class _RoutedFeed(_feed.StoreFeed):
+    """Feed of a node that reaches the servers through EmulatedLinks."""
+
+    def __init__(self, *, links, **options):
+        super().__init__(**options)
+        self._links = links
+
+    def decode(self, items, *, scope):
+        content = super().decode(items, scope=scope)
+        return dataclasses.replace(
+            content,
+            records=tuple(self._route(record) for record in content.records),
+        )
+
+    def _route(self, record):
+        if not isinstance(record, topology.RegistrationWritten):
+            return record
+        registration = record.registration
+        return dataclasses.replace(
+            record,
+            registration=dataclasses.replace(
+                registration, address=self._links.route(registration.address)
+            ),
+        )
+
+
+@pytest.fixture
+def links():
+    """Return the EmulatedLinks of three nodes, in their order."""
+    links = [_emulated_links.EmulatedLinks() for _ in _HOSTS]
+    yield links
+    for paths in links:
+        paths.stop()
+
+
+@pytest.fixture
+def servers(backend):
+    """Return the emulated servers of the service alpha."""
+    return [backend(f"i-{number}", slots=8) for number in range(_SERVERS)]
+
+
+@pytest.fixture
+def start_linked_node(start_node, make_settings, free_port):
+    """Return a function that starts a node with EmulatedLinks."""
+    port = free_port()
+
+    def start(host, paths, **changes):
+        return start_node(
+            make_settings(
+                f"node-{host}", host, peer_ports=(port, 0), **changes
+            ),
+            servers=_SERVERS,
+            make_feed=lambda **options: _RoutedFeed(links=paths, **options),
+        )
+
+    return start
+
+
+@pytest.fixture
+def nodes(servers, links, start_linked_node):
+    """Run three nodes of a region, whose paths to the servers can be cut."""
+    nodes = [
+        start_linked_node(host, paths)
+        for host, paths in zip(_HOSTS, links, strict=True)
+    ]
+    wait_until(
+        lambda: all(len(node.region_member.peers) == 3 for node in nodes)
+    )
+    return nodes
+
+
+@dataclasses.dataclass
+class _Tries:
+    """The requests of the callers of one node that were sent in turn."""
+
+    served: int = 0
+    total: int = 0
+
+    @property
+    def served_share(self):
+        return self.served / self.total
+
+
+def _send_to_all(nodes, *, duration, path="/read/a", method="GET"):
+    """Send requests to all nodes at intervals; return their _Tries."""
+    tries = [_Tries() for _ in nodes]
+    tasks = []
+
+    def send(number, caller, count):
+        response = caller.send(
+            path, method=method, request_id=f"{number}-{count}-{id(tries)}"
+        )
+        tries[number].served += response.status == 200
+
+    end = time.monotonic() + duration
+    while time.monotonic() < end:
+        for number, caller in enumerate(conftest.callers_of(nodes)):
+            tries[number].total += 1
+            tasks.append(
+                gevent.spawn(send, number, caller, tries[number].total)
+            )
+        gevent.sleep(_REQUEST_INTERVAL_S)
+    gevent.joinall(tasks, raise_error=True)
+    return tries
+
+
+@pytest.mark.parametrize("kind", Cut)
+@pytest.mark.parametrize("cut_count", [1, 2])
+@pytest.mark.parametrize(
+    ("path", "method"), [("/read/a", "GET"), ("/write/a", "POST")]
+)
+def test_callers_of_a_partitioned_node_are_served(
+    nodes, links, kind, cut_count, path, method
+):
+    """Guards against callers who fail because their node lost all servers.
+
+    The others serve all requests. What the callers of the cut nodes send is
+    served by these, which have paths to the servers.
+    """
+    _send_to_all(nodes, duration=0.5)
+    for paths in links[:cut_count]:
+        paths.cut(kind)
+    _send_to_all(nodes, duration=_RECOVERY_S, path=path, method=method)
+    tries = _send_to_all(nodes, duration=_MEASURED_S, path=path, method=method)
+    best = max(one.served_share for one in tries)
+    assert best > 0.95
+    for one in tries:
+        assert one.served_share >= _MIN_SERVED_SHARE * best
+
+
+@pytest.mark.parametrize("kind", [Cut.HANG, Cut.RESET])
+def test_directory_names_no_partitioned_node(nodes, links, kind):
+    """Guards against callers that are sent to a node without servers."""
+    _send_to_all(nodes, duration=0.5)
+    home = conftest.home_of(nodes)
+    links[nodes.index(home)].cut(kind)
+    _send_to_all(nodes, duration=_NOTICED_S)
+    assert conftest.home_of(nodes) is not home
+    links[nodes.index(home)].restore()
+    wait_until(lambda: conftest.home_of(nodes) is home, timeout=_RECOVERY_S)
+
+
+def test_request_is_not_blamed_for_a_cut(store, servers, nodes, links):
+    """Guards against an innocent request that all nodes hold back.
+
+    It is in flight several times at a node whose connections are reset, and
+    the servers refuse new ones of that node, as if they had ended.
+    """
+    for server in servers:
+        server.slowdown = 20.0
+    cut_node, *others = nodes
+    caller, *other_callers = conftest.callers_of(nodes)
+    tasks = [
+        gevent.spawn(caller.send, "/read/innocent", request_id=f"innocent-{n}")
+        for n in range(5)
+    ]
+    gevent.sleep(0.2)
+    links[0].cut(Cut.RESET)
+    gevent.joinall(tasks)
+    assert not cut_node.counts["server-ended-under-request"]
+    assert not [key for key in store.keys() if "/crashes/" in key]
+    for server in servers:
+        server.slowdown = 1.0
+    for other in other_callers:
+        assert other.send("/read/innocent").status == 200
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -190,10 +190,10 @@
     """Return a function that starts a node and waits until it is ready."""
     nodes = []
 
-    def start(settings, *, servers=0, wait=True):
+    def start(settings, *, servers=0, wait=True, make_feed=_feed.StoreFeed):
         node = node_api.Node(
             settings=settings,
-            feed=_feed.StoreFeed(
+            feed=make_feed(
                 client=_store.StoreClient(
                     address=settings.store_address, timeout=0.5
                 ),
