Log when a node is cut off from all backend servers

Each line spoke of one server, so nothing told servers that had failed from a node whose own paths had. ServerLinks decides it from the responses of all servers, and checks a suspicion with new connections to five of them, never with callers' requests. Nothing acts on it yet. The metric wigeonrouter_servers_reachable and two events show it.

--- /dev/null
+++ b/wigeonrouter/node/_link_monitor.py
@@ -0,0 +1,166 @@
+"""Finds out whether this node is cut off from all backend servers.
+
+Requests and probes tell it which servers respond. A suspicion is checked with
+new connections, never with the requests of callers.
+"""
+
+import time
+
+import gevent
+from gevent import event
+
+from wigeonrouter import http1
+from wigeonrouter import placement
+
+# Servers that are checked at a time.
+_CHECKED_SERVERS = 5
+# A server in another region accepts a connection after tens of milliseconds.
+_CHECK_TIMEOUT_S = 0.2
+# A check that took this much longer was held up by this node itself.
+_MAX_DELAY_S = 0.1
+_CHECK_INTERVAL_S = 0.25
+_CONNECTIONS_PER_SERVER = 64
+
+
+class LinkMonitor:
+    """Owns the placement.ServerLinks of a node.
+
+    Args:
+      pool: http1.ConnectionPool.
+      registrations: function that returns a list of the known servers'
+        topology.Registrations.
+      on_change: called without arguments when `cut` has changed.
+      events: events.EventLog.
+    """
+
+    def __init__(
+        self,
+        *,
+        pool,
+        registrations,
+        on_change,
+        events,
+        rng,
+        clock=time.monotonic,
+    ):
+        self._pool = pool
+        self._registrations = registrations
+        self._on_change = on_change
+        self._events = events
+        self._rng = rng
+        self._clock = clock
+        self._links = placement.ServerLinks()
+        self._wanted = event.Event()
+        self._cut_since = 0.0
+
+    @property
+    def cut(self):
+        """Whether this node is cut off from all servers."""
+        return self._links.cut
+
+    @property
+    def suspected(self):
+        """Whether this node may be cut off from all servers."""
+        return self._links.is_suspected(len(self._registrations()))
+
+    def on_response(self):
+        """Record that a server has responded."""
+        self._links.record_response()
+
+    def on_no_response(self, instance):
+        """Record that a server did not respond, or broke its connection."""
+        self._links.record_no_response(instance)
+        if not self._wanted.is_set() and self.suspected:
+            self._wanted.set()
+
+    def run(self):
+        """Check the paths whenever they are suspected, until killed."""
+        while True:
+            self._wanted.wait()
+            while self.suspected:
+                self._check()
+                if self.cut:
+                    gevent.sleep(_CHECK_INTERVAL_S)
+            self._wanted.clear()
+
+    def reaches_any(self):
+        """Return whether some server accepts a connection at present.
+
+        None if this cannot be told.
+        """
+        result = self._connect_to_some(enough=1)
+        return None if result is None else result[0] > 0
+
+    def _check(self):
+        result = self._connect_to_some(
+            enough=_CHECKED_SERVERS if self.cut else 1
+        )
+        if result is None:
+            return
+        accepted, attempted = result
+        if not self._links.record_check(
+            accepted=accepted, attempted=attempted
+        ):
+            return
+        now = self._clock()
+        if self.cut:
+            self._cut_since = now
+            self._events.notice(
+                "servers-unreachable",
+                silent=self._links.silent_count,
+                checked=attempted,
+            )
+        else:
+            self._events.notice(
+                "servers-reachable",
+                accepted=accepted,
+                checked=attempted,
+                after_ms=round((now - self._cut_since) * 1000),
+            )
+        self._on_change()
+
+    def _connect_to_some(self, *, enough):
+        """Try new connections to some servers.
+
+        Args:
+          enough: number of accepted connections after which to return.
+        Returns:
+          Pair of the numbers of servers that accepted one and that were
+          tried, None if no server is known or this node was held up.
+        """
+        registrations = self._registrations()
+        chosen = self._rng.sample(
+            registrations, min(len(registrations), _CHECKED_SERVERS)
+        )
+        if not chosen:
+            gevent.sleep(_CHECK_INTERVAL_S)
+            return None
+        started = self._clock()
+        tasks = [
+            gevent.spawn(self._accepts, registration.address)
+            for registration in chosen
+        ]
+        accepted = 0
+        for task in gevent.iwait(tasks):
+            accepted += bool(task.value)
+            if accepted >= enough:
+                break
+        if (
+            not accepted
+            and self._clock() - started > _CHECK_TIMEOUT_S + _MAX_DELAY_S
+        ):
+            return None
+        return accepted, len(chosen)
+
+    def _accepts(self, address):
+        try:
+            connection = self._pool.checkout(
+                address=address,
+                limit=_CONNECTIONS_PER_SERVER,
+                deadline=self._clock() + _CHECK_TIMEOUT_S,
+                max_idle=-1.0,
+            )
+        except http1.ConnectFailed:
+            return False
+        self._pool.checkin(address, connection)
+        return True
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -18,6 +18,7 @@
 from wigeonrouter.node import _cluster_state
 from wigeonrouter.node import _crash_monitor
 from wigeonrouter.node import _directory_handler
+from wigeonrouter.node import _link_monitor
 from wigeonrouter.node import _metrics
 from wigeonrouter.node import _prober
 from wigeonrouter.node import _proxy
@@ -99,6 +100,16 @@
             events=events,
             rng=self._rng,
         )
+        self._link_monitor = _link_monitor.LinkMonitor(
+            pool=self._pool,
+            registrations=lambda: [
+                known.registration
+                for known in self._cluster_state.directory.known.values()
+            ],
+            on_change=self._on_links_changed,
+            events=events,
+            rng=self._rng,
+        )
         self._crash_monitor = _crash_monitor.CrashMonitor(
             cluster_state=self._cluster_state,
             feed=feed,
@@ -202,6 +213,7 @@
                 self._supervise, "waits", self._store_caller_timeouts
             ),
             gevent.spawn(self._supervise, "crashes", self._crash_monitor.run),
+            gevent.spawn(self._supervise, "links", self._link_monitor.run),
             gevent.spawn(self._supervise, "housekeeping", self._housekeep),
         ]
         self._events.notice(
@@ -296,6 +308,7 @@
             revision=self._region_member.position.revision,
             store_era=self._region_member.position.era,
             ready=self.ready,
+            servers_reachable=not self._link_monitor.cut,
             members={
                 "ready": ready,
                 "not ready": len(self._region_member.peers) - ready,
@@ -382,6 +395,7 @@
                 server_pool=_server_pool.ServerPool(
                     place=self._settings.place,
                     prober=self._prober,
+                    link_monitor=self._link_monitor,
                     events=self._events,
                     rng=self._rng,
                     limit_share=lambda: self._region_member.limit_share(
@@ -399,6 +413,9 @@
             self._reconfigure()
         return balancer
 
+    def _on_links_changed(self):
+        """Apply that this node was cut off from all servers, or is back."""
+
     def _reconfigure(self):
         configuration = self._cluster_state.configuration
         if configuration is None:
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -32,6 +32,11 @@
 # A timeout before this multiple of the expected latency does not count as a
 # failure of the server: the request had too little time left.
 _EARLY_TIMEOUT_FACTOR = 2.0
+# Outcomes after which it is open whether the server can be reached.
+_WITHOUT_RESPONSE = (
+    placement.AttemptOutcome.UNREACHABLE,
+    placement.AttemptOutcome.RESPONSE_LOST,
+)
 
 
 class ServerPool:
@@ -40,6 +45,7 @@
     Args:
       place: core.Place of this node.
       prober: Prober.
+      link_monitor: LinkMonitor, which is told which servers respond.
       events: events.EventLog.
       limit_share: function that returns the share of the servers' rate limits
         that this node may use, from 0 to 1.
@@ -50,12 +56,14 @@
         *,
         place,
         prober,
+        link_monitor,
         events,
         rng,
         limit_share,
         clock=time.monotonic,
     ):
         self._prober = prober
+        self._link_monitor = link_monitor
         self._rng = rng
         self._clock = clock
         self._health_path = ""
@@ -213,6 +221,7 @@
         load = metadata.load if metadata is not None else None
         if metadata is not None:
             self._views.record_rate_limit(instance, metadata, from_probe=False)
+        self._notify_link_monitor(instance, outcome)
         view = self._views.get(instance)
         if (
             timed_out
@@ -233,6 +242,12 @@
                 ),
             )
 
+    def _notify_link_monitor(self, instance, outcome):
+        if outcome in _WITHOUT_RESPONSE:
+            self._link_monitor.on_no_response(instance)
+        elif outcome is not placement.AttemptOutcome.CANCELLED:
+            self._link_monitor.on_response()
+
     def _update_view(self, view, outcome, load):
         now = self._clock()
         if load is not None:
@@ -271,6 +286,10 @@
             gevent.sleep(_REMOTE_POLL_INTERVAL_S)
 
     def _on_probe(self, instance, result):
+        if result is None:
+            self._link_monitor.on_no_response(instance)
+        else:
+            self._link_monitor.on_response()
         if result is not None and result.instance_matches:
             self._views.record_rate_limit(
                 instance, result.metadata, from_probe=True
--- a/wigeonrouter/node/conftest.py
+++ b/wigeonrouter/node/conftest.py
@@ -34,6 +34,16 @@
         gevent.sleep(0)
 
 
+class SilentLinkMonitor:
+    """LinkMonitor of a node whose paths work."""
+
+    def on_response(self):
+        pass
+
+    def on_no_response(self, instance):
+        pass
+
+
 class AnsweringProber:
     """Prober that gets the same ProbeResult of every server."""
 
@@ -54,6 +64,7 @@
             **{
                 "place": _PLACE,
                 "prober": _IdleProber(),
+                "link_monitor": SilentLinkMonitor(),
                 "events": _SilentEvents(),
                 "rng": random.Random(1),
                 "limit_share": lambda: 1.0,
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -41,6 +41,7 @@
       events: dict from the name of a log event to its count since the start.
       dropped: log lines that were not written since the start.
       store_era: era of the store to which the revision belongs.
+      servers_reachable: false while no backend server can be reached.
     """
 
     revision: int
@@ -51,6 +52,7 @@
     events: dict = dataclasses.field(default_factory=dict)
     dropped: int = 0
     store_era: int = 0
+    servers_reachable: bool = True
 
 
 class _Collector(registry.Collector):
@@ -83,6 +85,11 @@
         ("revision", "Configuration revision in force", gauges.revision),
         ("store_era", "Era of the store", gauges.store_era),
         ("ready", "1 if callers may be sent here", int(gauges.ready)),
+        (
+            "servers_reachable",
+            "0 while no backend server can be reached",
+            int(gauges.servers_reachable),
+        ),
         (
             "requests_unanswered",
             "Requests without answer",
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -15,6 +15,7 @@
 from wigeonrouter.placement import _rate_limits
 from wigeonrouter.placement import _records
 from wigeonrouter.placement import _request_queue
+from wigeonrouter.placement import _server_links
 from wigeonrouter.placement import _stopping
 
 AttemptOutcome = _health.AttemptOutcome
@@ -26,6 +27,7 @@
 SlidingWindowRate = _admission.SlidingWindowRate
 RateLimits = _rate_limits.RateLimits
 RetryBudget = _budget.RetryBudget
+ServerLinks = _server_links.ServerLinks
 ServerView = _records.ServerView
 Locality = _records.Locality
 CallerTimeoutEstimate = _caller_timeout.CallerTimeoutEstimate
