--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -23,6 +23,7 @@
 from wigeonrouter.node import _prober
 from wigeonrouter.node import _proxy
 from wigeonrouter.node import _region_member
+from wigeonrouter.node import _request_log
 from wigeonrouter.node import _sender
 from wigeonrouter.node import _server_pool
 
@@ -124,8 +125,11 @@
             crash_monitor=self._crash_monitor,
             codec=codec,
             splitter=topology.TrafficSplitter(rng=self._rng),
-            events=events,
-            metrics=_metrics.RequestMetrics(metrics=self._metrics),
+            request_log=_request_log.RequestLog(
+                cluster_state=self._cluster_state,
+                events=events,
+                metrics=_metrics.RequestMetrics(metrics=self._metrics),
+            ),
         )
         self._caller_server = http1.CallerServer(
             address=settings.caller_address,
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -44,8 +44,7 @@
       crash_monitor: CrashMonitor.
       codec: the adapter's HTTP codec.
       splitter: topology.TrafficSplitter, chooses the service of a route.
-      events: events.EventLog.
-      metrics: RequestMetrics.
+      request_log: RequestLog.
     """
 
     def __init__(
@@ -57,18 +56,16 @@
         crash_monitor,
         codec,
         splitter,
-        events,
-        metrics,
+        request_log,
         clock=time.monotonic,
     ):
-        self._metrics = metrics
         self._cluster_state = cluster_state
         self._balancer_for = balancer_for
         self._sender = sender
         self._crash_monitor = crash_monitor
         self._codec = codec
         self._splitter = splitter
-        self._events = events
+        self._request_log = request_log
         self._clock = clock
         self._caller_timeouts = {}
 
@@ -119,24 +116,13 @@
             balancer.budget.on_request(self._clock())
             result = self._run(context, balancer)
         except http1.CallerDisconnected:
-            self._log_event(context, "caller-gone")
-            self._metrics.record_caller_disconnect(
-                service=context.service,
-                route=context.route,
-                latency=self._clock() - arrived,
-            )
+            self._request_log.on_caller_disconnected(context)
             raise
         except Exception as error:
             result = _internal_error(context, error)
         if isinstance(result, messages.Rejection):
             return self._reject(result, context.request_id, arrived, context)
-        self._log_event(context, "answered", status=result.status)
-        self._metrics.record_response(
-            service=context.service,
-            route=context.route,
-            status=result.status,
-            latency=self._clock() - arrived,
-        )
+        self._request_log.on_response(context, result)
         return result
 
     def _route(self, request, request_metadata, arrived):
@@ -268,7 +254,9 @@
                 latency=latency,
                 timed_out=attempt is not None and attempt.timed_out,
             )
-            self._log_attempt(context, grant, attempt, outcome, latency)
+            self._request_log.on_attempt(
+                context, grant, attempt, outcome, latency
+            )
 
     def _handle_result(self, context, balancer, grant, attempt):
         """Return the final response or Rejection, None to try again."""
@@ -308,62 +296,11 @@
         return balancer.budget.try_spend(now)
 
     def _reject(self, rejection, request_id, arrived, context):
-        latency = self._clock() - arrived
-        self._metrics.record_rejection(
-            service=context.service if context else "",
-            route=context.route if context else None,
-            problem=rejection.problem,
-            latency=latency,
-        )
-        self._events.event(
-            "refused",
-            id=request_id,
-            problem=rejection.problem.name,
-            retry_after=rejection.retry_after,
-            detail=rejection.detail,
-            attempts=context.attempts if context else 0,
-            route=context.route.name if context else "",
-            held_ms=_ms(latency),
-        )
+        self._request_log.on_rejection(rejection, request_id, arrived, context)
         return self._codec.render_rejection(
             rejection=rejection, request_id=request_id
         )
 
-    def _log_event(self, context, event, **fields):
-        now = self._clock()
-        self._events.event(
-            event,
-            id=context.request_id,
-            route=context.route.name,
-            service=context.service,
-            version=self._cluster_state.configuration.version,
-            attempts=context.attempts,
-            took_ms=_ms(now - context.pending.arrived),
-            left_to_target_ms=_ms(context.pending.target_time - now),
-            **fields,
-        )
-
-    def _log_attempt(self, context, grant, attempt, outcome, latency):
-        metadata = attempt.metadata if attempt else None
-        self._events.event(
-            "attempt",
-            id=context.request_id,
-            digest=context.digest,
-            number=context.attempts + context.connect_failures + 1,
-            instance=grant.registration.instance,
-            waited_ms=_ms(grant.granted_at - context.pending.arrived),
-            load=round(grant.expected_load, 1),
-            slowness=round(grant.expected_slowdown, 2),
-            report_age_ms=(
-                None if grant.report_age is None else _ms(grant.report_age)
-            ),
-            worth=round(grant.expected_utility, 2),
-            rate_limit=metadata.rate_limit if metadata else None,
-            ended=outcome.value,
-            latency_ms=_ms(latency),
-            detail=attempt.detail if attempt else "",
-        )
-
 
 def _final_result(attempt, context):
     if attempt.response is not None and not attempt.metadata.not_executed:
@@ -386,7 +323,3 @@
     return messages.Rejection(
         problem=problem, detail=f"{type(error).__name__}: {error}"
     )
-
-
-def _ms(seconds):
-    return round(seconds * 1000, 1)
--- /dev/null
+++ b/wigeonrouter/node/_request_log.py
@@ -0,0 +1,115 @@
+"""Records what happens to callers' requests, in the log and the metrics."""
+
+import time
+
+
+class RequestLog:
+    """Writes the events of requests.
+
+    Args:
+      cluster_state: ClusterState, which has the configuration in force.
+      events: events.EventLog.
+      metrics: RequestMetrics.
+    """
+
+    def __init__(
+        self, *, cluster_state, events, metrics, clock=time.monotonic
+    ):
+        self._cluster_state = cluster_state
+        self._events = events
+        self._metrics = metrics
+        self._clock = clock
+
+    def on_response(self, context, response):
+        """Record that a caller gets a server's response."""
+        self._log_event(context, "answered", status=response.status)
+        self._metrics.record_response(
+            service=context.service,
+            route=context.route,
+            status=response.status,
+            latency=self._clock() - context.pending.arrived,
+        )
+
+    def on_caller_disconnected(self, context):
+        """Record that a caller closed its connection."""
+        self._log_event(context, "caller-gone")
+        self._metrics.record_caller_disconnect(
+            service=context.service,
+            route=context.route,
+            latency=self._clock() - context.pending.arrived,
+        )
+
+    def on_rejection(self, rejection, request_id, arrived, context):
+        """Record that this node rejects or fails a request.
+
+        Args:
+          rejection: messages.Rejection.
+          request_id: ID of the request.
+          arrived: time of its arrival, monotonic seconds.
+          context: RequestContext, None if no route matched.
+        """
+        latency = self._clock() - arrived
+        self._metrics.record_rejection(
+            service=context.service if context else "",
+            route=context.route if context else None,
+            problem=rejection.problem,
+            latency=latency,
+        )
+        self._events.event(
+            "refused",
+            id=request_id,
+            problem=rejection.problem.name,
+            retry_after=rejection.retry_after,
+            detail=rejection.detail,
+            attempts=context.attempts if context else 0,
+            route=context.route.name if context else "",
+            held_ms=_ms(latency),
+        )
+
+    def on_attempt(self, context, grant, attempt, outcome, latency):
+        """Record an attempt at a server.
+
+        Args:
+          context: RequestContext.
+          grant: Grant.
+          attempt: Attempt, None if it was cancelled or failed unexpectedly.
+          outcome: placement.AttemptOutcome.
+          latency: seconds.
+        """
+        metadata = attempt.metadata if attempt else None
+        self._events.event(
+            "attempt",
+            id=context.request_id,
+            digest=context.digest,
+            number=context.attempts + context.connect_failures + 1,
+            instance=grant.registration.instance,
+            waited_ms=_ms(grant.granted_at - context.pending.arrived),
+            load=round(grant.expected_load, 1),
+            slowness=round(grant.expected_slowdown, 2),
+            report_age_ms=(
+                None if grant.report_age is None else _ms(grant.report_age)
+            ),
+            worth=round(grant.expected_utility, 2),
+            rate_limit=metadata.rate_limit if metadata else None,
+            ended=outcome.value,
+            latency_ms=_ms(latency),
+            detail=attempt.detail if attempt else "",
+        )
+
+    def _log_event(self, context, event, **fields):
+        now = self._clock()
+        self._events.event(
+            event,
+            id=context.request_id,
+            route=context.route.name,
+            service=context.service,
+            version=self._cluster_state.configuration.version,
+            attempts=context.attempts,
+            took_ms=_ms(now - context.pending.arrived),
+            left_to_target_ms=_ms(context.pending.target_time - now),
+            **fields,
+        )
+
+
+def _ms(seconds):
+    return round(seconds * 1000, 1)
