Pass requests on to other nodes while a node is cut off from all servers

Callers of a node that had lost its paths to all backend servers got 503 as long as the cut lasted, half of them after two connection attempts of 250 ms, and the directory went on to name it as a home.

Cause: a node took its own trouble for that of the servers. It ejected one after the other and told nobody, and there was no second way to a server.

A cut that the link monitor has found is now part of the node's roster entry. No cut node is a home, so the directory names another one. What reaches a cut node is passed on over HTTP to the home of the service among the nodes with paths, or to another region if none is left; requests that could not connect are passed on before the cut is certain. A request is passed on once at most, with its deadline, target, attempts and close; a node that is cut off as well declines at once.

Evidence: _partitioned_node_test.py. Further cases: a whole region that is cut, no node with paths, requests that run once, the close of a caller, a peer of an earlier build.

--- a/wigeonrouter/cli/_explain.py
+++ b/wigeonrouter/cli/_explain.py
@@ -84,6 +84,22 @@
     )
 
 
+def _describe_forwarding(event):
+    status = event.get("status")
+    response = "" if status is None else f" with status {status}"
+    detail = f" ({event['detail']})" if event.get("detail") else ""
+    return (
+        f"passed on to node {event.get('node')} after"
+        f" {event.get('waited_ms')} ms at this node; {event.get('ended')}"
+        f"{response} after {event.get('latency_ms')} ms{detail}"
+    )
+
+
+def _describe_origin(event):
+    origin = event.get("origin")
+    return f"; passed on by node {origin}" if origin else ""
+
+
 def _describe_refusal(event):
     retry = event.get("retry_after")
     advice = "" if retry is None else f"; asked to return after {retry:.2f} s"
@@ -91,7 +107,7 @@
     return (
         f"refused: {event.get('problem')}{detail}, held"
         f" {event.get('held_ms')} ms, {event.get('attempts')} attempts"
-        f"{advice}"
+        f"{advice}{_describe_origin(event)}"
     )
 
 
@@ -102,6 +118,7 @@
         f"answered {event.get('status')} after {event.get('took_ms')} ms,"
         f" {timing}; route {event.get('route')}, service"
         f" {event.get('service')}, configuration {event.get('version')}"
+        f"{_describe_origin(event)}"
     )
 
 
@@ -115,6 +132,7 @@
 
 _DESCRIPTIONS = {
     "attempt": _describe_attempt,
+    "forwarded": _describe_forwarding,
     "refused": _describe_refusal,
     "answered": _describe_response,
     "caller-gone": _describe_disconnect,
--- a/wigeonrouter/cli/_explain_test.py
+++ b/wigeonrouter/cli/_explain_test.py
@@ -65,3 +65,35 @@
     assert "two" in result.output
     assert "1 unreadable" in result.output
     assert "3 were not written" in result.output
+
+
+def test_request_that_was_passed_on_is_described():
+    """Guards against two logs that do not show who did what."""
+    log = "\n".join(
+        [
+            line(
+                event="forwarded",
+                id="one",
+                node="192.0.2.9:7555",
+                waited_ms=250.1,
+                ended="answered",
+                status=200,
+                latency_ms=30.0,
+                detail="",
+                time=10.3,
+            ),
+            line(
+                event="answered",
+                id="one",
+                status=200,
+                took_ms=29.0,
+                left_to_target_ms=5.0,
+                origin="192.0.2.8",
+                time=10.29,
+            ),
+        ]
+    )
+    result = run("one", log)
+    assert "passed on to node 192.0.2.9:7555 after 250.1 ms" in result.output
+    assert "answered with status 200" in result.output
+    assert "passed on by node 192.0.2.8" in result.output
--- a/wigeonrouter/core/_problems.py
+++ b/wigeonrouter/core/_problems.py
@@ -83,6 +83,9 @@
 CONNECT_FAILED = _not_run(
     "connect-failed", "No connection to a backend server could be made", 503
 )
+SERVERS_UNREACHABLE = _not_run(
+    "servers-unreachable", "The node is cut off from the backend servers", 503
+)
 ID_TABLE_FULL = _not_run(
     "id-table-full", "The table of request ids is full", 503
 )
--- a/wigeonrouter/http1/__init__.py
+++ b/wigeonrouter/http1/__init__.py
@@ -26,6 +26,7 @@
 STOP_TIMEOUT_S = _server.STOP_TIMEOUT_S
 TaskSocket = _sockets.TaskSocket
 
+index_headers = _messages.index_headers
 read_response = _response_reader.read_response
 render_forwarded = _render.render_forwarded
 render_response = _render.render_response
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -85,14 +85,17 @@
         )
         self._on_servers_changed()
 
-    def acquire(self, request, route):
+    def acquire(self, request, route, *, should_leave=lambda: False):
         """Wait in the queue for a server.
 
         Args:
           request: placement.PendingRequest.
           route: topology.Route of the request.
+          should_leave: function that returns whether the request is not to
+            wait here any longer.
         Returns:
-          Grant, which must be released, or messages.Rejection.
+          Grant, which must be released, messages.Rejection, or None if it
+          has left.
         """
         rejection = self._admission.check_arrival(request, route)
         if rejection is not None:
@@ -101,7 +104,7 @@
         waiter = event.Event()
         self._queue.add(waiter, request, service_time)
         try:
-            return self._wait_for_grant(waiter, request, route)
+            return self._wait_for_grant(waiter, request, route, should_leave)
         finally:
             self._queue.remove(waiter)
             self._wake_head()
@@ -129,8 +132,8 @@
         )
         self._wake_head()
 
-    def on_stopping(self):
-        """Check the queued requests again, since this node began to stop."""
+    def recheck_queue(self):
+        """Check the queued requests again, since the node's state changed."""
         self._wake_all()
 
     def refresh_rate_limits(self, peer_limits):
@@ -143,8 +146,8 @@
         self._server_pool.views.remove(instance)
         self._on_servers_changed()
 
-    def _wait_for_grant(self, waiter, request, route):
-        """Wait in the queue; return a Grant or messages.Rejection.
+    def _wait_for_grant(self, waiter, request, route, should_leave):
+        """Wait in the queue; return what acquire() returns.
 
         Only the head of the queue looks for a server. The others wait until
         they are woken at the head, or until their admission changes.
@@ -156,7 +159,7 @@
         now = self._clock()
         late = placement.is_late(request, service_time=service_time, now=now)
         was_at_head = False
-        while True:
+        while not should_leave():
             now = self._clock()
             at_head = waiter in self._queue.head(now)
             if at_head:
@@ -182,6 +185,7 @@
             )
             if rejection is not None:
                 return rejection
+        return None
 
     def _local_utilization(self):
         """Return the utilization of the slots, 1.0 if requests are queued.
--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -76,6 +76,15 @@
         """Return the frozenset of hosts registered as nodes of a region."""
         return frozenset(self._hosts.get(region, ()))
 
+    def remote_hosts(self, region):
+        """Return the set of hosts registered as nodes of other regions."""
+        return {
+            host
+            for other, hosts in self._hosts.items()
+            if other != region
+            for host in hosts
+        }
+
     def is_registered(self, region, host):
         """Return whether the store lists a node."""
         return (region, host) in self._registered_nodes
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -18,6 +18,7 @@
 from wigeonrouter.node import _cluster_state
 from wigeonrouter.node import _crash_monitor
 from wigeonrouter.node import _directory_handler
+from wigeonrouter.node import _forwarder
 from wigeonrouter.node import _link_monitor
 from wigeonrouter.node import _metrics
 from wigeonrouter.node import _prober
@@ -98,6 +99,8 @@
             cluster_state=self._cluster_state,
             is_ready=lambda: self.ready,
             rate_limits=self._rate_limit_statements,
+            cut_from_servers=lambda: self._link_monitor.cut,
+            forwarding_address=lambda: self._forwarding_address,
             events=events,
             rng=self._rng,
         )
@@ -118,18 +121,28 @@
             stores_all=lambda: self._region_member.is_hub,
             events=events,
         )
+        sender = _sender.Sender(pool=self._pool, codec=codec)
+        request_log = _request_log.RequestLog(
+            cluster_state=self._cluster_state,
+            events=events,
+            metrics=_metrics.RequestMetrics(metrics=self._metrics),
+        )
         self._proxy = _proxy.Proxy(
             cluster_state=self._cluster_state,
             balancer_for=self._balancer_for,
-            sender=_sender.Sender(pool=self._pool, codec=codec),
+            sender=sender,
             crash_monitor=self._crash_monitor,
-            codec=codec,
-            splitter=topology.TrafficSplitter(rng=self._rng),
-            request_log=_request_log.RequestLog(
+            forwarder=_forwarder.Forwarder(
+                settings=settings,
+                sender=sender,
+                link_monitor=self._link_monitor,
                 cluster_state=self._cluster_state,
-                events=events,
-                metrics=_metrics.RequestMetrics(metrics=self._metrics),
+                peers=lambda: self._region_member.peers,
+                request_log=request_log,
             ),
+            codec=codec,
+            splitter=topology.TrafficSplitter(rng=self._rng),
+            request_log=request_log,
         )
         self._caller_server = http1.CallerServer(
             address=settings.caller_address,
@@ -137,6 +150,10 @@
             max_connections=_MAX_CALLER_CONNECTIONS,
             buffer_budget=self._buffer_budget,
         )
+        self._forwarding_address = ""
+        self._request_servers = [self._caller_server]
+        if settings.peer_ports[0] != settings.peer_ports[1]:
+            self._request_servers.append(self._make_forwarding_server())
         directory_handler = _directory_handler.DirectoryHandler(
             codec=codec,
             choose_entries=self._choose_entries,
@@ -172,6 +189,11 @@
         """collections.Counter of the node's log events by name."""
         return self._events.counts
 
+    @property
+    def known_hosts(self):
+        """Set of the hosts that are registered as nodes of other regions."""
+        return self._cluster_state.remote_hosts(self._settings.place.region)
+
     @property
     def stored_caller_timeouts(self):
         """Dict from route to the caller timeout in the store, seconds."""
@@ -202,7 +224,8 @@
 
     def start(self):
         """Start listening and following the store."""
-        self._caller_server.start()
+        for request_server in self._request_servers:
+            request_server.start()
         for auxiliary_server in self._auxiliary_servers:
             auxiliary_server.start()
         self._region_member.start()
@@ -241,27 +264,26 @@
         self._stopping = True
         drain_deadline = started + grace * _DRAIN_GRACE_SHARE
         self._stop_deadline = drain_deadline - _STOP_MARGIN_S
-        self._events.notice(
-            "stopping", requests=self._caller_server.requests_in_progress
-        )
-        self._caller_server.drain()
+        self._events.notice("stopping", requests=self._requests_in_progress)
+        for request_server in self._request_servers:
+            request_server.drain()
         self._region_member.leave()
         for balancer in self._balancers.values():
-            balancer.on_stopping()
+            balancer.recheck_queue()
         while time.monotonic() - started < grace * _ACCEPT_GRACE_SHARE:
             gevent.sleep(_STOP_POLL_INTERVAL_S)
-        drain_task = gevent.spawn(self._caller_server.stop)
-        drain_task.join(timeout=max(0.0, drain_deadline - time.monotonic()))
-        self._events.notice(
-            "stopped", requests=self._caller_server.requests_in_progress
+        gevent.joinall(
+            [gevent.spawn(server.stop) for server in self._request_servers],
+            timeout=max(0.0, drain_deadline - time.monotonic()),
         )
+        self._events.notice("stopped", requests=self._requests_in_progress)
         gevent.killall(self._tasks)
 
     def kill(self):
         """Stop at once, as if the process was killed."""
         gevent.killall(self._tasks)
         self._region_member.kill()
-        for server in (self._caller_server, *self._auxiliary_servers):
+        for server in (*self._request_servers, *self._auxiliary_servers):
             server.kill()
 
     def reload(self, settings):
@@ -326,7 +348,7 @@
                 )
                 for name, balancer in sorted(self._balancers.items())
             ),
-            unanswered_requests=self._caller_server.requests_in_progress,
+            unanswered_requests=self._requests_in_progress,
             events=dict(self._events.counts),
             dropped=self._events.total_dropped,
         )
@@ -417,8 +439,34 @@
             self._reconfigure()
         return balancer
 
+    @property
+    def _requests_in_progress(self):
+        return sum(
+            server.requests_in_progress for server in self._request_servers
+        )
+
+    def _make_forwarding_server(self):
+        """Return the CallerServer for requests that other nodes pass on."""
+        server = http1.CallerServer(
+            address=core.Address(
+                host=self._settings.host, port=self._settings.peer_ports[1]
+            ),
+            handler=_forwarder.ForwardedRequestHandler(
+                proxy=self._proxy,
+                link_monitor=self._link_monitor,
+                codec=self._codec,
+            ),
+            max_connections=_MAX_CALLER_CONNECTIONS,
+            buffer_budget=self._buffer_budget,
+        )
+        self._forwarding_address = f"{self._settings.host}:{server.port}"
+        return server
+
     def _on_links_changed(self):
         """Apply that this node was cut off from all servers, or is back."""
+        self._region_member.broadcast_state()
+        for balancer in self._balancers.values():
+            balancer.recheck_queue()
 
     def _reconfigure(self):
         configuration = self._cluster_state.configuration
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -7,6 +7,8 @@
 from wigeonrouter import http1
 from wigeonrouter import placement
 from wigeonrouter import topology
+from wigeonrouter.node import _forwarded_request
+from wigeonrouter.node import _grant
 from wigeonrouter.node import _request_context
 from wigeonrouter.node import _request_digest
 from wigeonrouter.node import messages
@@ -42,6 +44,7 @@
       balancer_for: function from a service's name to its Balancer.
       sender: Sender.
       crash_monitor: CrashMonitor.
+      forwarder: Forwarder.
       codec: the adapter's HTTP codec.
       splitter: topology.TrafficSplitter, chooses the service of a route.
       request_log: RequestLog.
@@ -54,6 +57,7 @@
         balancer_for,
         sender,
         crash_monitor,
+        forwarder,
         codec,
         splitter,
         request_log,
@@ -63,6 +67,7 @@
         self._balancer_for = balancer_for
         self._sender = sender
         self._crash_monitor = crash_monitor
+        self._forwarder = forwarder
         self._codec = codec
         self._splitter = splitter
         self._request_log = request_log
@@ -93,27 +98,31 @@
             return topology.CallerLimits().max_body_bytes
         return configuration.limits.max_body_bytes
 
-    def handle(self, request, arrived):
+    def handle(self, request, arrived, origin=None):
         """Handle one request.
 
         Args:
           request: HttpRequest.
           arrived: earliest time at which it may have arrived, monotonic
             seconds.
+          origin: what the node says that has passed the request on, None if
+            it comes from its caller.
         Returns:
           HttpResponse for the caller.
         Raises:
           http1.CallerDisconnected: the caller closed its connection.
         """
         request_metadata = self._codec.read_request(request)
-        context = self._route(request, request_metadata, arrived)
+        context = self._route(request, request_metadata, arrived, origin)
         if isinstance(context, messages.Rejection):
             return self._reject(
                 context, request_metadata.request_id, arrived, None
             )
         balancer = self._balancer_for(context.service)
         try:
-            balancer.budget.on_request(self._clock())
+            if origin is None:
+                # The node that has it from its caller counts it.
+                balancer.budget.on_request(self._clock())
             result = self._run(context, balancer)
         except http1.CallerDisconnected:
             self._request_log.on_caller_disconnected(context)
@@ -125,7 +134,7 @@
         self._request_log.on_response(context, result)
         return result
 
-    def _route(self, request, request_metadata, arrived):
+    def _route(self, request, request_metadata, arrived, origin):
         if self._cluster_state.configuration is None:
             self._cluster_state.wait_configured(_STARTUP_WAIT_S)
         if self._cluster_state.configuration is None:
@@ -147,11 +156,33 @@
             request_id=request_metadata.request_id,
             digest=_request_digest.compute(request),
             route=route,
-            service=self._splitter.choose(route),
-            pending=self._make_pending(route, request_metadata, arrived),
+            service=self._choose_service(route, origin),
+            pending=self._make_pending(
+                route, request_metadata, arrived, origin
+            ),
+            attempts=origin.attempts if origin else 0,
+            may_have_run=origin is not None and origin.may_have_run,
+            origin=origin,
         )
 
-    def _make_pending(self, route, request_metadata, arrived):
+    def _choose_service(self, route, origin):
+        if origin is not None and any(
+            share.service == origin.service for share in route.shares
+        ):
+            return origin.service
+        return self._splitter.choose(route)
+
+    def _make_pending(self, route, request_metadata, arrived, origin):
+        if origin is not None:
+            # Less time is left than its caller usually waits, so it says
+            # nothing about that.
+            return placement.PendingRequest(
+                priority=route.priority,
+                idempotent=route.idempotent,
+                arrived=arrived,
+                target_time=arrived + origin.time_to_target,
+                deadline=arrived + min(origin.time_to_deadline, route.timeout),
+            )
         remaining = request_metadata.remaining
         if remaining is None:
             remaining = route.timeout
@@ -175,7 +206,18 @@
 
     def _run(self, context, balancer):
         while True:
+            if self._forwarder.should_forward(context):
+                result = self._forwarder.forward(
+                    context,
+                    lambda attempt: self._may_retry(
+                        context, balancer, attempt
+                    ),
+                )
+                if result is not None:
+                    return result
             grant = self._acquire(context, balancer)
+            if grant is None:
+                continue
             if isinstance(grant, messages.Rejection):
                 if context.may_have_run:
                     return messages.Rejection(
@@ -192,12 +234,19 @@
                 return result
 
     def _acquire(self, context, balancer):
-        """Wait for a server; return a Grant or messages.Rejection."""
+        """Wait for a server; return a Grant or messages.Rejection.
+
+        None if another node is to serve the request.
+        """
         rejection = self._crash_monitor.check(context.digest)
         if rejection is not None:
             return rejection
-        grant = balancer.acquire(context.pending, context.route)
-        if isinstance(grant, messages.Rejection):
+        grant = balancer.acquire(
+            context.pending,
+            context.route,
+            should_leave=lambda: self._forwarder.should_forward(context),
+        )
+        if not isinstance(grant, _grant.Grant):
             return grant
         rejection = self._crash_monitor.begin(context.digest)
         if rejection is None:
@@ -264,6 +313,11 @@
         if attempt.outcome is placement.AttemptOutcome.UNREACHABLE:
             context.connect_failures += 1
             context.exclude(instance)
+            if self._forwarder.should_decline(context):
+                return messages.Rejection(
+                    problem=core.problems.SERVERS_UNREACHABLE,
+                    detail=attempt.detail,
+                )
             if context.connect_failures <= _MAX_CONNECT_FAILURES:
                 return None
             return messages.Rejection(
@@ -297,9 +351,12 @@
 
     def _reject(self, rejection, request_id, arrived, context):
         self._request_log.on_rejection(rejection, request_id, arrived, context)
-        return self._codec.render_rejection(
+        response = self._codec.render_rejection(
             rejection=rejection, request_id=request_id
         )
+        if rejection.problem is core.problems.SERVERS_UNREACHABLE:
+            return _forwarded_request.decline(response)
+        return response
 
 
 def _final_result(attempt, context):
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -45,6 +45,10 @@
       rate_limits: function that returns a dict from instance to the requests
         per second that the backend server named to this node, None for a
         limit that has ended.
+      cut_from_servers: function that returns whether this node is cut off
+        from all backend servers.
+      forwarding_address: function that returns where this node takes requests
+        from other nodes, "" if it takes none.
       events: events.EventLog.
       rng: random.Random, for the jitter of waits.
       clock: function that returns monotonic seconds.
@@ -58,6 +62,8 @@
         cluster_state,
         is_ready,
         rate_limits,
+        cut_from_servers,
+        forwarding_address,
         events,
         rng,
         clock=None,
@@ -67,6 +73,8 @@
         self._cluster_state = cluster_state
         self._is_ready = is_ready
         self._rate_limits = rate_limits
+        self._cut_from_servers = cut_from_servers
+        self._forwarding_address = forwarding_address
         self._events = events
         self._rng = rng
         self._clock = clock or time.monotonic
@@ -417,6 +425,8 @@
             settings=self._settings,
             ready=self._is_ready(),
             rate_limits=self._rate_limits(),
+            cut_from_servers=self._cut_from_servers(),
+            forwarding_address=self._forwarding_address(),
         )
 
     def _own_roster(self):
--- a/wigeonrouter/node/_request_context.py
+++ b/wigeonrouter/node/_request_context.py
@@ -5,6 +5,7 @@
 from wigeonrouter import http1
 from wigeonrouter import placement
 from wigeonrouter import topology
+from wigeonrouter.node import _forwarded_request
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -16,6 +17,9 @@
       connect_failures: attempts that could not connect to their server.
       may_have_run: whether any server may have begun to execute it.
       digest: what equal requests have in common.
+      origin: what the node says that has passed the request on, None if it
+        comes from its caller.
+      forwarding_failed: whether no other node takes the request.
     """
 
     request: http1.HttpRequest
@@ -27,6 +31,8 @@
     attempts: int = 0
     connect_failures: int = 0
     may_have_run: bool = False
+    origin: _forwarded_request.Origin | None = None
+    forwarding_failed: bool = False
 
     def exclude(self, instance):
         """Leave out a server in the choice for the next attempt."""
--- a/wigeonrouter/node/_request_log.py
+++ b/wigeonrouter/node/_request_log.py
@@ -63,6 +63,7 @@
             detail=rejection.detail,
             attempts=context.attempts if context else 0,
             route=context.route.name if context else "",
+            origin=context.origin.host if context and context.origin else None,
             held_ms=_ms(latency),
         )
 
@@ -96,6 +97,28 @@
             detail=attempt.detail if attempt else "",
         )
 
+    def on_forwarded(self, context, address, attempt, latency):
+        """Record that a request was passed on to another node.
+
+        Args:
+          context: RequestContext.
+          address: core.Address of the node.
+          attempt: Attempt.
+          latency: seconds.
+        """
+        response = attempt.response
+        self._events.event(
+            "forwarded",
+            id=context.request_id,
+            digest=context.digest,
+            node=str(address),
+            waited_ms=_ms(self._clock() - latency - context.pending.arrived),
+            ended=attempt.outcome.value,
+            status=None if response is None else response.status,
+            latency_ms=_ms(latency),
+            detail=attempt.detail,
+        )
+
     def _log_event(self, context, event, **fields):
         now = self._clock()
         self._events.event(
@@ -107,6 +130,7 @@
             attempts=context.attempts,
             took_ms=_ms(now - context.pending.arrived),
             left_to_target_ms=_ms(context.pending.target_time - now),
+            origin=context.origin.host if context.origin else None,
             **fields,
         )
 
--- a/wigeonrouter/node/_roster.py
+++ b/wigeonrouter/node/_roster.py
@@ -56,7 +56,9 @@
     return {state.host: state for state in message.nodes}
 
 
-def own_state(*, settings, ready, rate_limits):
+def own_state(
+    *, settings, ready, rate_limits, cut_from_servers, forwarding_address
+):
     """Return the NodeState of this node.
 
     Args:
@@ -64,6 +66,9 @@
       ready: whether the node accepts callers.
       rate_limits: dict from instance to the requests per second that the
         backend server named to this node, None for a limit that has ended.
+      cut_from_servers: whether the node is cut off from all backend servers.
+      forwarding_address: where it takes requests from other nodes, "" if it
+        takes none.
     """
     return node_pb2.NodeState(
         host=settings.host,
@@ -75,6 +80,8 @@
             _encode_rate_limit(instance, rate_limits[instance])
             for instance in sorted(rate_limits)
         ],
+        cut_from_servers=cut_from_servers,
+        forwarding_address=forwarding_address,
     )
 
 
@@ -87,6 +94,8 @@
             failure_domain=state.failure_domain,
             ready=state.ready,
             capacity=state.capacity_millicores,
+            reaches_servers=not state.cut_from_servers,
+            forwarding_address=state.forwarding_address,
             rate_limits={
                 limit.instance: _decode_rate_limit(limit)
                 for limit in state.rate_limits
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -65,15 +65,47 @@
         idempotent,
         response_deadline,
     ):
-        """Send a request and wait for the response.
+        """Send a request to a server and wait for the response.
+
+        Args:
+          registration: topology.Registration of the server.
+          others: see send_to().
+        Returns:
+          Attempt.
+        """
+        return self.send_to(
+            registration.address,
+            render=lambda remaining: self._codec.render_request(
+                request=request,
+                remaining=remaining,
+                instance=registration.instance,
+            ),
+            request=request,
+            request_id=request_id,
+            idempotent=idempotent,
+            response_deadline=response_deadline,
+        )
+
+    def send_to(
+        self,
+        address,
+        *,
+        render,
+        request,
+        request_id,
+        idempotent,
+        response_deadline,
+    ):
+        """Send a request to an address and wait for the response.
 
         If the calling task is killed, the connection is closed, which makes
-        the server cancel the request.
+        the receiver cancel the request.
 
         Args:
+          address: core.Address of a server or another node.
+          render: function from the time left, seconds, to the bytes to send.
           request: HttpRequest of the caller.
           request_id: its ID.
-          registration: topology.Registration of the server.
           idempotent: whether the request may run more than once.
           response_deadline: time after which the response is useless,
             monotonic seconds.
@@ -82,7 +114,7 @@
         """
         try:
             connection = self._pool.checkout(
-                address=registration.address,
+                address=address,
                 limit=_CONNECTIONS_PER_SERVER,
                 deadline=min(
                     response_deadline, self._clock() + _CONNECT_TIMEOUT_S
@@ -99,15 +131,13 @@
             connection=connection, codec=self._codec, clock=self._clock
         )
         try:
-            return exchange.run(
-                request, request_id, registration, response_deadline
-            )
+            return exchange.run(request, request_id, render, response_deadline)
         finally:
             request.reservation.drop()
             if exchange.reusable:
-                self._pool.checkin(registration.address, connection)
+                self._pool.checkin(address, connection)
             else:
-                self._pool.discard(registration.address, connection)
+                self._pool.discard(address, connection)
 
 
 class _Exchange:
@@ -123,7 +153,7 @@
         self._clock = clock
         self.reusable = False
 
-    def run(self, request, request_id, registration, response_deadline):
+    def run(self, request, request_id, render, response_deadline):
         remaining = response_deadline - self._clock()
         if remaining <= 0:
             return Attempt(
@@ -131,11 +161,7 @@
                 may_have_run=False,
                 detail="deadline passed before the request was sent",
             )
-        data = self._codec.render_request(
-            request=request,
-            remaining=remaining,
-            instance=registration.instance,
-        )
+        data = render(remaining)
         fresh = self._connection.fresh
         try:
             with gevent.Timeout(remaining, TimeoutError("no answer in time")):
--- a/wigeonrouter/platform/_partitioned_node_test.py
+++ b/wigeonrouter/platform/_partitioned_node_test.py
@@ -4,12 +4,15 @@
 import time
 
 import gevent
+from gevent import socket
 import pytest
 
+from wigeonrouter import core
 from wigeonrouter import topology
 from wigeonrouter.platform import _emulated_links
 from wigeonrouter.platform import _feed
 from wigeonrouter.platform import conftest
+from wigeonrouter.platform import testing
 
 Cut = _emulated_links.Cut
 wait_until = conftest.wait_until
@@ -68,12 +71,12 @@
 @pytest.fixture
 def start_linked_node(start_node, make_settings, free_port):
     """Return a function that starts a node with EmulatedLinks."""
-    port = free_port()
+    peer_ports = (free_port(), free_port())
 
     def start(host, paths, **changes):
         return start_node(
             make_settings(
-                f"node-{host}", host, peer_ports=(port, 0), **changes
+                f"node-{host}", host, **{"peer_ports": peer_ports} | changes
             ),
             servers=_SERVERS,
             make_feed=lambda **options: _RoutedFeed(links=paths, **options),
@@ -166,6 +169,95 @@
     wait_until(lambda: conftest.home_of(nodes) is home, timeout=_RECOVERY_S)
 
 
+def test_region_without_paths_uses_nodes_of_another_region(
+    nodes, links, start_linked_node
+):
+    """Guards against a region whose nodes only ask each other."""
+    place = core.Place(region="r2", failure_domain="zc")
+    remote_paths = _emulated_links.EmulatedLinks()
+    remote = start_linked_node("127.0.0.49", remote_paths, place=place)
+    wait_until(
+        lambda: all(remote.settings.host in node.known_hosts for node in nodes)
+    )
+    for paths in links:
+        paths.cut(Cut.HANG)
+    _send_to_all(nodes, duration=_RECOVERY_S)
+    tries = _send_to_all(nodes, duration=_MEASURED_S)
+    remote_paths.stop()
+    assert all(one.served_share > _MIN_SERVED_SHARE for one in tries)
+
+
+def test_requests_end_when_no_node_reaches_a_server(nodes, links):
+    """Guards against requests that nodes pass on to each other in turn."""
+    _send_to_all(nodes, duration=0.5)
+    for paths in links:
+        paths.cut(Cut.RESET)
+    tries = _send_to_all(nodes, duration=_NOTICED_S)
+    forwarded = sum(node.counts["forwarded"] for node in nodes)
+    # Each cut node tries the two others at most.
+    assert forwarded <= 2 * sum(one.total for one in tries)
+    tries = _send_to_all(nodes, duration=0.5)
+    assert not any(one.served for one in tries)
+    assert sum(node.counts["forwarded"] for node in nodes) == forwarded
+
+
+def test_request_that_is_passed_on_runs_once(servers, nodes, links):
+    """Guards against requests that both nodes send to servers."""
+    links[0].cut(Cut.HANG)
+    _send_to_all(nodes, duration=_RECOVERY_S, path="/write/a", method="POST")
+    run_ids = [run.request_id for server in servers for run in server.runs]
+    assert len(run_ids) == len(set(run_ids))
+
+
+def test_close_of_the_caller_reaches_the_server(servers, nodes, links):
+    """Guards against servers that go on to work for a caller who has left."""
+    links[0].cut(Cut.HANG)
+    _send_to_all(nodes[:1], duration=_NOTICED_S)
+    for server in servers:
+        server.slowdown = 30.0
+    address = nodes[0].settings.caller_address
+    sock = socket.create_connection((address.host, address.port))
+    sock.sendall(
+        testing.render_request(
+            method="GET",
+            target="/read/left",
+            host=conftest.HOST,
+            request_id="left",
+            remaining=2.0,
+        )
+    )
+    wait_until(
+        lambda: any(
+            run.request_id == "left" for one in servers for run in one.runs
+        )
+    )
+    sock.close()
+    wait_until(
+        lambda: any("left" in one.cancelled for one in servers), timeout=0.5
+    )
+
+
+def test_peer_of_an_earlier_build_is_left_out(
+    servers, links, start_linked_node
+):
+    """Guards against requests that are sent to a node which takes none."""
+    new, other = (
+        start_linked_node(host, paths)
+        for host, paths in zip(_HOSTS[:2], links[:2], strict=True)
+    )
+    port = new.settings.peer_ports[0]
+    old = start_linked_node(_HOSTS[2], links[2], peer_ports=(port, port))
+    wait_until(
+        lambda: all(
+            len(node.region_member.peers) == 3 for node in (new, other, old)
+        )
+    )
+    links[0].cut(Cut.RESET)
+    _send_to_all([new], duration=_NOTICED_S)
+    (tries,) = _send_to_all([new], duration=0.5)
+    assert tries.served_share == 1.0
+
+
 def test_request_is_not_blamed_for_a_cut(store, servers, nodes, links):
     """Guards against an innocent request that all nodes hold back.
 
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -252,7 +252,8 @@
       memory_bytes: memory that it may use.
       control_address: where metrics are served.
       regions: dict from failure domain to region.
-      peer_ports: first and last port for traffic between nodes.
+      peer_ports: first and last port for traffic between nodes. Requests are
+        passed on at the last one.
     """
 
     name: str
--- a/wigeonrouter/topology/_region.py
+++ b/wigeonrouter/topology/_region.py
@@ -47,6 +47,9 @@
       host: IP address, which identifies it.
       ready: whether it accepts callers.
       capacity: CPU time that it may use, in millicores.
+      reaches_servers: whether it is not cut off from all backend servers.
+      forwarding_address: where it takes requests from other nodes, "" if it
+        takes none.
       rate_limits: dict from instance to the requests per second to which
         that backend server limits all nodes, as it told this peer; None for
         a limit that has ended.
@@ -57,6 +60,8 @@
     failure_domain: str
     ready: bool
     capacity: int
+    reaches_servers: bool = True
+    forwarding_address: str = ""
     rate_limits: dict[str, float | None] = dataclasses.field(
         default_factory=dict
     )
@@ -176,7 +181,8 @@
     """Return the home nodes of a service, the first one first.
 
     Only nodes with more than half of the largest capacity are considered, so
-    that most requests do not go to the smallest VMs.
+    that most requests do not go to the smallest VMs. A node that is cut off
+    from all servers is no home, unless all nodes are.
 
     Args:
       service: name of the service.
@@ -188,6 +194,10 @@
     ready = {peer.host: peer for peer in peers if peer.ready}
     if not ready:
         return ()
+    linked = {
+        host: peer for host, peer in ready.items() if peer.reaches_servers
+    }
+    ready = linked or ready
     max_capacity = max(peer.capacity for peer in ready.values())
     large_hosts = [
         host
@@ -198,6 +208,43 @@
     return tuple(ready[host] for host in order[:count])
 
 
+def forwarding_peers(*, service, peers, own_host, count):
+    """Return the peers that may take a request which this node cannot serve.
+
+    The home of the service comes first, since it knows which slots are taken.
+
+    Args:
+      service: name of the service.
+      peers: iterable of Peer of one region.
+      own_host: host of this node.
+      count: largest number of peers.
+    Returns:
+      A tuple of Peer.
+    """
+    able = [
+        peer
+        for peer in peers
+        if peer.host != own_host
+        and peer.reaches_servers
+        and peer.forwarding_address
+    ]
+    return home_nodes(service=service, peers=able, count=count)
+
+
+def remote_forwarding_hosts(*, service, hosts, count):
+    """Return the hosts of other regions that may take a request.
+
+    Load pattern: all nodes of a region are cut off from the servers. Nothing
+    is known of the nodes elsewhere but that they exist.
+
+    Args:
+      service: name of the service.
+      hosts: iterable of the hosts of other regions.
+      count: largest number of hosts.
+    """
+    return core.rendezvous_order(f"home of {service}", hosts)[:count]
+
+
 def merge_rate_limits(peers):
     """Return what servers said about their limits to any of the peers.
 
