Ask other nodes before a server counts as ended under a request

All nodes held an innocent request back (503) after the paths of one node had been cut while equal ones were in flight there.

Cause: a connection that breaks and a new one that is refused counted as the end of a server. A cut path looks just like that.

A node trusts a refusal only while it reaches other servers, apart from those that have ended, and asks two other nodes whether they are refused too. One that is accepted shows that the server lives. Nodes of earlier builds answer with their role, which says nothing.

--- a/wigeonrouter/node/_crash_monitor.py
+++ b/wigeonrouter/node/_crash_monitor.py
@@ -1,24 +1,20 @@
 """Holds back requests that crash servers, and shares what is known of them.
 
 A server counts as ended if its connection broke during a request and it
-accepts no new one. Crashes are kept in the store, which all nodes follow and
-which a node that starts reads.
+accepts no new one, neither of this node nor of others. Crashes are kept in the
+store, which all nodes follow and which a node that starts reads.
 """
 
 import time
 
 import gevent
 from gevent import event
-from gevent import socket
 
 from wigeonrouter import core
 from wigeonrouter import placement
 from wigeonrouter import store
 from wigeonrouter.node import messages
 
-# Time for a new connection to a server that may have ended. A live one in
-# another region needs a round trip of tens of milliseconds.
-_CONNECT_TIMEOUT_S = 0.15
 # A request that ran by chance at a server that ended mostly succeeds at the
 # next one within this time. Only then is its crash stored.
 _STORE_DELAY_S = 0.5
@@ -36,6 +32,8 @@
       store_era: function that returns the era of the store.
       stores_all: function that returns whether this node stores the crashes
         that any node has seen, after the store has lost them.
+      has_ended: function from a topology.Registration to whether its server
+        has ended, as far as can be told.
       events: events.EventLog.
     """
 
@@ -46,6 +44,7 @@
         feed,
         store_era,
         stores_all,
+        has_ended,
         events,
         clock=time.monotonic,
     ):
@@ -54,6 +53,7 @@
         self._feed = feed
         self._store_era = store_era
         self._stores_all = stores_all
+        self._has_ended = has_ended
         self._events = events
         self._clock = clock
         # Times of the crashes that this node has seen itself.
@@ -114,7 +114,7 @@
           digest: digest of the request.
           registration: topology.Registration of the server.
         """
-        if _accepts_connections(registration.address):
+        if not self._has_ended(registration):
             return
         crash = self._history.record_crash(
             digest, registration.instance, self._clock()
@@ -183,17 +183,3 @@
     return {
         crash: value for crash, value in values.items() if crash in crashes
     }
-
-
-def _accepts_connections(address):
-    """Return whether a server is alive, as far as can be told."""
-    try:
-        sock = socket.create_connection(
-            (address.host, address.port), timeout=_CONNECT_TIMEOUT_S
-        )
-    except (ConnectionRefusedError, ConnectionResetError):
-        return False
-    except OSError:
-        return True
-    sock.close()
-    return True
--- a/wigeonrouter/node/_link_monitor.py
+++ b/wigeonrouter/node/_link_monitor.py
@@ -12,8 +12,10 @@
 from wigeonrouter import http1
 from wigeonrouter import placement
 
-# Servers that are checked at a time.
+# Servers that are checked at a time, and those that are tried until one
+# accepts where many may have ended.
 _CHECKED_SERVERS = 5
+_TRIED_SERVERS = 20
 # A server in another region accepts a connection after tens of milliseconds.
 _CHECK_TIMEOUT_S = 0.2
 # A check that took this much longer was held up by this node itself.
@@ -83,17 +85,26 @@
                     gevent.sleep(_CHECK_INTERVAL_S)
             self._wanted.clear()
 
-    def reaches_any(self):
-        """Return whether some server accepts a connection at present.
+    def reaches_others(self, instances):
+        """Return whether any server but these accepts a connection.
 
-        None if this cannot be told.
+        True if no other server is known.
         """
-        result = self._connect_to_some(enough=1)
-        return None if result is None else result[0] > 0
+        others = [
+            registration
+            for registration in self._registrations()
+            if registration.instance not in instances
+        ]
+        if not others:
+            return True
+        result = self._connect_to_some(others, count=_TRIED_SERVERS, enough=1)
+        return result is not None and result[0] > 0
 
     def _check(self):
         result = self._connect_to_some(
-            enough=_CHECKED_SERVERS if self.cut else 1
+            self._registrations(),
+            count=_CHECKED_SERVERS,
+            enough=_CHECKED_SERVERS if self.cut else 1,
         )
         if result is None:
             return
@@ -119,18 +130,19 @@
             )
         self._on_change()
 
-    def _connect_to_some(self, *, enough):
+    def _connect_to_some(self, registrations, *, count, enough):
         """Try new connections to some servers.
 
         Args:
+          registrations: list of topology.Registrations.
+          count: largest number of servers to try.
           enough: number of accepted connections after which to return.
         Returns:
           Pair of the numbers of servers that accepted one and that were
           tried, None if no server is known or this node was held up.
         """
-        registrations = self._registrations()
         chosen = self._rng.sample(
-            registrations, min(len(registrations), _CHECKED_SERVERS)
+            registrations, min(len(registrations), count)
         )
         if not chosen:
             gevent.sleep(_CHECK_INTERVAL_S)
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -27,6 +27,7 @@
 from wigeonrouter.node import _request_log
 from wigeonrouter.node import _sender
 from wigeonrouter.node import _server_pool
+from wigeonrouter.node import _server_witness
 
 _HOUSEKEEPING_INTERVAL_S = 0.25
 # Idle connections to backend servers are closed after this time.
@@ -101,6 +102,7 @@
             rate_limits=self._rate_limit_statements,
             cut_from_servers=lambda: self._link_monitor.cut,
             forwarding_address=lambda: self._forwarding_address,
+            check_server=lambda instance: self._server_witness.check(instance),
             events=events,
             rng=self._rng,
         )
@@ -114,11 +116,19 @@
             events=events,
             rng=self._rng,
         )
+        self._server_witness = _server_witness.ServerWitness(
+            settings=settings,
+            link_monitor=self._link_monitor,
+            known=lambda: self._cluster_state.directory.known,
+            peers=lambda: self._region_member.peers,
+            rng=self._rng,
+        )
         self._crash_monitor = _crash_monitor.CrashMonitor(
             cluster_state=self._cluster_state,
             feed=feed,
             store_era=lambda: self._region_member.position.era,
             stores_all=lambda: self._region_member.is_hub,
+            has_ended=self._server_witness.has_ended,
             events=events,
         )
         sender = _sender.Sender(pool=self._pool, codec=codec)
--- a/wigeonrouter/node/_peer_requests.py
+++ b/wigeonrouter/node/_peer_requests.py
@@ -54,6 +54,26 @@
     return reply.update
 
 
+def check_server(hosts, *, port, instance):
+    """Ask some hosts in parallel whether a backend server accepts them.
+
+    Returns:
+      List of the verdicts of ServerCheckResult; hosts that did not reply in
+      time, or that do not know the question, have none.
+    """
+    message = node_pb2.PeerMessage(
+        server_check=node_pb2.ServerCheck(instance=instance)
+    )
+    tasks = [gevent.spawn(_exchange, host, port, message) for host in hosts]
+    gevent.joinall(tasks, timeout=REQUEST_TIMEOUT_S)
+    replies = [task.value for task in tasks if task.ready()]
+    return [
+        reply.server_check_result.verdict
+        for reply in replies
+        if reply is not None and reply.HasField("server_check_result")
+    ]
+
+
 def announce_role(host, *, port, role):
     """Tell a host this node's topology.Role; there is no reply."""
     _exchange(host, port, encode_role(role))
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -49,6 +49,8 @@
         from all backend servers.
       forwarding_address: function that returns where this node takes requests
         from other nodes, "" if it takes none.
+      check_server: function from the instance of a backend server to the
+        verdict of a ServerCheckResult.
       events: events.EventLog.
       rng: random.Random, for the jitter of waits.
       clock: function that returns monotonic seconds.
@@ -64,6 +66,7 @@
         rate_limits,
         cut_from_servers,
         forwarding_address,
+        check_server,
         events,
         rng,
         clock=None,
@@ -75,6 +78,7 @@
         self._rate_limits = rate_limits
         self._cut_from_servers = cut_from_servers
         self._forwarding_address = forwarding_address
+        self._check_server = check_server
         self._events = events
         self._rng = rng
         self._clock = clock or time.monotonic
@@ -389,6 +393,16 @@
                 self._on_hub_announced(
                     _peer_requests.decode_role(message.role)
                 )
+            elif kind == "server_check":
+                verdict = self._check_server(message.server_check.instance)
+                channel.send(
+                    node_pb2.PeerMessage(
+                        server_check_result=node_pb2.ServerCheckResult(
+                            verdict=verdict
+                        )
+                    ),
+                    timeout=_peer_requests.REQUEST_TIMEOUT_S,
+                )
             elif kind == "join" and self._hub is not None:
                 self._hub.serve(channel, message.join)
             elif kind == "fetch" and self._store_cache.filled:
--- a/wigeonrouter/platform/_partitioned_node_test.py
+++ b/wigeonrouter/platform/_partitioned_node_test.py
@@ -281,3 +281,25 @@
         server.slowdown = 1.0
     for other in other_callers:
         assert other.send("/read/innocent").status == 200
+
+
+def test_request_is_not_blamed_for_a_cut_to_some_servers(
+    store, servers, nodes, links
+):
+    """Guards against trusting refusals of a node that reaches other servers.
+
+    The same request is in flight at the servers to which the paths are cut.
+    """
+    for server in servers:
+        server.slowdown = 20.0
+    caller = conftest.callers_of(nodes)[0]
+    tasks = [
+        gevent.spawn(caller.send, "/read/innocent", request_id=f"innocent-{n}")
+        for n in range(12)
+    ]
+    gevent.sleep(0.2)
+    addresses = {core.parse_address(server.address) for server in servers[:4]}
+    links[0].cut(Cut.RESET, addresses=addresses)
+    gevent.joinall(tasks)
+    assert not nodes[0].counts["server-ended-under-request"]
+    assert not [key for key in store.keys() if "/crashes/" in key]
