Forget failures of servers that happened while the node was cut off

After a cut the node went on to leave out servers for up to four seconds, and rated them as failing, though only its own paths had been out. The views of all servers are reset when the cut ends. The test of the balancer fails without this: both servers stay ejected.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -58,6 +58,11 @@
         """placement.RetryBudget of the service."""
         return self._budget
 
+    @property
+    def server_pool(self):
+        """ServerPool of the service."""
+        return self._server_pool
+
     @property
     def queue_length(self):
         """Number of requests that wait for a server in the queue."""
@@ -132,6 +137,12 @@
         )
         self._wake_head()
 
+    def on_links_changed(self, *, cut):
+        """Apply that this node was cut off from all servers, or is back."""
+        if not cut:
+            self._server_pool.forget_failures()
+        self.recheck_queue()
+
     def recheck_queue(self):
         """Check the queued requests again, since the node's state changed."""
         self._wake_all()
--- a/wigeonrouter/node/_balancer_test.py
+++ b/wigeonrouter/node/_balancer_test.py
@@ -182,3 +182,26 @@
     _release(balancer, grants[0], route)
     patient.join(timeout=WAIT_S / 2)
     assert isinstance(patient.value, _grant.Grant)
+
+
+def test_servers_are_used_again_after_a_cut(
+    make_balancer, make_pending, acquire, route
+):
+    """Guards against servers that stay ejected because the node was cut."""
+    balancer = make_balancer(servers=2)
+    for _ in range(8):
+        grant = acquire(balancer, make_pending()).get(timeout=WAIT_S)
+        balancer.release(
+            grant,
+            route=route,
+            outcome=placement.AttemptOutcome.UNREACHABLE,
+            metadata=None,
+            latency=0.25,
+        )
+    views = balancer.server_pool.views
+    now = time.monotonic()
+    assert not any(placement.is_available(view, now) for view in views.all)
+    balancer.on_links_changed(cut=True)
+    assert not any(placement.is_available(view, now) for view in views.all)
+    balancer.on_links_changed(cut=False)
+    assert all(placement.is_available(view, now) for view in views.all)
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -476,7 +476,7 @@
         """Apply that this node was cut off from all servers, or is back."""
         self._region_member.broadcast_state()
         for balancer in self._balancers.values():
-            balancer.recheck_queue()
+            balancer.on_links_changed(cut=self._link_monitor.cut)
 
     def _reconfigure(self):
         configuration = self._cluster_state.configuration
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -242,6 +242,11 @@
                 ),
             )
 
+    def forget_failures(self):
+        """Forget what looked like failures, since this node was cut off."""
+        for view in list(self._views.all):
+            self._views.replace(placement.after_cut(view))
+
     def _notify_link_monitor(self, instance, outcome):
         if outcome in _WITHOUT_RESPONSE:
             self._link_monitor.on_no_response(instance)
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -35,6 +35,7 @@
 ServiceTimes = _estimate.ServiceTimes
 
 after_attempt = _health.after_attempt
+after_cut = _health.after_cut
 after_probe = _health.after_probe
 after_no_response = _health.after_no_response
 expected_load = _estimate.expected_load
--- a/wigeonrouter/placement/_health.py
+++ b/wigeonrouter/placement/_health.py
@@ -121,6 +121,21 @@
     )
 
 
+def after_cut(view):
+    """Return the view without failures, once a cut of the node has ended.
+
+    What happened while the node was cut off from all servers says nothing
+    about any of them.
+    """
+    return dataclasses.replace(
+        view,
+        failure_ratio=0.0,
+        consecutive_failures=0,
+        consecutive_no_response=0,
+        ejected_until=float("-inf"),
+    )
+
+
 def after_no_response(view, *, now):
     """Return the view after a connection attempt or probe without a response.
 
--- a/wigeonrouter/placement/_health_test.py
+++ b/wigeonrouter/placement/_health_test.py
@@ -79,3 +79,15 @@
         view, report=None, healthy=True, round_trip=0.001, now=now
     )
     assert placement.is_available(view, now)
+
+
+def test_failures_of_a_cut_are_forgotten(make_view, now):
+    """Guards against servers that stay ejected because a node was cut off."""
+    view = record_attempts(
+        make_view("a"),
+        *[Outcome.RESPONSE_LOST] * 3,
+        *[Outcome.UNREACHABLE] * 5,
+        now=now,
+    )
+    assert not placement.is_available(view, now)
+    assert placement.after_cut(view) == make_view("a", failure_ratio_at=now)
