Repeat idempotent requests whose servers a cut has silenced

Requests in flight when the paths of a node began to hang waited for a response until their deadline and got 502, or at most a repetition that was too late. When a cut is found and its connections hang, attempts at servers that may be repeated are ended, and repeated at another node within the retry budget and max_attempts. Connections that are reset end by themselves, and those that live on while new ones are refused are left alone.

--- a/wigeonrouter/node/_link_monitor.py
+++ b/wigeonrouter/node/_link_monitor.py
@@ -53,6 +53,7 @@
         self._clock = clock
         self._links = placement.ServerLinks()
         self._wanted = event.Event()
+        self._refused = False
         self._cut_since = 0.0
 
     @property
@@ -60,6 +61,11 @@
         """Whether this node is cut off from all servers."""
         return self._links.cut
 
+    @property
+    def hanging(self):
+        """Whether this node is cut off, and no server even refuses it."""
+        return self.cut and not self._refused
+
     @property
     def suspected(self):
         """Whether this node may be cut off from all servers."""
@@ -148,6 +154,7 @@
             gevent.sleep(_CHECK_INTERVAL_S)
             return None
         started = self._clock()
+        self._refused = False
         tasks = [
             gevent.spawn(self._accepts, registration.address)
             for registration in chosen
@@ -165,14 +172,17 @@
         return accepted, len(chosen)
 
     def _accepts(self, address):
+        deadline = self._clock() + _CHECK_TIMEOUT_S
         try:
             connection = self._pool.checkout(
                 address=address,
                 limit=_CONNECTIONS_PER_SERVER,
-                deadline=self._clock() + _CHECK_TIMEOUT_S,
+                deadline=deadline,
                 max_idle=-1.0,
             )
         except http1.ConnectFailed:
+            if self._clock() < deadline:
+                self._refused = True
             return False
         self._pool.checkin(address, connection)
         return True
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -131,7 +131,7 @@
             has_ended=self._server_witness.has_ended,
             events=events,
         )
-        sender = _sender.Sender(pool=self._pool, codec=codec)
+        self._sender = _sender.Sender(pool=self._pool, codec=codec)
         request_log = _request_log.RequestLog(
             cluster_state=self._cluster_state,
             events=events,
@@ -140,11 +140,11 @@
         self._proxy = _proxy.Proxy(
             cluster_state=self._cluster_state,
             balancer_for=self._balancer_for,
-            sender=sender,
+            sender=self._sender,
             crash_monitor=self._crash_monitor,
             forwarder=_forwarder.Forwarder(
                 settings=settings,
-                sender=sender,
+                sender=self._sender,
                 link_monitor=self._link_monitor,
                 cluster_state=self._cluster_state,
                 peers=lambda: self._region_member.peers,
@@ -475,6 +475,8 @@
     def _on_links_changed(self):
         """Apply that this node was cut off from all servers, or is back."""
         self._region_member.broadcast_state()
+        if self._link_monitor.hanging:
+            self._sender.abort_repeatable()
         for balancer in self._balancers.values():
             balancer.on_links_changed(cut=self._link_monitor.cut)
 
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -55,6 +55,13 @@
         self._pool = pool
         self._codec = codec
         self._clock = clock
+        # Connections to servers that run idempotent requests.
+        self._repeatable = set()
+
+    def abort_repeatable(self):
+        """End the attempts at servers whose requests may be repeated."""
+        for connection in self._repeatable:
+            connection.abort()
 
     def send(
         self,
@@ -84,6 +91,7 @@
             request_id=request_id,
             idempotent=idempotent,
             response_deadline=response_deadline,
+            abortable=idempotent,
         )
 
     def send_to(
@@ -95,6 +103,7 @@
         request_id,
         idempotent,
         response_deadline,
+        abortable=False,
     ):
         """Send a request to an address and wait for the response.
 
@@ -109,6 +118,7 @@
           idempotent: whether the request may run more than once.
           response_deadline: time after which the response is useless,
             monotonic seconds.
+          abortable: whether abort_repeatable() ends the attempt.
         Returns:
           Attempt.
         """
@@ -130,9 +140,12 @@
         exchange = _Exchange(
             connection=connection, codec=self._codec, clock=self._clock
         )
+        if abortable:
+            self._repeatable.add(connection)
         try:
             return exchange.run(request, request_id, render, response_deadline)
         finally:
+            self._repeatable.discard(connection)
             request.reservation.drop()
             if exchange.reusable:
                 self._pool.checkin(address, connection)
--- a/wigeonrouter/node/_server_witness.py
+++ b/wigeonrouter/node/_server_witness.py
@@ -46,6 +46,8 @@
         It has if some node is refused, whose paths to others work, and no
         node is accepted. It is left open while this cannot be told.
         """
+        if self._link_monitor.cut:
+            return False
         self._ended.intersection_update(self._known())
         own = self._check(registration)
         if own == Verdict.ACCEPTS:
--- a/wigeonrouter/platform/_partitioned_node_test.py
+++ b/wigeonrouter/platform/_partitioned_node_test.py
@@ -169,6 +169,38 @@
     wait_until(lambda: conftest.home_of(nodes) is home, timeout=_RECOVERY_S)
 
 
+def test_node_uses_its_paths_again_after_a_cut(nodes, links):
+    """Guards against requests that are passed on for longer than needed."""
+    links[0].cut(Cut.HANG)
+    _send_to_all(nodes, duration=_RECOVERY_S)
+    links[0].restore()
+    cut_node = nodes[0]
+    wait_until(lambda: cut_node.counts["servers-reachable"] == 1, timeout=1.5)
+    forwarded = cut_node.counts["forwarded"]
+    tries = _send_to_all(nodes[:1], duration=1.0)
+    assert tries[0].served_share == 1.0
+    assert cut_node.counts["forwarded"] == forwarded
+
+
+def test_idempotent_request_in_flight_is_repeated_elsewhere(
+    servers, nodes, links
+):
+    """Guards against waiting for a response that cannot arrive."""
+    _send_to_all(nodes, duration=0.5)
+    for server in servers:
+        server.slowdown = 10.0
+    tasks = [
+        gevent.spawn(caller.send, "/read/slow", request_id="slow")
+        for caller in conftest.callers_of(nodes[:1])
+    ]
+    gevent.sleep(0.1)
+    links[0].cut(Cut.HANG)
+    for server in servers:
+        server.slowdown = 1.0
+    _send_to_all(nodes, duration=_NOTICED_S)
+    assert [task.get().status for task in tasks] == [200]
+
+
 def test_region_without_paths_uses_nodes_of_another_region(
     nodes, links, start_linked_node
 ):
