Log what servers say about leaving and pauses

An attempt that a server rejected looked the same with and without a request for a pause. The codec reads both statements once and ignores absurd ones; attempt lines and explain show them. Nothing acts on them yet.

--- a/wigeonrouter/cli/_explain.py
+++ b/wigeonrouter/cli/_explain.py
@@ -75,12 +75,15 @@
     known = "no load report" if age is None else f"report {age} ms old"
     limit = event.get("rate_limit")
     limited = "" if limit is None else f"; limit {limit} requests/s"
+    pause = event.get("pause_s")
+    paused = "" if pause is None else f"; asked for a pause of {pause} s"
+    leaving = "; it leaves" if event.get("leaving") else ""
     detail = f" ({event['detail']})" if event.get("detail") else ""
     return (
         f"sent to {event.get('instance')} after {event.get('waited_ms')} ms"
         f" at this node: load {event.get('load')}, slowness"
         f" {event.get('slowness')}, {known}; {event.get('ended')} after"
-        f" {event.get('latency_ms')} ms{limited}{detail}"
+        f" {event.get('latency_ms')} ms{limited}{paused}{leaving}{detail}"
     )
 
 
--- a/wigeonrouter/node/_request_log.py
+++ b/wigeonrouter/node/_request_log.py
@@ -92,6 +92,8 @@
             ),
             worth=round(grant.expected_utility, 2),
             rate_limit=metadata.rate_limit if metadata else None,
+            leaving=bool(metadata and metadata.leaving),
+            pause_s=metadata.pause if metadata else None,
             ended=outcome.value,
             latency_ms=_ms(latency),
             detail=attempt.detail if attempt else "",
--- a/wigeonrouter/node/messages.py
+++ b/wigeonrouter/node/messages.py
@@ -51,6 +51,11 @@
       load: the server's load, None if it reports none.
       rate_limit: requests per second that the server accepts from all nodes
         together, None if the response names no limit.
+      leaving: whether the server states that it is about to end.
+      pause: seconds for which the server asks for no further requests, None
+        if it does not.
+      invalid_statements: names of headers that cannot be used. They then say
+        nothing.
       rate_limit_valid: false if the response names a limit that cannot be
         used. It then says nothing about the limit.
     """
@@ -62,6 +67,9 @@
     load: ServerLoad | None
     rate_limit: float | None = None
     rate_limit_valid: bool = True
+    leaving: bool = False
+    pause: float | None = None
+    invalid_statements: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -74,6 +74,8 @@
       arrivals: (monotonic seconds, ID) of each request, rejected or not.
       cancelled: IDs whose connection was closed before the response.
       ended: dict from ID to the end of its execution, monotonic seconds.
+      leaving: whether all of its responses say that it is about to end.
+      pause: text of the Retry-After in its rejections, None for none.
       crash_target: the server ends when it runs a request with this target;
         None for no such target.
       on_crash: called with the server after it has ended so.
@@ -90,6 +92,8 @@
         self.slowdown = 1.0
         self.rate_limit = None
         self.names_limit_in_probes = True
+        self.leaving = False
+        self.pause = None
         self.crash_target = None
         self.on_crash = lambda server: None
         self.fault = ""
@@ -137,7 +141,10 @@
         if self._running >= self._slots or self.fault == "shed":
             self.rejected_count += 1
             return self._respond_with_load(
-                request, 503, b"", ((b"not-executed", b"1"),)
+                request,
+                503,
+                b"",
+                ((b"not-executed", b"1"), *self._pause_headers()),
             )
         return self._run(request, sock)
 
@@ -233,10 +240,16 @@
                 (b"instance-id", self.instance.encode()),
                 (b"server-load", load.encode()),
                 *self._limit_headers(request),
+                *([(b"server-leaving", b"1")] if self.leaving else ()),
             ),
             body=body,
         )
 
+    def _pause_headers(self):
+        if self.pause is None:
+            return ()
+        return ((b"retry-after", str(self.pause).encode()),)
+
     def _limit_headers(self, request):
         if self.rate_limit is None or (
             request.target == b"/health" and not self.names_limit_in_probes
--- a/wigeonrouter/platform/_http.py
+++ b/wigeonrouter/platform/_http.py
@@ -19,6 +19,8 @@
 _NOT_EXECUTED = b"not-executed"
 _LOAD = b"server-load"
 _RATE_LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
+_PAUSE = b"retry-after"
 _NOT_FORWARDED = http1.HOP_BY_HOP | {
     b"content-length",
     b"expect",
@@ -31,6 +33,10 @@
 _MAX_LOAD_NUMBER = 1e6
 # Requests per second. A larger limit would not limit anything.
 _MAX_RATE_LIMIT = 1e6
+# A longer pause is a mistake of the server; it would be out of use for as long
+# as a restart takes to be noticed by an operator.
+_MAX_PAUSE_S = 600.0
+_PAUSE_STATUS = 503
 _DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 _READINESS_PATH = "/api/readiness"
 _RESOLVE_PATH = "/api/resolve"
@@ -78,6 +84,18 @@
             bool(response.header(_NOT_EXECUTED)) or response.status == 421
         )
         rate_limit, rate_limit_valid = _read_rate_limit(response)
+        leaving, leaving_valid = _read_leaving(response)
+        pause, pause_valid = None, True
+        if not_executed and response.status == _PAUSE_STATUS:
+            pause, pause_valid = _read_pause(response)
+        invalid_statements = tuple(
+            name.decode()
+            for name, valid in (
+                (_LEAVING, leaving_valid),
+                (_PAUSE, pause_valid),
+            )
+            if not valid
+        )
         return messages.ResponseMetadata(
             request_id=response.header(_REQUEST_ID).decode("latin-1"),
             instance=response.header(_INSTANCE).decode("latin-1"),
@@ -86,6 +104,9 @@
             load=_read_load(response.header(_LOAD)),
             rate_limit=rate_limit,
             rate_limit_valid=rate_limit_valid,
+            leaving=leaving,
+            pause=pause,
+            invalid_statements=invalid_statements,
         )
 
     def render_rejection(self, *, rejection, request_id):
@@ -171,14 +192,48 @@
     )
 
 
+def _values(response, name):
+    """Return all values of a header."""
+    if name not in response.fields:
+        return []
+    return [value for other, value in response.headers if other == name]
+
+
+def _read_leaving(response):
+    """Return whether a server leaves, and whether the statement is valid."""
+    values = _values(response, _LEAVING)
+    if not values:
+        return False, True
+    if len(set(values)) > 1 or values[0] not in (b"0", b"1"):
+        return False, False
+    return values[0] == b"1", True
+
+
+def _read_pause(response):
+    """Return the seconds of a requested pause, and its validity.
+
+    The pause is None if the response asks for none or an invalid one, as by
+    a date.
+    """
+    values = _values(response, _PAUSE)
+    if not values:
+        return None, True
+    if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
+        return None, False
+    pause = float(values[0])
+    if pause > _MAX_PAUSE_S:
+        return None, False
+    return pause, True
+
+
 def _read_rate_limit(response):
     """Return the smallest limit that a response names, and its validity.
 
     The limit is None if the response names none or an invalid one.
     """
-    if _RATE_LIMIT not in response.fields:
+    values = _values(response, _RATE_LIMIT)
+    if not values:
         return None, True
-    values = [value for name, value in response.headers if name == _RATE_LIMIT]
     limits = [float(value) for value in values if _DECIMAL.fullmatch(value)]
     if len(limits) < len(values) or max(limits) > _MAX_RATE_LIMIT:
         return None, False
--- a/wigeonrouter/platform/_http_test.py
+++ b/wigeonrouter/platform/_http_test.py
@@ -95,3 +95,66 @@
     """Guards against a limit that ends because a header is malformed."""
     assert _read_rate_limit(value) == (None, False)
     assert _read_rate_limit(b"1.4", value) == (None, False)
+
+
+def _read_statements(*headers, status=503):
+    response = http1.HttpResponse(
+        status=status,
+        headers=((b"not-executed", b"1"), *headers),
+        body=b"",
+    )
+    return _http.HttpCodec().read_response(response)
+
+
+def test_requested_pause_is_read_from_rejections_only():
+    """Guards against pauses that a server's own response asks callers for."""
+    assert _read_statements((b"retry-after", b"2.5")).pause == 2.5
+    assert _read_statements((b"retry-after", b"3"), status=429).pause is None
+    response = http1.HttpResponse(
+        status=503, headers=((b"retry-after", b"3"),), body=b""
+    )
+    assert _http.HttpCodec().read_response(response).pause is None
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"-1",
+        b"nan",
+        b"1e999",
+        b"86400",
+        b"",
+        b"Wed, 21 Oct 2026 07:28:00 GMT",
+    ],
+)
+def test_absurd_pause_is_ignored(value):
+    """Guards against a server that is left out for hours by mistake."""
+    metadata = _read_statements((b"retry-after", value))
+    assert metadata.pause is None
+    assert metadata.invalid_statements == ("retry-after",)
+    assert _read_statements(
+        (b"retry-after", b"1"), (b"retry-after", b"2")
+    ).invalid_statements == ("retry-after",)
+
+
+@pytest.mark.parametrize(
+    ("values", "leaving", "invalid"),
+    [
+        ([], False, ()),
+        ([b"1"], True, ()),
+        ([b"1", b"1"], True, ()),
+        ([b"0"], False, ()),
+        ([b"1", b"0"], False, ("server-leaving",)),
+        ([b"yes"], False, ("server-leaving",)),
+        ([b""], False, ("server-leaving",)),
+    ],
+)
+def test_only_a_valid_statement_says_that_a_server_leaves(
+    values, leaving, invalid
+):
+    """Guards against servers that are lost because of a malformed header."""
+    metadata = _read_statements(
+        *((b"server-leaving", value) for value in values), status=200
+    )
+    assert metadata.leaving == leaving
+    assert metadata.invalid_statements == invalid
