Send no request to a server that has said that it leaves

While the store was silent, a server that said in all of its responses that it leaves went on to get requests from the node that it had told, as its entry said that it was ready. One came 6.9 s after the statement (DRAIN); a caller would have got a lost response a moment later.

Cause: the registration was the only word on whether a server leaves.

What a server says holds for this start of it, whether or not it has an entry at the time, and until a new start registers: neither a good health check nor a response without the statement revokes it. placement.find_exclusion is now the one place that says whether a server may get a request, and why not.

--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -220,6 +220,7 @@
         instance = grant.registration.instance
         load = metadata.load if metadata is not None else None
         if metadata is not None:
+            self._views.record_statements(grant.registration, metadata)
             self._views.record_rate_limit(instance, metadata, from_probe=False)
         self._notify_link_monitor(instance, outcome)
         view = self._views.get(instance)
@@ -295,7 +296,14 @@
             self._link_monitor.on_no_response(instance)
         else:
             self._link_monitor.on_response()
-        if result is not None and result.instance_matches:
+        if (
+            result is not None
+            and result.instance_matches
+            and self._views.get(instance) is not None
+        ):
+            self._views.record_statements(
+                self._views.registration(instance), result.metadata
+            )
             self._views.record_rate_limit(
                 instance, result.metadata, from_probe=True
             )
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -28,6 +28,8 @@
         self._limit_share = limit_share
         self._clock = clock
         self._rate_limits = placement.RateLimits()
+        self._statements = placement.ServerStatements()
+        self._invalid_statements = set()
         self._registrations = {}
         self._views = {}
         self._local_instances = ()
@@ -117,10 +119,14 @@
             views[instance] = dataclasses.replace(
                 view,
                 slots=registration.slots,
+                leaving=self._statements.get(_start(registration)).leaving,
                 slow_start_until=record.learned_at + registration.slow_start,
             )
         self._rate_limits.forget(self._views.keys() - views.keys())
         self._registrations, self._views = registrations, views
+        self._invalid_statements &= {
+            _start(registration) for registration in registrations.values()
+        }
         self._group_by_locality()
 
     def remove(self, instance):
@@ -152,9 +158,12 @@
         if view is not None and view.rate_limit is not None:
             self._rate_limits.set_share(self._limit_share(), now)
             view = self._apply_rate_limit(view, now)
-        if view is None or view.next_send_at > now:
+        if view is None:
             return None
-        return view
+        exclusion = placement.find_exclusion(view, now)
+        if exclusion in (None, placement.Exclusion.EJECTED):
+            return view
+        return None
 
     def record_sent(self, view):
         """Count a request that is sent to a server."""
@@ -165,6 +174,26 @@
         if view.rate_limit is not None:
             self._apply_rate_limit(view, now)
 
+    def record_statements(self, registration, metadata):
+        """Apply what a response says about its server.
+
+        Args:
+          registration: topology.Registration of the server.
+          metadata: messages.ResponseMetadata of the response.
+        """
+        if metadata.misdirected:
+            # Another server has responded.
+            return
+        if metadata.invalid_statements:
+            self._log_invalid(registration, metadata.invalid_statements)
+        if self._statements.record(
+            _start(registration), leaving=metadata.leaving, now=self._clock()
+        ):
+            self._events.notice(
+                "server-leaves", instance=registration.instance
+            )
+            self._apply_statement(registration)
+
     def record_rate_limit(self, instance, metadata, *, from_probe):
         """Apply what a response says about its server's limit.
 
@@ -219,6 +248,30 @@
         self._apply_rate_limits()
         return True
 
+    def _apply_statement(self, registration):
+        """Update the view of a server, if it has one, from what it said."""
+        instance = registration.instance
+        current = self._registrations.get(instance)
+        if current is None or _start(current) != _start(registration):
+            return
+        statement = self._statements.get(_start(registration))
+        self._views[instance] = dataclasses.replace(
+            self._views[instance], leaving=statement.leaving
+        )
+        self._group_by_locality()
+
+    def _log_invalid(self, registration, names):
+        """Log the first invalid statement of each start of a server."""
+        start = _start(registration)
+        if start in self._invalid_statements:
+            return
+        self._invalid_statements.add(start)
+        self._events.notice(
+            "server-statement-invalid",
+            instance=registration.instance,
+            headers=names,
+        )
+
     def _apply_rate_limits(self):
         """Update the views from the limits, and which servers may be used."""
         now = self._clock()
@@ -248,7 +301,7 @@
         """Sort the servers that this node may use by their locality."""
         local, remote = [], []
         for instance, view in self._views.items():
-            if view.rate_limit == 0.0:
+            if view.rate_limit == 0.0 or view.leaving:
                 continue
             is_remote = view.locality is placement.Locality.REMOTE
             (remote if is_remote else local).append(instance)
@@ -272,5 +325,9 @@
         )
 
 
+def _start(registration):
+    return registration.instance, registration.started_ms
+
+
 def _has_recent_failures(view):
     return view.consecutive_failures > 0 or view.consecutive_no_response > 1
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -11,11 +11,13 @@
 from wigeonrouter.placement import _choice
 from wigeonrouter.placement import _crashes
 from wigeonrouter.placement import _estimate
+from wigeonrouter.placement import _exclusion
 from wigeonrouter.placement import _health
 from wigeonrouter.placement import _rate_limits
 from wigeonrouter.placement import _records
 from wigeonrouter.placement import _request_queue
 from wigeonrouter.placement import _server_links
+from wigeonrouter.placement import _statements
 from wigeonrouter.placement import _stopping
 
 AttemptOutcome = _health.AttemptOutcome
@@ -27,7 +29,9 @@
 SlidingWindowRate = _admission.SlidingWindowRate
 RateLimits = _rate_limits.RateLimits
 RetryBudget = _budget.RetryBudget
+Exclusion = _exclusion.Exclusion
 ServerLinks = _server_links.ServerLinks
+ServerStatements = _statements.ServerStatements
 ServerView = _records.ServerView
 Locality = _records.Locality
 CallerTimeoutEstimate = _caller_timeout.CallerTimeoutEstimate
@@ -49,6 +53,7 @@
 choose = _choice.choose
 CRASH_RETENTION_S = _crashes.CRASH_RETENTION_S
 EXPECTED_SLOT_WAIT_S = _choice.EXPECTED_SLOT_WAIT_S
+find_exclusion = _exclusion.find_exclusion
 is_available = _health.is_available
 sample_views = _choice.sample_views
 undisturbed_service_time = _estimate.undisturbed_service_time
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -15,6 +15,7 @@
 
 from wigeonrouter.placement import _admission
 from wigeonrouter.placement import _estimate
+from wigeonrouter.placement import _exclusion
 from wigeonrouter.placement import _health
 from wigeonrouter.placement import _records
 from wigeonrouter.placement import _request_queue
@@ -122,17 +123,21 @@
 def find_usable(views, *, request, now):
     """Return the views that may get a request and have a free slot.
 
-    Ejected servers are included if too few others are available, but never
-    servers whose rate limit allows no request now.
+    Ejected servers are included if too few others are available, but no
+    others that are excluded.
     """
-    views = [
-        view
-        for view in views
-        if view.instance not in request.excluded and view.next_send_at <= now
-    ]
-    available = [view for view in views if _health.is_available(view, now)]
-    if len(available) < _MIN_AVAILABLE_SHARE * len(views):
-        available = views
+    available, ejected = [], []
+    for view in views:
+        if view.instance in request.excluded:
+            continue
+        exclusion = _exclusion.find_exclusion(view, now)
+        if exclusion is None:
+            available.append(view)
+        elif exclusion is _exclusion.Exclusion.EJECTED:
+            ejected.append(view)
+    allowed_count = len(available) + len(ejected)
+    if len(available) < _MIN_AVAILABLE_SHARE * allowed_count:
+        available += ejected
     return [
         view
         for view in available
--- a/wigeonrouter/placement/_records.py
+++ b/wigeonrouter/placement/_records.py
@@ -55,6 +55,7 @@
       rate_limit: requests per second that this node may send to the server,
         None without a limit, 0 if only another node may use the server.
       next_send_at: time before which the limit allows no further request.
+      leaving: whether it has said that it is about to end.
     """
 
     instance: str
@@ -71,6 +72,7 @@
     round_trip: float = 0.001
     rate_limit: float | None = None
     next_send_at: float = float("-inf")
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
