Tell the region what a server has said of itself

A node that took over a service, or passed on a response that another node had got for it, did not know that a server leaves or has asked for a pause, and had to be told by the server itself: one request of each node, and more while many were in flight.

Nodes state in the roster what servers have said to them, by start of the server; a pause counts from the time at which the other node is told first. It is not passed on further. A Balancer that is made later applies it at once, and so it does limits. What a node tells of itself is one record now, NodeFacts.

--- a/wigeonrouter/core/__init__.py
+++ b/wigeonrouter/core/__init__.py
@@ -10,6 +10,7 @@
 BackendServer = _records.BackendServer
 BackendView = _records.BackendView
 Crash = _records.Crash
+ServerStatement = _records.ServerStatement
 DispatchRequest = _records.DispatchRequest
 EffectiveService = _records.EffectiveService
 Grant = _records.Grant
--- a/wigeonrouter/core/_records.py
+++ b/wigeonrouter/core/_records.py
@@ -397,3 +397,23 @@
 
     digest: str
     name: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerStatement:
+    """What a start of a backend server has said of itself to a node.
+
+    Attributes:
+      instance: instance of the server.
+      started_ms: its start, ms since the epoch, 0 if unknown.
+      leaving: whether it is about to end.
+      pause: seconds for which it wants no requests, from the time of the
+        statement on; 0 for none.
+      number: rises with each statement that the node hears.
+    """
+
+    instance: str
+    started_ms: int
+    leaving: bool
+    pause: float
+    number: int
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -78,6 +78,11 @@
         """What servers said about their limits; see ServerViews."""
         return self._server_pool.views.rate_limit_statements
 
+    @property
+    def server_statements(self):
+        """Tuple of the core.ServerStatements that this node has heard."""
+        return self._server_pool.views.statements
+
     @property
     def limited_servers(self):
         """Number of servers that name a rate limit, as far as is known."""
@@ -147,8 +152,14 @@
         """Check the queued requests again, since the node's state changed."""
         self._wake_all()
 
-    def refresh_rate_limits(self, peer_limits):
-        """Apply changed roles and limits; see ServerViews."""
+    def refresh_server_facts(self, *, peers, peer_limits):
+        """Apply what servers have said to other nodes; see ServerViews.
+
+        Args:
+          peers: the other topology.Peers of the region.
+          peer_limits: see ServerViews.refresh_rate_limits().
+        """
+        self._server_pool.views.record_peer_statements(peers)
         if self._server_pool.views.refresh_rate_limits(peer_limits):
             self._on_servers_changed()
 
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -25,6 +25,7 @@
 from wigeonrouter.node import _proxy
 from wigeonrouter.node import _region_member
 from wigeonrouter.node import _request_log
+from wigeonrouter.node import _roster
 from wigeonrouter.node import _sender
 from wigeonrouter.node import _server_pool
 from wigeonrouter.node import _server_witness
@@ -89,7 +90,7 @@
         self._prober = _prober.Prober(pool=self._pool, codec=codec)
         self._balancers = {}
         self._addresses = {}
-        self._published_rate_limits = {}
+        self._published_facts = None
         self._metrics = observability.Metrics()
         self._cluster_state = _cluster_state.ClusterState(
             events=events, on_change=self._reconfigure
@@ -99,9 +100,7 @@
             feed=feed,
             cluster_state=self._cluster_state,
             is_ready=lambda: self.ready,
-            rate_limits=self._rate_limit_statements,
-            cut_from_servers=lambda: self._link_monitor.cut,
-            forwarding_address=lambda: self._forwarding_address,
+            facts=self._facts,
             check_server=lambda instance: self._server_witness.check(instance),
             events=events,
             rng=self._rng,
@@ -367,29 +366,42 @@
         while True:
             gevent.sleep(_HOUSEKEEPING_INTERVAL_S)
             self._cluster_state.expire_servers()
-            self._refresh_rate_limits()
+            self._exchange_server_facts()
             self._pool.close_idle()
             self._metrics.rotate()
 
-    def _rate_limit_statements(self):
-        limits = {}
+    def _facts(self):
+        """Return the NodeFacts that the region gets."""
+        rate_limits, statements = {}, []
         for balancer in self._balancers.values():
-            limits.update(balancer.rate_limit_statements)
-        return limits
+            rate_limits.update(balancer.rate_limit_statements)
+            statements += balancer.server_statements
+        return _roster.NodeFacts(
+            ready=self.ready,
+            cut_from_servers=self._link_monitor.cut,
+            forwarding_address=self._forwarding_address,
+            rate_limits=rate_limits,
+            statements=tuple(statements),
+        )
+
+    def _exchange_server_facts(self):
+        """Exchange what servers said of themselves with other nodes."""
+        self._apply_peer_facts(self._balancers.values())
+        facts = self._facts()
+        if facts != self._published_facts:
+            self._published_facts = facts
+            self._region_member.broadcast_state()
 
-    def _refresh_rate_limits(self):
-        """Exchange what servers said about their limits with other nodes."""
-        peer_limits = topology.merge_rate_limits(
+    def _apply_peer_facts(self, balancers):
+        """Apply to some Balancers what servers have said to other nodes."""
+        peers = [
             peer
             for peer in self._region_member.peers
             if peer.host != self._settings.host
-        )
-        for balancer in self._balancers.values():
-            balancer.refresh_rate_limits(peer_limits)
-        statements = self._rate_limit_statements()
-        if statements != self._published_rate_limits:
-            self._published_rate_limits = statements
-            self._region_member.broadcast_state()
+        ]
+        peer_limits = topology.merge_rate_limits(peers)
+        for balancer in balancers:
+            balancer.refresh_server_facts(peers=peers, peer_limits=peer_limits)
 
     def _store_caller_timeouts(self):
         """Write changed caller timeouts to the store at random intervals."""
@@ -447,6 +459,7 @@
             )
             self._balancers[service] = balancer
             self._reconfigure()
+            self._apply_peer_facts([balancer])
         return balancer
 
     @property
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -42,13 +42,7 @@
       feed: the adapter's interface to the store.
       cluster_state: ClusterState, which gets the store's records.
       is_ready: function that returns whether this node is ready for callers.
-      rate_limits: function that returns a dict from instance to the requests
-        per second that the backend server named to this node, None for a
-        limit that has ended.
-      cut_from_servers: function that returns whether this node is cut off
-        from all backend servers.
-      forwarding_address: function that returns where this node takes requests
-        from other nodes, "" if it takes none.
+      facts: function that returns this node's roster.NodeFacts.
       check_server: function from the instance of a backend server to the
         verdict of a ServerCheckResult.
       events: events.EventLog.
@@ -63,9 +57,7 @@
         feed,
         cluster_state,
         is_ready,
-        rate_limits,
-        cut_from_servers,
-        forwarding_address,
+        facts,
         check_server,
         events,
         rng,
@@ -75,9 +67,7 @@
         self._feed = feed
         self._cluster_state = cluster_state
         self._is_ready = is_ready
-        self._rate_limits = rate_limits
-        self._cut_from_servers = cut_from_servers
-        self._forwarding_address = forwarding_address
+        self._facts = facts
         self._check_server = check_server
         self._events = events
         self._rng = rng
@@ -435,13 +425,7 @@
         self._role = role
 
     def _own_state(self):
-        return _roster.own_state(
-            settings=self._settings,
-            ready=self._is_ready(),
-            rate_limits=self._rate_limits(),
-            cut_from_servers=self._cut_from_servers(),
-            forwarding_address=self._forwarding_address(),
-        )
+        return _roster.own_state(settings=self._settings, facts=self._facts())
 
     def _own_roster(self):
         return {self._settings.host: self._own_state()}
--- a/wigeonrouter/node/_roster.py
+++ b/wigeonrouter/node/_roster.py
@@ -5,10 +5,35 @@
 so only what changed is sent, and the whole roster only to a node that joins.
 """
 
+import dataclasses
+
+from wigeonrouter import core
 from wigeonrouter import topology
 from wigeonrouter.schema import node_pb2
 
 _MILLIHERTZ = 1000
+_MILLISECONDS = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NodeFacts:
+    """What a node tells the others of its region about itself.
+
+    Attributes:
+      ready: whether it accepts callers.
+      cut_from_servers: whether it is cut off from all backend servers.
+      forwarding_address: where it takes requests from other nodes, "" if it
+        takes none.
+      rate_limits: dict from instance to the requests per second that the
+        backend server named to it, None for a limit that has ended.
+      statements: iterable of the core.ServerStatements that it has heard.
+    """
+
+    ready: bool
+    cut_from_servers: bool
+    forwarding_address: str
+    rate_limits: dict
+    statements: tuple
 
 
 def find_change(before, after):
@@ -56,32 +81,28 @@
     return {state.host: state for state in message.nodes}
 
 
-def own_state(
-    *, settings, ready, rate_limits, cut_from_servers, forwarding_address
-):
+def own_state(*, settings, facts):
     """Return the NodeState of this node.
 
     Args:
       settings: topology.NodeSettings.
-      ready: whether the node accepts callers.
-      rate_limits: dict from instance to the requests per second that the
-        backend server named to this node, None for a limit that has ended.
-      cut_from_servers: whether the node is cut off from all backend servers.
-      forwarding_address: where it takes requests from other nodes, "" if it
-        takes none.
+      facts: NodeFacts.
     """
     return node_pb2.NodeState(
         host=settings.host,
         caller_address=str(settings.caller_address),
         failure_domain=settings.place.failure_domain,
-        ready=ready,
+        ready=facts.ready,
         capacity_millicores=settings.capacity,
         rate_limits=[
-            _encode_rate_limit(instance, rate_limits[instance])
-            for instance in sorted(rate_limits)
+            _encode_rate_limit(instance, facts.rate_limits[instance])
+            for instance in sorted(facts.rate_limits)
+        ],
+        cut_from_servers=facts.cut_from_servers,
+        forwarding_address=facts.forwarding_address,
+        statements=[
+            _encode_statement(statement) for statement in facts.statements
         ],
-        cut_from_servers=cut_from_servers,
-        forwarding_address=forwarding_address,
     )
 
 
@@ -100,6 +121,7 @@
                 limit.instance: _decode_rate_limit(limit)
                 for limit in state.rate_limits
             },
+            statements=tuple(map(_decode_statement, state.statements)),
         )
         for state in roster.values()
     )
@@ -115,3 +137,23 @@
 
 def _decode_rate_limit(limit):
     return None if limit.ended else limit.millihertz / _MILLIHERTZ
+
+
+def _encode_statement(statement):
+    return node_pb2.ServerStatement(
+        instance=statement.instance,
+        started_ms=statement.started_ms,
+        leaving=statement.leaving,
+        pause_ms=round(statement.pause * _MILLISECONDS),
+        number=statement.number,
+    )
+
+
+def _decode_statement(message):
+    return core.ServerStatement(
+        instance=message.instance,
+        started_ms=message.started_ms,
+        leaving=message.leaving,
+        pause=message.pause_ms / _MILLISECONDS,
+        number=message.number,
+    )
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -69,6 +69,15 @@
             self._clock(), is_sender=self._limit_share() > 0.0
         )
 
+    @property
+    def statements(self):
+        """Tuple of the core.ServerStatements that this node has heard."""
+        starts = {
+            _start(registration)
+            for registration in self._registrations.values()
+        }
+        return self._statements.export(starts, self._clock())
+
     @property
     def limited_count(self):
         """Number of servers with a rate limit that this node knows."""
@@ -215,6 +224,24 @@
             )
         self._apply_statement(registration)
 
+    def record_peer_statements(self, peers):
+        """Apply what servers of this service have said to other nodes.
+
+        Args:
+          peers: iterable of the other topology.Peers.
+        """
+        now = self._clock()
+        for peer in peers:
+            for statement in peer.statements:
+                registration = self._registrations.get(statement.instance)
+                if (
+                    registration is not None
+                    and registration.started_ms == statement.started_ms
+                    and self._statements.record_peer(peer.host, statement, now)
+                ):
+                    self._apply_statement(registration)
+        self._statements.retain_peers({peer.host for peer in peers})
+
     def record_rate_limit(self, instance, metadata, *, from_probe):
         """Apply what a response says about its server's limit.
 
--- a/wigeonrouter/placement/_statements.py
+++ b/wigeonrouter/placement/_statements.py
@@ -13,6 +13,8 @@
 
 import dataclasses
 
+from wigeonrouter import core
+
 # Statements of servers that are no longer registered are kept for this time.
 _RETENTION_S = 600.0
 _MAX_STATEMENTS = 4_096
@@ -27,11 +29,16 @@
       paused_until: time before which it wants no requests, seconds on the
         monotonic clock.
       heard_at: time of the last change, seconds on the monotonic clock.
+      number: rises with each change that this node has heard itself, of any
+        server; 0 if only other nodes have heard this one.
+      pause: seconds of the pause at that time, 0 for none.
     """
 
     leaving: bool = False
     paused_until: float = float("-inf")
     heard_at: float = float("-inf")
+    number: int = 0
+    pause: float = 0.0
 
 
 _NOTHING = Statement()
@@ -46,6 +53,10 @@
 
     def __init__(self):
         self._statements = {}
+        self._last_number = 0
+        # Dict from host of a peer and start of a server to the number of the
+        # last statement that was applied.
+        self._peer_numbers = {}
 
     def get(self, start):
         """Return the Statement of a start of a server."""
@@ -72,11 +83,77 @@
                 now + pause if pause else float("-inf"),
             ),
         )
+        if said == known:
+            return False
+        self._last_number += 1
+        heard = dataclasses.replace(
+            said,
+            number=self._last_number,
+            pause=max(0.0, said.paused_until - now),
+        )
+        self._put(start, heard, now)
+        return True
+
+    def export(self, starts, now):
+        """Return the core.ServerStatements that hold, for other nodes.
+
+        Args:
+          starts: starts of the servers that exist.
+          now: seconds on the monotonic clock.
+        """
+        return tuple(
+            core.ServerStatement(
+                instance=start[0],
+                started_ms=start[1],
+                leaving=known.leaving,
+                pause=known.pause,
+                number=known.number,
+            )
+            for start, known in self._statements.items()
+            if known.number
+            and start in starts
+            and (known.leaving or known.paused_until > now)
+        )
+
+    def record_peer(self, host, statement, now):
+        """Record what another node has heard; it is not passed on.
+
+        A pause counts from the time at which this node is told for the first
+        time.
+
+        Args:
+          host: host of the node.
+          statement: core.ServerStatement.
+          now: seconds on the monotonic clock.
+        Returns:
+          Whether this is news.
+        """
+        start = (statement.instance, statement.started_ms)
+        if self._peer_numbers.get((host, start)) == statement.number:
+            return False
+        self._peer_numbers[host, start] = statement.number
+        known = self.get(start)
+        said = dataclasses.replace(
+            known,
+            leaving=known.leaving or statement.leaving,
+            paused_until=max(
+                known.paused_until,
+                now + statement.pause if statement.pause else float("-inf"),
+            ),
+        )
         if said == known:
             return False
         self._put(start, said, now)
         return True
 
+    def retain_peers(self, hosts):
+        """Forget what was applied of nodes that are gone."""
+        self._peer_numbers = {
+            key: number
+            for key, number in self._peer_numbers.items()
+            if key[0] in hosts
+        }
+
     def _put(self, start, statement, now):
         self._statements.pop(start, None)
         self._statements[start] = dataclasses.replace(statement, heard_at=now)
--- a/wigeonrouter/placement/_statements_test.py
+++ b/wigeonrouter/placement/_statements_test.py
@@ -87,3 +87,25 @@
         utilization=0.0,
     )
     assert pick.view is None
+
+
+def test_other_node_is_told_what_a_server_has_said(statements, now):
+    """Guards against statements that go round between nodes."""
+    statements.record(_START, leaving=False, pause=3.0, now=now)
+    (exported,) = statements.export({_START}, now + 1)
+    other = placement.ServerStatements()
+    assert other.record_peer("node-1", exported, now + 0.2)
+    assert other.get(_START).paused_until == now + 3.2
+    # The same statement, in later states of the node.
+    assert not other.record_peer("node-1", exported, now + 1)
+    assert not other.export({_START}, now + 1)
+
+
+def test_only_statements_that_hold_are_exported(statements, now):
+    """Guards against states of nodes that grow with each pause."""
+    statements.record(_START, leaving=False, pause=3.0, now=now)
+    statements.record(("i-2", 1), leaving=True, pause=None, now=now)
+    assert not statements.export({_START}, now + 3.1)
+    assert not statements.export(set(), now)
+    (exported,) = statements.export({_START, ("i-2", 1)}, now + 3.1)
+    assert exported.instance == "i-2" and exported.leaving
--- a/wigeonrouter/platform/_server_statements_test.py
+++ b/wigeonrouter/platform/_server_statements_test.py
@@ -12,6 +12,8 @@
 # Requests in flight may still reach a server for this time.
 _IN_FLIGHT_S = 0.3
 _PAUSE_S = 1.5
+# Nodes exchange what servers have said several times a second.
+_REGION_TOLD_S = 1.0
 _AMPLE_SLOTS = 8
 
 
@@ -166,7 +168,9 @@
 
     One node learns of both servers, and the other nodes send them nothing.
     """
-    leaving, resting, *_ = _region_servers(backend, region)
+    leaving, resting, *slower = _region_servers(backend, region)
+    for server in slower:
+        server.slowdown = 4.0
     first, *others = conftest.callers_of(region)
     leaving.leaving = True
     resting.fault, resting.pause = "shed", 6
@@ -177,8 +181,8 @@
             and region[0].counts["server-asks-for-pause"]
         )
     )
-    since = time.monotonic() + _IN_FLIGHT_S
-    gevent.sleep(_IN_FLIGHT_S)
+    gevent.sleep(_REGION_TOLD_S)
+    since = time.monotonic()
     for caller in others:
         responses = _send(caller)
         assert {response.status for response in responses} == {200}
--- a/wigeonrouter/topology/_region.py
+++ b/wigeonrouter/topology/_region.py
@@ -53,6 +53,7 @@
       rate_limits: dict from instance to the requests per second to which
         that backend server limits all nodes, as it told this peer; None for
         a limit that has ended.
+      statements: core.ServerStatements that hold, as this peer heard them.
     """
 
     host: str
@@ -65,6 +66,7 @@
     rate_limits: dict[str, float | None] = dataclasses.field(
         default_factory=dict
     )
+    statements: tuple[core.ServerStatement, ...] = ()
 
 
 class HubAction(enum.Enum):
