--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -226,6 +226,13 @@
             retry_after=placement.retry_after(
                 wait=_NO_SERVER_RETRY_S, rng=self._rng
             ),
+            detail=self._describe_exclusions(),
+        )
+
+    def _describe_exclusions(self):
+        counts = self._server_pool.views.exclusion_counts
+        return ", ".join(
+            f"{count} {reason.value}" for reason, count in counts.items()
         )
 
     def _reject_overload(self, request, wait, service_time, now):
@@ -237,6 +244,7 @@
                 f" {service_time * 1000:.0f} ms, time to deadline"
                 f" {(request.deadline - now) * 1000:.0f} ms, time to target"
                 f" {(request.target_time - now) * 1000:.0f} ms,"
-                f" {len(self._queue)} queued"
+                f" {len(self._queue)} queued, excluded servers:"
+                f" {self._describe_exclusions() or 'none'}"
             ),
         )
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -83,6 +83,16 @@
         """Tuple of the core.ServerStatements that this node has heard."""
         return self._server_pool.views.statements
 
+    @property
+    def excluded_servers(self):
+        """Dict from the reason why servers get no request to their number."""
+        return {
+            reason.value: count
+            for reason, count in (
+                self._server_pool.views.exclusion_counts.items()
+            )
+        }
+
     @property
     def limited_servers(self):
         """Number of servers that name a rate limit, as far as is known."""
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -354,6 +354,7 @@
                     queue_length=balancer.queue_length,
                     in_flight=balancer.in_flight,
                     limited_servers=balancer.limited_servers,
+                    excluded_servers=balancer.excluded_servers,
                 )
                 for name, balancer in sorted(self._balancers.items())
             ),
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -1,5 +1,6 @@
 """The backend servers of one service that a node may use, and their limits."""
 
+import collections
 import dataclasses
 import time
 
@@ -78,6 +79,16 @@
         }
         return self._statements.export(starts, self._clock())
 
+    @property
+    def exclusion_counts(self):
+        """Dict from placement.Exclusion to the number of such servers."""
+        now = self._clock()
+        reasons = collections.Counter(
+            placement.find_exclusion(view, now) for view in self.all
+        )
+        del reasons[None]
+        return dict(reasons)
+
     @property
     def limited_count(self):
         """Number of servers with a rate limit that this node knows."""
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -20,12 +20,15 @@
       queue_length: requests that wait for a slot.
       in_flight: requests at backend servers.
       limited_servers: backend servers that name a rate limit.
+      excluded_servers: dict from the reason why backend servers get no request
+        at present to their number.
     """
 
     service: str
     queue_length: int
     in_flight: int
     limited_servers: int = 0
+    excluded_servers: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -133,6 +136,15 @@
         for gauges in services:
             family.add_metric((gauges.service,), value_of(gauges))
         yield family
+    excluded = prometheus_core.GaugeMetricFamily(
+        "wigeonrouter_excluded_servers",
+        "Backend servers that get no request at present",
+        labels=("service", "reason"),
+    )
+    for gauges in services:
+        for reason, count in sorted(gauges.excluded_servers.items()):
+            excluded.add_metric((gauges.service, reason), count)
+    yield excluded
 
 
 def _collect_events(gauges):
--- a/wigeonrouter/platform/_server_statements_test.py
+++ b/wigeonrouter/platform/_server_statements_test.py
@@ -137,6 +137,9 @@
     _send(caller, count=3)
     responses = _send(caller)
     assert {response.status for response in responses} == {503}
+    address = node.settings.control_address
+    metrics = conftest.Caller(address=address).send("/metrics").body.decode()
+    assert 'excluded_servers{reason="paused",service="alpha"} 2.0' in metrics
     assert max(response.seconds for response in responses) < 0.2
     delays = {response.headers["retry-after"] for response in responses}
     assert len(delays) > len(responses) / 2
