--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -1,6 +1,5 @@
 """Connects the components of a node and manages their life cycle."""
 
-import collections
 import math
 import os
 import random
@@ -11,10 +10,9 @@
 from wigeonrouter import core
 from wigeonrouter import http1
 from wigeonrouter import observability
-from wigeonrouter import placement
 from wigeonrouter import store
 from wigeonrouter import topology
-from wigeonrouter.node import _balancer
+from wigeonrouter.node import _balancer_registry
 from wigeonrouter.node import _cluster_state
 from wigeonrouter.node import _crash_monitor
 from wigeonrouter.node import _directory_handler
@@ -27,7 +25,6 @@
 from wigeonrouter.node import _request_log
 from wigeonrouter.node import _roster
 from wigeonrouter.node import _sender
-from wigeonrouter.node import _server_pool
 from wigeonrouter.node import _server_witness
 
 _HOUSEKEEPING_INTERVAL_S = 0.25
@@ -60,9 +57,6 @@
 _BUFFER_MEMORY_SHARE = 0.125
 # Nodes of a region that serve the callers of one service (its homes).
 _HOMES_PER_SERVICE = 1
-# Share of the retry budget that nodes use. The rest is a margin, because the
-# deployment may count requests at the edges of a window differently.
-_RETRY_BUDGET_SHARE = 0.9
 
 
 class Node:
@@ -88,7 +82,6 @@
         self._buffer_budget = http1.BufferBudget(limit=_buffer_limit(settings))
         self._pool = http1.ConnectionPool(max_idle=_MAX_BACKEND_IDLE_S)
         self._prober = _prober.Prober(pool=self._pool, codec=codec)
-        self._balancers = {}
         self._addresses = {}
         self._published_facts = None
         self._metrics = observability.Metrics()
@@ -115,6 +108,17 @@
             events=events,
             rng=self._rng,
         )
+        self._balancers = _balancer_registry.BalancerRegistry(
+            settings=settings,
+            cluster_state=self._cluster_state,
+            prober=self._prober,
+            link_monitor=self._link_monitor,
+            peers=lambda: self._region_member.peers,
+            limit_share=self._region_member.limit_share,
+            stop_deadline=lambda: self._stop_deadline,
+            events=events,
+            rng=self._rng,
+        )
         self._server_witness = _server_witness.ServerWitness(
             settings=settings,
             link_monitor=self._link_monitor,
@@ -138,7 +142,7 @@
         )
         self._proxy = _proxy.Proxy(
             cluster_state=self._cluster_state,
-            balancer_for=self._balancer_for,
+            balancer_for=self._balancers.get,
             sender=self._sender,
             crash_monitor=self._crash_monitor,
             forwarder=_forwarder.Forwarder(
@@ -277,8 +281,7 @@
         for request_server in self._request_servers:
             request_server.drain()
         self._region_member.leave()
-        for balancer in self._balancers.values():
-            balancer.recheck_queue()
+        self._balancers.recheck_queues()
         while time.monotonic() - started < grace * _ACCEPT_GRACE_SHARE:
             gevent.sleep(_STOP_POLL_INTERVAL_S)
         gevent.joinall(
@@ -310,11 +313,7 @@
         self._region_member.reload(plan.settings)
         self._feed.reload(plan.settings.regions)
         self._buffer_budget.configure(limit=_buffer_limit(plan.settings))
-        for balancer in self._balancers.values():
-            balancer.budget.configure(
-                ratio=self._budget_ratio(),
-                window=plan.settings.bounds.retry_window,
-            )
+        self._balancers.reload(plan.settings)
         self._events.notice(
             "settings-reloaded",
             changed=plan.changed,
@@ -334,9 +333,6 @@
                 )
             gevent.sleep(_HOUSEKEEPING_INTERVAL_S)
 
-    def _budget_ratio(self):
-        return self._settings.bounds.retry_ratio * _RETRY_BUDGET_SHARE
-
     def _read_gauges(self):
         ready = sum(peer.ready for peer in self._region_member.peers)
         return observability.Gauges(
@@ -348,16 +344,7 @@
                 "ready": ready,
                 "not ready": len(self._region_member.peers) - ready,
             },
-            services=tuple(
-                observability.ServiceGauges(
-                    service=name,
-                    queue_length=balancer.queue_length,
-                    in_flight=balancer.in_flight,
-                    limited_servers=balancer.limited_servers,
-                    excluded_servers=balancer.excluded_servers,
-                )
-                for name, balancer in sorted(self._balancers.items())
-            ),
+            services=self._balancers.gauges,
             unanswered_requests=self._requests_in_progress,
             events=dict(self._events.counts),
             dropped=self._events.total_dropped,
@@ -373,37 +360,22 @@
 
     def _facts(self):
         """Return the NodeFacts that the region gets."""
-        rate_limits, statements = {}, []
-        for balancer in self._balancers.values():
-            rate_limits.update(balancer.rate_limit_statements)
-            statements += balancer.server_statements
         return _roster.NodeFacts(
             ready=self.ready,
             cut_from_servers=self._link_monitor.cut,
             forwarding_address=self._forwarding_address,
-            rate_limits=rate_limits,
-            statements=tuple(statements),
+            rate_limits=self._balancers.rate_limits,
+            statements=self._balancers.server_statements,
         )
 
     def _exchange_server_facts(self):
         """Exchange what servers said of themselves with other nodes."""
-        self._apply_peer_facts(self._balancers.values())
+        self._balancers.refresh_server_facts()
         facts = self._facts()
         if facts != self._published_facts:
             self._published_facts = facts
             self._region_member.broadcast_state()
 
-    def _apply_peer_facts(self, balancers):
-        """Apply to some Balancers what servers have said to other nodes."""
-        peers = [
-            peer
-            for peer in self._region_member.peers
-            if peer.host != self._settings.host
-        ]
-        peer_limits = topology.merge_rate_limits(peers)
-        for balancer in balancers:
-            balancer.refresh_server_facts(peers=peers, peer_limits=peer_limits)
-
     def _store_caller_timeouts(self):
         """Write changed caller timeouts to the store at random intervals."""
         while True:
@@ -437,32 +409,6 @@
             return tuple(home_node.caller_address for home_node in home_nodes)
         return (self._settings.caller_address,) if self.ready else ()
 
-    def _balancer_for(self, service):
-        balancer = self._balancers.get(service)
-        if balancer is None:
-            balancer = _balancer.Balancer(
-                server_pool=_server_pool.ServerPool(
-                    place=self._settings.place,
-                    prober=self._prober,
-                    link_monitor=self._link_monitor,
-                    events=self._events,
-                    rng=self._rng,
-                    limit_share=lambda: self._region_member.limit_share(
-                        service
-                    ),
-                ),
-                budget=placement.RetryBudget(
-                    ratio=self._budget_ratio(),
-                    window=self._settings.bounds.retry_window,
-                ),
-                rng=self._rng,
-                stop_deadline=lambda: self._stop_deadline,
-            )
-            self._balancers[service] = balancer
-            self._reconfigure()
-            self._apply_peer_facts([balancer])
-        return balancer
-
     @property
     def _requests_in_progress(self):
         return sum(
@@ -491,8 +437,7 @@
         self._region_member.broadcast_state()
         if self._link_monitor.hanging:
             self._sender.abort_repeatable()
-        for balancer in self._balancers.values():
-            balancer.on_links_changed(cut=self._link_monitor.cut)
+        self._balancers.on_links_changed(cut=self._link_monitor.cut)
 
     def _reconfigure(self):
         configuration = self._cluster_state.configuration
@@ -501,16 +446,8 @@
         if not self._was_ready:
             self._was_ready = True
             self._region_member.broadcast_state()
+        self._balancers.configure()
         known = self._cluster_state.directory.known
-        by_service = collections.defaultdict(list)
-        for record in known.values():
-            by_service[record.registration.service].append(record)
-        for name, balancer in self._balancers.items():
-            service = configuration.services.get(name)
-            balancer.configure(
-                health_path=service.health_path if service else "/",
-                registered=by_service.get(name, ()),
-            )
         addresses = {
             instance: record.registration.address
             for instance, record in known.items()
