--- a/wigeonrouter/node/_link_monitor.py
+++ b/wigeonrouter/node/_link_monitor.py
@@ -29,8 +29,8 @@
 
     Args:
       pool: http1.ConnectionPool.
-      registrations: function that returns a list of the known servers'
-        topology.Registrations.
+      known: function that returns a dict from the instance of each known
+        server to its topology.KnownServer.
       on_change: called without arguments when `cut` has changed.
       events: events.EventLog.
     """
@@ -39,14 +39,14 @@
         self,
         *,
         pool,
-        registrations,
+        known,
         on_change,
         events,
         rng,
         clock=time.monotonic,
     ):
         self._pool = pool
-        self._registrations = registrations
+        self._known = known
         self._on_change = on_change
         self._events = events
         self._rng = rng
@@ -69,7 +69,7 @@
     @property
     def suspected(self):
         """Whether this node may be cut off from all servers."""
-        return self._links.is_suspected(len(self._registrations()))
+        return self._links.is_suspected(len(self._known()))
 
     def on_response(self):
         """Record that a server has responded."""
@@ -97,9 +97,7 @@
         True if no other server is known.
         """
         others = [
-            registration
-            for registration in self._registrations()
-            if registration.instance not in instances
+            instance for instance in self._known() if instance not in instances
         ]
         if not others:
             return True
@@ -108,7 +106,7 @@
 
     def _check(self):
         result = self._connect_to_some(
-            self._registrations(),
+            list(self._known()),
             count=_CHECKED_SERVERS,
             enough=_CHECKED_SERVERS if self.cut else 1,
         )
@@ -136,28 +134,27 @@
             )
         self._on_change()
 
-    def _connect_to_some(self, registrations, *, count, enough):
+    def _connect_to_some(self, instances, *, count, enough):
         """Try new connections to some servers.
 
         Args:
-          registrations: list of topology.Registrations.
+          instances: list of the servers to choose from.
           count: largest number of servers to try.
           enough: number of accepted connections after which to return.
         Returns:
           Pair of the numbers of servers that accepted one and that were
           tried, None if no server is known or this node was held up.
         """
-        chosen = self._rng.sample(
-            registrations, min(len(registrations), count)
-        )
+        known = self._known()
+        chosen = self._rng.sample(instances, min(len(instances), count))
         if not chosen:
             gevent.sleep(_CHECK_INTERVAL_S)
             return None
         started = self._clock()
         self._refused = False
         tasks = [
-            gevent.spawn(self._accepts, registration.address)
-            for registration in chosen
+            gevent.spawn(self._accepts, known[instance].registration.address)
+            for instance in chosen
         ]
         accepted = 0
         for task in gevent.iwait(tasks):
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -100,10 +100,7 @@
         )
         self._link_monitor = _link_monitor.LinkMonitor(
             pool=self._pool,
-            registrations=lambda: [
-                known.registration
-                for known in self._cluster_state.directory.known.values()
-            ],
+            known=lambda: self._cluster_state.directory.known,
             on_change=self._on_links_changed,
             events=events,
             rng=self._rng,
