--- a/wigeonrouter/placement/_statements.py
+++ b/wigeonrouter/placement/_statements.py
@@ -77,18 +77,8 @@
         Returns:
           Whether this is news.
         """
-        if not (leaving or pause):
-            return False
-        known = self.get(start)
-        said = dataclasses.replace(
-            known,
-            leaving=known.leaving or leaving,
-            paused_until=max(
-                known.paused_until,
-                now + pause if pause else float("-inf"),
-            ),
-        )
-        if said == known:
+        said = self._merge(start, leaving=leaving, pause=pause, now=now)
+        if said is None:
             return False
         self._last_number += 1
         heard = dataclasses.replace(
@@ -137,16 +127,10 @@
         if self._peer_numbers.get((host, start)) == statement.number:
             return False
         self._peer_numbers[host, start] = statement.number
-        known = self.get(start)
-        said = dataclasses.replace(
-            known,
-            leaving=known.leaving or statement.leaving,
-            paused_until=max(
-                known.paused_until,
-                now + statement.pause if statement.pause else float("-inf"),
-            ),
+        said = self._merge(
+            start, leaving=statement.leaving, pause=statement.pause, now=now
         )
-        if said == known:
+        if said is None:
             return False
         self._put(start, said, now)
         return True
@@ -161,6 +145,21 @@
             if key[0] in hosts
         }
 
+    def _merge(self, start, *, leaving, pause, now):
+        """Return the Statement with what was heard now, None if no news."""
+        if not (leaving or pause):
+            return None
+        known = self.get(start)
+        said = dataclasses.replace(
+            known,
+            leaving=known.leaving or leaving,
+            paused_until=max(
+                known.paused_until,
+                now + pause if pause else float("-inf"),
+            ),
+        )
+        return None if said == known else said
+
     def _put(self, start, statement, now):
         self._statements.pop(start, None)
         self._statements[start] = dataclasses.replace(statement, heard_at=now)
--- a/wigeonrouter/topology/_region_test.py
+++ b/wigeonrouter/topology/_region_test.py
@@ -172,42 +172,28 @@
         assert merged == {"a": None, "b": 1.0}
 
 
-def _node(host, **changes):
-    return topology.Peer(
-        **{
-            "host": host,
-            "caller_address": f"{host}:80",
-            "failure_domain": "za",
-            "ready": True,
-            "capacity": 1000,
-            "forwarding_address": f"{host}:81",
-        }
-        | changes
-    )
-
-
 def _hosts(peers):
     return {peer.host for peer in peers}
 
 
 def test_home_is_no_node_without_servers():
     """Guards against callers that are sent to a node which is cut off."""
-    peers = [_node("a", reaches_servers=False), _node("b")]
+    peers = [peer("a", reaches_servers=False), peer("b")]
     for service in ("one", "two", "three", "four"):
         homes = topology.home_nodes(service=service, peers=peers, count=2)
         assert _hosts(homes) == {"b"}
-    all_cut = [_node("a", reaches_servers=False)]
+    all_cut = [peer("a", reaches_servers=False)]
     assert topology.home_nodes(service="one", peers=all_cut, count=1)
 
 
 def test_requests_are_passed_on_to_nodes_that_take_them():
     """Guards against requests that go to a node which cannot serve them."""
     peers = [
-        _node("own"),
-        _node("able"),
-        _node("cut", reaches_servers=False),
-        _node("old", forwarding_address=""),
-        _node("stopping", ready=False),
+        peer("own"),
+        peer("able"),
+        peer("cut", reaches_servers=False),
+        peer("old", forwarding_address=""),
+        peer("stopping", ready=False),
     ]
     chosen = topology.forwarding_peers(
         service="one", peers=peers, own_host="own", count=3
@@ -217,7 +203,7 @@
 
 def test_home_is_asked_first():
     """Guards against queues at several nodes while some are cut off."""
-    peers = [_node(host) for host in ("a", "b", "c", "own")]
+    peers = [peer(host) for host in ("a", "b", "c", "own")]
     for service in ("one", "two", "three", "four"):
         (home,) = topology.home_nodes(service=service, peers=peers, count=1)
         first, *_ = topology.forwarding_peers(
--- a/wigeonrouter/topology/conftest.py
+++ b/wigeonrouter/topology/conftest.py
@@ -3,12 +3,16 @@
 from wigeonrouter import topology
 
 
-def peer(host, *, ready=True, capacity=1000):
-    """Return a topology.Peer."""
+def peer(host, **changes):
+    """Return a topology.Peer that is ready and takes requests of others."""
     return topology.Peer(
-        host=host,
-        caller_address=f"{host}:80",
-        failure_domain="za",
-        ready=ready,
-        capacity=capacity,
+        **{
+            "host": host,
+            "caller_address": f"{host}:80",
+            "failure_domain": "za",
+            "ready": True,
+            "capacity": 1000,
+            "forwarding_address": f"{host}:81",
+        }
+        | changes
     )
