Let servers ask for pauses in the soak test

Pauses are drawn apart from the plan, so a seed keeps its plan. From half a second after its first rejection on, an undisturbed node sends such a server two requests at most until the pause is over.

--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -76,6 +76,7 @@
       ended: dict from ID to the end of its execution, monotonic seconds.
       leaving: whether all of its responses say that it is about to end.
       pause: text of the Retry-After in its rejections, None for none.
+      resting: whether it rejects all requests.
       crash_target: the server ends when it runs a request with this target;
         None for no such target.
       on_crash: called with the server after it has ended so.
@@ -94,6 +95,7 @@
         self.names_limit_in_probes = True
         self.leaving = False
         self.pause = None
+        self.resting = False
         self.crash_target = None
         self.on_crash = lambda server: None
         self.fault = ""
@@ -138,7 +140,11 @@
         expected = request.header(b"expect-instance").decode()
         if expected not in ("", self.instance):
             return self._respond_with_load(request, 421, b"")
-        if self._running >= self._slots or self.fault == "shed":
+        if (
+            self._running >= self._slots
+            or self.resting
+            or self.fault == "shed"
+        ):
             self.rejected_count += 1
             return self._respond_with_load(
                 request,
--- a/wigeonrouter/soak/_checks_test.py
+++ b/wigeonrouter/soak/_checks_test.py
@@ -301,3 +301,29 @@
         observations
     )
     assert violated != allowed
+
+
+@pytest.mark.parametrize(
+    ("times", "violated"),
+    [
+        # The first requests may be on their way already.
+        ([10.0, 10.1, 10.2, 10.3, 10.4], False),
+        ([10.0, 11.0, 11.5], False),
+        ([10.0, 11.0, 11.2, 11.5], True),
+        # After the pause the server is tried again.
+        ([10.0, 12.1, 12.2, 12.3, 12.4], False),
+    ],
+)
+def test_requests_in_a_pause_are_detected(times, violated):
+    """Guards against a node that does not do what a server asks for."""
+    observations = _records.Observations()
+    observations.requests = [
+        make_request(request_id=f"r{number}") for number in range(len(times))
+    ]
+    observations.arrivals = [
+        make_arrival(at, f"r{number}") for number, at in enumerate(times)
+    ]
+    observations.pause_periods = [
+        _records.PausePeriod(instance="i-1", pause=2.0, began=9.0, ended=15.0)
+    ]
+    assert ("pause" in violated_invariants(observations)) == violated
--- a/wigeonrouter/soak/_load_checks.py
+++ b/wigeonrouter/soak/_load_checks.py
@@ -15,6 +15,10 @@
 LIMIT_FACTOR = 1.5
 LIMIT_WINDOW_S = 4.0
 LIMIT_SLACK_COUNT = 5
+# From this time after its first rejection on, a node sends a server that asked
+# for a pause at most this number of requests until the pause is over.
+PAUSE_REACTION_S = 0.5
+PAUSE_SLACK_COUNT = 2
 
 
 @_check_registry.check
@@ -92,3 +96,31 @@
                     "named limit", f"{period}: {count} at {end}"
                 )
                 break
+
+
+@_check_registry.check
+def pauses_are_kept(observations):
+    """A node sends nearly nothing to a server that asked it for a pause."""
+    nodes = {r.request_id: r.node for r in observations.requests}
+    by_sender = collections.defaultdict(list)
+    for arrival in sorted(observations.arrivals, key=lambda a: a.at):
+        node = nodes.get(arrival.request_id)
+        by_sender[arrival.instance, node].append(arrival.at)
+    for period in observations.pause_periods:
+        for (instance, node), times in by_sender.items():
+            rejected = [at for at in times if period.began < at < period.ended]
+            if instance != period.instance or not rejected:
+                continue
+            end = min(rejected[0] + period.pause, period.ended)
+            count = sum(
+                rejected[0] + PAUSE_REACTION_S < at < end for at in rejected
+            )
+            if count > PAUSE_SLACK_COUNT and all(
+                _check_registry.was_undisturbed(
+                    observations, name, rejected[0], end
+                )
+                for name in (node, instance)
+            ):
+                yield _check_registry.violation(
+                    "pause", f"{period}: {count} from {node}"
+                )
--- a/wigeonrouter/soak/_records.py
+++ b/wigeonrouter/soak/_records.py
@@ -81,6 +81,21 @@
     ended: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PausePeriod:
+    """A period in which a backend server rejected all requests.
+
+    Attributes:
+      instance: instance id of the backend server.
+      pause: pause that each rejection asked for, seconds.
+    """
+
+    instance: str
+    pause: float
+    began: float
+    ended: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Drain:
     """The drain of a backend server.
@@ -183,6 +198,7 @@
     arrivals: list = dataclasses.field(default_factory=list)
     execution_ended_at: dict = dataclasses.field(default_factory=dict)
     limit_periods: list = dataclasses.field(default_factory=list)
+    pause_periods: list = dataclasses.field(default_factory=list)
     drains: list = dataclasses.field(default_factory=list)
     probes: list = dataclasses.field(default_factory=list)
     exits: list = dataclasses.field(default_factory=list)
--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -14,6 +14,7 @@
 from wigeonrouter.soak import _faults
 from wigeonrouter.soak import _fleet
 from wigeonrouter.soak import _limits
+from wigeonrouter.soak import _pauses
 from wigeonrouter.soak import _records
 from wigeonrouter.soak import _restores
 from wigeonrouter.soak import checks
@@ -117,13 +118,23 @@
         tasks.append(gevent.spawn(environment.probe_configuration))
         limits_rng = random.Random(f"limits {seed}")
         with (
-            _naming_limits(environment, limits_rng, _limits.SHARES),
+            _in_background(
+                _limits.name_limits, environment, limits_rng, _limits.SHARES
+            ),
+            _in_background(
+                _pauses.request_pauses,
+                environment,
+                random.Random(f"pauses {seed}"),
+            ),
             _restoring_store(environment, seed, size),
         ):
             _inject_faults(environment, make_plan(seed, size))
         observations.faults_over_at = time.monotonic()
-        with _naming_limits(
-            environment, limits_rng, _limits.SHARES_IN_RECOVERY
+        with _in_background(
+            _limits.name_limits,
+            environment,
+            limits_rng,
+            _limits.SHARES_IN_RECOVERY,
         ):
             gevent.sleep(_RECOVERY_OBSERVATION_S)
     finally:
@@ -141,9 +152,9 @@
 
 
 @contextlib.contextmanager
-def _naming_limits(environment, rng, shares):
-    """Let servers name rate limits in the body of the with statement."""
-    task = gevent.spawn(_limits.name_limits, environment, rng, shares)
+def _in_background(function, *arguments):
+    """Call a function that does not end in the body of a with statement."""
+    task = gevent.spawn(function, *arguments)
     try:
         yield
     finally:
