Start the test's processes with the default action for SIGHUP

The test means a process that handles nothing, so it sets the default first; the case of an ignored signal has a test of its own. It failed with nohup before and passes with and without it now.

--- a/wigeonrouter/soak/_processes_test.py
+++ b/wigeonrouter/soak/_processes_test.py
@@ -19,7 +19,10 @@
             [
                 sys.executable,
                 "-c",
-                f"import signal, sys\n{prelude}\n"
+                "import signal, sys\n"
+                # The tests may have been started with the signal ignored.
+                "signal.signal(signal.SIGHUP, signal.SIG_DFL)\n"
+                f"{prelude}\n"
                 "print('ready', flush=True)\nsys.stdin.read()",
             ],
             stdin=subprocess.PIPE,
