--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -9,24 +9,21 @@
 
 import gevent
 from gevent import event
-from gevent import server as gevent_server
 
 from wigeonrouter import store
 from wigeonrouter import topology
-from wigeonrouter.node import _channel
 from wigeonrouter.node import _follower
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _hub_search
 from wigeonrouter.node import _peer_requests
+from wigeonrouter.node import _peer_server
 from wigeonrouter.node import _registrar
 from wigeonrouter.node import _roster
 from wigeonrouter.node import _store_cache
 from wigeonrouter.node import _store_loader
 from wigeonrouter.node import _store_memory
 from wigeonrouter.node import _store_reader
-from wigeonrouter.schema import node_pb2
 
-_FIRST_MESSAGE_TIMEOUT_S = 1.0
 _HUB_WAIT_S = 0.1
 # After this number of waits for a better candidate that does not become the
 # hub, this node becomes the hub itself.
@@ -68,7 +65,6 @@
         self._cluster_state = cluster_state
         self._is_ready = is_ready
         self._facts = facts
-        self._check_server = check_server
         self._events = events
         self._rng = rng
         self._clock = clock or time.monotonic
@@ -112,8 +108,13 @@
             events=events,
             rng=rng,
         )
-        self._server = gevent_server.StreamServer(
-            (settings.host, settings.peer_ports[0]), self._serve
+        self._server = _peer_server.PeerServer(
+            settings=settings,
+            store_cache=self._store_cache,
+            role=lambda: self._role,
+            hub=lambda: self._hub,
+            check_server=check_server,
+            on_role_announced=self._on_hub_announced,
         )
 
     @property
@@ -177,7 +178,7 @@
 
     def kill(self):
         """Stop accepting other nodes and close the store client."""
-        self._server.stop(timeout=0)
+        self._server.kill()
         self._feed.close()
 
     def keep_registered(self):
@@ -374,46 +375,6 @@
         self._reaches_store = True
         return True
 
-    def _serve(self, sock, _):
-        channel = _channel.Channel(sock=sock)
-        try:
-            message = channel.receive(timeout=_FIRST_MESSAGE_TIMEOUT_S)
-            kind = message.WhichOneof("body")
-            if kind == "role":
-                self._on_hub_announced(
-                    _peer_requests.decode_role(message.role)
-                )
-            elif kind == "server_check":
-                verdict = self._check_server(message.server_check.instance)
-                channel.send(
-                    node_pb2.PeerMessage(
-                        server_check_result=node_pb2.ServerCheckResult(
-                            verdict=verdict
-                        )
-                    ),
-                    timeout=_peer_requests.REQUEST_TIMEOUT_S,
-                )
-            elif kind == "join" and self._hub is not None:
-                self._hub.serve(channel, message.join)
-            elif kind == "fetch" and self._store_cache.filled:
-                channel.send(
-                    node_pb2.PeerMessage(
-                        update=self._store_cache.update_since(
-                            _store_cache.read_position(message.fetch)
-                        )
-                    ),
-                    timeout=_peer_requests.REQUEST_TIMEOUT_S,
-                )
-            else:
-                channel.send(
-                    _peer_requests.encode_role(self._role),
-                    timeout=_peer_requests.REQUEST_TIMEOUT_S,
-                )
-        except _channel.ChannelClosed:
-            pass
-        finally:
-            channel.close()
-
     def _set_role(self, kind, hub, store_reachable):
         if self._leaving:
             kind, hub = topology.RoleKind.UNDECIDED, ""
