Show how old a node's copy of the store may be

A node that handled requests by an old configuration logged nothing, and the hub's heartbeat did not say which revision it vouches for, nor since when. Heartbeats have both now, and one follows each read that succeeds. No node decides anything by it yet.

--- a/wigeonrouter/node/_follower.py
+++ b/wigeonrouter/node/_follower.py
@@ -18,6 +18,7 @@
 from wigeonrouter.schema import node_pb2
 
 _STORE_CHECK_INTERVAL_S = 1.0
+_MILLISECONDS = 1000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -29,6 +30,8 @@
       roster: returns the roster of this node, a dict from host to NodeState.
       on_roster: called with each new roster.
       on_heartbeat: called with whether the store responds to the hub.
+      on_confirmed: called with a time in seconds, before which this node's
+        copy of the store was current.
       on_successor: called with the host of the hub to follow next, "" if the
         hub that stops knows none.
       on_store_lost: called when this node leaves the hub because it does not
@@ -41,6 +44,7 @@
     roster: typing.Callable
     on_roster: typing.Callable
     on_heartbeat: typing.Callable
+    on_confirmed: typing.Callable
     on_successor: typing.Callable
     on_store_lost: typing.Callable
     has_better_hub: typing.Callable
@@ -147,6 +151,7 @@
                     self._callbacks.on_successor(message.pulse.successor)
                     return "stops"
                 self._callbacks.on_heartbeat(message.pulse.store_answers)
+                self._take_proof(message.pulse)
                 now = self._clock()
                 if (
                     not message.pulse.store_answers
@@ -157,6 +162,18 @@
                         self._callbacks.on_store_lost()
                         return "does not reach the store"
 
+    def _take_proof(self, pulse):
+        """Record how old the hub's copy is, if this node has all of it."""
+        if not pulse.HasField("proof"):
+            # A hub of an earlier build.
+            if pulse.store_answers:
+                self._callbacks.on_confirmed(0.0)
+            return
+        proof = pulse.proof
+        position = _store_cache.read_position(proof)
+        if proof.HasField("age_ms") and position <= self._store_cache.position:
+            self._callbacks.on_confirmed(proof.age_ms / _MILLISECONDS)
+
     def _send_states(self, channel):
         try:
             while True:
--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -8,6 +8,7 @@
 import time
 
 import gevent
+from gevent import event
 from gevent import queue as gevent_queue
 
 from wigeonrouter.node import _channel
@@ -25,6 +26,7 @@
 # A follower whose send queue exceeds this length is disconnected and has to
 # join again.
 _MAX_QUEUED_MESSAGES = 500
+_MILLISECONDS = 1000
 
 
 class _Follower:
@@ -48,6 +50,8 @@
       store_cache: StoreCache.
       own_state: function that returns this node's NodeState.
       on_roster: called with a dict from host to NodeState after each change.
+      copy_age: function that returns the time in seconds since the copy of
+        the store was current, None if that is unknown.
       expected_members: NodeStates that were known before this node became
         the hub; they stay in the roster for PEER_TIMEOUT_S so that they
         have time to join.
@@ -59,12 +63,14 @@
         store_cache,
         own_state,
         on_roster,
+        copy_age=lambda: None,
         expected_members=(),
         clock=time.monotonic,
     ):
         self._store_cache = store_cache
         self._own_state = own_state
         self._on_roster = on_roster
+        self._copy_age = copy_age
         self._clock = clock
         self._followers = {}
         self._expected_members = {
@@ -73,6 +79,7 @@
         self._expected_until = clock() + PEER_TIMEOUT_S
         self._store_reachable = True
         self._roster_task = None
+        self._heartbeat_due = event.Event()
         # The roster that all followers have, or that is in their send queues.
         self._sent_roster = self.roster()
 
@@ -146,6 +153,10 @@
                 _ROSTER_BATCH_DELAY_S, self._send_roster
             )
 
+    def announce_proof(self):
+        """Let the next heartbeat follow at once, as the copy is current."""
+        self._heartbeat_due.set()
+
     def send_heartbeat(self, *, leaving=False, successor=""):
         """Send a heartbeat to all followers.
 
@@ -165,7 +176,8 @@
         """
         expecting_members = bool(self._expected_members)
         while True:
-            gevent.sleep(HEARTBEAT_INTERVAL_S)
+            self._heartbeat_due.wait(timeout=HEARTBEAT_INTERVAL_S)
+            self._heartbeat_due.clear()
             self.send_heartbeat()
             if expecting_members and self._clock() >= self._expected_until:
                 expecting_members = False
@@ -195,9 +207,19 @@
                 store_answers=self._store_reachable,
                 leaving=leaving,
                 successor=successor,
+                proof=self._proof(),
             )
         )
 
+    def _proof(self):
+        position = self._store_cache.position
+        age = self._copy_age()
+        return node_pb2.CopyProof(
+            age_ms=None if age is None else round(age * _MILLISECONDS),
+            revision=position.revision,
+            era=position.era,
+        )
+
     def _broadcast(self, message):
         for follower in self._followers.values():
             follower.enqueue(message)
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -249,6 +249,9 @@
             gevent.spawn(
                 self._supervise, "waits", self._store_caller_timeouts
             ),
+            gevent.spawn(
+                self._supervise, "copy", self._region_member.watch_copy
+            ),
             gevent.spawn(self._supervise, "crashes", self._crash_monitor.run),
             gevent.spawn(self._supervise, "links", self._link_monitor.run),
             gevent.spawn(self._supervise, "housekeeping", self._housekeep),
@@ -335,6 +338,7 @@
         return observability.Gauges(
             revision=self._region_member.position.revision,
             store_era=self._region_member.position.era,
+            store_copy_age=self._region_member.copy_age,
             ready=self.ready,
             servers_reachable=not self._link_monitor.cut,
             members={
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -12,6 +12,7 @@
 
 from wigeonrouter import store
 from wigeonrouter import topology
+from wigeonrouter.node import _copy_monitor
 from wigeonrouter.node import _follower
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _hub_search
@@ -86,6 +87,15 @@
         self._abandoned_hub = ""
         # Set when another hub is known to reach the store, unlike this one.
         self._replaced = event.Event()
+        self._freshness = topology.CopyFreshness(now=self._clock())
+        self._copy_monitor = _copy_monitor.CopyMonitor(
+            freshness=self._freshness,
+            bounds=lambda: self._settings.bounds,
+            position=lambda: self._store_cache.position,
+            role=lambda: self._role,
+            events=events,
+            clock=self._clock,
+        )
         self._reaches_store = False
         self._hub_search = _hub_search.HubSearch(
             settings=settings,
@@ -127,6 +137,11 @@
         """store.Position that this node has applied."""
         return self._store_cache.position
 
+    @property
+    def copy_age(self):
+        """Seconds for which the copy of the store may be outdated."""
+        return self._freshness.age(self._clock())
+
     @property
     def is_hub(self):
         """Whether this node is the hub of its region."""
@@ -185,6 +200,10 @@
         """Keep this node registered in the store, until killed."""
         self._registrar.run()
 
+    def watch_copy(self):
+        """Watch the age of the copy of the store, until killed."""
+        self._copy_monitor.run()
+
     def run(self):
         """Follow the store, directly or through a hub, until killed."""
         if self._loader.load():
@@ -216,6 +235,7 @@
             store_cache=self._store_cache,
             own_state=self._own_state,
             on_roster=self._on_roster,
+            copy_age=lambda: self._freshness.proven_age(self._clock()),
             expected_members=[
                 state
                 for host, state in self._roster.items()
@@ -257,6 +277,7 @@
             rng=self._rng,
             on_update=self._hub.broadcast_update,
             on_store_contact=self._on_store_contact,
+            on_confirmed=self._on_copy_read,
             on_store_outage=self._on_store_outage,
             listing_due=self._cluster_state.listing_due,
         )
@@ -292,6 +313,13 @@
             )
             self._abandoned_hub = ""
 
+    def _on_copy_read(self):
+        self._on_confirmed()
+        self._hub.announce_proof()
+
+    def _on_confirmed(self, age=0.0):
+        self._freshness.confirm(self._clock() - age)
+
     def _on_hub_announced(self, role):
         """Step down if this node is a hub that does not reach the store."""
         if (
@@ -330,6 +358,7 @@
                 on_heartbeat=lambda reachable: self._on_heartbeat(
                     hub, reachable
                 ),
+                on_confirmed=self._on_confirmed,
                 on_successor=self._hub_search.prefer,
                 on_store_lost=lambda: self._on_hub_lost_store(hub),
                 has_better_hub=self._has_better_hub,
--- a/wigeonrouter/node/_store_reader.py
+++ b/wigeonrouter/node/_store_reader.py
@@ -24,6 +24,8 @@
       rng: random.Random, for the jitter of the backoff.
       on_update: called with the Update message of each change.
       on_store_contact: called without arguments after each successful call.
+      on_confirmed: called without arguments when the cache has all changes
+        of the store.
       on_store_outage: called after each failed call, with the StoreError and
         the number of consecutive failures.
       listing_due: function that returns whether to list the store again.
@@ -38,6 +40,7 @@
         rng,
         on_update,
         on_store_contact,
+        on_confirmed,
         on_store_outage,
         listing_due,
     ):
@@ -47,6 +50,7 @@
         self._rng = rng
         self._on_update = on_update
         self._on_store_contact = on_store_contact
+        self._on_confirmed = on_confirmed
         self._on_store_outage = on_store_outage
         self._listing_due = listing_due
 
@@ -92,12 +96,14 @@
         self._on_store_contact()
         self._store_cache.apply_changes(events.changes, events.position)
         if not events.changes:
+            self._on_confirmed()
             return
         self._on_update(
             _store_cache.encode_update(
                 items=events.changes, position=events.position
             )
         )
+        self._on_confirmed()
         gevent.sleep(_BATCH_DELAY_S)
 
     def _relist(self):
@@ -116,6 +122,7 @@
         self._on_store_contact()
         self._store_cache.replace_all(listing.items, listing.position)
         self._on_update(self._store_cache.update_since(known))
+        self._on_confirmed()
 
     def _log_positions(self, name, known, listed):
         self._events.notice(
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -44,6 +44,8 @@
       events: dict from the name of a log event to its count since the start.
       dropped: log lines that were not written since the start.
       store_era: era of the store to which the revision belongs.
+      store_copy_age: seconds for which the copy of the store may be
+        outdated.
       servers_reachable: false while no backend server can be reached.
     """
 
@@ -55,6 +57,7 @@
     events: dict = dataclasses.field(default_factory=dict)
     dropped: int = 0
     store_era: int = 0
+    store_copy_age: float = 0.0
     servers_reachable: bool = True
 
 
@@ -87,6 +90,11 @@
     for name, text, value in (
         ("revision", "Configuration revision in force", gauges.revision),
         ("store_era", "Era of the store", gauges.store_era),
+        (
+            "store_copy_age_seconds",
+            "Time for which the copy of the store may be outdated",
+            gauges.store_copy_age,
+        ),
         ("ready", "1 if callers may be sent here", int(gauges.ready)),
         (
             "servers_reachable",
--- a/wigeonrouter/observability/_metrics_test.py
+++ b/wigeonrouter/observability/_metrics_test.py
@@ -94,6 +94,7 @@
             ),
             unanswered_requests=1,
             store_era=2,
+            store_copy_age=1.5,
         ),
     ).decode()
     samples = {
@@ -103,6 +104,7 @@
     }
     assert samples["wigeonrouter_revision", None] == 7
     assert samples["wigeonrouter_store_era", None] == 2
+    assert samples["wigeonrouter_store_copy_age_seconds", None] == 1.5
     assert samples["wigeonrouter_queue_length", None] == 2
     assert samples["wigeonrouter_limited_servers", None] == 3
     assert samples["wigeonrouter_in_flight", None] == 4
--- a/wigeonrouter/platform/_settings.py
+++ b/wigeonrouter/platform/_settings.py
@@ -153,6 +153,7 @@
         ("max_entry_ttl", "ttl_max"),
         ("stop_grace", "grace"),
         ("config_apply", "config_apply"),
+        ("drain_apply", "drain"),
     ):
         if values.get(wire_name):
             parsed[name] = _fields.parse_duration(values[wire_name])
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -1,6 +1,7 @@
 """What a node knows of its deployment: routes, servers and nodes."""
 
 from wigeonrouter.topology import _directory
+from wigeonrouter.topology import _freshness
 from wigeonrouter.topology import _records
 from wigeonrouter.topology import _region
 from wigeonrouter.topology import _region_history
@@ -13,6 +14,7 @@
 ConfigurationWritten = _records.ConfigurationWritten
 ContentScope = _records.ContentScope
 CrashStored = _records.CrashStored
+CopyFreshness = _freshness.CopyFreshness
 Departure = _records.Departure
 KnownServer = _directory.KnownServer
 NodeRemoved = _records.NodeRemoved
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -233,6 +233,8 @@
       max_entry_ttl: longest time that callers may cache their entries.
       stop_grace: time from the stop signal until the process is killed.
       config_apply: time within which an accepted change must be in force.
+      drain_apply: time within which a server that drains must get no more
+        requests.
     """
 
     retry_ratio: float = 0.1
@@ -240,6 +242,7 @@
     max_entry_ttl: float = 5.0
     stop_grace: float = 6.0
     config_apply: float = 2.5
+    drain_apply: float = 2.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
