Read the store on any node whose copy nobody confirms

What callers saw: two nodes of a region handled requests by an old configuration 3.0 and 3.3 s after a change was acknowledged; the bound is 3 s.

Cause: a region relies on its hub, and the waits until another node reads the store have no common limit: a silent hub is noticed after up to 1.7 s, a few random followers check the store once a second, nodes between two hubs wait for roles. A node that reaches the store itself waited with the others.

Change: each node reads the changes from the store itself, whatever its role, once nobody has confirmed its copy for 0.6 to 0.75 of the bounds on configuration and draining.

--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -250,7 +250,9 @@
                 self._supervise, "waits", self._store_caller_timeouts
             ),
             gevent.spawn(
-                self._supervise, "copy", self._region_member.watch_copy
+                self._supervise,
+                "copy",
+                self._region_member.keep_copy_current,
             ),
             gevent.spawn(self._supervise, "crashes", self._crash_monitor.run),
             gevent.spawn(self._supervise, "links", self._link_monitor.run),
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -12,7 +12,7 @@
 
 from wigeonrouter import store
 from wigeonrouter import topology
-from wigeonrouter.node import _copy_monitor
+from wigeonrouter.node import _copy_keeper
 from wigeonrouter.node import _follower
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _hub_search
@@ -88,12 +88,18 @@
         # Set when another hub is known to reach the store, unlike this one.
         self._replaced = event.Event()
         self._freshness = topology.CopyFreshness(now=self._clock())
-        self._copy_monitor = _copy_monitor.CopyMonitor(
+        self._copy_keeper = _copy_keeper.CopyKeeper(
             freshness=self._freshness,
             bounds=lambda: self._settings.bounds,
-            position=lambda: self._store_cache.position,
+            feed=feed,
+            reader=self._make_reader(
+                on_store_contact=lambda: None,
+                on_store_outage=lambda error, failures: None,
+            ),
+            store_cache=self._store_cache,
             role=lambda: self._role,
             events=events,
+            rng=rng,
             clock=self._clock,
         )
         self._reaches_store = False
@@ -200,9 +206,9 @@
         """Keep this node registered in the store, until killed."""
         self._registrar.run()
 
-    def watch_copy(self):
-        """Watch the age of the copy of the store, until killed."""
-        self._copy_monitor.run()
+    def keep_copy_current(self):
+        """Keep the copy of the store current, until killed."""
+        self._copy_keeper.run()
 
     def run(self):
         """Follow the store, directly or through a hub, until killed."""
@@ -247,7 +253,12 @@
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
         self._hub.broadcast_roster()
         heartbeats = gevent.spawn(self._hub.run_heartbeats)
-        reader = gevent.spawn(self._make_reader().run)
+        reader = gevent.spawn(
+            self._make_reader(
+                on_store_contact=self._on_store_contact,
+                on_store_outage=self._on_store_outage,
+            ).run
+        )
         try:
             while not reader.ready():
                 replaced = self._replaced.wait(timeout=_HUB_CHECK_INTERVAL_S)
@@ -269,16 +280,16 @@
             )
             self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
-    def _make_reader(self):
+    def _make_reader(self, *, on_store_contact, on_store_outage):
         return _store_reader.StoreReader(
             store_cache=self._store_cache,
             feed=self._feed,
             events=self._events,
             rng=self._rng,
-            on_update=self._hub.broadcast_update,
-            on_store_contact=self._on_store_contact,
+            on_update=self._on_update_read,
+            on_store_contact=on_store_contact,
             on_confirmed=self._on_copy_read,
-            on_store_outage=self._on_store_outage,
+            on_store_outage=on_store_outage,
             listing_due=self._cluster_state.listing_due,
         )
 
@@ -315,7 +326,12 @@
 
     def _on_copy_read(self):
         self._on_confirmed()
-        self._hub.announce_proof()
+        if self._hub is not None:
+            self._hub.announce_proof()
+
+    def _on_update_read(self, update):
+        if self._hub is not None:
+            self._hub.broadcast_update(update)
 
     def _on_confirmed(self, age=0.0):
         self._freshness.confirm(self._clock() - age)
--- a/wigeonrouter/node/_store_reader.py
+++ b/wigeonrouter/node/_store_reader.py
@@ -8,6 +8,8 @@
 # A watch without changes returns after this time, so that a hub notices when
 # it is cut off from the store.
 _WATCH_TIMEOUT_S = 1.0
+# Wait for changes of a watch that only asks for those that exist.
+_NO_WAIT_S = 0.001
 # Delay after a change, so that changes in quick succession are read together.
 _BATCH_DELAY_S = 0.25
 _MIN_BACKOFF_S = 0.1
@@ -62,7 +64,7 @@
         failures = 0
         while True:
             try:
-                self._read_once()
+                changed = self._read_once(wait=_WATCH_TIMEOUT_S)
             except store.StoreError as error:
                 failures += 1
                 self._on_store_outage(error, failures)
@@ -73,38 +75,47 @@
                 gevent.sleep(backoff * self._rng.uniform(0.7, 1.3))
                 continue
             failures = 0
+            if changed:
+                gevent.sleep(_BATCH_DELAY_S)
 
-    def _read_once(self):
+    def catch_up(self):
+        """Read the changes that the store has now.
+
+        Raises:
+          StoreError: the call failed.
+        """
+        self._read_once(wait=_NO_WAIT_S)
+
+    def _read_once(self, *, wait):
+        """Read the store once; return whether a watch has seen changes."""
         if self._listing_due() or not self._store_cache.confirmed:
             self._relist()
         known = self._store_cache.position
         try:
-            events = self._feed.watch(
-                revision=known.revision, wait=_WATCH_TIMEOUT_S
-            )
+            events = self._feed.watch(revision=known.revision, wait=wait)
         except store.HistoryLost:
             self._events.notice(
                 "store-history-lost", era=known.era, after=known.revision
             )
             self._relist()
-            return
+            return False
         if events.position.era != known.era:
             # The store has all of the revision's later changes again, but not
             # those before it.
             self._relist()
-            return
+            return False
         self._on_store_contact()
         self._store_cache.apply_changes(events.changes, events.position)
         if not events.changes:
             self._on_confirmed()
-            return
+            return False
         self._on_update(
             _store_cache.encode_update(
                 items=events.changes, position=events.position
             )
         )
         self._on_confirmed()
-        gevent.sleep(_BATCH_DELAY_S)
+        return True
 
     def _relist(self):
         """Replace the cache by a listing.
--- a/wigeonrouter/node/conftest.py
+++ b/wigeonrouter/node/conftest.py
@@ -15,7 +15,7 @@
 _PLACE = core.Place(region="north", failure_domain="north-a")
 
 
-class _SilentEvents:
+class SilentEvents:
     """Event log that keeps the names of its events."""
 
     def __init__(self):
@@ -65,7 +65,7 @@
                 "place": _PLACE,
                 "prober": _IdleProber(),
                 "link_monitor": SilentLinkMonitor(),
-                "events": _SilentEvents(),
+                "events": SilentEvents(),
                 "rng": random.Random(1),
                 "limit_share": lambda: 1.0,
             }
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -39,6 +39,7 @@
 HubAction = _region.HubAction
 RegionHistory = _region_history.RegionHistory
 
+catch_up_age = _freshness.catch_up_age
 candidate_order = _region.candidate_order
 decide_role = _region.decide_role
 forwarding_peers = _region.forwarding_peers
--- a/wigeonrouter/topology/_freshness.py
+++ b/wigeonrouter/topology/_freshness.py
@@ -1,10 +1,18 @@
 """How old a node's copy of the store may be.
 
-Load pattern: a hub loses the store, without being told, while its followers
-go on to serve requests. Each node has to know by itself for how long nobody
+Load pattern: a hub and most nodes of its region lose the store, without being
+told, while all go on to serve requests. Finding a hub that reaches the store
+takes an unknown time, so each node has to know by itself for how long nobody
 has shown that its copy is current.
 """
 
+# Shares of the deployment's bounds at which nodes read the store themselves.
+# A hub confirms the copies of its followers about once a second. The nodes of
+# a region begin at different times, so that the store does not get all reads
+# at once and the first one that succeeds can become the hub.
+_MIN_AGE_SHARE = 0.6
+_MAX_AGE_SHARE = 0.75
+
 
 class CopyFreshness:
     """Tracks when a copy of the store was last known to be current.
@@ -39,3 +47,16 @@
         if self._confirmed_at is None:
             return now - self._started_at
         return now - self._confirmed_at
+
+
+def catch_up_age(*, bounds, rng):
+    """Return the age in seconds at which a node reads the store itself.
+
+    What is left of the bounds is for the read.
+
+    Args:
+      bounds: Bounds of the deployment.
+      rng: random.Random.
+    """
+    bound = min(bounds.config_apply, bounds.drain_apply)
+    return bound * rng.uniform(_MIN_AGE_SHARE, _MAX_AGE_SHARE)
