Let the earlier of two hubs tell the later one to step down

Cause: a hub learns of another one from the six candidates that it asks for their roles. Where all of these follow the later hub, the later one hears only of itself, and the earlier one does not step down.

Change: the earlier hub announces itself to each later one that it hears of. Until now a hub believed an announcement only if it did not reach the store.

--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -300,10 +300,22 @@
         if not self._reaches_store:
             return self._hub_search.other_hub_reaches_store()
         roles = self._hub_search.query_roles()
+        for host in topology.later_hubs(
+            own_host=self._settings.host, order=order, roles=roles
+        ):
+            self._announce_role(host)
         return topology.should_step_down(
             own_host=self._settings.host, order=order, roles=roles
         )
 
+    def _announce_role(self, host):
+        gevent.spawn(
+            _peer_requests.announce_role,
+            host,
+            port=self._port,
+            role=self._role,
+        )
+
     def _on_store_contact(self):
         if not self._reaches_store:
             self._events.notice(
@@ -316,12 +328,7 @@
         self._hub.set_store_reachable(True)
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
         if self._abandoned_hub:
-            gevent.spawn(
-                _peer_requests.announce_role,
-                self._abandoned_hub,
-                port=self._port,
-                role=self._role,
-            )
+            self._announce_role(self._abandoned_hub)
             self._abandoned_hub = ""
 
     def _on_copy_read(self):
@@ -337,13 +344,15 @@
         self._freshness.confirm(self._clock() - age)
 
     def _on_hub_announced(self, role):
-        """Step down if this node is a hub that does not reach the store."""
-        if (
-            self._hub is not None
-            and not self._reaches_store
-            and role.kind is topology.RoleKind.HUB
-            and role.store_reachable
-        ):
+        """Step down if this node is a hub, and the other one is better."""
+        if self._hub is None or role.kind is not topology.RoleKind.HUB:
+            return
+        is_earlier = topology.should_step_down(
+            own_host=self._settings.host,
+            order=self._hub_search.candidate_order(),
+            roles={role.hub: role},
+        )
+        if is_earlier or (role.store_reachable and not self._reaches_store):
             self._hub_search.prefer(role.hub)
             self._replaced.set()
 
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -44,6 +44,7 @@
 decide_role = _region.decide_role
 forwarding_peers = _region.forwarding_peers
 home_nodes = _region.home_nodes
+later_hubs = _region.later_hubs
 remote_forwarding_hosts = _region.remote_forwarding_hosts
 merge_rate_limits = _region.merge_rate_limits
 should_check_store = _region.should_check_store
--- a/wigeonrouter/topology/_region.py
+++ b/wigeonrouter/topology/_region.py
@@ -156,6 +156,26 @@
     return False
 
 
+def later_hubs(*, own_host, order, roles):
+    """Return the hosts of the other hubs that have to step down.
+
+    Load pattern: two nodes take the place of a hub at the same moment. The
+    nodes that the later one asks for their roles all follow it, so only the
+    earlier one finds out.
+
+    Args:
+      own_host: host of this node, a hub.
+      order: candidate_order() of the region.
+      roles: dict from host to its Role, for the hosts that responded.
+    Returns:
+      Tuple of hosts.
+    """
+    known = {role.hub for role in roles.values()}
+    return tuple(
+        host for host in order[order.index(own_host) + 1 :] if host in known
+    )
+
+
 def should_check_store(*, own_host, candidates, rng):
     """Return whether a follower checks the store that its hub cannot reach.
 
