Let one follower at a time take the place of a hub without store

Followers that reach the store left their hub as soon as they found out, each by itself.

A hub that has lost the store grants its place to one follower for 1.5 s. A follower whose last read succeeded asks as well, so a region no longer depends on who is drawn to check the store.

--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -26,6 +26,8 @@
 # A follower whose send queue exceeds this length is disconnected and has to
 # join again.
 _MAX_QUEUED_MESSAGES = 500
+# A follower that may take over has to be the hub within this time.
+_TAKE_OVER_TIMEOUT_S = 1.5
 _MILLISECONDS = 1000
 
 
@@ -78,6 +80,8 @@
         }
         self._expected_until = clock() + PEER_TIMEOUT_S
         self._store_reachable = True
+        self._successor = ""
+        self._successor_until = float("-inf")
         self._roster_task = None
         self._heartbeat_due = event.Event()
         # The roster that all followers have, or that is in their send queues.
@@ -89,6 +93,21 @@
             self._store_reachable = reachable
             self.send_heartbeat()
 
+    def grant_take_over(self, host):
+        """Return whether a follower that reaches the store may be the hub.
+
+        Only one at a time may, so that the region does not split into as many
+        parts as there are followers that reach the store.
+        """
+        now = self._clock()
+        if self._store_reachable:
+            return False
+        if now < self._successor_until and host != self._successor:
+            return False
+        self._successor = host
+        self._successor_until = now + _TAKE_OVER_TIMEOUT_S
+        return True
+
     def roster(self):
         """Return the members of the region, a dict from host to NodeState."""
         members = {}
--- a/wigeonrouter/node/_hub_test.py
+++ b/wigeonrouter/node/_hub_test.py
@@ -67,10 +67,27 @@
         self._incoming.put(None)
 
 
+class _Clock:
+    """Clock that is set by hand."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    """Return the clock of the hub."""
+    return _Clock()
+
+
 @pytest.fixture
-def hub():
+def hub(clock):
     """Return a hub of a region that expects no nodes yet."""
     return _hub.Hub(
+        clock=clock,
         store_cache=_store_cache.StoreCache(apply=lambda *_: None),
         own_state=lambda: _state(HUB_HOST),
         on_roster=lambda roster: None,
@@ -158,3 +175,22 @@
     assert _roster.apply_change(old, change) == new
     # A change may be applied to a roster that has a part of it already.
     assert _roster.apply_change(new, change) == new
+
+
+def test_only_one_follower_at_a_time_may_take_over(hub, clock):
+    """Guards against as many hubs as followers that reach the store."""
+    hub.set_store_reachable(False)
+    assert hub.grant_take_over("192.0.2.1")
+    assert not hub.grant_take_over("192.0.2.2")
+    assert hub.grant_take_over("192.0.2.1")
+    # The first one has ended before it was the hub.
+    clock.now += 1.6
+    assert hub.grant_take_over("192.0.2.2")
+    assert not hub.grant_take_over("192.0.2.1")
+
+
+def test_nobody_takes_over_from_a_hub_that_reaches_the_store(hub):
+    """Guards against a change of the hub after a short outage."""
+    hub.set_store_reachable(False)
+    hub.set_store_reachable(True)
+    assert not hub.grant_take_over("192.0.2.1")
--- a/wigeonrouter/node/_peer_requests.py
+++ b/wigeonrouter/node/_peer_requests.py
@@ -74,6 +74,20 @@
     ]
 
 
+def may_take_over(hub, *, port, own_host):
+    """Ask a hub that lost the store whether this node may take its place.
+
+    Returns:
+      Whether it may. A hub that does not respond, or of an earlier build,
+      cannot refuse.
+    """
+    message = node_pb2.PeerMessage(take_over=node_pb2.TakeOver(host=own_host))
+    reply = _exchange(hub, port, message)
+    if reply is None or not reply.HasField("take_over_result"):
+        return True
+    return reply.take_over_result.granted
+
+
 def announce_role(host, *, port, role):
     """Tell a host this node's topology.Role; there is no reply."""
     _exchange(host, port, encode_role(role))
--- a/wigeonrouter/node/_peer_server.py
+++ b/wigeonrouter/node/_peer_server.py
@@ -96,6 +96,16 @@
             server_check_result=node_pb2.ServerCheckResult(verdict=verdict)
         )
 
+    @_handles("take_over")
+    def _reply_grant(self, channel, message):
+        hub = self._hub()
+        granted = hub is not None and hub.grant_take_over(
+            message.take_over.host
+        )
+        return node_pb2.PeerMessage(
+            take_over_result=node_pb2.TakeOverResult(granted=granted)
+        )
+
     @_handles("join")
     def _serve_follower(self, channel, message):
         hub = self._hub()
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -407,6 +407,17 @@
 
     def _has_better_hub(self):
         """Return whether to leave a hub that does not reach the store."""
+        if self._can_reach_store() and _peer_requests.may_take_over(
+            self._role.hub, port=self._port, own_host=self._settings.host
+        ):
+            self._reaches_store = True
+            return True
+        return self._hub_search.other_hub_reaches_store()
+
+    def _can_reach_store(self):
+        """Return whether this node reaches the store, if it is to check."""
+        if self._copy_keeper.reaches_store:
+            return True
         ready_hosts = {peer.host for peer in self._peers if peer.ready}
         checks_store = topology.should_check_store(
             own_host=self._settings.host,
@@ -417,16 +428,12 @@
             ],
             rng=self._rng,
         )
-        if checks_store and self._probe_store():
-            return True
-        return self._hub_search.other_hub_reaches_store()
-
-    def _probe_store(self):
+        if not checks_store:
+            return False
         try:
             self._feed.check()
         except store.StoreError:
             return False
-        self._reaches_store = True
         return True
 
     def _set_role(self, kind, hub, store_reachable):
--- a/wigeonrouter/platform/_outdated_copy_test.py
+++ b/wigeonrouter/platform/_outdated_copy_test.py
@@ -74,3 +74,36 @@
     _add_route(store)
     gevent.sleep(CONFIG_APPLY_S)
     assert _is_applied(nodes[last])
+
+
+def test_region_that_lost_the_store_gets_one_hub_that_reaches_it(
+    store, dozens
+):
+    """Guards against a region that splits when many followers may lead it.
+
+    The hub and the first candidates after it lose the store.
+    """
+    nodes, addresses = dozens
+    hosts = tuple(nodes)
+    hosts_in_touch = hosts[9:]
+    for host in hosts[:9]:
+        addresses[host].silent = True
+    _add_route(store)
+    hubs = []
+
+    def find_hubs():
+        hubs.append(
+            {node.settings.host for node in conftest.hubs(nodes.values())}
+        )
+        return hubs[-1]
+
+    conftest.wait_until(
+        lambda: (
+            find_hubs() & set(hosts_in_touch)
+            and conftest.followers(nodes.values()) == len(nodes) - 1
+        )
+    )
+    assert max(len(found) for found in hubs) <= 2
+    conftest.wait_until(
+        lambda: all(_is_applied(node) for node in nodes.values())
+    )
