Take only short messages from connections that any host may open

A connection to the port for traffic between nodes could announce a message of 16 MB, and the node kept what came of it.

Only the updates of a hub are large. The first message of a connection, and those of followers to their hub, are limited to 2 MB, so the length alone ends the connection. Memory is allocated as bytes arrive.

--- a/wigeonrouter/node/_channel.py
+++ b/wigeonrouter/node/_channel.py
@@ -9,7 +9,11 @@
 from wigeonrouter.schema import node_pb2
 
 _LENGTH_PREFIX = struct.Struct("!I")
+_CHUNK_BYTES = 64 << 10
+# Messages with items of the store. The others have at most the state of one
+# node, which may name each backend server.
 _MAX_MESSAGE_BYTES = 16 << 20
+MAX_SHORT_MESSAGE_BYTES = 2 << 20
 
 
 class ChannelClosed(Exception):
@@ -38,9 +42,12 @@
         except OSError as error:
             raise ChannelClosed(str(error)) from error
 
-    def receive(self, *, timeout):
+    def receive(self, *, timeout, max_bytes=_MAX_MESSAGE_BYTES):
         """Return the next PeerMessage.
 
+        Args:
+          timeout: seconds.
+          max_bytes: largest size of the message.
         Raises:
           ChannelClosed: none arrived within `timeout` seconds, or it was
             malformed or too large.
@@ -52,7 +59,7 @@
                 (length,) = _LENGTH_PREFIX.unpack(
                     self._read(_LENGTH_PREFIX.size)
                 )
-                if length > _MAX_MESSAGE_BYTES:
+                if length > max_bytes:
                     raise ChannelClosed(
                         f"message of {length} bytes is too large"
                     )
@@ -64,13 +71,13 @@
         self._sock.close()
 
     def _read(self, length):
-        data = b""
+        data = bytearray()
         while len(data) < length:
-            chunk = self._sock.recv(length - len(data))
+            chunk = self._sock.recv(min(_CHUNK_BYTES, length - len(data)))
             if not chunk:
                 raise ChannelClosed("closed by the peer")
             data += chunk
-        return data
+        return bytes(data)
 
 
 def connect(*, host, port, timeout):
--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -142,7 +142,10 @@
         writer = gevent.spawn(self._write, channel, follower)
         try:
             while not follower.overflowed:
-                message = channel.receive(timeout=PEER_TIMEOUT_S)
+                message = channel.receive(
+                    timeout=PEER_TIMEOUT_S,
+                    max_bytes=_channel.MAX_SHORT_MESSAGE_BYTES,
+                )
                 if not message.HasField("state"):
                     continue
                 if message.state != follower.state:
--- a/wigeonrouter/node/_hub_test.py
+++ b/wigeonrouter/node/_hub_test.py
@@ -54,7 +54,7 @@
             return
         self.roster_bytes += message.ByteSize()
 
-    def receive(self, *, timeout):
+    def receive(self, *, timeout, max_bytes):
         message = self._incoming.get()
         if message is None:
             raise _channel.ChannelClosed("closed by the peer")
--- a/wigeonrouter/node/_peer_server.py
+++ b/wigeonrouter/node/_peer_server.py
@@ -73,7 +73,10 @@
     def _serve(self, sock, _):
         channel = _channel.Channel(sock=sock)
         try:
-            message = channel.receive(timeout=_FIRST_MESSAGE_TIMEOUT_S)
+            message = channel.receive(
+                timeout=_FIRST_MESSAGE_TIMEOUT_S,
+                max_bytes=_channel.MAX_SHORT_MESSAGE_BYTES,
+            )
             handler = _HANDLERS.get(
                 message.WhichOneof("body"), PeerServer._reply_role
             )
