--- a/wigeonrouter/platform/_store_values.py
+++ b/wigeonrouter/platform/_store_values.py
@@ -16,6 +16,8 @@
 # The ends of servers under requests are stored under this prefix, with keys
 # DIGEST/NAME.
 CRASH_PREFIX = "wigeonrouter/crashes/"
+# No key has this prefix, so that a check of the store gets a short response.
+ABSENT_PREFIX = "wigeonrouter/none/"
 # An instance ID is sent in a header.
 _INSTANCE = re.compile(r"[!-~]{1,200}")
 _VERSION = re.compile(r"[0-9a-fA-F]{1,16}")
