--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -72,6 +72,7 @@
       probes: number of health checks received.
       rejected_count: number of requests rejected for lack of a slot.
       arrivals: (monotonic seconds, ID) of each request, rejected or not.
+      misdirected: those of them that were meant for another instance.
       cancelled: IDs whose connection was closed before the response.
       ended: dict from ID to the end of its execution, monotonic seconds.
       leaving: whether all of its responses say that it is about to end.
@@ -104,6 +105,7 @@
         self.rejected_count = 0
         self.cancelled = []
         self.arrivals = []
+        self.misdirected = set()
         self.ended = {}
         self._zone = zone
         self._service_time = service_time
@@ -134,11 +136,11 @@
         if request.target == b"/health":
             self.probes += 1
             return self._respond_with_load(request, 200, b"")
-        self.arrivals.append(
-            (time.monotonic(), request.header(b"request-id").decode())
-        )
+        arrival = (time.monotonic(), request.header(b"request-id").decode())
+        self.arrivals.append(arrival)
         expected = request.header(b"expect-instance").decode()
         if expected not in ("", self.instance):
+            self.misdirected.add(arrival)
             return self._respond_with_load(request, 421, b"")
         if (
             self._running >= self._slots
--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -263,6 +263,7 @@
                 request_id=request_id,
                 instance=backend.instance,
                 service=backend.service,
+                misdirected=(at, request_id) in server.misdirected,
             )
             for at, request_id in server.arrivals
         )
--- a/wigeonrouter/soak/_load_checks.py
+++ b/wigeonrouter/soak/_load_checks.py
@@ -81,19 +81,23 @@
                 <= period.ended
             ):
                 continue
-            count = sum(
-                end - LIMIT_WINDOW_S < arrival.at <= end
+            counted = [
+                arrival
+                for arrival in arrivals
+                if end - LIMIT_WINDOW_S < arrival.at <= end
                 and _check_registry.was_undisturbed(
                     observations,
                     nodes.get(arrival.request_id),
                     max(period.began, end - LIMIT_WINDOW_S),
                     end,
                 )
-                for arrival in arrivals
-            )
-            if count > allowed:
+            ]
+            if len(counted) > allowed:
+                misdirected = sum(arrival.misdirected for arrival in counted)
                 yield _check_registry.violation(
-                    "named limit", f"{period}: {count} at {end}"
+                    "named limit",
+                    f"{period}: {len(counted)} at {end},"
+                    f" {misdirected} of them meant for another instance",
                 )
                 break
 
--- a/wigeonrouter/soak/_records.py
+++ b/wigeonrouter/soak/_records.py
@@ -58,12 +58,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Arrival:
-    """A request that reached a backend server, executed or not."""
+    """A request that reached a backend server, executed or not.
+
+    Attributes:
+      misdirected: whether it was meant for another instance, which had the
+        address before.
+    """
 
     at: float
     request_id: str
     instance: str
     service: str
+    misdirected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
