Keep the age of a copy and the announcements of hubs within limits

A bound of zero in the settings would have made a node read the store without pause. A hub does not make way for one that it has just lost, since it would not follow it.

--- a/wigeonrouter/node/_follower.py
+++ b/wigeonrouter/node/_follower.py
@@ -30,8 +30,8 @@
       roster: returns the roster of this node, a dict from host to NodeState.
       on_roster: called with each new roster.
       on_heartbeat: called with whether the store responds to the hub.
-      on_confirmed: called with a time in seconds, before which this node's
-        copy of the store was current.
+      on_confirmed: called with the seconds since this node's copy of the
+        store was current.
       on_successor: called with the host of the hub to follow next, "" if the
         hub that stops knows none.
       on_store_lost: called when this node leaves the hub because it does not
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -85,7 +85,7 @@
         self._hub_waits = 0
         # The hub that this node left because it does not reach the store.
         self._abandoned_hub = ""
-        # Set when another hub is known to reach the store, unlike this one.
+        # Set when another hub is known that is better than this one.
         self._replaced = event.Event()
         self._freshness = topology.CopyFreshness(now=self._clock())
         self._copy_keeper = _copy_keeper.CopyKeeper(
@@ -347,6 +347,8 @@
         """Step down if this node is a hub, and the other one is better."""
         if self._hub is None or role.kind is not topology.RoleKind.HUB:
             return
+        if role.hub in self._hub_search.avoided_hosts():
+            return
         is_earlier = topology.should_step_down(
             own_host=self._settings.host,
             order=self._hub_search.candidate_order(),
--- a/wigeonrouter/topology/_freshness.py
+++ b/wigeonrouter/topology/_freshness.py
@@ -12,6 +12,9 @@
 # at once and the first one that succeeds can become the hub.
 _MIN_AGE_SHARE = 0.6
 _MAX_AGE_SHARE = 0.75
+# Bounds may be too short for any node to keep; the store gets no more reads
+# than this.
+_SHORTEST_AGE_S = 0.2
 
 
 class CopyFreshness:
@@ -59,4 +62,5 @@
       rng: random.Random.
     """
     bound = min(bounds.config_apply, bounds.drain_apply)
-    return bound * rng.uniform(_MIN_AGE_SHARE, _MAX_AGE_SHARE)
+    age = bound * rng.uniform(_MIN_AGE_SHARE, _MAX_AGE_SHARE)
+    return max(_SHORTEST_AGE_S, age)
