--- a/wigeonrouter/soak/_checks.py
+++ b/wigeonrouter/soak/_checks.py
@@ -241,7 +241,8 @@
         for execution in executions[request.request_id]:
             if execution.started > request.ended + CANCELLATION_BOUND_S:
                 yield _check_registry.violation(
-                    "no execution for disconnected callers", str(request)
+                    "no execution for disconnected callers",
+                    f"{request} {execution}",
                 )
             ended_at = observations.execution_ended_at.get(
                 (request.request_id, execution.instance)
