Compare waits and slow servers with the servers that are fast now

What callers saw: where all servers of a service work slower, requests waited for an undisturbed server until just before their deadline and were rejected, while every server stood idle.

Cause: the utility of waiting was that of a server without any slowdown that is free in 40 ms, whether or not one existed, and a late request did not get a server with a slowdown above 2.

Change: both are relative to the slowdown of the fast servers, the lower quartile of the latest 32 load reports, and at least 1. While a quarter of the servers is slow it is 1, as before.

The issue asks for more: properties, the log line, the table of factors, and the other places that assume an undisturbed server.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -247,6 +247,7 @@
                 request=request,
                 service_time=service_time,
                 mean_slowdown=self._server_pool.service_times.mean_slowdown,
+                fast_slowdown=self._server_pool.service_times.fast_slowdown,
                 now=now,
                 ahead=self._queue.count_ahead(request, service_time, now) - 1,
                 slots=self._server_pool.usable_slots(service_time),
@@ -280,6 +281,7 @@
             mean_slowdown=self._server_pool.service_times.mean_slowdown,
             now=self._clock(),
             utilization=1.0,
+            fast_slowdown=self._server_pool.service_times.fast_slowdown,
         )
 
     def _probe_and_choose(self, request, service_time, max_probes, *, remote):
@@ -314,6 +316,7 @@
             mean_slowdown=server_pool.service_times.mean_slowdown,
             now=self._clock(),
             utilization=self._local_utilization(),
+            fast_slowdown=server_pool.service_times.fast_slowdown,
         )
 
     def _on_servers_changed(self):
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -49,8 +49,9 @@
 MAX_COMPARED_SERVERS = 24
 # If a smaller share of the servers is available, ejections are ignored.
 _MIN_AVAILABLE_SHARE = 0.34
-# Slowdown above which a server is not used for responses that will be late in
-# any case, since they would hold its slots several times as long.
+# Slowdown, relative to that of the fast servers, above which a server is not
+# used for responses that will be late in any case, since they would hold its
+# slots several times as long.
 _SLOW_SERVER_SLOWDOWN = 2.0
 # Share of the slots in use above which late requests get no slow servers, and
 # above which they do not get the last slots of a server.
@@ -217,7 +218,14 @@
 
 
 def utility_of_waiting(
-    *, request, service_time, mean_slowdown, now, ahead, slots
+    *,
+    request,
+    service_time,
+    mean_slowdown,
+    fast_slowdown,
+    now,
+    ahead,
+    slots,
 ):
     """Return the expected utility of waiting for a server in the own region.
 
@@ -225,6 +233,7 @@
       request: PendingRequest.
       service_time: undisturbed service time in seconds.
       mean_slowdown: mean slowdown of all servers.
+      fast_slowdown: slowdown of the fast servers, for which it waits.
       now: seconds on the monotonic clock.
       ahead: number of queued requests that are served first.
       slots: sum of usable_slots() of the servers in the own region.
@@ -236,13 +245,23 @@
         slots=slots,
     )
     return response_utility(
-        seconds=max(EXPECTED_SLOT_WAIT_S, queue_wait) + service_time,
+        seconds=max(EXPECTED_SLOT_WAIT_S, queue_wait)
+        + service_time * fast_slowdown,
         request=request,
         now=now,
     )
 
 
-def choose(views, *, request, service_time, mean_slowdown, now, utilization):
+def choose(
+    views,
+    *,
+    request,
+    service_time,
+    mean_slowdown,
+    now,
+    utilization,
+    fast_slowdown=1.0,
+):
     """Return the Pick for a request.
 
     With rising utilization, a request that will probably be late is kept away
@@ -256,6 +275,7 @@
       now: seconds on the monotonic clock.
       utilization: share of the slots in use; 1 if requests are queued that can
         still meet their target time.
+      fast_slowdown: slowdown of the fast servers at this time.
     """
     best, best_utility = None, float("-inf")
     late = _request_queue.is_late(request, service_time=service_time, now=now)
@@ -269,7 +289,7 @@
         )
         likely_late = late or utility < _LIKELY_LATE_UTILITY
         if likely_late and _harms_others(
-            view, mean_slowdown, now, utilization
+            view, mean_slowdown, fast_slowdown, now, utilization
         ):
             continue
         if utility > best_utility:
@@ -277,7 +297,9 @@
     if best is None:
         return Pick(view=None, should_wait=True)
     utility_after_wait = response_utility(
-        seconds=EXPECTED_SLOT_WAIT_S + service_time, request=request, now=now
+        seconds=EXPECTED_SLOT_WAIT_S + service_time * fast_slowdown,
+        request=request,
+        now=now,
     )
     should_wait = (
         not late and best_utility + _WAIT_UTILITY_MARGIN < utility_after_wait
@@ -287,7 +309,7 @@
     )
 
 
-def _harms_others(view, mean_slowdown, now, utilization):
+def _harms_others(view, mean_slowdown, fast_slowdown, now, utilization):
     """Return whether a late request should not use a server."""
     if utilization > _LAST_SLOT_UTILIZATION:
         load = _estimate.expected_load(view, now)
@@ -297,5 +319,5 @@
         return False
     return (
         _estimate.expected_slowdown(view, now, mean_slowdown)
-        > _SLOW_SERVER_SLOWDOWN
+        > _SLOW_SERVER_SLOWDOWN * fast_slowdown
     )
--- a/wigeonrouter/placement/_choice_test.py
+++ b/wigeonrouter/placement/_choice_test.py
@@ -15,7 +15,7 @@
 def choose(now):
     """Return placement.choose with common default arguments."""
 
-    def run(views, request, *, utilization=1.0):
+    def run(views, request, *, utilization=1.0, fast_slowdown=1.0):
         return placement.choose(
             views,
             request=request,
@@ -23,6 +23,7 @@
             mean_slowdown=MEAN_SLOWDOWN,
             now=now,
             utilization=utilization,
+            fast_slowdown=fast_slowdown,
         )
 
     return run
@@ -55,6 +56,29 @@
     assert pick.should_wait
 
 
+def test_request_does_not_wait_if_all_servers_are_slow(
+    choose, make_view, make_request
+):
+    """Guards against a wait for an undisturbed server that does not exist.
+
+    All servers of a service stood idle, and its requests were rejected.
+    """
+    pick = choose(
+        [make_view("slow", slowdown=4.0)], make_request(), fast_slowdown=4.0
+    )
+    assert pick.view.instance == "slow" and not pick.should_wait
+
+
+def test_late_request_uses_a_server_that_is_as_slow_as_all(
+    choose, make_view, make_request
+):
+    """Guards against a bound on slow servers that leaves out all of them."""
+    late = make_request(target_time=-0.5)
+    views = [make_view("a", slowdown=4.0), make_view("b", slowdown=12.0)]
+    assert choose(views, late, fast_slowdown=4.0).view.instance == "a"
+    assert choose(views[1:], late, fast_slowdown=4.0).view is None
+
+
 def test_full_servers_are_not_used(choose, make_view, make_request):
     """Guards against queueing at a server, which applies no priorities."""
     pick = choose([make_view("a", running=2)], make_request())
--- a/wigeonrouter/placement/_estimate.py
+++ b/wigeonrouter/placement/_estimate.py
@@ -7,8 +7,13 @@
 
 A slowdown is a factor: the current service time divided by the service time on
 an undisturbed server.
+
+Load pattern: all servers of a service get slower together, as with a new
+version or a slow database behind them. How fast a server may be expected to be
+is therefore told by what servers reported lately, not by an undisturbed one.
 """
 
+import collections
 import math
 
 # The slowdown of a host lasts about this long before it changes.
@@ -28,6 +33,9 @@
 # Mean slowdown until reports have arrived.
 _INITIAL_SLOWDOWN = 1.5
 _EWMA_WEIGHT = 0.05
+# Latest load reports of which the fastest quarter counts as fast.
+_COMPARED_REPORTS = 32
+_FAST_SHARE = 0.25
 # Factor by which the longest latency decays with each response.
 _LONGEST_LATENCY_DECAY = 0.99
 # Service time of a route as a share of its target latency, until responses
@@ -39,19 +47,31 @@
     """Learns the service time of each route on an undisturbed server.
 
     Also keeps the mean slowdown of the servers; both are exponentially
-    weighted moving averages. The longest latency of each route decays.
+    weighted moving averages. The longest latency of each route decays. The
+    slowdown of a fast server is a quantile of the latest reports.
     """
 
     def __init__(self):
         self._service_times = {}
         self._longest_latencies = {}
         self._mean_slowdown = _INITIAL_SLOWDOWN
+        self._latest_slowdowns = collections.deque(maxlen=_COMPARED_REPORTS)
+        self._fast_slowdown = 1.0
 
     @property
     def mean_slowdown(self):
         """Moving average of the slowdowns in load reports."""
         return self._mean_slowdown
 
+    @property
+    def fast_slowdown(self):
+        """Slowdown of the fast servers by the latest load reports, >= 1."""
+        if self._fast_slowdown is None:
+            ordered = sorted(self._latest_slowdowns)
+            fast = ordered[int(len(ordered) * _FAST_SHARE)]
+            self._fast_slowdown = max(1.0, fast)
+        return self._fast_slowdown
+
     def service_time(self, route):
         """Return the undisturbed service time of a route in seconds."""
         known = self._service_times.get(route.name)
@@ -84,6 +104,8 @@
     def record_slowdown(self, slowdown):
         """Add the slowdown of a load report."""
         self._mean_slowdown += _EWMA_WEIGHT * (slowdown - self._mean_slowdown)
+        self._latest_slowdowns.append(slowdown)
+        self._fast_slowdown = None
 
 
 def expected_load(view, now):
--- a/wigeonrouter/placement/_estimate_test.py
+++ b/wigeonrouter/placement/_estimate_test.py
@@ -75,3 +75,32 @@
     for _ in range(500):
         service_times.record_latency(route, 0.1)
     assert service_times.longest_latency(route) < 0.2
+
+
+@pytest.mark.parametrize(
+    ("slowdowns", "expected"),
+    [
+        ([], 1.0),
+        ([4.0] * 32, 4.0),
+        ([4.0, 4.0, 1.0, 1.0] * 8, 1.0),
+        ([4.0, 4.0, 1.0] * 12, 1.0),
+        ([1.0] * 100 + [2.5] * 32, 2.5),
+        ([8.0] * 100 + [1.0] * 16, 1.0),
+        ([0.5] * 32, 1.0),
+    ],
+    ids=[
+        "no report",
+        "all slow",
+        "half slow",
+        "most slow",
+        "slower than before",
+        "fast again",
+        "faster than usual",
+    ],
+)
+def test_fast_servers_are_those_of_the_latest_reports(slowdowns, expected):
+    """Guards against waits for servers as fast as none is at this time."""
+    service_times = placement.ServiceTimes()
+    for slowdown in slowdowns:
+        service_times.record_slowdown(slowdown)
+    assert service_times.fast_slowdown == expected
