Keep what a check of the paths found apart from other questions

While a node is cut off, whether its connections hang or are refused was one field for the checks of the cut and for the question whether any other server is reached. The answer to that could change the former, so that idempotent requests in flight were left to hang until their deadline. Each result has its own value now.

--- a/wigeonrouter/node/_link_monitor.py
+++ b/wigeonrouter/node/_link_monitor.py
@@ -4,6 +4,8 @@
 new connections, never with the requests of callers.
 """
 
+import dataclasses
+import enum
 import time
 
 import gevent
@@ -24,6 +26,29 @@
 _CONNECTIONS_PER_SERVER = 64
 
 
+class _Outcome(enum.Enum):
+    """What became of one new connection."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _CheckResult:
+    """Responses of servers to new connections.
+
+    Attributes:
+      accepted: number of servers that accepted one.
+      attempted: number of servers that were tried.
+      refused: whether any refused one.
+    """
+
+    accepted: int
+    attempted: int
+    refused: bool
+
+
 class LinkMonitor:
     """Owns the placement.ServerLinks of a node.
 
@@ -102,7 +127,7 @@
         if not others:
             return True
         result = self._connect_to_some(others, count=_TRIED_SERVERS, enough=1)
-        return result is not None and result[0] > 0
+        return result is not None and result.accepted > 0
 
     def _check(self):
         result = self._connect_to_some(
@@ -112,9 +137,9 @@
         )
         if result is None:
             return
-        accepted, attempted = result
+        self._refused = result.refused
         if not self._links.record_check(
-            accepted=accepted, attempted=attempted
+            accepted=result.accepted, attempted=result.attempted
         ):
             return
         now = self._clock()
@@ -123,13 +148,13 @@
             self._events.notice(
                 "servers-unreachable",
                 silent=self._links.silent_count,
-                checked=attempted,
+                checked=result.attempted,
             )
         else:
             self._events.notice(
                 "servers-reachable",
-                accepted=accepted,
-                checked=attempted,
+                accepted=result.accepted,
+                checked=result.attempted,
                 after_ms=round((now - self._cut_since) * 1000),
             )
         self._on_change()
@@ -142,8 +167,7 @@
           count: largest number of servers to try.
           enough: number of accepted connections after which to return.
         Returns:
-          Pair of the numbers of servers that accepted one and that were
-          tried, None if no server is known or this node was held up.
+          _CheckResult, None if no server is known or this node was held up.
         """
         known = self._known()
         chosen = self._rng.sample(instances, min(len(instances), count))
@@ -151,14 +175,14 @@
             gevent.sleep(_CHECK_INTERVAL_S)
             return None
         started = self._clock()
-        self._refused = False
         tasks = [
-            gevent.spawn(self._accepts, known[instance].registration.address)
+            gevent.spawn(self._connect, known[instance].registration.address)
             for instance in chosen
         ]
-        accepted = 0
+        accepted, refused = 0, False
         for task in gevent.iwait(tasks):
-            accepted += bool(task.value)
+            accepted += task.value is _Outcome.ACCEPTED
+            refused = refused or task.value is _Outcome.REFUSED
             if accepted >= enough:
                 break
         if (
@@ -166,9 +190,11 @@
             and self._clock() - started > _CHECK_TIMEOUT_S + _MAX_DELAY_S
         ):
             return None
-        return accepted, len(chosen)
+        return _CheckResult(
+            accepted=accepted, attempted=len(chosen), refused=refused
+        )
 
-    def _accepts(self, address):
+    def _connect(self, address):
         deadline = self._clock() + _CHECK_TIMEOUT_S
         try:
             connection = self._pool.checkout(
@@ -179,7 +205,7 @@
             )
         except http1.ConnectFailed:
             if self._clock() < deadline:
-                self._refused = True
-            return False
+                return _Outcome.REFUSED
+            return _Outcome.SILENT
         self._pool.checkin(address, connection)
-        return True
+        return _Outcome.ACCEPTED
