--- a/review/harness.py
+++ b/review/harness.py
@@ -238,6 +238,7 @@
         store_address,
         zone="norte-a",
         seeds=(),
+        link_mbps=1000.0,
     ):
         self.host = host
         self.ports = ports
@@ -268,7 +269,7 @@
             "limits.cores": "1",
             "limits.memory_mb": "300",
             "limits.max_fds": "4100",
-            "limits.link_mbps": "1000.0",
+            "limits.link_mbps": str(link_mbps),
             "limits.disk_mb": "0",
             "discovery": "platform",
             "entry": "directory",
