Log what the node itself ends, and which revision a first copy claims

Events: attempts-aborted, cut-off with the time that the request still had, store-listed. No decision changes.

--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -130,11 +130,13 @@
         """Return the Rejection of a request that this node cannot finish."""
         if now <= self._latest_start(request, route):
             return None
+        excess = request.deadline - self._stop_deadline()
         return messages.Rejection(
             problem=core.problems.STOPPING,
             retry_after=placement.retry_after(
                 wait=_STOPPING_RETRY_S, rng=self._rng
             ),
+            detail=f"deadline {excess * 1000:.0f} ms after the node's end",
         )
 
     def _check_admission(self, request, service_time, now):
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -290,6 +290,7 @@
             [gevent.spawn(server.stop) for server in self._request_servers],
             timeout=max(0.0, drain_deadline - time.monotonic()),
         )
+        self._proxy.log_unfinished()
         self._events.notice("stopped", requests=self._requests_in_progress)
         gevent.killall(self._tasks)
 
@@ -439,7 +440,8 @@
         """Apply that this node was cut off from all servers, or is back."""
         self._region_member.broadcast_state()
         if self._link_monitor.hanging:
-            self._sender.abort_repeatable()
+            aborted = self._sender.abort_repeatable()
+            self._events.notice("attempts-aborted", count=aborted)
         self._balancers.on_links_changed(cut=self._link_monitor.cut)
 
     def _reconfigure(self):
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -73,6 +73,13 @@
         self._request_log = request_log
         self._clock = clock
         self._caller_timeouts = {}
+        # The RequestContexts of requests that are being handled.
+        self._in_progress = set()
+
+    def log_unfinished(self):
+        """Log each request that is cut off, as the process ends."""
+        for context in self._in_progress:
+            self._request_log.on_cut_off(context)
 
     def changed_timeouts(self):
         """Return the estimates that differ much from the stored ones.
@@ -119,6 +126,7 @@
                 context, request_metadata.request_id, arrived, None
             )
         balancer = self._balancer_for(context.service)
+        self._in_progress.add(context)
         try:
             if origin is None:
                 # The node that has it from its caller counts it.
@@ -129,6 +137,8 @@
             raise
         except Exception as error:
             result = _internal_error(context, error)
+        finally:
+            self._in_progress.discard(context)
         if isinstance(result, messages.Rejection):
             return self._reject(result, context.request_id, arrived, context)
         self._request_log.on_response(context, result)
--- a/wigeonrouter/node/_request_context.py
+++ b/wigeonrouter/node/_request_context.py
@@ -8,7 +8,7 @@
 from wigeonrouter.node import _forwarded_request
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, eq=False, slots=True)
 class RequestContext:
     """State of a request in progress. Times on the monotonic clock.
 
--- a/wigeonrouter/node/_request_log.py
+++ b/wigeonrouter/node/_request_log.py
@@ -39,6 +39,14 @@
             latency=self._clock() - context.pending.arrived,
         )
 
+    def on_cut_off(self, context):
+        """Record that this node ends before it has finished a request."""
+        self._log_event(
+            context,
+            "cut-off",
+            left_to_deadline_ms=_ms(context.pending.deadline - self._clock()),
+        )
+
     def on_rejection(self, rejection, request_id, arrived, context):
         """Record that this node rejects or fails a request.
 
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -59,9 +59,14 @@
         self._repeatable = set()
 
     def abort_repeatable(self):
-        """End the attempts at servers whose requests may be repeated."""
+        """End the attempts at servers whose requests may be repeated.
+
+        Returns:
+          The number of these attempts.
+        """
         for connection in self._repeatable:
             connection.abort()
+        return len(self._repeatable)
 
     def send(
         self,
--- a/wigeonrouter/node/_store_loader.py
+++ b/wigeonrouter/node/_store_loader.py
@@ -55,6 +55,13 @@
         except store.StoreError as error:
             self._events.notice("store-lost", error=str(error))
             return False
+        self._events.notice(
+            "store-listed",
+            era=listing.position.era,
+            revision=listing.position.revision,
+            newest=max((item.version for item in listing.items), default=0),
+            items=len(listing.items),
+        )
         self._store_cache.replace_all(
             listing.items, listing.position, stale=True
         )
