Tell the node's own end of a connection from the server's

Cause: Sender.abort_repeatable shuts connections down, after which receive() returns no bytes, like at the server's end. ResponseReader takes that for the end of a body without a length. The log of the first hypothesis shows it: attempts-aborted count=4, and the attempts end as answered in the same millisecond. The buffer budget ends connections in the same way and had a flag of its own against this; the new caller of abort() had none.

Change: Connection.abort() takes a typed AbortReason, and receive() raises ConnectionAborted from then on. No bytes are returned only at the end that the server has set, which is now the contract of ResponseReader. An attempt that the node ended does not count as a connection that the server broke.

--- a/wigeonrouter/http1/__init__.py
+++ b/wigeonrouter/http1/__init__.py
@@ -10,11 +10,13 @@
 from wigeonrouter.http1 import _server
 from wigeonrouter.http1 import _sockets
 
+AbortReason = _pool.AbortReason
 BufferBudget = _buffer_budget.BufferBudget
 CallerDisconnected = _caller_connection.CallerDisconnected
 CallerServer = _server.CallerServer
 Connection = _pool.Connection
 ConnectFailed = _pool.ConnectFailed
+ConnectionAborted = _pool.ConnectionAborted
 ConnectionPool = _pool.ConnectionPool
 HOP_BY_HOP = _messages.HOP_BY_HOP
 HttpRequest = _messages.HttpRequest
--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -1,12 +1,15 @@
 """Pool of connections to backend servers, with a limit per server."""
 
 import collections
+import enum
 import time
 
 import gevent
 from gevent import event
 from gevent import socket
 
+from wigeonrouter import core
+from wigeonrouter.http1 import _messages
 from wigeonrouter.http1 import _sockets
 
 # Backend servers may close idle connections at any time. Connections that were
@@ -22,6 +25,31 @@
     """No connection was available or could be opened in time."""
 
 
+class AbortReason(enum.Enum):
+    """Why this process ends a connection while it receives a response."""
+
+    BUFFERS_FULL = "buffers are full"
+    SERVERS_UNREACHABLE = "no server is reachable"
+
+
+_ABORT_PROBLEMS = {
+    AbortReason.BUFFERS_FULL: core.problems.ANSWER_TOO_LARGE,
+    AbortReason.SERVERS_UNREACHABLE: core.problems.ANSWER_LOST,
+}
+
+
+class ConnectionAborted(_messages.MalformedMessage):
+    """This process ended the connection, so the response is incomplete.
+
+    Args:
+      reason: AbortReason.
+    """
+
+    def __init__(self, reason):
+        super().__init__(_ABORT_PROBLEMS[reason], reason.value)
+        self.reason = reason
+
+
 class Connection:
     """One connection to a backend server.
 
@@ -34,6 +62,7 @@
         self._sock = sock
         self._last_used = now
         self._fresh = True
+        self._abort_reason = None
 
     @property
     def idle_since(self):
@@ -74,15 +103,28 @@
             self._sock.send_blocking(memoryview(data)[sent:])
 
     def receive(self):
-        """Return the next bytes, or b"" at the end of the stream."""
-        return self._sock.receive()
+        """Return the next bytes, or b"" at the end that the server has set.
+
+        Raises:
+          ConnectionAborted: abort() was called.
+          OSError: the connection failed.
+        """
+        data = self._sock.receive()
+        if self._abort_reason is not None:
+            raise ConnectionAborted(self._abort_reason)
+        return data
 
     def touch(self, now):
         """Set the time of the last use, seconds."""
         self._last_used = now
 
-    def abort(self):
-        """Make a waiting receive() return, at the end of the stream."""
+    def abort(self, reason):
+        """End the connection; a waiting receive() raises ConnectionAborted.
+
+        Args:
+          reason: AbortReason.
+        """
+        self._abort_reason = reason
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/wigeonrouter/http1/_response_reader.py
+++ b/wigeonrouter/http1/_response_reader.py
@@ -32,7 +32,9 @@
     """Reads consecutive responses from one connection.
 
     Args:
-      receive: function that returns the next bytes, b"" at the end.
+      receive: function that returns the next bytes, b"" only at the end that
+        the server has set. At any other end it raises an exception, because a
+        body without a length is whole at the server's end alone.
       max_bytes: largest accepted response, headers included.
       allow_close_delimited: accept a body without a length, which ends with
         the connection.
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -1,6 +1,7 @@
 """Sends a request to one backend server and reads the whole response."""
 
 import dataclasses
+import functools
 import time
 
 import gevent
@@ -65,7 +66,7 @@
           The number of these attempts.
         """
         for connection in self._repeatable:
-            connection.abort()
+            connection.abort(http1.AbortReason.SERVERS_UNREACHABLE)
         return len(self._repeatable)
 
     def send(
@@ -213,7 +214,9 @@
         reader = http1.ResponseReader(
             receive=request.reservation.counting(
                 self._connection.receive,
-                abort=self._connection.abort,
+                abort=functools.partial(
+                    self._connection.abort, http1.AbortReason.BUFFERS_FULL
+                ),
                 problem=core.problems.ANSWER_TOO_LARGE,
             ),
             max_bytes=MAX_RESPONSE_BYTES,
@@ -249,6 +252,8 @@
 
 
 def _is_disconnect(error):
+    if isinstance(error, http1.ConnectionAborted):
+        return False
     if isinstance(error, http1.MalformedMessage):
         return error.problem is core.problems.ANSWER_LOST
     return not isinstance(error, TimeoutError)
--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -13,6 +13,8 @@
 # Interval at which a busy backend server checks whether the caller is still
 # connected.
 _CANCEL_CHECK_INTERVAL_S = 0.005
+# Pause in the middle of a response in halves.
+_HALVES_PAUSE_S = 0.8
 # Faults of a backend server that sends bytes until its caller closes: the
 # start of the response, and what follows again and again.
 ENDLESS_BYTES = {
@@ -82,8 +84,8 @@
         None for no such target.
       on_crash: called with the server after it has ended so.
       fault: "" or one of "errors", "hang", "reset", "shed", "garbage",
-        "truncate", "cut-head", "stray", "unframed", or a key of
-        ENDLESS_BYTES.
+        "truncate", "cut-head", "stray", "unframed", "unframed-halves", or a
+        key of ENDLESS_BYTES.
     """
 
     def __init__(
@@ -172,13 +174,20 @@
                 response, headers=((b"request-id", b"other"),), fields=None
             )
             return super().render(request, stray) + data
-        if self.fault == "unframed":
+        if self.fault in ("unframed", "unframed-halves"):
             length = b"content-length: %d\r\n" % len(response.body)
             return data.replace(length, b"")
         return data
 
     def send(self, sock, request, response):
-        """Send a response, or bytes without end if such a fault is set."""
+        """Send a response, in halves or without end if a fault says so."""
+        if self.fault == "unframed-halves" and request.target != b"/health":
+            data = self.render(request, response)
+            middle = len(data) - len(response.body) // 2
+            sock.sendall(data[:middle])
+            gevent.sleep(_HALVES_PAUSE_S)
+            sock.sendall(data[middle:])
+            return
         endless = ENDLESS_BYTES.get(self.fault)
         if endless is None or request.target == b"/health":
             super().send(sock, request, response)
@@ -191,7 +200,12 @@
 
     def closes_after_response(self):
         """Return whether the connection is closed after each response."""
-        return self.fault in ("unframed", "truncate", "cut-head")
+        return self.fault in (
+            "unframed",
+            "unframed-halves",
+            "truncate",
+            "cut-head",
+        )
 
     def _run(self, request, sock):
         self.runs.append(
--- a/wigeonrouter/platform/_partitioned_node_test.py
+++ b/wigeonrouter/platform/_partitioned_node_test.py
@@ -201,6 +201,47 @@
     assert [task.get().status for task in tasks] == [200]
 
 
+@pytest.mark.parametrize("kind", [Cut.HANG, Cut.RESET])
+def test_response_without_a_length_is_whole_or_fails(
+    store, servers, nodes, links, kind
+):
+    """Guards against half a response that looks complete to its caller.
+
+    The node is cut off in the middle of responses that end with their
+    connection, and ends these connections itself.
+    """
+    store.put("op/config", _configuration_with_long_timeout())
+    _send_to_all(nodes, duration=0.5)
+    for server in servers:
+        server.fault = "unframed-halves"
+    tasks = [
+        gevent.spawn(
+            conftest.callers_of(nodes[:1])[0].send,
+            f"/long/{number}",
+            request_id=f"long-{number}",
+            remaining=4000,
+        )
+        for number in range(4)
+    ]
+    gevent.sleep(0.3)
+    links[0].cut(kind)
+    _send_to_all(nodes, duration=_NOTICED_S)
+    links[0].restore()
+    for number, task in enumerate(tasks):
+        response = task.get()
+        if response.status == 200:
+            assert response.body == b"body of /long/%d" % number
+        else:
+            assert response.status == 502
+
+
+def _configuration_with_long_timeout():
+    route = conftest.configuration()["routes"]["r-read"]
+    return conftest.configuration(
+        2, routes={"r-long": {**route, "prefix": "/long/", "timeout": "4s"}}
+    )
+
+
 def test_region_without_paths_uses_nodes_of_another_region(
     nodes, links, start_linked_node
 ):
