Refuse responses without a length from other nodes

What callers could have seen: half of a response as a whole one, if a node to which their request was passed on ended in the middle of a response without a length.

Cause, the same as of half responses of servers: an end of the stream was taken for the sender's own wherever a response had no length, also from peers.

Change: Sender.send_to accepts such responses from backend servers only.

Evidence: test_response_of_another_node_without_a_length_is_incomplete failed before (outcome SUCCEEDED) and passes.

--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -98,6 +98,7 @@
             idempotent=idempotent,
             response_deadline=response_deadline,
             abortable=idempotent,
+            allow_close_delimited=True,
         )
 
     def send_to(
@@ -110,6 +111,7 @@
         idempotent,
         response_deadline,
         abortable=False,
+        allow_close_delimited=False,
     ):
         """Send a request to an address and wait for the response.
 
@@ -125,6 +127,8 @@
           response_deadline: time after which the response is useless,
             monotonic seconds.
           abortable: whether abort_repeatable() ends the attempt.
+          allow_close_delimited: whether the response may have no length and
+            end with the connection. Those of nodes always have one.
         Returns:
           Attempt.
         """
@@ -144,7 +148,10 @@
                 detail=str(error),
             )
         exchange = _Exchange(
-            connection=connection, codec=self._codec, clock=self._clock
+            connection=connection,
+            codec=self._codec,
+            allow_close_delimited=allow_close_delimited,
+            clock=self._clock,
         )
         if abortable:
             self._repeatable.add(connection)
@@ -166,9 +173,10 @@
       reusable: whether the connection can be used for another request.
     """
 
-    def __init__(self, *, connection, codec, clock):
+    def __init__(self, *, connection, codec, allow_close_delimited, clock):
         self._connection = connection
         self._codec = codec
+        self._allow_close_delimited = allow_close_delimited
         self._clock = clock
         self.reusable = False
 
@@ -220,7 +228,7 @@
                 problem=core.problems.ANSWER_TOO_LARGE,
             ),
             max_bytes=MAX_RESPONSE_BYTES,
-            allow_close_delimited=True,
+            allow_close_delimited=self._allow_close_delimited,
         )
 
         def is_own(metadata, skipped):
