Take only requests that a stopping node finishes for certain

Change: the decision compares the deadline of the request, which includes the route's timeout, with the node's end. A request that is over by then is always sent. One that is not is rejected at once if it may not run again; if it may, it is sent on the estimate only until callers have dropped the entries that they got before the stop (three times the TTL).

--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -5,7 +5,6 @@
 that becomes known.
 """
 
-import math
 import time
 
 from wigeonrouter import core
@@ -29,8 +28,8 @@
     Args:
       server_pool: ServerPool of the service.
       queue: placement.RequestQueue of the service.
-      stop_deadline: function that returns the time at which this node ends,
-        monotonic seconds, inf while it is not stopping.
+      stop_schedule: function that returns the placement.StopSchedule of this
+        node, NO_STOP while it is not stopping.
     """
 
     def __init__(
@@ -39,13 +38,13 @@
         server_pool,
         queue,
         rng,
-        stop_deadline=lambda: math.inf,
+        stop_schedule=lambda: placement.NO_STOP,
         clock=time.monotonic,
     ):
         self._server_pool = server_pool
         self._queue = queue
         self._rng = rng
-        self._stop_deadline = stop_deadline
+        self._stop_schedule = stop_schedule
         self._clock = clock
         self._late_rate = placement.late_dispatch_rate()
         self._arrivals = placement.SlidingWindowRate(window=_ARRIVAL_WINDOW_S)
@@ -73,9 +72,9 @@
         self._arrivals.record(now)
         if not placement.is_late(request, service_time=service_time, now=now):
             self._on_time_arrivals.record(now)
-        return self._check_stopping(
-            request, route, now
-        ) or self._check_admission(request, service_time, now)
+        return self.check_stopping(request, route) or self._check_admission(
+            request, service_time, now
+        )
 
     def check_queued(self, request, route, *, became_late):
         """Decide whether a queued request may go on waiting.
@@ -89,12 +88,32 @@
           messages.Rejection, None to keep it.
         """
         now = self._clock()
-        return self._check_stopping(
-            request, route, now
+        return self.check_stopping(
+            request, route
         ) or self._check_still_admissible(
             request, self._service_time(route), now, became_late=became_late
         )
 
+    def check_stopping(self, request, route):
+        """Return the Rejection of a request that this node may not finish.
+
+        Args:
+          request: placement.PendingRequest.
+          route: topology.Route of the request.
+        Returns:
+          messages.Rejection, None if the request may be sent.
+        """
+        if self._clock() <= self._latest_start(request, route):
+            return None
+        excess = request.deadline - self._stop_schedule().end
+        return messages.Rejection(
+            problem=core.problems.STOPPING,
+            retry_after=placement.retry_after(
+                wait=_STOPPING_RETRY_S, rng=self._rng
+            ),
+            detail=f"deadline {excess * 1000:.0f} ms after the node's end",
+        )
+
     def record_dispatch(self, request, route):
         """Count a request that is sent to a server."""
         now = self._clock()
@@ -123,20 +142,7 @@
             longest_latency=self._server_pool.service_times.longest_latency(
                 route
             ),
-            stop_deadline=self._stop_deadline(),
-        )
-
-    def _check_stopping(self, request, route, now):
-        """Return the Rejection of a request that this node cannot finish."""
-        if now <= self._latest_start(request, route):
-            return None
-        excess = request.deadline - self._stop_deadline()
-        return messages.Rejection(
-            problem=core.problems.STOPPING,
-            retry_after=placement.retry_after(
-                wait=_STOPPING_RETRY_S, rng=self._rng
-            ),
-            detail=f"deadline {excess * 1000:.0f} ms after the node's end",
+            schedule=self._stop_schedule(),
         )
 
     def _check_admission(self, request, service_time, now):
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -4,7 +4,6 @@
 the admitted requests by priority.
 """
 
-import math
 import time
 
 from gevent import event
@@ -27,8 +26,8 @@
     Args:
       server_pool: ServerPool of the service.
       budget: placement.RetryBudget.
-      stop_deadline: function that returns the time at which this node ends,
-        monotonic seconds, inf while it is not stopping.
+      stop_schedule: function that returns the placement.StopSchedule of this
+        node, NO_STOP while it is not stopping.
     """
 
     def __init__(
@@ -37,7 +36,7 @@
         server_pool,
         budget,
         rng,
-        stop_deadline=lambda: math.inf,
+        stop_schedule=lambda: placement.NO_STOP,
         clock=time.monotonic,
     ):
         self._server_pool = server_pool
@@ -49,7 +48,7 @@
             server_pool=server_pool,
             queue=self._queue,
             rng=rng,
-            stop_deadline=stop_deadline,
+            stop_schedule=stop_schedule,
             clock=clock,
         )
 
@@ -105,6 +104,13 @@
         )
         self._on_servers_changed()
 
+    def check_stopping(self, request, route):
+        """Return the Rejection of a request that this node may not finish.
+
+        For a request that is not sent to a server; acquire() checks it too.
+        """
+        return self._admission.check_stopping(request, route)
+
     def acquire(self, request, route, *, should_leave=lambda: False):
         """Wait in the queue for a server.
 
--- a/wigeonrouter/node/_balancer_registry.py
+++ b/wigeonrouter/node/_balancer_registry.py
@@ -24,8 +24,8 @@
       peers: function that returns the topology.Peers of the region.
       limit_share: function from a service to the share of its servers' rate
         limits that this node may use.
-      stop_deadline: function that returns the time at which this node ends,
-        monotonic seconds, inf while it is not stopping.
+      stop_schedule: function that returns the placement.StopSchedule of this
+        node, NO_STOP while it is not stopping.
       events: events.EventLog.
       rng: random.Random.
     """
@@ -39,7 +39,7 @@
         link_monitor,
         peers,
         limit_share,
-        stop_deadline,
+        stop_schedule,
         events,
         rng,
     ):
@@ -49,7 +49,7 @@
         self._link_monitor = link_monitor
         self._peers = peers
         self._limit_share = limit_share
-        self._stop_deadline = stop_deadline
+        self._stop_schedule = stop_schedule
         self._events = events
         self._rng = rng
         self._balancers = {}
@@ -160,7 +160,7 @@
                 window=self._settings.bounds.retry_window,
             ),
             rng=self._rng,
-            stop_deadline=self._stop_deadline,
+            stop_schedule=self._stop_schedule,
         )
 
     def _retry_ratio(self):
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -1,6 +1,5 @@
 """Connects the components of a node and manages their life cycle."""
 
-import math
 import os
 import random
 import time
@@ -10,6 +9,7 @@
 from wigeonrouter import core
 from wigeonrouter import http1
 from wigeonrouter import observability
+from wigeonrouter import placement
 from wigeonrouter import store
 from wigeonrouter import topology
 from wigeonrouter.node import _balancer_registry
@@ -33,10 +33,11 @@
 # Mean interval between writes of changed caller timeouts to the store.
 _TIMEOUTS_WRITE_INTERVAL_S = 5.0
 _MAX_CALLER_CONNECTIONS = 3_000
-# TTL of directory responses. Some callers cache a response for three times as
-# long, and all responses that list a stopping node have to expire before it
-# stops accepting requests.
+# TTL of directory responses. All responses that list a stopping node have to
+# expire before it stops accepting requests.
 _ENTRIES_TTL_S = 1.0
+# Some callers cache a response for this many times its TTL.
+_ENTRIES_TTL_FACTOR = 3
 # Share of the stop grace during which a stopping node still accepts requests,
 # because callers with a cached directory response still send some.
 _ACCEPT_GRACE_SHARE = 0.7
@@ -77,7 +78,7 @@
         self._feed = feed
         self._rng = rng or random.Random()
         self._stopping = False
-        self._stop_deadline = math.inf
+        self._stop_schedule = placement.NO_STOP
         self._was_ready = False
         self._buffer_budget = http1.BufferBudget(limit=_buffer_limit(settings))
         self._pool = http1.ConnectionPool(max_idle=_MAX_BACKEND_IDLE_S)
@@ -112,7 +113,7 @@
             link_monitor=self._link_monitor,
             peers=lambda: self._region_member.peers,
             limit_share=self._region_member.limit_share,
-            stop_deadline=lambda: self._stop_deadline,
+            stop_schedule=lambda: self._stop_schedule,
             events=events,
             rng=self._rng,
         )
@@ -271,14 +272,17 @@
         """Stop gracefully, without aborting requests.
 
         The node leaves the roster and keeps accepting requests for a share
-        of the stop grace, but rejects those that it could not finish. It then
+        of the stop grace, but rejects those that it may not finish. It then
         waits for those in progress. Returns within the stop grace.
         """
         started = time.monotonic()
         grace = self._settings.bounds.stop_grace
         self._stopping = True
         drain_deadline = started + grace * _DRAIN_GRACE_SHARE
-        self._stop_deadline = drain_deadline - _STOP_MARGIN_S
+        self._stop_schedule = placement.StopSchedule(
+            entries_expire=started + _ENTRIES_TTL_FACTOR * self._entries_ttl(),
+            end=drain_deadline - _STOP_MARGIN_S,
+        )
         self._events.notice("stopping", requests=self._requests_in_progress)
         for request_server in self._request_servers:
             request_server.drain()
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -23,6 +23,7 @@
 AttemptOutcome = _health.AttemptOutcome
 CrashHistory = _crashes.CrashHistory
 Standing = _crashes.Standing
+StopSchedule = _stopping.StopSchedule
 PendingRequest = _records.PendingRequest
 LoadReport = _records.LoadReport
 Pick = _choice.Pick
@@ -49,6 +50,7 @@
 is_late = _request_queue.is_late
 late_from = _request_queue.late_from
 latest_start = _stopping.latest_start
+NO_STOP = _stopping.NO_STOP
 is_nearly_full = _estimate.is_nearly_full
 choose = _choice.choose
 CRASH_RETENTION_S = _crashes.CRASH_RETENTION_S
--- a/wigeonrouter/placement/_stopping_test.py
+++ b/wigeonrouter/placement/_stopping_test.py
@@ -6,13 +6,17 @@
 
 STOP_AFTER_S = 1.5
 LONGEST_LATENCY_S = 0.4
+ENTRIES_EXPIRE_AFTER_S = 1.0
 
 
 def _latest_start(request, now, *, longest_latency=LONGEST_LATENCY_S):
     return placement.latest_start(
         request,
         longest_latency=longest_latency,
-        stop_deadline=now + STOP_AFTER_S,
+        schedule=placement.StopSchedule(
+            entries_expire=now + ENTRIES_EXPIRE_AFTER_S,
+            end=now + STOP_AFTER_S,
+        ),
     )
 
 
@@ -35,3 +39,29 @@
     assert _latest_start(write, now, longest_latency=None) == -math.inf
     read = make_request(deadline=2.0)
     assert _latest_start(read, now, longest_latency=None) > now
+
+
+def test_request_that_may_not_run_again_is_sent_if_its_deadline_allows(
+    make_request, now
+):
+    """Guards against writes that are cut off because they take long."""
+    write = make_request(deadline=2.0, idempotent=False)
+    assert _latest_start(write, now, longest_latency=0.001) == -math.inf
+    write = make_request(deadline=STOP_AFTER_S, idempotent=False)
+    assert _latest_start(write, now) == math.inf
+
+
+def test_no_request_is_sent_on_an_estimate_once_entries_have_expired(
+    make_request, now
+):
+    """Guards against late requests that take longer than is expected."""
+    latest_start = _latest_start(make_request(), now, longest_latency=0.001)
+    assert latest_start == now + ENTRIES_EXPIRE_AFTER_S
+
+
+def test_node_that_does_not_stop_sends_all_requests(make_request):
+    """Guards against rejections without a stop."""
+    write = make_request(deadline=60.0, idempotent=False)
+    assert math.inf == placement.latest_start(
+        write, longest_latency=None, schedule=placement.NO_STOP
+    )
--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -67,6 +67,7 @@
 
     Attributes:
       slowdown: current service time divided by the undisturbed one.
+      extra_time: seconds that requests take longer, which no response tells.
       rate_limit: limit that its responses name, requests per second; None
         for no limit. The server does not enforce it.
       names_limit_in_probes: whether responses to health checks name it too.
@@ -94,6 +95,7 @@
         self.instance = instance
         self.service = service
         self.slowdown = 1.0
+        self.extra_time = 0.0
         self.rate_limit = None
         self.names_limit_in_probes = True
         self.leaving = False
@@ -240,7 +242,8 @@
             self.ended[request_id] = time.monotonic()
 
     def _execute(self, request, sock):
-        ends_at = time.monotonic() + self._service_time * self.slowdown
+        service_time = self._service_time * self.slowdown + self.extra_time
+        ends_at = time.monotonic() + service_time
         while time.monotonic() < ends_at:
             gevent.sleep(_CANCEL_CHECK_INTERVAL_S)
             if sock.fileno() < 0:
--- a/wigeonrouter/platform/_end_to_end_test.py
+++ b/wigeonrouter/platform/_end_to_end_test.py
@@ -182,22 +182,50 @@
     stop_task.join()
 
 
+@pytest.fixture
+def node_with_grace(make_settings, start_node):
+    """Run a node with a stop grace of two seconds."""
+    bounds = topology.Bounds(stop_grace=2.0, retry_ratio=0.2)
+    return start_node(make_settings(bounds=bounds))
+
+
 def test_late_requests_to_a_stopping_node_are_finished_or_rejected(
-    backend, make_settings, start_node
+    backend, node_with_grace
 ):
     """Guards against requests that a planned stop cuts off unanswered.
 
     Callers with an old entry send requests until the node is gone, and each
     takes longer than the rest of the stop grace towards its end.
     """
-    settings = make_settings(
-        bounds=topology.Bounds(stop_grace=2.0, retry_ratio=0.2)
+    servers = start_ready(
+        backend, node_with_grace, "i-1", "i-2", service_time=0.6, slots=30
     )
-    node = start_node(settings)
+    _check_requests_during_a_stop(node_with_grace, servers)
+
+
+def test_request_that_takes_longer_than_usual_is_not_cut_off_by_a_stop(
+    backend, node_with_grace
+):
+    """Guards against a stop that relies on how long requests took before.
+
+    While the node stops, requests begin to take nearly as long as their route
+    allows.
+    """
     servers = start_ready(
-        backend, node, "i-1", "i-2", service_time=0.6, slots=30
+        backend, node_with_grace, "i-1", "i-2", service_time=0.05, slots=30
     )
-    caller = conftest.Caller(address=settings.caller_address)
+
+    def slow_down():
+        for server in servers:
+            server.extra_time = 0.75
+
+    gevent.spawn_later(1.1, slow_down)
+    _check_requests_during_a_stop(node_with_grace, servers)
+
+
+def _check_requests_during_a_stop(node, servers):
+    """Send requests while a node stops; each that runs gets its response."""
+    caller = conftest.Caller(address=node.settings.caller_address)
     callers = [gevent.spawn(caller.send, "/read/a") for _ in range(4)]
     gevent.joinall(callers, raise_error=True)
     ran_before = sum(len(server.runs) for server in servers)
