Do not pass requests on that a stopping node may not finish

What callers could have seen: a connection that is lost without a response, if their node was cut off from all servers and stopped, and had passed their request on to a node that took longer than the stop grace left.

Change: the same decision as for servers is made before a request is passed on.

--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -217,23 +217,14 @@
     def _run(self, context, balancer):
         while True:
             if self._forwarder.should_forward(context):
-                result = self._forwarder.forward(
-                    context,
-                    lambda attempt: self._may_retry(
-                        context, balancer, attempt
-                    ),
-                )
+                result = self._forward(context, balancer)
                 if result is not None:
                     return result
             grant = self._acquire(context, balancer)
             if grant is None:
                 continue
             if isinstance(grant, messages.Rejection):
-                if context.may_have_run:
-                    return messages.Rejection(
-                        problem=core.problems.ANSWER_LOST
-                    )
-                return grant
+                return _end_rejected(grant, context)
             try:
                 attempt = self._attempt(context, balancer, grant)
                 self._record_crash(context, grant, attempt)
@@ -243,6 +234,19 @@
             if result is not None:
                 return result
 
+    def _forward(self, context, balancer):
+        """Pass a request on to another node; see Forwarder.forward().
+
+        Its caller waits for this node, so the node has to last as long.
+        """
+        rejection = balancer.check_stopping(context.pending, context.route)
+        if rejection is not None:
+            return _end_rejected(rejection, context)
+        return self._forwarder.forward(
+            context,
+            lambda attempt: self._may_retry(context, balancer, attempt),
+        )
+
     def _acquire(self, context, balancer):
         """Wait for a server; return a Grant or messages.Rejection.
 
@@ -369,6 +373,13 @@
         return response
 
 
+def _end_rejected(rejection, context):
+    """Return the Rejection that ends a request which may have run before."""
+    if context.may_have_run:
+        return messages.Rejection(problem=core.problems.ANSWER_LOST)
+    return rejection
+
+
 def _final_result(attempt, context):
     if attempt.response is not None and not attempt.metadata.not_executed:
         return attempt.response
--- a/wigeonrouter/platform/_partitioned_node_test.py
+++ b/wigeonrouter/platform/_partitioned_node_test.py
@@ -260,6 +260,33 @@
     assert all(one.served_share > _MIN_SERVED_SHARE for one in tries)
 
 
+def test_stopping_node_passes_on_no_request_that_it_may_not_finish(
+    servers, links, start_linked_node
+):
+    """Guards against requests that a cut node passes on and then cuts off."""
+    bounds = topology.Bounds(stop_grace=2.0)
+    pair = [
+        start_linked_node(host, paths, bounds=bounds)
+        for host, paths in zip(_HOSTS[:2], links[:2], strict=True)
+    ]
+    wait_until(lambda: conftest.followers(pair) == 1)
+    # A hub that stops has no peers to which it could pass requests on.
+    node = next(one for one in pair if not one.region_member.is_hub)
+    links[pair.index(node)].cut(Cut.HANG)
+    _send_to_all([node], duration=_NOTICED_S)
+    assert node.counts["forwarded"] > 0
+    for server in servers:
+        server.extra_time = 0.75
+    stop_task = gevent.spawn(node.stop)
+    gevent.sleep(1.25)
+    response = conftest.callers_of([node])[0].send(
+        "/write/late", method="POST", request_id="late"
+    )
+    stop_task.join()
+    assert response.status == 503
+    assert response.seconds < 0.5
+
+
 def test_requests_end_when_no_node_reaches_a_server(nodes, links):
     """Guards against requests that nodes pass on to each other in turn."""
     _send_to_all(nodes, duration=0.5)
