Let another node serve what a stopping one rejects

What callers saw: 503 from a node that was cut off from all servers, because the node to which it passed their request on was stopping, while yet another could have served it. Nodes do not know which ones of other regions stop.

Cause: only a node that reaches no server declined what was passed on to it; the rejection of a stopping one counted as the response to the caller.

Change: a stopping node declines such requests too.

Evidence: test_request_is_not_left_with_a_stopping_node_of_another_region failed before (503 stopping) and passes.

--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -32,6 +32,10 @@
     placement.AttemptOutcome.SUCCEEDED,
     placement.AttemptOutcome.FAILED,
 )
+# Why this node does not serve what other nodes pass on, while yet others may.
+_DECLINED_PROBLEMS = frozenset(
+    {core.problems.SERVERS_UNREACHABLE, core.problems.STOPPING}
+)
 # Network time of a response to the caller, subtracted from the target latency.
 _RESPONSE_TRANSIT_S = 0.003
 
@@ -368,7 +372,8 @@
         response = self._codec.render_rejection(
             rejection=rejection, request_id=request_id
         )
-        if rejection.problem is core.problems.SERVERS_UNREACHABLE:
+        passed_on = context is not None and context.origin is not None
+        if passed_on and rejection.problem in _DECLINED_PROBLEMS:
             return _forwarded_request.decline(response)
         return response
 
--- a/wigeonrouter/platform/_partitioned_node_test.py
+++ b/wigeonrouter/platform/_partitioned_node_test.py
@@ -287,6 +287,36 @@
     assert response.seconds < 0.5
 
 
+def test_request_is_not_left_with_a_stopping_node_of_another_region(
+    servers, nodes, links, start_linked_node
+):
+    """Guards against rejections while yet another node can serve a request.
+
+    The nodes do not know which nodes of other regions are stopping.
+    """
+    place = core.Place(region="r2", failure_domain="zc")
+    remote = {}
+    for host in ("127.0.0.48", "127.0.0.49"):
+        paths = _emulated_links.EmulatedLinks()
+        remote[host] = start_linked_node(host, paths, place=place)
+    wait_until(
+        lambda: all(remote.keys() <= node.known_hosts for node in nodes)
+    )
+    for paths in links:
+        paths.cut(Cut.HANG)
+    _send_to_all(nodes, duration=_NOTICED_S)
+    first, _ = topology.remote_forwarding_hosts(
+        service="alpha", hosts=set(remote), count=2
+    )
+    stop_task = gevent.spawn(remote[first].stop)
+    gevent.sleep(0.1)
+    response = conftest.callers_of(nodes[:1])[0].send(
+        "/write/late", method="POST", request_id="late"
+    )
+    stop_task.join()
+    assert response.status == 200
+
+
 def test_requests_end_when_no_node_reaches_a_server(nodes, links):
     """Guards against requests that nodes pass on to each other in turn."""
     _send_to_all(nodes, duration=0.5)
