Claim of a stale listing only what its oldest page shows

Cause: a stale listing was taken to be as new as its newest item, on whatever page. Pages of a stale listing differ in age, so changes of the keys of an older page were never read: neither the watch nor the update of a hub begins before the claimed revision.

Change: a stale listing claims the revision of the page whose newest item is the oldest. Whether a page is from before a restore is decided with the revision that came with this page, not with the first one; a busy store with several pages needed a full listing for that before.

--- a/wigeonrouter/platform/_emulated_store.py
+++ b/wigeonrouter/platform/_emulated_store.py
@@ -4,6 +4,7 @@
 import bisect
 import dataclasses
 import json
+import math
 import time
 from urllib import parse
 
@@ -33,6 +34,8 @@
       refusing: respond with 503 to all calls.
       refusing_lists: respond with 503 to listings.
       calls: number of calls received.
+      page_items: number of items on a page of a listing.
+      old_pages: number of pages of a stale listing that old_reads affects.
       era: number of the store's present era; each restore begins a new one.
     """
 
@@ -45,6 +48,8 @@
         self._revision = 1
         self._changed = event.Event()
         self.calls = 0
+        self.page_items = _PAGE_ITEMS
+        self.old_pages = math.inf
         self.era = 1
         self._odd_fields = {}
         self._last_lease = 0
@@ -135,7 +140,7 @@
 
     def _range(self, query):
         items = self._items
-        if self._old_items is not None and query.get("stale_ok") == "1":
+        if query.get("stale_ok") == "1" and self._is_old_page(query):
             items = self._old_items
         keys = sorted(k for k in items if k.startswith(query["prefix"]))
         keys = keys[bisect.bisect_right(keys, query.get("after", "")) :]
@@ -143,13 +148,24 @@
             200,
             {
                 "items": [
-                    self._render(items[key]) for key in keys[:_PAGE_ITEMS]
+                    self._render(items[key]) for key in keys[: self.page_items]
                 ],
-                "has_more": len(keys) > _PAGE_ITEMS,
+                "has_more": len(keys) > self.page_items,
                 "as_of": self._revision,
             },
         )
 
+    def _is_old_page(self, query):
+        """Return whether a page of a stale listing is one of the old ones."""
+        if self._old_items is None:
+            return False
+        last_key = query.get("after", "")
+        pages_before = sum(
+            key <= last_key and key.startswith(query["prefix"])
+            for key in self._old_items
+        )
+        return pages_before < self.old_pages * self.page_items
+
     def _watch(self, query):
         after = int(query["after"])
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
--- a/wigeonrouter/platform/_multi_node_test.py
+++ b/wigeonrouter/platform/_multi_node_test.py
@@ -39,6 +39,31 @@
         )
 
 
+def test_node_that_starts_follows_a_change_that_its_listing_lacks(
+    store, backend, region, make_settings, start_node
+):
+    """Guards against a node that keeps an old version after its start.
+
+    The page with the configuration is from before a change, and the next one
+    has a newer server.
+    """
+    store.page_items = 1
+    store.old_pages = 1
+    store.old_reads = True
+    add_route(store, 2)
+    backend("i-1")
+    wait_until(lambda: all(node.servers == {"i-1"} for node in region))
+    started = start_node(
+        make_settings(
+            "node-4", "127.0.0.14", peer_ports=region[0].settings.peer_ports
+        )
+    )
+    (caller,) = callers_of([started])
+    wait_until(
+        lambda: caller.send("/new/a").status == 200, timeout=_CONFIG_APPLY_S
+    )
+
+
 def test_only_the_hub_calls_the_store(store, region):
     """Guards against store calls that grow with the number of nodes."""
     gevent.sleep(0.5)
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -52,6 +52,24 @@
         return store.Position(era=self.era, revision=revision)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Page:
+    """A page of a listing.
+
+    Attributes:
+      position: store.Position that the store names. Items of a stale page may
+        be from before it.
+    """
+
+    items: tuple[store.Item, ...]
+    position: store.Position
+
+    @property
+    def newest(self):
+        """Revision that the page's items have at least, 1 without items."""
+        return max((item.version for item in self.items), default=1)
+
+
 class StoreClient:
     """HTTP client of the store. Times are in seconds.
 
@@ -88,41 +106,49 @@
           stale: accept a response that may be seconds old.
         Returns:
           store.Listing; a watch from its position on misses no change. The
-          position is that of the first page. For a stale listing its
-          revision is at most that of the newest item, because the store
-          reports its current revision even with old items.
+          position is that of the first page. The store reports its current
+          revision even with old items, and the pages of a stale listing may
+          differ in age, so the revision is then that of the page whose newest
+          item is the oldest.
         Raises:
           StoreError: the call failed.
         """
-        items, position, after = [], None, None
+        pages = tuple(self._read_pages(prefix, stale=stale))
+        position = pages[0].position
+        if stale:
+            if any(page.newest > page.position.revision for page in pages):
+                # The items are from before a restore of the store.
+                return self.list(prefix)
+            shown = min(page.newest for page in pages)
+            position = dataclasses.replace(
+                position, revision=min(position.revision, shown)
+            )
+        return store.Listing(
+            items=tuple(item for page in pages for item in page.items),
+            position=position,
+        )
+
+    def _read_pages(self, prefix, *, stale):
+        """Yield the _Pages of a listing, which are all of one era."""
+        query = {"prefix": prefix}
+        if stale:
+            query["stale_ok"] = "1"
+        era = None
         while True:
-            query = {"prefix": prefix}
-            if stale:
-                query["stale_ok"] = "1"
-            if after is not None:
-                query["after"] = after
             reply = self._get(_RANGE_PATH, query, self._timeout)
             rows = _field(reply.document, "items", list)
-            page = self._read_items(rows)
-            items.extend(page)
-            if position is None:
-                position = reply.position()
-            elif reply.era != position.era:
+            page = _Page(
+                items=tuple(self._read_items(rows)), position=reply.position()
+            )
+            if era not in (None, reply.era):
                 raise store.StoreUnavailable("restored during a listing")
+            yield page
             if not reply.document.get("has_more") or not rows:
-                break
-            if not page:
+                return
+            if not page.items:
                 raise store.StoreUnavailable("page without a readable row")
-            after = page[-1].key
-        if stale:
-            newest = max((item.version for item in items), default=1)
-            if newest > position.revision:
-                # The items are from before a restore of the store.
-                return self.list(prefix)
-            position = dataclasses.replace(
-                position, revision=min(position.revision, newest)
-            )
-        return store.Listing(items=tuple(items), position=position)
+            era = reply.era
+            query["after"] = page.items[-1].key
 
     def watch(self, prefix, *, revision, wait):
         """Wait for changes after a revision.
--- a/wigeonrouter/platform/_store_test.py
+++ b/wigeonrouter/platform/_store_test.py
@@ -68,6 +68,29 @@
     assert [item.key for item in events.changes] == ["b"]
 
 
+def test_watch_after_pages_of_unequal_age_misses_nothing(
+    emulated_store, client
+):
+    """Guards against a change of a page that is older than the others.
+
+    The first page of a stale listing is from before a change and a removal,
+    the second one has a newer item than these.
+    """
+    emulated_store.page_items = 2
+    for key in "abcd":
+        emulated_store.put(key, b"1")
+    emulated_store.old_reads = True
+    emulated_store.old_pages = 1
+    emulated_store.put("a", b"2")
+    emulated_store.remove("b")
+    emulated_store.put("d", b"2")
+    listing = client.list("", stale=True)
+    assert [item.value for item in listing.items] == [b"1", b"1", b"1", b"2"]
+    events = client.watch("", revision=listing.position.revision, wait=1.0)
+    changes = {item.key: item.value for item in events.changes}
+    assert changes["a"] == b"2" and changes["b"] is None
+
+
 def test_create_writes_once(emulated_store, client):
     """Guards against overwriting a key that another process wrote."""
     assert client.create("k", b"1")
