Keep items that are newer than the hub's copy

What callers could have seen: a change that is in force and undone again until the next read of the hub, by a server that is back in use or one that is missing.

Change: a whole update replaces an item only by a newer one, and drops only items that are not newer than the sender's revision.

Evidence: test_item_newer_than_the_hub_is_kept failed before (version 93 in place of 98) and passes.

--- a/wigeonrouter/node/_store_cache.py
+++ b/wigeonrouter/node/_store_cache.py
@@ -147,7 +147,8 @@
         Raises:
           RestoreMissed: it has changes of a later era than the cache.
         """
-        items, keys = decode_update(update)
+        items, listed_keys = decode_update(update)
+        keys = frozenset(listed_keys)
         position = read_position(update)
         if not position.era:
             # A hub of an earlier build does not name it.
@@ -161,13 +162,24 @@
             self._import_memory(update.memory)
         merged = {}
         if position.era == self._position.era:
-            merged = {
-                key: self._items[key] for key in keys if key in self._items
-            }
+            merged = self._retain(keys, position.revision)
         for item in items:
-            merged[item.key] = item
+            cached = merged.get(item.key)
+            if cached is None or cached.version < item.version:
+                merged[item.key] = item
         self.replace_all(merged.values(), position)
 
+    def _retain(self, keys, revision):
+        """Return a dict of the items that a sender with some keys leaves.
+
+        Items that are newer than the sender's revision may be missing there.
+        """
+        return {
+            key: item
+            for key, item in self._items.items()
+            if item.version > revision or key in keys
+        }
+
 
 def read_position(message):
     """Return the store.Position that a message between nodes names."""
--- a/wigeonrouter/node/_store_cache_test.py
+++ b/wigeonrouter/node/_store_cache_test.py
@@ -65,6 +65,21 @@
     assert applied == [({OTHER: b"{}"}, CHANGES)]
 
 
+def test_item_newer_than_the_hub_is_kept(cache):
+    """Guards against an update that undoes a change until the next one.
+
+    The follower's position is that of the first page of its listing, a later
+    page of which is newer than the hub.
+    """
+    new, added = _item(SERVER, 98, b"new"), _item(OTHER, 99)
+    cache.replace_all([new, added], _position(90))
+    hub = _make_cache()
+    hub.replace_all([_item(SERVER, 93, b"old")], _position(95))
+    cache.apply_update(hub.update_since(cache.position))
+    items, _ = _store_cache.decode_update(cache.update_since(_position(0)))
+    assert set(items) == {new, added} and cache.position == _position(95)
+
+
 def test_older_listing_is_ignored(cache, applied):
     """Guards against a stale listing that undoes changes."""
     cache.replace_all([_item(SERVER, 95)], _position(95))
