--- a/wigeonrouter/platform/_multi_node_test.py
+++ b/wigeonrouter/platform/_multi_node_test.py
@@ -1,16 +1,19 @@
 """Tests of several nodes of a region, on different loopback addresses."""
 
 import gevent
+from gevent import event
 import pytest
 
 from wigeonrouter import core
 from wigeonrouter import topology
+from wigeonrouter.node import _channel
 from wigeonrouter.node import _peer_requests
 from wigeonrouter.platform import _emulator
 from wigeonrouter.platform import conftest
 
 callers_of = conftest.callers_of
 hubs = conftest.hubs
+start_ready = conftest.start_ready
 wait_until = conftest.wait_until
 # Maximum time until a changed configuration is in force.
 _CONFIG_APPLY_S = 2.5
@@ -90,6 +93,64 @@
     assert len(hubs(remaining_nodes)) == 1
 
 
+class _SilenceableSocket:
+    """Socket of a node whose connection can go silent for good."""
+
+    def __init__(self, sock):
+        self._sock = sock
+        self.silent = False
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def sendall(self, data):
+        if not self.silent:
+            self._sock.sendall(data)
+
+    def recv(self, count):
+        data = self._sock.recv(count)
+        if self.silent:
+            event.Event().wait()
+        return data
+
+
+@pytest.fixture
+def node_connections(monkeypatch):
+    """Return a list of the _SilenceableSockets that nodes open to others."""
+    connections = []
+    connect = _channel.connect
+
+    def connect_silenceable(**options):
+        channel = connect(**options)
+        channel._sock = _SilenceableSocket(channel._sock)
+        connections.append(channel._sock)
+        return channel
+
+    monkeypatch.setattr(_channel, "connect", connect_silenceable)
+    return connections
+
+
+def test_changes_reach_nodes_whose_connections_went_silent(
+    node_connections, store, backend, region
+):
+    """Guards against nodes that wait for a hub which they no longer hear.
+
+    All open connections between nodes transfer nothing from now on, and none
+    of them is closed; new ones work.
+    """
+    servers = start_ready(backend, region[0], "i-1", "i-2")
+    for connection in node_connections:
+        connection.silent = True
+    add_route(store, 2)
+    store.put("servers/i-1", servers[0].registration(state="draining"))
+    gevent.sleep(_CONFIG_APPLY_S)
+    sent_before = len(servers[0].arrivals)
+    for caller in callers_of(region):
+        for _ in range(5):
+            assert caller.send("/new/a").status == 200
+    assert len(servers[0].arrivals) == sent_before
+
+
 def test_all_nodes_return_the_same_home(region):
     """Guards against nodes that send a service's callers to different homes.
 
