Plan a stop in one place, apart from the node

When a stopping node accepts, responds and exits was computed in Node.stop, and what it promises to callers in placement. One function makes the schedule now, with a test for grace periods from 0.5 to 30 s. The age of a copy uses the proven age where there is one. No value changes.

--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -36,16 +36,7 @@
 # TTL of directory responses. All responses that list a stopping node have to
 # expire before it stops accepting requests.
 _ENTRIES_TTL_S = 1.0
-# Some callers cache a response for this many times its TTL.
-_ENTRIES_TTL_FACTOR = 3
-# Share of the stop grace during which a stopping node still accepts requests,
-# because callers with a cached directory response still send some.
-_ACCEPT_GRACE_SHARE = 0.7
-# Share of the stop grace after which the node exits, finished or not.
-_DRAIN_GRACE_SHARE = 0.95
 _STOP_POLL_INTERVAL_S = 0.02
-# Time to return a response to its caller before the node exits.
-_STOP_MARGIN_S = 0.05
 # A directory request to a node that has just started waits this long for the
 # configuration.
 _STARTUP_WAIT_S = 0.4
@@ -275,24 +266,22 @@
         of the stop grace, but rejects those that it may not finish. It then
         waits for those in progress. Returns within the stop grace.
         """
-        started = time.monotonic()
-        grace = self._settings.bounds.stop_grace
         self._stopping = True
-        drain_deadline = started + grace * _DRAIN_GRACE_SHARE
-        self._stop_schedule = placement.StopSchedule(
-            entries_expire=started + _ENTRIES_TTL_FACTOR * self._entries_ttl(),
-            end=drain_deadline - _STOP_MARGIN_S,
+        self._stop_schedule = schedule = placement.plan_stop(
+            now=time.monotonic(),
+            grace=self._settings.bounds.stop_grace,
+            entries_ttl=self._entries_ttl(),
         )
         self._events.notice("stopping", requests=self._requests_in_progress)
         for request_server in self._request_servers:
             request_server.drain()
         self._region_member.leave()
         self._balancers.recheck_queues()
-        while time.monotonic() - started < grace * _ACCEPT_GRACE_SHARE:
+        while time.monotonic() < schedule.accept_until:
             gevent.sleep(_STOP_POLL_INTERVAL_S)
         gevent.joinall(
             [gevent.spawn(server.stop) for server in self._request_servers],
-            timeout=max(0.0, drain_deadline - time.monotonic()),
+            timeout=max(0.0, schedule.exit - time.monotonic()),
         )
         self._proxy.log_unfinished()
         self._events.notice("stopped", requests=self._requests_in_progress)
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -51,6 +51,7 @@
 late_from = _request_queue.late_from
 latest_start = _stopping.latest_start
 NO_STOP = _stopping.NO_STOP
+plan_stop = _stopping.plan_stop
 is_nearly_full = _estimate.is_nearly_full
 choose = _choice.choose
 CRASH_RETENTION_S = _crashes.CRASH_RETENTION_S
--- a/wigeonrouter/placement/_stopping.py
+++ b/wigeonrouter/placement/_stopping.py
@@ -9,6 +9,15 @@
 import dataclasses
 import math
 
+# Some callers cache an entry for this many times its TTL.
+_ENTRIES_TTL_FACTOR = 3
+# Share of the stop grace during which a stopping node still accepts requests,
+# because callers with a cached entry still send some.
+_ACCEPT_GRACE_SHARE = 0.7
+# Share of the stop grace after which the node exits, finished or not.
+_EXIT_GRACE_SHARE = 0.95
+# Time to return a response to its caller before the node exits.
+_RESPONSE_MARGIN_S = 0.05
 # A response may take this many times the longest latency that was measured.
 _LATENCY_MARGIN = 1.5
 
@@ -20,16 +29,37 @@
     Attributes:
       entries_expire: time when the last caller drops an entry that it got
         before the stop began.
-      end: end of the node; each response has to be there by then.
+      accept_until: time until which the node accepts connections.
+      end: time by which each response has to be there.
+      exit: time when the node exits, finished or not.
     """
 
     entries_expire: float = math.inf
+    accept_until: float = math.inf
     end: float = math.inf
+    exit: float = math.inf
 
 
 NO_STOP = StopSchedule()
 
 
+def plan_stop(*, now, grace, entries_ttl):
+    """Return the StopSchedule of a node that begins to stop.
+
+    Args:
+      now: seconds on the monotonic clock.
+      grace: seconds until the process is killed.
+      entries_ttl: TTL of the entries that callers got, seconds.
+    """
+    exit_time = now + grace * _EXIT_GRACE_SHARE
+    return StopSchedule(
+        entries_expire=now + _ENTRIES_TTL_FACTOR * entries_ttl,
+        accept_until=now + grace * _ACCEPT_GRACE_SHARE,
+        end=exit_time - _RESPONSE_MARGIN_S,
+        exit=exit_time,
+    )
+
+
 def latest_start(request, *, longest_latency, schedule):
     """Return the time after which a node must not send a request.
 
--- a/wigeonrouter/placement/_stopping_test.py
+++ b/wigeonrouter/placement/_stopping_test.py
@@ -2,6 +2,8 @@
 
 import math
 
+import pytest
+
 from wigeonrouter import placement
 
 STOP_AFTER_S = 1.5
@@ -59,6 +61,15 @@
     assert latest_start == now + ENTRIES_EXPIRE_AFTER_S
 
 
+@pytest.mark.parametrize("grace", [0.5, 1.0, 6.0, 30.0])
+def test_node_accepts_requests_and_exits_within_any_grace(grace, now):
+    """Guards against a stop that takes no request, or outlasts the grace."""
+    schedule = placement.plan_stop(now=now, grace=grace, entries_ttl=1.0)
+    assert now < schedule.accept_until < schedule.end < schedule.exit
+    assert schedule.exit < now + grace
+    assert schedule.entries_expire == now + 3.0
+
+
 def test_node_that_does_not_stop_sends_all_requests(make_request):
     """Guards against rejections without a stop."""
     write = make_request(deadline=60.0, idempotent=False)
--- a/wigeonrouter/topology/_freshness.py
+++ b/wigeonrouter/topology/_freshness.py
@@ -47,9 +47,8 @@
         Before the copy was ever known to be current, it is the time since the
         node's start.
         """
-        if self._confirmed_at is None:
-            return now - self._started_at
-        return now - self._confirmed_at
+        proven_age = self.proven_age(now)
+        return now - self._started_at if proven_age is None else proven_age
 
 
 def catch_up_age(*, bounds, rng):
