Keep newer items only of a copy that is confirmed

What callers could have seen: servers and settings from before a restore of the store, on a node that started with a stale listing just after it.

Change: an unconfirmed copy keeps nothing that its hub does not have.

Evidence: test_items_from_before_a_restore_do_not_survive_an_update failed before (98 and 99 in place of 88) and passes.

--- a/wigeonrouter/node/_store_cache.py
+++ b/wigeonrouter/node/_store_cache.py
@@ -162,23 +162,28 @@
             self._import_memory(update.memory)
         merged = {}
         if position.era == self._position.era:
-            merged = self._retain(keys, position.revision)
-        for item in items:
-            cached = merged.get(item.key)
-            if cached is None or cached.version < item.version:
+            merged = {
+                key: item for key, item in self._items.items() if key in keys
+            }
+        merged.update((item.key, item) for item in items)
+        for item in self._items_newer_than(position):
+            listed = merged.get(item.key)
+            if listed is None or listed.version < item.version:
                 merged[item.key] = item
         self.replace_all(merged.values(), position)
 
-    def _retain(self, keys, revision):
-        """Return a dict of the items that a sender with some keys leaves.
+    def _items_newer_than(self, position):
+        """Return the items that the store has changed after a position.
 
-        Items that are newer than the sender's revision may be missing there.
+        The later pages of a listing have such items.
         """
-        return {
-            key: item
-            for key, item in self._items.items()
-            if item.version > revision or key in keys
-        }
+        if position.era != self._position.era or not self.confirmed:
+            return ()
+        return tuple(
+            item
+            for item in self._items.values()
+            if item.version > position.revision
+        )
 
 
 def read_position(message):
--- a/wigeonrouter/node/_store_cache_test.py
+++ b/wigeonrouter/node/_store_cache_test.py
@@ -7,6 +7,7 @@
 from wigeonrouter import store
 from wigeonrouter import topology
 from wigeonrouter.node import _store_cache
+from wigeonrouter.schema import node_pb2
 
 CHANGES = topology.ContentScope.CHANGES
 SERVER = "servers/i-1"
@@ -80,6 +81,25 @@
     assert set(items) == {new, added} and cache.position == _position(95)
 
 
+def test_items_from_before_a_restore_do_not_survive_an_update(cache):
+    """Guards against lost writes that look newer than the restored store.
+
+    The follower's copy is a stale listing, whose items may be from before the
+    restore. The hub sends all items, as it knows what the store has lost.
+    """
+    cache.replace_all(
+        [_item(SERVER, 98), _item(OTHER, 99)], _position(90, 2), stale=True
+    )
+    hub = _store_cache.StoreCache(
+        apply=lambda items, scope: None, export_memory=node_pb2.StoreMemory
+    )
+    restored = _item(SERVER, 88, b"restored")
+    hub.replace_all([restored], _position(95, 2))
+    cache.apply_update(hub.update_since(cache.position))
+    items, _ = _store_cache.decode_update(cache.update_since(_position(0)))
+    assert items == [restored] and cache.confirmed
+
+
 def test_older_listing_is_ignored(cache, applied):
     """Guards against a stale listing that undoes changes."""
     cache.replace_all([_item(SERVER, 95)], _position(95))
