--- a/wigeonrouter/platform/_emulated_store.py
+++ b/wigeonrouter/platform/_emulated_store.py
@@ -160,11 +160,11 @@
         if self._old_items is None:
             return False
         last_key = query.get("after", "")
-        pages_before = sum(
+        items_before = sum(
             key <= last_key and key.startswith(query["prefix"])
             for key in self._old_items
         )
-        return pages_before < self.old_pages * self.page_items
+        return items_before < self.old_pages * self.page_items
 
     def _watch(self, query):
         after = int(query["after"])
