Log what ends a request around a stop, and not a lost hub

Around a stop the log could not tell why a caller got no response: nothing said when SIGTERM was handled and how late, which server worked on a request that was cut off, whether a failure came before the deadline, or whether a connection was closed with a request on it. And each follower that stopped logged `hub-lost`, `failed`, since the end of its own task looked like one of the hub.

Lines of requests have the time since the stop began, `refused` the time left to the deadline, `cut-off` the server and for how long it has had the request; `stopping` has the plan and the age of the signal, `stopped` the connections that were closed. A follower that ends logs no lost hub.

No decision has changed.

--- a/wigeonrouter/http1/_caller_connection.py
+++ b/wigeonrouter/http1/_caller_connection.py
@@ -89,9 +89,14 @@
         """Stop receiving unless a part of a request has arrived.
 
         Unread bytes in the socket's receive buffer count as arrived.
+
+        Returns:
+          Whether the connection was idle.
         """
-        if not self._request_started and self._sock.is_idle():
+        idle = not self._request_started and self._sock.is_idle()
+        if idle:
             self.expire()
+        return idle
 
     def receive(self):
         """Return the next bytes, or b"" at the end or after expire()."""
--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -58,6 +58,8 @@
         self._pauses = _pauses.PauseDetector()
         self._expiry_task = None
         self._last_arrival = time.monotonic()
+        self._closed_idle = 0
+        self._closed_unread = 0
         # Bound here, so that an address in use raises at once. The kernel
         # refuses connections until start() listens.
         self._listener = socket.socket()
@@ -85,6 +87,27 @@
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def closed_idle(self):
+        """Number of idle connections that stop() has closed."""
+        return self._closed_idle
+
+    @property
+    def closed_unread(self):
+        """Number of those on which bytes had arrived that nobody read."""
+        return self._closed_unread
+
+    def earliest_arrival(self, now):
+        """Return the earliest time at which what is handled now may have come.
+
+        Args:
+          now: seconds on the monotonic clock.
+        Returns:
+          Seconds on the monotonic clock, before `now` if this process was
+          paused or held up.
+        """
+        return self._pauses.earliest_arrival(now)
+
     def start(self):
         """Start to accept connections."""
         self._listener.listen(_LISTEN_BACKLOG)
@@ -105,8 +128,7 @@
         self._accept_backlog()
         self._server.close()
         stop_deadline = time.monotonic() + STOP_TIMEOUT_S
-        for connection in list(self._waiting):
-            connection.expire_if_idle()
+        self._close_idle()
         while self._connections and time.monotonic() < stop_deadline:
             gevent.sleep(_STOP_POLL_S)
         self._server.stop(timeout=1)
@@ -121,6 +143,10 @@
         if self._expiry_task is not None:
             gevent.kill(self._expiry_task)
 
+    def _close_idle(self):
+        for connection in list(self._waiting):
+            self._closed_idle += connection.expire_if_idle()
+
     def _accept_backlog(self):
         """Accept the connections that are open for their callers already.
 
@@ -149,6 +175,8 @@
         finally:
             self._connections.discard(connection)
             self._waiting.pop(connection, None)
+            if connection.expired and connection.has_unread_bytes():
+                self._closed_unread += 1
             connection.close()
 
     def _evict_if_full(self):
--- a/wigeonrouter/http1/_server_test.py
+++ b/wigeonrouter/http1/_server_test.py
@@ -122,3 +122,15 @@
     sock.sendall(request[10:])
     assert _receive_bodies(sock, 1) == [b"/1"]
     stopping.get(timeout=WAIT_S)
+
+
+def test_stop_counts_the_idle_connections_that_it_closes(server, connect):
+    """Guards against closed connections that no log line accounts for."""
+    idle, busy = connect(), connect()
+    busy.sendall(REQUEST % 1)
+    assert _receive_bodies(busy, 1) == [b"/1"]
+    busy.sendall(REQUEST % 2)
+    gevent.sleep(0.01)
+    server.stop()
+    assert idle.recv(1) == b""
+    assert (server.closed_idle, server.closed_unread) == (1, 0)
--- a/wigeonrouter/node/_forwarder.py
+++ b/wigeonrouter/node/_forwarder.py
@@ -101,6 +101,7 @@
 
     def _send(self, context, address):
         started = self._clock()
+        context.hand_over(str(address), started)
         attempt = self._sender.send_to(
             address,
             render=lambda remaining: _forwarded_request.render(
@@ -111,6 +112,7 @@
             idempotent=context.route.idempotent,
             response_deadline=context.pending.deadline,
         )
+        context.take_back()
         self._request_log.on_forwarded(
             context, address, attempt, self._clock() - started
         )
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -128,6 +128,7 @@
             cluster_state=self._cluster_state,
             events=events,
             metrics=_metrics.RequestMetrics(metrics=self._metrics),
+            stop_schedule=lambda: self._stop_schedule,
         )
         self._proxy = _proxy.Proxy(
             cluster_state=self._cluster_state,
@@ -267,12 +268,21 @@
         waits for those in progress. Returns within the stop grace.
         """
         self._stopping = True
+        now = time.monotonic()
         self._stop_schedule = schedule = placement.plan_stop(
-            now=time.monotonic(),
+            now=now,
             grace=self._settings.bounds.stop_grace,
             entries_ttl=self._entries_ttl(),
         )
-        self._events.notice("stopping", requests=self._requests_in_progress)
+        signalled = self._caller_server.earliest_arrival(now)
+        self._events.notice(
+            "stopping",
+            requests=self._requests_in_progress,
+            connections=self._caller_server.connections,
+            signal_age_ms=round((now - signalled) * 1000),
+            accepts_ms=round((schedule.accept_until - now) * 1000),
+            exits_ms=round((schedule.exit - now) * 1000),
+        )
         for request_server in self._request_servers:
             request_server.drain()
         self._region_member.leave()
@@ -284,7 +294,14 @@
             timeout=max(0.0, schedule.exit - time.monotonic()),
         )
         self._proxy.log_unfinished()
-        self._events.notice("stopped", requests=self._requests_in_progress)
+        self._events.notice(
+            "stopped",
+            requests=self._requests_in_progress,
+            connections=self._caller_server.connections,
+            closed_idle=self._caller_server.closed_idle,
+            closed_unread=self._caller_server.closed_unread,
+            after_ms=round((time.monotonic() - schedule.began) * 1000),
+        )
         gevent.killall(self._tasks)
 
     def kill(self):
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -291,6 +291,7 @@
         started = self._clock()
         attempt = None
         outcome = placement.AttemptOutcome.CANCELLED
+        context.hand_over(grant.registration.instance, started)
         try:
             attempt = self._sender.send(
                 request=context.request,
@@ -306,6 +307,7 @@
             outcome = placement.AttemptOutcome.RESPONSE_LOST
             raise
         finally:
+            context.take_back()
             if attempt is None:
                 # The attempt was cancelled or failed unexpectedly, so the
                 # server may have received the request.
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -394,10 +394,22 @@
         reason = "failed"
         try:
             reason = follower.run()
+        except gevent.GreenletExit:
+            reason = ""
+            raise
         finally:
-            self._hub_search.avoid(hub)
+            self._leave_hub(hub, reason)
+
+    def _leave_hub(self, hub, reason):
+        """Stop following a hub.
+
+        Args:
+          reason: text for the log, "" if this node itself ends.
+        """
+        self._hub_search.avoid(hub)
+        if reason:
             self._events.notice("hub-lost", hub=hub, reason=reason)
-            self._set_role(topology.RoleKind.UNDECIDED, "", False)
+        self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
     def _on_heartbeat(self, hub, store_reachable):
         if store_reachable:
--- a/wigeonrouter/node/_request_context.py
+++ b/wigeonrouter/node/_request_context.py
@@ -20,6 +20,9 @@
       origin: what the node says that has passed the request on, None if it
         comes from its caller.
       forwarding_failed: whether no other node takes the request.
+      receiver: server instance or node that has the request now, "" if it is
+        at none.
+      handed_over: time when it was sent there.
     """
 
     request: http1.HttpRequest
@@ -33,6 +36,17 @@
     may_have_run: bool = False
     origin: _forwarded_request.Origin | None = None
     forwarding_failed: bool = False
+    receiver: str = ""
+    handed_over: float = 0.0
+
+    def hand_over(self, receiver, now):
+        """Record that the request is sent to a server or another node."""
+        self.receiver = receiver
+        self.handed_over = now
+
+    def take_back(self):
+        """Record that the server or node has it no longer."""
+        self.receiver = ""
 
     def exclude(self, instance):
         """Leave out a server in the choice for the next attempt."""
--- a/wigeonrouter/node/_request_log.py
+++ b/wigeonrouter/node/_request_log.py
@@ -2,6 +2,8 @@
 
 import time
 
+from wigeonrouter import placement
+
 
 class RequestLog:
     """Writes the events of requests.
@@ -10,14 +12,23 @@
       cluster_state: ClusterState, which has the configuration in force.
       events: events.EventLog.
       metrics: RequestMetrics.
+      stop_schedule: function that returns the placement.StopSchedule of this
+        node, NO_STOP while it is not stopping.
     """
 
     def __init__(
-        self, *, cluster_state, events, metrics, clock=time.monotonic
+        self,
+        *,
+        cluster_state,
+        events,
+        metrics,
+        stop_schedule=lambda: placement.NO_STOP,
+        clock=time.monotonic,
     ):
         self._cluster_state = cluster_state
         self._events = events
         self._metrics = metrics
+        self._stop_schedule = stop_schedule
         self._clock = clock
 
     def on_response(self, context, response):
@@ -41,10 +52,14 @@
 
     def on_cut_off(self, context):
         """Record that this node ends before it has finished a request."""
+        now = self._clock()
+        at_receiver = now - context.handed_over if context.receiver else 0.0
         self._log_event(
             context,
             "cut-off",
-            left_to_deadline_ms=_ms(context.pending.deadline - self._clock()),
+            left_to_deadline_ms=_ms(context.pending.deadline - now),
+            receiver=context.receiver,
+            at_receiver_ms=_ms(at_receiver),
         )
 
     def on_rejection(self, rejection, request_id, arrived, context):
@@ -56,14 +71,15 @@
           arrived: time of its arrival, monotonic seconds.
           context: RequestContext, None if no route matched.
         """
-        latency = self._clock() - arrived
+        now = self._clock()
+        latency = now - arrived
         self._metrics.record_rejection(
             service=context.service if context else "",
             route=context.route if context else None,
             problem=rejection.problem,
             latency=latency,
         )
-        self._events.event(
+        self._event(
             "refused",
             id=request_id,
             problem=rejection.problem.name,
@@ -73,6 +89,9 @@
             route=context.route.name if context else "",
             origin=context.origin.host if context and context.origin else None,
             held_ms=_ms(latency),
+            left_to_deadline_ms=(
+                _ms(context.pending.deadline - now) if context else None
+            ),
         )
 
     def on_attempt(self, context, grant, attempt, outcome, latency):
@@ -86,7 +105,7 @@
           latency: seconds.
         """
         metadata = attempt.metadata if attempt else None
-        self._events.event(
+        self._event(
             "attempt",
             id=context.request_id,
             digest=context.digest,
@@ -117,7 +136,7 @@
           latency: seconds.
         """
         response = attempt.response
-        self._events.event(
+        self._event(
             "forwarded",
             id=context.request_id,
             digest=context.digest,
@@ -131,7 +150,7 @@
 
     def _log_event(self, context, event, **fields):
         now = self._clock()
-        self._events.event(
+        self._event(
             event,
             id=context.request_id,
             route=context.route.name,
@@ -144,6 +163,13 @@
             **fields,
         )
 
+    def _event(self, name, **fields):
+        """Write a line; during a stop, with the time since it began."""
+        stopping = self._clock() - self._stop_schedule().began
+        if stopping >= 0:
+            fields["stopping_ms"] = _ms(stopping)
+        self._events.event(name, **fields)
+
 
 def _ms(seconds):
     return round(seconds * 1000, 1)
--- a/wigeonrouter/placement/_stopping.py
+++ b/wigeonrouter/placement/_stopping.py
@@ -27,6 +27,7 @@
     """When a node stops, seconds on the monotonic clock.
 
     Attributes:
+      began: time when the stop began, inf without a stop.
       entries_expire: time when the last caller drops an entry that it got
         before the stop began.
       accept_until: time until which the node accepts connections.
@@ -34,6 +35,7 @@
       exit: time when the node exits, finished or not.
     """
 
+    began: float = math.inf
     entries_expire: float = math.inf
     accept_until: float = math.inf
     end: float = math.inf
@@ -53,6 +55,7 @@
     """
     exit_time = now + grace * _EXIT_GRACE_SHARE
     return StopSchedule(
+        began=now,
         entries_expire=now + _ENTRIES_TTL_FACTOR * entries_ttl,
         accept_until=now + grace * _ACCEPT_GRACE_SHARE,
         end=exit_time - _RESPONSE_MARGIN_S,
--- a/wigeonrouter/platform/_multi_node_test.py
+++ b/wigeonrouter/platform/_multi_node_test.py
@@ -178,6 +178,15 @@
     task.join()
 
 
+def test_end_of_a_follower_is_not_logged_as_a_lost_hub(region):
+    """Guards against a log in which each node that stops loses its hub."""
+    (hub,) = hubs(region)
+    follower = next(node for node in region if node is not hub)
+    follower.stop()
+    assert follower.counts["stopped"] == 1
+    assert follower.counts["hub-lost"] == 0
+
+
 def test_retries_of_all_nodes_stay_within_one_budget(backend, region):
     """Guards against a retry budget that every node may spend in full.
 
