--- a/wigeonrouter/http1/_server_test.py
+++ b/wigeonrouter/http1/_server_test.py
@@ -134,3 +134,27 @@
     server.stop()
     assert idle.recv(1) == b""
     assert (server.closed_idle, server.closed_unread) == (1, 0)
+
+
+def test_stop_waits_for_requests_if_a_connection_cannot_be_accepted(
+    server, connect, monkeypatch
+):
+    """Guards against a stop that ends at once, with requests in progress.
+
+    The kernel reports errors of connections which were reset before they were
+    accepted, or a lack of descriptors.
+    """
+    sock = connect()
+    sock.sendall(REQUEST % 1)
+    gevent.sleep(0.01)
+
+    def fail():
+        raise ConnectionAbortedError("reset before it was accepted")
+
+    monkeypatch.setattr(server._server, "do_read", fail)
+    stopping = gevent.spawn(server.stop)
+    assert _receive_bodies(sock, 1) == [b"/1"]
+    gevent.sleep(0.1)
+    sock.close()
+    stopping.get(timeout=WAIT_S)
+    assert server.connections == 0
