Go on with a stop after a connection that cannot be accepted

A node that stops accepts what waits in the listen backlog before it closes the listener. If accept() failed there, because a connection had been reset or no descriptor was left, the task that waits for the requests in progress ended, so the process exited at 0.7 of the grace and cut all of them off.

An error of accept() now concerns that connection only.

--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -154,7 +154,14 @@
         """
         if self._server.closed:
             return
-        while (accepted := self._server.do_read()) is not None:
+        for _ in range(_LISTEN_BACKLOG):
+            try:
+                accepted = self._server.do_read()
+            except OSError:
+                # Of that connection only; the next one may be accepted.
+                continue
+            if accepted is None:
+                break
             self._server.do_handle(*accepted)
         # The new tasks start, and their connections are waited for.
         gevent.sleep(0)
