Date a request back only if it arrived during a pause

Callers of a node that had been held up for more than 0.4 s saw requests refused, or failed before their route's timeout while a server worked on them: for one second after a pause, each request that was read counted as one from its beginning. Around a stop, such an early failure is a lost response.

What arrived in a pause is readable when the process goes on, and has been read once the event loop is idle. From then on, requests count from when they are read; the second remains as the longest time for reading them.

--- a/wigeonrouter/http1/_pauses.py
+++ b/wigeonrouter/http1/_pauses.py
@@ -1,18 +1,20 @@
 """Detects that this process was paused for a while.
 
-A request that is read right after a pause may have arrived at any time during
-the pause, and its caller may have timed out since.
+A request that was in a socket when a pause ended may have arrived at any time
+during the pause, and its caller may have timed out since.
 """
 
 import time
 
 import gevent
+from gevent import event
 
 _TICK_INTERVAL_S = 0.1
 # Longer than a garbage collection or a short overload delays a tick.
 _MIN_PAUSE_S = 0.4
-# Time after a pause within which the requests that arrived in it are read.
+# Longest time after a pause until the requests that arrived in it are read.
 _BACKLOG_READ_S = 1.0
+_NEVER = float("-inf")
 
 
 class PauseDetector:
@@ -20,20 +22,23 @@
 
     def __init__(self, *, clock=time.monotonic):
         self._clock = clock
+        self._paused = event.Event()
         self._last_tick = clock()
         self._paused_from = 0.0
-        self._resumed = float("-inf")
-        self._task = None
+        self._resumed = _NEVER
+        self._tasks = []
 
     def start(self):
         """Start the task that calls tick()."""
         self.tick()
-        self._task = gevent.spawn(self._run)
+        self._tasks = [
+            gevent.spawn(self._run),
+            gevent.spawn(self._run_after_pauses),
+        ]
 
     def stop(self):
         """Stop the task that calls tick()."""
-        if self._task is not None:
-            self._task.kill()
+        gevent.killall(self._tasks)
 
     def tick(self):
         """Record the current time; a gap since the last tick is a pause."""
@@ -42,6 +47,7 @@
             if now - self._resumed >= _BACKLOG_READ_S:
                 self._paused_from = self._last_tick
             self._resumed = now
+            self._paused.set()
         self._last_tick = now
 
     def earliest_arrival(self, now):
@@ -60,3 +66,14 @@
         while True:
             gevent.sleep(_TICK_INTERVAL_S)
             self.tick()
+
+    def _run_after_pauses(self):
+        """Wait after each pause until what arrived during it was read.
+
+        The event loop is idle once nothing is left that was readable.
+        """
+        while True:
+            self._paused.wait()
+            self._paused.clear()
+            gevent.idle()
+            self._resumed = _NEVER
--- a/wigeonrouter/http1/_server_test.py
+++ b/wigeonrouter/http1/_server_test.py
@@ -1,5 +1,7 @@
 """Tests of a server that stops while callers send requests."""
 
+import time
+
 import gevent
 from gevent import monkey
 import pytest
@@ -12,6 +14,9 @@
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
 # A blocking socket: connecting and sending let no task of the server run.
 BlockingSocket = monkey.get_original("socket", "socket")
+# Sleeps without letting any other task run.
+hold_up = monkey.get_original("time", "sleep")
+HELD_UP_S = 0.6
 
 
 class _SlowHandler:
@@ -19,12 +24,14 @@
 
     def __init__(self):
         self.handled = []
+        self.arrivals = []
 
     def body_limit(self, request):
         return 0
 
     def handle(self, request, arrived):
         self.handled.append(request.target)
+        self.arrivals.append(arrived)
         gevent.sleep(0.05)
         return http1.HttpResponse(status=200, headers=(), body=request.target)
 
@@ -158,3 +165,25 @@
     sock.close()
     stopping.get(timeout=WAIT_S)
     assert server.connections == 0
+
+
+def test_requests_are_dated_back_only_if_they_arrived_in_a_pause(
+    server, connect, handler
+):
+    """Guards against late requests that count as new, and the other way."""
+    gevent.sleep(0.2)
+    open_before = connect()
+    gevent.sleep(0.05)
+    paused = time.monotonic()
+    sockets = [open_before, *(connect() for _ in range(CALLERS))]
+    for number, sock in enumerate(sockets):
+        sock.sendall(REQUEST % number)
+    hold_up(HELD_UP_S)
+    for sock in sockets:
+        _receive_bodies(sock, 1)
+    assert len(handler.arrivals) == len(sockets)
+    assert max(handler.arrivals) <= paused
+    resumed = time.monotonic()
+    open_before.sendall(REQUEST % 1)
+    _receive_bodies(open_before, 1)
+    assert handler.arrivals[-1] >= resumed
