Plan a stop from when its signal may have come

A process that is held up handles SIGTERM late, but is killed one grace after it was sent. The node planned its stop from when it handled the signal: it took requests for that much longer, on estimates too, and those that were still at their servers were cut off by SIGKILL.

What the node takes is now planned from the last time at which the event loop had run before the signal; the end itself is still counted from its handling, so that requests in progress get all the time there is.

--- a/wigeonrouter/http1/_pauses.py
+++ b/wigeonrouter/http1/_pauses.py
@@ -24,6 +24,7 @@
         self._clock = clock
         self._paused = event.Event()
         self._last_tick = clock()
+        self._previous_tick = self._last_tick
         self._paused_from = 0.0
         self._resumed = _NEVER
         self._tasks = []
@@ -48,6 +49,7 @@
                 self._paused_from = self._last_tick
             self._resumed = now
             self._paused.set()
+        self._previous_tick = self._last_tick
         self._last_tick = now
 
     def earliest_arrival(self, now):
@@ -62,6 +64,17 @@
             return self._last_tick
         return now
 
+    def earliest_signal(self, now):
+        """Return the earliest time when a signal handled now may have come.
+
+        The event loop handles signals whenever it runs, as it did at the tick
+        before the last one at the latest.
+
+        Args:
+          now: seconds on the monotonic clock.
+        """
+        return min(self._previous_tick, self.earliest_arrival(now))
+
     def _run(self):
         while True:
             gevent.sleep(_TICK_INTERVAL_S)
--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -97,16 +97,13 @@
         """Number of those on which bytes had arrived that nobody read."""
         return self._closed_unread
 
-    def earliest_arrival(self, now):
-        """Return the earliest time at which what is handled now may have come.
+    def earliest_signal(self, now):
+        """Return the earliest time when a signal handled now may have come.
 
         Args:
           now: seconds on the monotonic clock.
-        Returns:
-          Seconds on the monotonic clock, before `now` if this process was
-          paused or held up.
         """
-        return self._pauses.earliest_arrival(now)
+        return self._pauses.earliest_signal(now)
 
     def start(self):
         """Start to accept connections."""
--- a/wigeonrouter/http1/_server_test.py
+++ b/wigeonrouter/http1/_server_test.py
@@ -187,3 +187,16 @@
     open_before.sendall(REQUEST % 1)
     _receive_bodies(open_before, 1)
     assert handler.arrivals[-1] >= resumed
+
+
+@pytest.mark.parametrize("held_up", [0.25, HELD_UP_S])
+def test_signal_counts_from_before_the_server_was_held_up(server, held_up):
+    """Guards against a plan for a stop that starts when it is handled."""
+    gevent.sleep(0.3)
+    paused = time.monotonic()
+    hold_up(held_up)
+    gevent.sleep(0)
+    assert server.earliest_signal(time.monotonic()) <= paused
+    gevent.sleep(0.4)
+    resumed_for = time.monotonic() - server.earliest_signal(time.monotonic())
+    assert resumed_for < 0.25
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -269,12 +269,13 @@
         """
         self._stopping = True
         now = time.monotonic()
+        signalled = self._caller_server.earliest_signal(now)
         self._stop_schedule = schedule = placement.plan_stop(
+            signalled=signalled,
             now=now,
             grace=self._settings.bounds.stop_grace,
             entries_ttl=self._entries_ttl(),
         )
-        signalled = self._caller_server.earliest_arrival(now)
         self._events.notice(
             "stopping",
             requests=self._requests_in_progress,
--- a/wigeonrouter/placement/_stopping.py
+++ b/wigeonrouter/placement/_stopping.py
@@ -27,7 +27,8 @@
     """When a node stops, seconds on the monotonic clock.
 
     Attributes:
-      began: time when the stop began, inf without a stop.
+      began: earliest time when the stop signal may have come, inf without a
+        stop.
       entries_expire: time when the last caller drops an entry that it got
         before the stop began.
       accept_until: time until which the node accepts connections.
@@ -45,21 +46,27 @@
 NO_STOP = StopSchedule()
 
 
-def plan_stop(*, now, grace, entries_ttl):
+def plan_stop(*, signalled, now, grace, entries_ttl):
     """Return the StopSchedule of a node that begins to stop.
 
+    What the node takes is planned from the earliest time of the signal, since
+    the process may be killed one grace after it. Requests that it has taken
+    already get all the time that there may be.
+
     Args:
+      signalled: earliest time when the signal may have come, seconds on the
+        monotonic clock. It waits while the process is held up.
       now: seconds on the monotonic clock.
       grace: seconds until the process is killed.
       entries_ttl: TTL of the entries that callers got, seconds.
     """
-    exit_time = now + grace * _EXIT_GRACE_SHARE
+    lasting = grace * _EXIT_GRACE_SHARE
     return StopSchedule(
-        began=now,
-        entries_expire=now + _ENTRIES_TTL_FACTOR * entries_ttl,
-        accept_until=now + grace * _ACCEPT_GRACE_SHARE,
-        end=exit_time - _RESPONSE_MARGIN_S,
-        exit=exit_time,
+        began=signalled,
+        entries_expire=signalled + _ENTRIES_TTL_FACTOR * entries_ttl,
+        accept_until=signalled + grace * _ACCEPT_GRACE_SHARE,
+        end=signalled + lasting - _RESPONSE_MARGIN_S,
+        exit=now + lasting,
     )
 
 
--- a/wigeonrouter/placement/_stopping_test.py
+++ b/wigeonrouter/placement/_stopping_test.py
@@ -64,12 +64,27 @@
 @pytest.mark.parametrize("grace", [0.5, 1.0, 6.0, 30.0])
 def test_node_accepts_requests_and_exits_within_any_grace(grace, now):
     """Guards against a stop that takes no request, or outlasts the grace."""
-    schedule = placement.plan_stop(now=now, grace=grace, entries_ttl=1.0)
+    schedule = placement.plan_stop(
+        signalled=now, now=now, grace=grace, entries_ttl=1.0
+    )
     assert now < schedule.accept_until < schedule.end < schedule.exit
     assert schedule.exit < now + grace
     assert schedule.entries_expire == now + 3.0
 
 
+def test_signal_that_waited_shortens_what_a_node_takes(now):
+    """Guards against requests that the end of the grace cuts off.
+
+    Those in progress are waited for as long as the process may live.
+    """
+    schedule = placement.plan_stop(
+        signalled=now - 2.0, now=now, grace=6.0, entries_ttl=1.0
+    )
+    assert schedule.entries_expire == now + 1.0
+    assert schedule.accept_until < schedule.end < now - 2.0 + 6.0
+    assert schedule.exit > now + 5.0
+
+
 def test_node_that_does_not_stop_sends_all_requests(make_request):
     """Guards against rejections without a stop."""
     write = make_request(deadline=60.0, idempotent=False)
