Read responses of the store as long as they keep arriving

After all processes were killed, nodes whose path to the store has 10 Mbit/s never loaded a configuration of 0.79 MB: 0 of 120 requests served. After 12 configurations of 0.46 MB in 4 s they ran requests by an old version up to 18 s after the acknowledgement. Cause: a call had 0.7 s in all, however large its response, and the next call asked for the same bytes again.

Now the time counts until a response begins, and then for each further 4 KB, so one that stalls is given up as soon as before. Changes that are larger than 1 MB and than a listing of the store are listed instead: only the newest version crosses the link.

--- a/wigeonrouter/platform/_emulated_store.py
+++ b/wigeonrouter/platform/_emulated_store.py
@@ -16,6 +16,7 @@
 from wigeonrouter.platform import _fields
 
 _PAGE_ITEMS = 500
+_SEGMENT_BYTES = 8192
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,6 +38,8 @@
       page_items: number of items on a page of a listing.
       old_pages: number of pages of a stale listing that old_reads affects.
       era: number of the store's present era; each restore begins a new one.
+      bytes_per_s: bandwidth that all responses share.
+      stalls_after: number of bytes of a response after which no more follow.
     """
 
     def __init__(self):
@@ -51,6 +54,9 @@
         self.page_items = _PAGE_ITEMS
         self.old_pages = math.inf
         self.era = 1
+        self.bytes_per_s = math.inf
+        self.stalls_after = math.inf
+        self._link_free_at = 0.0
         self._odd_fields = {}
         self._last_lease = 0
         self._lease_ends = {}
@@ -111,6 +117,24 @@
         """Return all keys, sorted."""
         return sorted(self._items)
 
+    def send(self, sock, request, response):
+        """Send a response at the bandwidth of the link."""
+        data = self.render(request, response)
+        sent = 0
+        while sent < len(data):
+            if sent >= self.stalls_after:
+                event.Event().wait()
+            segment = data[sent : sent + _SEGMENT_BYTES]
+            self._wait_for_link(len(segment))
+            sock.sendall(segment)
+            sent += len(segment)
+
+    def _wait_for_link(self, size):
+        now = time.monotonic()
+        begins = max(now, self._link_free_at)
+        self._link_free_at = begins + size / self.bytes_per_s
+        gevent.sleep(self._link_free_at - now)
+
     def handle(self, request, sock):
         """Handle one call; the response names the era."""
         response = self._handle(request)
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -22,6 +22,12 @@
 _MAX_TRANSACTION_ROWS = 32
 _MAX_REVISION = (1 << 63) - 1
 _MAX_RESPONSE_BYTES = 16 << 20
+# A response that has begun goes on if so many bytes arrive within a timeout.
+_PROGRESS_BYTES = 4096
+# Changes that are larger than a listing by this factor are listed instead,
+# since a listing has only the newest value of each key.
+_MAX_CHANGES_FACTOR = 1.25
+_MIN_CHANGES_LIMIT_BYTES = 1 << 20
 # One watch and a few short concurrent calls.
 _MAX_CONNECTIONS = 8
 # Connections that were idle for longer are closed, not reused.
@@ -40,9 +46,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Reply:
+    """A response of the store.
+
+    Attributes:
+      size: bytes of its body.
+    """
+
     status: int
     document: dict
     era: int
+    size: int
 
     def position(self):
         """Return the store.Position that the reply names."""
@@ -70,12 +83,44 @@
         return max((item.version for item in self.items), default=1)
 
 
+class _ProgressTimeout:
+    """Raises TimeoutError in the calling task if a response stalls.
+
+    Args:
+      first: seconds until the first bytes are due.
+      stall: seconds within which further ones are due.
+    """
+
+    def __init__(self, *, first, stall):
+        self._stall = stall
+        self._received = 0
+        self._timer = _start_timer(first)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self._timer.close()
+
+    def receive(self, receive):
+        """Return what a function returns, and count it as progress."""
+        data = receive()
+        first = not self._received
+        self._received += len(data)
+        if first or self._received >= _PROGRESS_BYTES:
+            self._received = 1
+            self._timer.close()
+            self._timer = _start_timer(self._stall)
+        return data
+
+
 class StoreClient:
     """HTTP client of the store. Times are in seconds.
 
     Args:
       address: core.Address of the store.
-      timeout: timeout of a call; a watch has it in addition to its wait.
+      timeout: time within which a response has to begin, and to go on after
+        that; a watch has it in addition to its wait.
       max_response_bytes: largest size of a response. A page of a listing has
         a few megabytes at most.
       on_unreadable: called with the description of each row that is left out
@@ -97,6 +142,8 @@
         self._pool = http1.ConnectionPool(max_idle=_MAX_IDLE_S)
         # The latest era that a reply has named.
         self._era = 0
+        # Dict from prefix to the bytes of its latest listing.
+        self._listed_bytes = {}
 
     def list(self, prefix, *, stale=False):
         """List all items whose keys have a prefix.
@@ -133,9 +180,10 @@
         query = {"prefix": prefix}
         if stale:
             query["stale_ok"] = "1"
-        era = None
+        era, size = None, 0
         while True:
             reply = self._get(_RANGE_PATH, query, self._timeout)
+            size += reply.size
             rows = _field(reply.document, "items", list)
             page = _Page(
                 items=tuple(self._read_items(rows)), position=reply.position()
@@ -144,6 +192,7 @@
                 raise store.StoreUnavailable("restored during a listing")
             yield page
             if not reply.document.get("has_more") or not rows:
+                self._listed_bytes[prefix] = size
                 return
             if not page.items:
                 raise store.StoreUnavailable("page without a readable row")
@@ -174,6 +223,7 @@
                     "wait_ms": str(round(wait * 1000)),
                 },
                 wait + self._timeout,
+                self._changes_limit(prefix),
             )
         except _ResponseTooLarge as error:
             raise store.HistoryLost() from error
@@ -184,6 +234,16 @@
             position=reply.position(),
         )
 
+    def _changes_limit(self, prefix):
+        """Return the largest size of changes, bytes."""
+        return min(
+            self._max_response_bytes,
+            max(
+                _MIN_CHANGES_LIMIT_BYTES,
+                _MAX_CHANGES_FACTOR * self._listed_bytes.get(prefix, 0),
+            ),
+        )
+
     def create(self, key, value):
         """Write a key unless it exists.
 
@@ -263,23 +323,30 @@
         """Close the idle connections."""
         self._pool.close_idle_to(self._address)
 
-    def _get(self, path, query, timeout):
+    def _get(self, path, query, timeout, max_bytes=None):
         target = f"{path}?{parse.urlencode(query)}"
-        reply = self._call("GET", target, "", timeout)
+        reply = self._call("GET", target, "", timeout, max_bytes)
         if reply.status == 410:
             raise store.HistoryLost()
         if reply.status != 200:
             raise store.StoreUnavailable(f"status {reply.status}")
         return reply
 
-    def _call(self, method, target, body, timeout):
+    def _call(self, method, target, body, timeout, max_bytes=None):
+        if max_bytes is None:
+            max_bytes = self._max_response_bytes
         try:
-            with gevent.Timeout(timeout, TimeoutError("no answer in time")):
-                response = self._exchange(method, target, body)
+            with _ProgressTimeout(
+                first=timeout, stall=self._timeout
+            ) as progress:
+                response = self._exchange(
+                    method, target, body, progress, max_bytes
+                )
             return _Reply(
                 status=response.status,
                 document=_parse(response.body),
                 era=self._read_era(response),
+                size=len(response.body),
             )
         except (
             OSError,
@@ -302,7 +369,7 @@
         self._era = max(self._era, era)
         return era
 
-    def _exchange(self, method, target, body):
+    def _exchange(self, method, target, body, progress, max_bytes):
         self._pool.close_idle()
         connection = self._pool.checkout(
             address=self._address,
@@ -313,8 +380,8 @@
         try:
             connection.send(self._render(method, target, body))
             reader = http1.ResponseReader(
-                receive=connection.receive,
-                max_bytes=self._max_response_bytes,
+                receive=lambda: progress.receive(connection.receive),
+                max_bytes=max_bytes,
             )
             response = reader.read(method.encode("ascii"))
             reusable = reader.reusable
@@ -335,6 +402,10 @@
         ).encode() + data
 
 
+def _start_timer(seconds):
+    return gevent.Timeout.start_new(seconds, TimeoutError("no answer in time"))
+
+
 def _is_too_large(error):
     return (
         isinstance(error, http1.MalformedMessage)
--- a/wigeonrouter/platform/_store_test.py
+++ b/wigeonrouter/platform/_store_test.py
@@ -1,5 +1,6 @@
 """Tests of the store client against the emulated store."""
 
+import time
 import tracemalloc
 
 import gevent
@@ -11,6 +12,7 @@
 from wigeonrouter.platform import _store
 
 MAX_RESPONSE_BYTES = 2 << 20
+TIMEOUT_S = 0.3
 
 
 @pytest.fixture
@@ -26,7 +28,7 @@
     """Return a client of the emulated store."""
     client = _store.StoreClient(
         address=core.parse_address(emulated_store.address),
-        timeout=0.3,
+        timeout=TIMEOUT_S,
         max_response_bytes=MAX_RESPONSE_BYTES,
     )
     yield client
@@ -166,3 +168,52 @@
     with pytest.raises(store_api.HistoryLost):
         client.watch("", revision=revision, wait=0.1)
     assert len(client.list("").items) == 1
+
+
+def test_response_that_keeps_arriving_is_read_to_its_end(
+    emulated_store, client
+):
+    """Guards against large configurations that no slow link ever delivers."""
+    emulated_store.put("op/config", b"x" * 300_000)
+    emulated_store.bytes_per_s = 500_000
+    listing = client.list("")
+    assert len(listing.items[0].value) == 300_000
+
+
+def test_response_that_stalls_is_given_up_at_once(emulated_store, client):
+    """Guards against a node that waits for a store which hangs midway."""
+    emulated_store.put("op/config", b"x" * 300_000)
+    emulated_store.stalls_after = 100_000
+    began = time.monotonic()
+    with pytest.raises(store_api.StoreReplyLost):
+        client.list("")
+    assert time.monotonic() - began < 2 * TIMEOUT_S
+
+
+def test_response_that_hardly_arrives_is_given_up(scripted_server):
+    """Guards against a call that a few bytes now and then keep alive."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n"
+    address = scripted_server([[head, *[b"x"] * 200]])
+    client = _store.StoreClient(address=address, timeout=TIMEOUT_S)
+    began = time.monotonic()
+    with pytest.raises(store_api.StoreReplyLost):
+        client.list("")
+    assert time.monotonic() - began < 3 * TIMEOUT_S
+
+
+def test_changes_that_are_larger_than_a_listing_are_listed(
+    emulated_store, client
+):
+    """Guards against versions that a slow link transfers for nothing.
+
+    Each of them supersedes the one before.
+    """
+    emulated_store.put("op/config", b"x" * 450_000)
+    revision = client.list("").position.revision
+    emulated_store.put("op/config", b"y" * 450_000)
+    events = client.watch("", revision=revision, wait=0.1)
+    assert len(events.changes) == 1
+    for _ in range(2):
+        emulated_store.put("op/config", b"z" * 450_000)
+    with pytest.raises(store_api.HistoryLost):
+        client.watch("", revision=events.position.revision, wait=0.1)
