End the backlog of a pause after a number of polls

Callers of a node on a busy machine got 502 up to a second before the timeout of their route, while a server was at work on their request. After a pause of the node, requests count as having arrived when it began until the event loop has been idle, for up to one second. A busy event loop is never idle, so the requests that arrived in that second were dated back too.

What had arrived during the pause is read within a known number of polls: the listener accepts 100 connections a poll, of 1,024 at most. The backlog now ends after 16 polls, or when the event loop is idle.

--- a/wigeonrouter/http1/_pauses.py
+++ b/wigeonrouter/http1/_pauses.py
@@ -14,6 +14,11 @@
 _MIN_PAUSE_S = 0.4
 # Longest time after a pause until the requests that arrived in it are read.
 _BACKLOG_READ_S = 1.0
+# Polls of the event loop within which they are read: each accepts up to 100
+# connections of the listen backlog, and each connection takes one more.
+_BACKLOG_POLLS = 16
+# Shortest sleep for which the event loop polls its sockets.
+_POLL_S = 0.001
 _NEVER = float("-inf")
 
 
@@ -83,10 +88,15 @@
     def _run_after_pauses(self):
         """Wait after each pause until what arrived during it was read.
 
-        The event loop is idle once nothing is left that was readable.
+        Nothing is left that was readable once the event loop is idle, which
+        a busy one may never be, or after a number of polls.
         """
         while True:
             self._paused.wait()
             self._paused.clear()
-            gevent.idle()
-            self._resumed = _NEVER
+            idle = gevent.spawn(gevent.idle)
+            for _ in range(_BACKLOG_POLLS):
+                idle.join(timeout=_POLL_S)
+            idle.kill()
+            if not self._paused.is_set():
+                self._resumed = _NEVER
--- a/wigeonrouter/http1/_server_test.py
+++ b/wigeonrouter/http1/_server_test.py
@@ -17,6 +17,8 @@
 # Sleeps without letting any other task run.
 hold_up = monkey.get_original("time", "sleep")
 HELD_UP_S = 0.6
+# Longer than it takes to read what arrived while a server was held up.
+BUSY_S = 0.3
 
 
 class _SlowHandler:
@@ -189,6 +191,30 @@
     assert handler.arrivals[-1] >= resumed
 
 
+def test_request_after_a_pause_is_not_dated_back_by_a_busy_server(
+    server, connect, handler
+):
+    """Guards against requests that are failed before their timeout.
+
+    The event loop has something to do all the time, so it is never idle.
+    """
+    sock = connect()
+    gevent.sleep(0.2)
+    busy = gevent.spawn(_stay_busy)
+    hold_up(HELD_UP_S)
+    gevent.sleep(BUSY_S)
+    resumed = time.monotonic()
+    sock.sendall(REQUEST % 1)
+    _receive_bodies(sock, 1)
+    busy.kill()
+    assert handler.arrivals[-1] >= resumed
+
+
+def _stay_busy():
+    while True:
+        gevent.sleep(0)
+
+
 @pytest.mark.parametrize("held_up", [0.25, HELD_UP_S])
 def test_signal_counts_from_before_the_server_was_held_up(server, held_up):
     """Guards against a plan for a stop that starts when it is handled."""
