Discard surplus bytes before each close of a connection

A caller that closes after its response, as with HTTP/1.0, and sent any byte behind its request got a reset instead of the end of the response: the kernel resets a connection that is closed with unread bytes, and drops what it has not delivered. Of 3,000,063 bytes, 128,000 arrived.

The server discarded such input only where it closed a connection of its own accord. It now does so, within the same limits of time and bytes, before each close that follows a response.

--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -260,7 +260,7 @@
                 response=response, close=close, method=request.method
             )
         )
-        if close and request.keep_alive:
+        if close:
             connection.linger()
         return close
 
