Close connections after the response if their caller says so

A caller of HTTP/1.1 that sent Connection: close with a request without a body was not told of a close, and its connection stayed open: one that waits for the end would have waited for the idle timeout, and a request behind it was handled. With HTTP/1.0 and Connection: keep-alive, a connection was kept after a body, though no response says so, as such callers need.

httptools forgets the header at the end of a message, which for a request without a body is the end of its head. Whether a connection is kept now depends on the header itself, and on the version: never with HTTP/1.0.

--- a/wigeonrouter/http1/_connection_end_test.py
+++ b/wigeonrouter/http1/_connection_end_test.py
@@ -87,3 +87,29 @@
     assert len(_read_response(connection).body) == LARGE_BODY_BYTES
     assert _receive(connection) == b""
     assert handler.handled == [b"/1"]
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+        b"GET /1 HTTP/1.1\r\nHost: a\r\nConnection: x, Close\r\n\r\n",
+        b"POST /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        b"Content-Length: 1\r\n\r\nx",
+        b"GET /1 HTTP/1.0\r\nHost: a\r\n\r\n",
+        b"POST /1 HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n"
+        b"Content-Length: 1\r\n\r\nx",
+    ],
+)
+def test_connection_ends_after_the_last_response(
+    connection, handler, request_bytes
+):
+    """Guards against callers that wait for an end which does not come.
+
+    They said that they close. Those of HTTP/1.0 expect the end unless the
+    response says that the connection is kept, which it never does.
+    """
+    connection.sendall(request_bytes + b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert len(_read_response(connection).body) == LARGE_BODY_BYTES
+    assert _receive(connection) == b""
+    assert handler.handled == [b"/1"]
--- a/wigeonrouter/http1/_request_reader.py
+++ b/wigeonrouter/http1/_request_reader.py
@@ -151,7 +151,16 @@
         headers=tuple(collector.headers),
         fields=fields,
         body=body,
-        keep_alive=parser.should_keep_alive(),
+        keep_alive=_keeps_alive(fields, parser.get_http_version()),
+    )
+
+
+def _keeps_alive(fields, version):
+    # should_keep_alive() of httptools is not used: after a request without a
+    # body it ignores Connection. Responses never say that a connection is
+    # kept, as callers of HTTP/1.0 would need.
+    return version == "1.1" and (
+        b"close" not in _messages.connection_headers(fields)
     )
 
 
