Answer a request whose handler fails

An exception outside of what a handler expects, as in writing its log line, closed the connection without a response, although a server may have run the request. No caller can tell that from a lost connection, and a stop is no exception to it. Found by reading; no such exception is known.

The server now answers 500 and closes the connection. The exception is still reported with its trace.

--- a/wigeonrouter/http1/_connection_end_test.py
+++ b/wigeonrouter/http1/_connection_end_test.py
@@ -15,10 +15,16 @@
 
 
 class _Handler:
-    """Responds with a large body after a while."""
+    """Responds with a large body after a while.
+
+    Attributes:
+      handled: targets of the requests.
+      error: exception that it raises instead, None for none.
+    """
 
     def __init__(self):
         self.handled = []
+        self.error = None
 
     def body_limit(self, request):
         return 0
@@ -26,6 +32,8 @@
     def handle(self, request, arrived):
         self.handled.append(request.target)
         gevent.sleep(HANDLING_S)
+        if self.error is not None:
+            raise self.error
         return http1.HttpResponse(
             status=200, headers=(), body=b"x" * LARGE_BODY_BYTES
         )
@@ -113,3 +121,15 @@
     assert len(_read_response(connection).body) == LARGE_BODY_BYTES
     assert _receive(connection) == b""
     assert handler.handled == [b"/1"]
+
+
+def test_request_whose_handler_fails_is_answered(connection, handler):
+    """Guards against a connection that ends without any response.
+
+    The caller cannot tell that from a lost connection, and the log has no
+    line of its request.
+    """
+    handler.error = ValueError("unexpected")
+    connection.sendall(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert _read_response(connection).status == 500
+    assert _receive(connection) == b""
--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -246,9 +246,14 @@
         self._last_arrival = time.monotonic()
         connection.begin_handling(detect_disconnect=not reader.pending)
         try:
-            response = self._handler.handle(request, arrived)
-        finally:
-            connection.end_handling()
+            response = self._run_handler(connection, request, arrived)
+        except Exception:
+            self._send_failure(
+                connection,
+                core.Problem(problem=core.problems.INTERNAL),
+                method=request.method,
+            )
+            raise
         # A pipelined request has arrived already and is still handled.
         close = not request.keep_alive or (
             self._draining
@@ -264,10 +269,18 @@
             connection.linger()
         return close
 
-    def _send_failure(self, connection, failure):
+    def _run_handler(self, connection, request, arrived):
+        try:
+            return self._handler.handle(request, arrived)
+        finally:
+            connection.end_handling()
+
+    def _send_failure(self, connection, failure, method=b""):
         response = _render.problem_response(failure=failure, request_id="")
         connection.send(
-            _render.render_response(response=response, close=True, method=b"")
+            _render.render_response(
+                response=response, close=True, method=method
+            )
         )
         connection.linger()
 
