Wait for requests whatever fails in a stop

An exception in a step of a stop ended the stop at once and cut off all requests in progress: leaving the region ran before the wait, and a server that failed to stop did not wait for its requests. Found by reading; accept() was one such exception, others are not known.

A failure to leave is now logged, and the node itself waits for the requests in progress until its exit, whatever its servers do.

--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -286,7 +286,7 @@
         )
         for request_server in self._request_servers:
             request_server.drain()
-        self._region_member.leave()
+        self._leave_region()
         self._balancers.recheck_queues()
         while time.monotonic() < schedule.accept_until:
             gevent.sleep(_STOP_POLL_INTERVAL_S)
@@ -294,6 +294,9 @@
             [gevent.spawn(server.stop) for server in self._request_servers],
             timeout=max(0.0, schedule.exit - time.monotonic()),
         )
+        # A server that failed to stop has not waited for its requests.
+        while self._requests_in_progress and time.monotonic() < schedule.exit:
+            gevent.sleep(_STOP_POLL_INTERVAL_S)
         self._proxy.log_unfinished()
         self._events.notice(
             "stopped",
@@ -340,13 +343,21 @@
             try:
                 function()
             except Exception as error:
-                self._events.notice(
-                    "task-failed",
-                    task=name,
-                    error=f"{type(error).__name__}: {error}",
-                )
+                self._report_failure(name, error)
             gevent.sleep(_HOUSEKEEPING_INTERVAL_S)
 
+    def _leave_region(self):
+        """Leave the region; the requests in progress do not depend on it."""
+        try:
+            self._region_member.leave()
+        except Exception as error:
+            self._report_failure("leave", error)
+
+    def _report_failure(self, task, error):
+        self._events.notice(
+            "task-failed", task=task, error=f"{type(error).__name__}: {error}"
+        )
+
     def _read_gauges(self):
         ready = sum(peer.ready for peer in self._region_member.peers)
         return observability.Gauges(
--- a/wigeonrouter/platform/_stopping_node_test.py
+++ b/wigeonrouter/platform/_stopping_node_test.py
@@ -125,3 +125,28 @@
     node.stop()
     assert time.monotonic() - began < _GRACE_S
     assert connection.send("after") is None
+
+
+def _fail():
+    raise RuntimeError("unexpected")
+
+
+@pytest.mark.parametrize("step", ["leave the region", "stop the server"])
+def test_stop_waits_for_requests_if_one_of_its_steps_fails(
+    backend, node, caller, monkeypatch, step
+):
+    """Guards against a stop that ends at once, with requests in progress."""
+    if step == "leave the region":
+        monkeypatch.setattr(node.region_member, "leave", _fail)
+    else:
+        monkeypatch.setattr(node._caller_server, "stop", _fail)
+    start_ready(backend, node, "i-1", service_time=0.5)
+    assert caller.send("/read/a").status == 200
+    stopping = gevent.spawn(node.stop)
+    gevent.sleep(0.45 * _GRACE_S)
+    request = gevent.spawn(caller.send, "/read/b", remaining=700)
+    stopping.join()
+    assert stopping.successful()
+    # The process ends here, with the connections of what is not finished.
+    assert request.ready()
+    assert request.value.status == 200
