Leave servers to try in the test of an outage of the store

While the store is out, nodes do not learn of the servers that are back, and the request may end nine servers before all nodes block it. There were only eight. In a traced failure seven had ended when one node checked its paths: all servers that it tried refused it, so it took itself to be cut off. It counts no crash then, since it cannot tell whether a server has ended, and the eighth crash was not stored. Whether the check came in time depended on the load. Nodes do not promise to count crashes in that state.

The test has twenty servers now, so that most are left after all crashes that are allowed. All checks stay.

--- a/wigeonrouter/platform/_crashing_request_test.py
+++ b/wigeonrouter/platform/_crashing_request_test.py
@@ -14,6 +14,11 @@
 _CRASHES_TO_BLOCK = 3
 _RESTART_S = 0.6
 _SERVERS = 8
+# No node learns of restarts while the store is out, so there have to be enough
+# servers that most are left after all crashes that are allowed. A node that is
+# refused by all servers that it tries takes itself to be cut off and counts no
+# crash.
+_SERVERS_WITHOUT_STORE = 20
 _AMPLE_SLOTS = 12
 
 
@@ -25,15 +30,15 @@
 
 @pytest.fixture
 def start_servers(store, backend, region, crashes):
-    """Return a function that starts eight servers and waits for the region.
+    """Return a function that starts servers and waits for the region.
 
     They end when they run the target, and restart after that.
     """
 
-    def start(crash_target=CRASHING):
-        for number in range(_SERVERS):
+    def start(crash_target=CRASHING, *, count=_SERVERS):
+        for number in range(count):
             start_one(f"i-{number}", crash_target.encode())
-        _wait_for_servers(region, _SERVERS)
+        _wait_for_servers(region, count)
 
     def start_one(instance, crash_target):
         server = backend(instance)
@@ -191,7 +196,7 @@
     While the store is out, each node counts the crashes that it sees.
     """
     place = core.Place(region="r2", failure_domain="zc")
-    start_servers()
+    start_servers(count=_SERVERS_WITHOUT_STORE)
     elsewhere = start_node(
         make_settings("node-9", "127.0.0.19", place=place), servers=1
     )
