Record the end of a soak run before its callers are ended

Callers saw nothing; the soak test reported "no execution for disconnected callers" for requests that the end of a run had cut off, if a backend server began them before it was stopped. Cause: the fault period that excuses these requests began after the callers had been ended, so that it was later than the end of their requests. It now begins before.

The check is as strict as before for all requests that end earlier.

--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -138,13 +138,13 @@
         ):
             gevent.sleep(_RECOVERY_OBSERVATION_S)
     finally:
-        gevent.killall(tasks)
         # Requests that are cut off by the end of the run are no violations.
         observations.fault_periods.append(
             _records.FaultPeriod(
                 name="", began=time.monotonic(), ended=float("inf")
             )
         )
+        gevent.killall(tasks)
         environment.fleet.stop()
         environment.collect_observations()
         environment.stop()
