Let callers of the soak test wait for their whole timeout

The soak test's callers gave up after 1 s, though their requests said 3 s and were recorded with a timeout of 3 s. Cause: the timeout of create_connection() stayed on the socket, and its exception is a TimeoutError as well. Responses that were due after the timeout of the route, 1.5 s, were never awaited, so that "response in time" could not find a late one, and requests that a node ended after more than a second counted as given up by their caller.

The timeout is now taken off the socket once it is connected.

Evidence: the test fails without the change, since its caller gives up after 1.0 s.

--- a/wigeonrouter/soak/_callers.py
+++ b/wigeonrouter/soak/_callers.py
@@ -38,6 +38,8 @@
         self._sock = socket.create_connection(
             address, timeout=_CONNECT_TIMEOUT_S
         )
+        # The timeout of create_connection() would also apply to responses.
+        self._sock.settimeout(None)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def exchange(self, data, *, method, response_timeout):
--- /dev/null
+++ b/wigeonrouter/soak/_callers_test.py
@@ -0,0 +1,57 @@
+"""Tests of the callers of a soak run."""
+
+import random
+import types
+
+import gevent
+from gevent import server as gevent_server
+import pytest
+
+from wigeonrouter import topology
+from wigeonrouter.soak import _callers
+from wigeonrouter.soak import _records
+
+_ROUTE_TIMEOUT_S = 1.5
+
+
+@pytest.fixture
+def silent_address():
+    """Address of a server that accepts connections and never responds."""
+    server = gevent_server.StreamServer(
+        ("127.0.0.1", 0), lambda sock, address: gevent.sleep(60)
+    )
+    server.start()
+    yield "127.0.0.1", server.server_port
+    server.stop(timeout=0)
+
+
+def test_caller_waits_for_a_response_as_long_as_it_says(silent_address):
+    """Guards against callers that leave before their recorded timeout.
+
+    Checks of late or missing responses would then find nothing.
+    """
+    observations = _records.Observations()
+    route = topology.Route(
+        name="read",
+        host="shop.example",
+        prefix="/read/",
+        shares=(),
+        idempotent=True,
+        timeout=_ROUTE_TIMEOUT_S,
+        target_latency=0.1,
+        priority=1,
+        max_attempts=1,
+    )
+    sender = _callers.Sender(
+        routes=lambda: (route,),
+        observations=observations,
+        rng=random.Random(1),
+    )
+    connection = _callers.Connection(
+        node=types.SimpleNamespace(name="node-1"), address=silent_address
+    )
+    assert not sender.send(connection)
+    connection.close()
+    (request,) = observations.requests
+    assert request.end is _records.End.TIMEOUT
+    assert request.ended - request.sent >= request.patience
