Play callers that keep connections through rolls in the soak test

Callers of the users lost responses around the SIGTERM of a node, on connections that they had kept open, while servers stood still. No test of the project played these together.

The soak test gets callers that each keep a connection and use it until their node closes it, a service of their own whose servers stand still for up to 2.6 s (two in seven at a time), and rolls: SIGTERM to all nodes in turn, before the previous one is back. The new check, _stop_checks.py, finds requests that a stop ends early: a connection closed once a server got the request, or a failure of the node's own while a server is at work on it. Faults of the store alone do not excuse a node in it, so they are recorded as such. The checks that were there are unchanged.

Evidence: unit tests of the check, violating and permitted.

--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -246,6 +246,7 @@
         ends_at = time.monotonic() + service_time
         while time.monotonic() < ends_at:
             gevent.sleep(_CANCEL_CHECK_INTERVAL_S)
+            self.wait_until_moving()
             if sock.fileno() < 0:
                 raise ConnectionResetError("server stopped")
             poller = select.poll()
--- a/wigeonrouter/platform/_emulated_server.py
+++ b/wigeonrouter/platform/_emulated_server.py
@@ -7,6 +7,7 @@
 from wigeonrouter import http1
 
 _MAX_BODY_BYTES = 1 << 20
+_STANDSTILL_CHECK_INTERVAL_S = 0.01
 
 
 class EmulatedServer:
@@ -17,6 +18,8 @@
       resetting: close each connection on its first request.
       losing: handle each request, then close instead of responding.
       delay: delay before each request is handled, seconds.
+      standing_still: neither read nor respond while it is set; connections
+        stay open.
     """
 
     def __init__(self, *, port=0):
@@ -24,6 +27,7 @@
         self.resetting = False
         self.losing = False
         self.delay = 0.0
+        self.standing_still = False
         self._connections = set()
         self._server = gevent_server.StreamServer(
             ("127.0.0.1", port), self._serve
@@ -66,7 +70,7 @@
         )
         try:
             while True:
-                request = reader.read(lambda: sock.recv(65536))
+                request = reader.read(lambda: self._receive(sock))
                 if request is None or self.resetting:
                     return
                 gevent.sleep(self.delay)
@@ -75,6 +79,7 @@
                     return
                 while response is None or self.silent:
                     gevent.sleep(0.05)
+                self.wait_until_moving()
                 self.send(sock, request, response)
                 if self.closes_after_response():
                     return
@@ -84,6 +89,16 @@
             self._connections.discard(sock)
             sock.close()
 
+    def wait_until_moving(self):
+        """Block while the server stands still."""
+        while self.standing_still:
+            gevent.sleep(_STANDSTILL_CHECK_INTERVAL_S)
+
+    def _receive(self, sock):
+        data = sock.recv(65536)
+        self.wait_until_moving()
+        return data
+
     def send(self, sock, request, response):
         """Send a response."""
         sock.sendall(self.render(request, response))
--- a/wigeonrouter/soak/_callers.py
+++ b/wigeonrouter/soak/_callers.py
@@ -10,7 +10,7 @@
 from wigeonrouter.platform import testing
 from wigeonrouter.soak import _records
 
-_CALLER_TIMEOUT_S = 3.0
+CALLER_TIMEOUT_S = 3.0
 _ENTRY_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 1.0
 _MEAN_REQUEST_INTERVAL_S = 0.12
@@ -71,9 +71,21 @@
     Args:
       routes: function that returns the topology.Routes to choose from.
       observations: Observations.
+      prefix: start of the ids of its requests, unique for each Sender.
+      patience: timeout of its requests in seconds.
     """
 
-    def __init__(self, *, routes, observations, rng):
+    def __init__(
+        self,
+        *,
+        routes,
+        observations,
+        rng,
+        prefix="r",
+        patience=CALLER_TIMEOUT_S,
+    ):
+        self._prefix = prefix
+        self._patience = patience
         self._routes = routes
         self._observations = observations
         self._rng = rng
@@ -112,7 +124,7 @@
             connection.close()
 
     def _send(self, connection, route, disconnect_after):
-        request_id = f"r{next(self._request_numbers):07d}"
+        request_id = f"{self._prefix}{next(self._request_numbers):07d}"
         target = f"{route.prefix}{request_id}"
         method = "GET" if route.idempotent else "POST"
         data = testing.render_request(
@@ -120,7 +132,7 @@
             target=target,
             host=route.host,
             request_id=request_id,
-            remaining=_CALLER_TIMEOUT_S,
+            remaining=self._patience,
             body=b"" if route.idempotent else b"x" * 300,
         )
         sent = time.monotonic()
@@ -147,7 +159,7 @@
                 target=target,
                 sent=sent,
                 ended=time.monotonic(),
-                patience=_CALLER_TIMEOUT_S,
+                patience=self._patience,
                 timeout=route.timeout,
                 end=end,
                 reply=response,
@@ -159,7 +171,7 @@
             response = connection.exchange(
                 data,
                 method=method.encode(),
-                response_timeout=disconnect_after or _CALLER_TIMEOUT_S,
+                response_timeout=disconnect_after or self._patience,
             )
         except TimeoutError:
             if disconnect_after:
--- a/wigeonrouter/soak/_check_registry.py
+++ b/wigeonrouter/soak/_check_registry.py
@@ -24,7 +24,13 @@
 
 
 def was_undisturbed(
-    observations, name, began, ended, *, count_graceful_stops=True
+    observations,
+    name,
+    began,
+    ended,
+    *,
+    count_graceful_stops=True,
+    count_store_faults=True,
 ):
     """Return whether no fault affected a node or backend server.
 
@@ -33,10 +39,12 @@
     Args:
       name: name of the node or backend server.
       count_graceful_stops: whether a stop by SIGTERM counts as a fault.
+      count_store_faults: whether a fault of the store alone counts.
     """
     return not any(
         period.name in ("", name)
         and (count_graceful_stops or not period.graceful_stop)
+        and (count_store_faults or not period.store_only)
         and period.began <= ended
         and began - SETTLING_TIME_S <= period.ended
         for period in observations.fault_periods
--- a/wigeonrouter/soak/_checks.py
+++ b/wigeonrouter/soak/_checks.py
@@ -10,11 +10,11 @@
 
 from wigeonrouter.soak import _check_registry
 from wigeonrouter.soak import _records
+from wigeonrouter.soak import _stop_checks
 
-# The next three bounds are written to the settings of the nodes.
+# The next two bounds are written to the settings of the nodes.
 DRAIN_BOUND_S = 2.5
 CONFIG_APPLY_BOUND_S = 2.5
-STOP_GRACE_PERIOD_S = 6.0
 # A process may not have installed its handler for SIGTERM before this age.
 SIGNAL_HANDLER_START_S = 1.0
 # Before it has used this much processor time, the interpreter may not have
@@ -279,7 +279,8 @@
                 "process exits only on request", str(process_exit)
             )
         elif (
-            process_exit.ended - process_exit.stopped > STOP_GRACE_PERIOD_S
+            process_exit.ended - process_exit.stopped
+            > _stop_checks.STOP_GRACE_PERIOD_S
             and not _was_disturbed_while_stopping(observations, process_exit)
         ):
             yield _check_registry.violation(
--- a/wigeonrouter/soak/_checks_test.py
+++ b/wigeonrouter/soak/_checks_test.py
@@ -327,3 +327,161 @@
         _records.PausePeriod(instance="i-1", pause=2.0, began=9.0, ended=15.0)
     ]
     assert ("pause" in violated_invariants(observations)) == violated
+
+
+EARLY_END = "request completed around a stop"
+
+
+@pytest.fixture
+def stopped_observations(observations):
+    """Observations of a request that was passed on and then broken off.
+
+    Its node got SIGTERM at second 8, and the request was sent 3.5 s after it.
+    The server i-1 executed it until second 13.
+    """
+    observations.requests = [
+        make_request(
+            sent=11.5, ended=12.5, timeout=2.8, end=End.BROKEN, reply=None
+        )
+    ]
+    observations.executions = [make_execution(started=11.6)]
+    observations.execution_ended_at["r1", "i-1"] = 13.0
+    observations.exits = [make_exit(stopped=8.0)]
+    return observations
+
+
+def change_request(observations, **changes):
+    """Replace the only request of the observations by a changed one."""
+    (request,) = observations.requests
+    observations.requests = [dataclasses.replace(request, **changes)]
+
+
+def make_own_failure(status):
+    """Return a failure that the node itself responded with."""
+    return make_response(status=status, instance="", body=b"")
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {},
+        {"end": End.ANSWERED, "reply": make_own_failure(502)},
+        {"end": End.ANSWERED, "reply": make_own_failure(504)},
+        # Sent before SIGTERM, with time left.
+        {"sent": 7.9, "ended": 10.0},
+        # Sent early, but closed before the last sixth of the grace period.
+        {"sent": 10.9, "ended": 12.9},
+    ],
+    ids=["closed", "502", "504", "before SIGTERM", "before the last sixth"],
+)
+def test_request_that_a_stop_ends_early_is_detected(
+    stopped_observations, changes
+):
+    """Guards against a stop that ends requests that servers work on."""
+    started = changes.get("sent", 11.5) + 0.1
+    stopped_observations.executions = [make_execution(started=started)]
+    change_request(stopped_observations, **changes)
+    assert EARLY_END in violated_invariants(stopped_observations)
+
+
+@pytest.mark.parametrize(
+    ("changes", "allowed"),
+    [
+        # The timeout of the route, then the one of the caller was reached.
+        ({"ended": 14.3}, True),
+        ({"ended": 14.2}, False),
+        ({"patience": 1.0}, True),
+        ({"patience": 1.2}, False),
+        # Still at work in the last sixth, and sent within 3 s or later.
+        ({"sent": 11.0, "ended": 13.1}, True),
+        ({"sent": 11.1, "ended": 13.1}, False),
+        # The stop was over for longer than a second.
+        ({"sent": 14.0, "ended": 15.1}, True),
+        ({"sent": 14.0, "ended": 14.9}, False),
+        ({"node": "node-2"}, True),
+    ],
+)
+def test_only_documented_exceptions_may_end_a_request_early(
+    stopped_observations, changes, allowed
+):
+    """Guards against excusing more or fewer broken requests than agreed."""
+    started = changes.get("sent", 11.5) + 0.1
+    stopped_observations.executions = [make_execution(started=started)]
+    stopped_observations.execution_ended_at.clear()
+    change_request(stopped_observations, **changes)
+    found = EARLY_END in violated_invariants(stopped_observations)
+    assert found != allowed
+
+
+def test_request_that_was_not_passed_on_may_cross_a_close(
+    stopped_observations,
+):
+    """Guards against violations for requests that the node never read."""
+    stopped_observations.executions = []
+    assert EARLY_END not in violated_invariants(stopped_observations)
+
+
+@pytest.mark.parametrize(
+    ("ended_at", "cancelled", "violated"),
+    [
+        (12.0, False, False),
+        (12.45, False, False),
+        # The node closed the connection to the server, then responded.
+        (12.45, True, True),
+        # An earlier attempt was cancelled.
+        (12.0, True, False),
+    ],
+)
+def test_own_failure_needs_a_server_at_work_to_be_a_violation(
+    stopped_observations, ended_at, cancelled, violated
+):
+    """Guards against mistaking failures after a server's end for early ones.
+
+    The failure arrives at second 12.5.
+    """
+    change_request(
+        stopped_observations, end=End.ANSWERED, reply=make_own_failure(502)
+    )
+    stopped_observations.execution_ended_at["r1", "i-1"] = ended_at
+    if cancelled:
+        stopped_observations.cancelled.add(("r1", "i-1"))
+    found = EARLY_END in violated_invariants(stopped_observations)
+    assert found == violated
+
+
+def test_failure_of_a_server_may_end_a_request(stopped_observations):
+    """Guards against blaming the node for the response of a server."""
+    change_request(
+        stopped_observations,
+        end=End.ANSWERED,
+        reply=make_response(status=502),
+    )
+    assert EARLY_END not in violated_invariants(stopped_observations)
+
+
+@pytest.mark.parametrize(
+    ("period", "violated"),
+    [
+        ({"name": "node-1"}, False),
+        ({"name": "i-1"}, False),
+        ({"name": ""}, False),
+        ({"name": "node-2"}, True),
+        ({"name": "", "store_only": True}, True),
+        ({"name": "node-1", "graceful_stop": True}, True),
+    ],
+)
+def test_faults_of_the_store_do_not_excuse_an_early_end(
+    stopped_observations, period, violated
+):
+    """Guards against losing the check while the store has a fault."""
+    stopped_observations.fault_periods = [
+        _records.FaultPeriod(began=11.0, ended=12.0, **period)
+    ]
+    found = EARLY_END in violated_invariants(stopped_observations)
+    assert found == violated
+
+
+def test_removed_server_may_break_off_a_request(stopped_observations):
+    """Guards against blaming the node for a server that was stopped."""
+    stopped_observations.removed_at["i-1"] = 12.4
+    assert EARLY_END not in violated_invariants(stopped_observations)
--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -1,5 +1,6 @@
 """Environment of the nodes in a run: store, backend servers and operator."""
 
+import dataclasses
 import time
 
 import gevent
@@ -14,9 +15,16 @@
 
 HOST = "shop.example"
 SERVICES = ("alpha", "beta")
+# Service of the callers that keep connections; only its servers stand still.
+POOLED_SERVICE = "gamma"
+_POOLED_SERVERS_PER_DOMAIN = 3
 DOMAINS = {"za": "r1", "zb": "r1", "zc": "r2", "zd": "r2"}
-_SERVICE_TIME_S = 0.03
+_SERVICE_TIMES_S = {"alpha": 0.03, "beta": 0.03, POOLED_SERVICE: 0.6}
 _ROUTE_TIMEOUT_S = 1.5
+# Longer than what remains of the grace period when a stopping node still
+# takes requests.
+_POOLED_ROUTE_TIMEOUT_S = 2.8
+_POOLED_TARGET_LATENCY_S = 1.5
 _TARGET_LATENCY_S = 0.3
 _PROBE_INTERVAL_S = 0.7
 # Maximum number of nodes that are probed in each interval. The limit is there
@@ -47,7 +55,7 @@
             instance=instance,
             service=service,
             zone=domain,
-            service_time=_SERVICE_TIME_S,
+            service_time=_SERVICE_TIMES_S[service],
         )
         # The port may be used again by another server. It is below the range
         # of outgoing connections, so none of these takes it in between.
@@ -90,7 +98,9 @@
       observations: Observations.
     """
 
-    def __init__(self, *, servers_per_domain, observations, rng):
+    def __init__(
+        self, *, servers_per_domain, observations, rng, has_pooled_callers
+    ):
         self.store = _emulator.EmulatedStore()
         self.observations = observations
         self.rng = rng
@@ -105,10 +115,14 @@
         self._acknowledged_at = 0.0
         self._configuration = {}
         self._read_service = SERVICES[0]
+        counts = dict.fromkeys(SERVICES, servers_per_domain)
+        if has_pooled_callers:
+            counts[POOLED_SERVICE] = _POOLED_SERVERS_PER_DOMAIN
+        self._services = tuple(counts)
         self._write_configuration()
         for domain in DOMAINS:
-            for service in SERVICES:
-                for _ in range(servers_per_domain):
+            for service, count in counts.items():
+                for _ in range(count):
                     self.add_backend(service, domain)
 
     @property
@@ -129,6 +143,19 @@
             _route("pay", False, SERVICES[1]),
         )
 
+    def pooled_routes(self):
+        """Return the tuple of routes of callers that keep connections."""
+        if POOLED_SERVICE not in self._services:
+            return ()
+        return tuple(
+            dataclasses.replace(
+                _route(name, idempotent, POOLED_SERVICE),
+                timeout=_POOLED_ROUTE_TIMEOUT_S,
+                target_latency=_POOLED_TARGET_LATENCY_S,
+            )
+            for name, idempotent in (("browse", True), ("book", False))
+        )
+
     def add_backend(self, service, domain, *, port=0):
         """Start and register a backend server; return its Backend.
 
@@ -157,6 +184,9 @@
         if backend.draining:
             return
         backend.draining = True
+        # A server that stands still would read earlier requests after the
+        # time bound of the drain.
+        backend.server.standing_still = False
         self.register(backend)
         self.observations.drains.append(
             _records.Drain(
@@ -171,6 +201,7 @@
         if backend.removed:
             return
         backend.removed = True
+        self.observations.removed_at[backend.instance] = time.monotonic()
         self.store.remove(testing.server_key(backend.instance))
         self._record_backend(backend)
         backend.stop()
@@ -267,6 +298,9 @@
             )
             for at, request_id in server.arrivals
         )
+        observations.cancelled.update(
+            (request_id, backend.instance) for request_id in server.cancelled
+        )
         for request_id, at in server.ended.items():
             observations.execution_ended_at[request_id, backend.instance] = at
 
@@ -276,12 +310,16 @@
         self._probe_routes.append(_route(name, True, "alpha"))
         configuration = topology.Configuration(
             version=self._last_version,
-            routes=(*self.routes(), *self._probe_routes),
+            routes=(
+                *self.routes(),
+                *self.pooled_routes(),
+                *self._probe_routes,
+            ),
             services={
                 service: topology.ServiceSettings(
                     name=service, health_path="/health", max_connections=200
                 )
-                for service in SERVICES
+                for service in self._services
             },
             limits=topology.CallerLimits(),
         )
--- a/wigeonrouter/soak/_faults.py
+++ b/wigeonrouter/soak/_faults.py
@@ -15,8 +15,12 @@
 from wigeonrouter.soak import _records
 
 _FAULT_KINDS = {}
+# Kinds that a plan gets apart from those drawn at random.
+_PLANNED_APART = set()
 _SHORT_DURATION_S = (0.3, 2.0)
 _LONG_DURATION_S = (1.0, 6.0)
+# Time between the first and the last SIGTERM of a roll, about.
+_ROLL_DURATION_S = (1.5, 7.0)
 # Time in which a killed process has restarted and received the full state.
 _RESTART_TIME_S = 2.5
 _PARTITIONS = ("cut", "one way")
@@ -39,20 +43,39 @@
     return function
 
 
+def planned_apart(function):
+    """Register a kind of fault that random choices leave out.
+
+    A seed keeps its plan when such a kind is added.
+    """
+    _PLANNED_APART.add(function.__name__)
+    return fault_kind(function)
+
+
 def kinds():
     """Return a dict from name to function of all kinds of faults."""
     return dict(_FAULT_KINDS)
 
 
+def random_kinds():
+    """Return the sorted names of the kinds that are chosen at random."""
+    return sorted(_FAULT_KINDS.keys() - _PLANNED_APART)
+
+
 @contextlib.contextmanager
 def recording_fault(
-    environment, *targets, graceful_stop=False, recovery_time=0.0
+    environment,
+    *targets,
+    graceful_stop=False,
+    store_only=False,
+    recovery_time=0.0,
 ):
     """Record a FaultPeriod around the body of the with statement.
 
     Args:
       targets: affected nodes and backend servers; none means all of them.
       graceful_stop: whether the fault is a stop by SIGTERM.
+      store_only: whether the fault affects nothing but the store.
       recovery_time: seconds by which the effects outlast the body.
     """
     began = time.monotonic()
@@ -66,6 +89,7 @@
                 began=began,
                 ended=ended,
                 graceful_stop=graceful_stop,
+                store_only=store_only,
             )
             for target in targets or (None,)
         )
@@ -115,16 +139,33 @@
 def stop_nodes(environment, rng):
     """Stops some nodes one after the other by SIGTERM; they are restarted."""
     for node in _sample_nodes(environment, rng):
-        incarnation = node.incarnation
-        with recording_fault(
-            environment,
-            node,
-            graceful_stop=True,
-            recovery_time=_RESTART_TIME_S,
-        ):
-            node.terminate()
-            while node.incarnation == incarnation:
-                gevent.sleep(0.05)
+        _stop_node(environment, node)
+
+
+def _stop_node(environment, node):
+    """Stop a node by SIGTERM and wait until it is started again."""
+    incarnation = node.incarnation
+    with recording_fault(
+        environment,
+        node,
+        graceful_stop=True,
+        recovery_time=_RESTART_TIME_S,
+    ):
+        node.terminate()
+        while node.incarnation == incarnation:
+            gevent.sleep(0.05)
+
+
+@planned_apart
+def roll_nodes(environment, rng):
+    """Sends SIGTERM to all nodes in turn, before the previous one is back."""
+    nodes = environment.fleet.nodes
+    gap = rng.uniform(*_ROLL_DURATION_S) / len(nodes)
+    stops = []
+    for node in rng.sample(nodes, len(nodes)):
+        stops.append(gevent.spawn(_stop_node, environment, node))
+        gevent.sleep(gap)
+    gevent.joinall(stops, raise_error=True)
 
 
 @fault_kind
@@ -283,7 +324,7 @@
 
 
 def _inject_store_fault(environment, rng, attribute, value):
-    with recording_fault(environment):
+    with recording_fault(environment, store_only=True):
         setattr(environment.store, attribute, value)
         gevent.sleep(rng.uniform(*_LONG_DURATION_S))
         # The previous value can be that of an overlapping fault, so the
@@ -337,7 +378,7 @@
     The configuration changes in the same outage, so that nodes cannot catch
     up from the history.
     """
-    with recording_fault(environment):
+    with recording_fault(environment, store_only=True):
         environment.store.refusing = True
         environment.change_configuration()
         gevent.sleep(rng.uniform(0.5, 1.5))
@@ -348,7 +389,7 @@
 @fault_kind
 def registrations_lapse(environment, rng):
     """Lets all registrations expire during an outage of the store."""
-    with recording_fault(environment):
+    with recording_fault(environment, store_only=True):
         environment.store.refusing = True
         gevent.sleep(rng.uniform(1.0, 4.0))
         environment.remove_registrations()
--- a/wigeonrouter/soak/_records.py
+++ b/wigeonrouter/soak/_records.py
@@ -165,12 +165,14 @@
     Attributes:
       name: name of the node or backend server, "" for all of them.
       graceful_stop: whether the fault was a stop by SIGTERM.
+      store_only: whether the fault affected nothing but the store.
     """
 
     name: str
     began: float
     ended: float
     graceful_stop: bool = False
+    store_only: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -196,6 +198,10 @@
         any version of the configuration routes it to.
       execution_ended_at: dict from (request id, instance) to the time at
         which the execution ended.
+      cancelled: set of (request id, instance) whose connection was closed
+        while the server executed the request.
+      removed_at: dict from instance to the time at which the operator
+        stopped that backend server.
       faults_over_at: time at which all injected faults had ended.
     """
 
@@ -203,6 +209,8 @@
     executions: list = dataclasses.field(default_factory=list)
     arrivals: list = dataclasses.field(default_factory=list)
     execution_ended_at: dict = dataclasses.field(default_factory=dict)
+    cancelled: set = dataclasses.field(default_factory=set)
+    removed_at: dict = dataclasses.field(default_factory=dict)
     limit_periods: list = dataclasses.field(default_factory=list)
     pause_periods: list = dataclasses.field(default_factory=list)
     drains: list = dataclasses.field(default_factory=list)
--- a/wigeonrouter/soak/_restores.py
+++ b/wigeonrouter/soak/_restores.py
@@ -24,7 +24,7 @@
         gevent.sleep(rng.uniform(*_GAP_S))
         copy = environment.store.copy()
         gevent.sleep(rng.uniform(*_COPY_AGE_S))
-        with _faults.recording_fault(environment):
+        with _faults.recording_fault(environment, store_only=True):
             environment.store.refusing = True
             gevent.sleep(rng.uniform(*_OUTAGE_S))
             environment.store.restore(copy)
--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -15,15 +15,17 @@
 from wigeonrouter.soak import _fleet
 from wigeonrouter.soak import _limits
 from wigeonrouter.soak import _pauses
+from wigeonrouter.soak import _pooled_callers
 from wigeonrouter.soak import _records
 from wigeonrouter.soak import _restores
+from wigeonrouter.soak import _standstills
 from wigeonrouter.soak import checks
 
 _STARTUP_S = 3.0
 # Callers go on after the last fault for as long as recovery may take, plus
 # 3 s in which the requests for the recovery check are sent.
 _RECOVERY_OBSERVATION_S = checks.RECOVERY_TIME_S + 3.0
-_FAULT_JOIN_TIMEOUT_S = 8.0
+_FAULT_JOIN_TIMEOUT_S = 12.0
 # Range below the ephemeral ports, which the system assigns to outgoing
 # connections.
 _PORT_RANGE = (10_000, 30_000)
@@ -31,6 +33,9 @@
 # Number of faults of the same kind in a series, chosen uniformly.
 _SERIES_LENGTHS = (1, 1, 1, 2, 4)
 _SERIES_GAP_S = (0.2, 2.0)
+# A roll of all nodes begins in each interval, this long after its start.
+_ROLL_INTERVAL_S = 10.0
+_ROLL_START_S = (0.0, 2.0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -45,6 +50,8 @@
         domain; runs with many nodes use more.
       pause: mean interval between two series of faults, in seconds.
       restores: whether the store is restored from older copies.
+      pooled_callers: number of callers that keep a connection open. With any,
+        their servers stand still at times and all nodes are rolled.
     """
 
     nodes: int = 6
@@ -53,6 +60,7 @@
     seconds: float = 15.0
     pause: float = 1.2
     restores: bool = False
+    pooled_callers: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -73,8 +81,8 @@
 def make_plan(seed, size):
     """Return the tuple of Planned that a seed determines for a Size."""
     rng = random.Random(seed)
-    kinds = sorted(_faults.kinds())
-    plan = []
+    kinds = _faults.random_kinds()
+    plan = _plan_rolls(seed, size)
     at = 0.0
     while True:
         at += rng.expovariate(1 / size.pause)
@@ -91,6 +99,21 @@
             at_in_series += rng.uniform(*_SERIES_GAP_S)
 
 
+def _plan_rolls(seed, size):
+    """Return the list of Planned rolls, drawn apart from other faults."""
+    if not size.pooled_callers:
+        return []
+    rng = random.Random(f"rolls {seed}")
+    return [
+        Planned(
+            at=number * _ROLL_INTERVAL_S + rng.uniform(*_ROLL_START_S),
+            kind=_faults.roll_nodes.__name__,
+            seed=rng.randrange(1 << 30),
+        )
+        for number in range(max(1, int(size.seconds / _ROLL_INTERVAL_S)))
+    ]
+
+
 def run_seed(seed, size, directory):
     """Execute the run that a seed determines.
 
@@ -103,6 +126,7 @@
         servers_per_domain=max(size.servers, size.nodes // _NODES_PER_SERVER),
         observations=observations,
         rng=random.Random(seed),
+        has_pooled_callers=size.pooled_callers > 0,
     )
     environment.sender = _callers.Sender(
         routes=environment.routes,
@@ -115,6 +139,9 @@
         environment.fleet.start()
         gevent.sleep(_STARTUP_S)
         tasks = _start_callers(environment, size, rng)
+        tasks += _pooled_callers.start(
+            environment, size.pooled_callers, random.Random(f"pools {seed}")
+        )
         tasks.append(gevent.spawn(environment.probe_configuration))
         limits_rng = random.Random(f"limits {seed}")
         with (
@@ -126,6 +153,11 @@
                 environment,
                 random.Random(f"pauses {seed}"),
             ),
+            _in_background(
+                _standstills.let_servers_stand_still,
+                environment,
+                random.Random(f"standstills {seed}"),
+            ),
             _restoring_store(environment, seed, size),
         ):
             _inject_faults(environment, make_plan(seed, size))
--- a/wigeonrouter/soak/main.py
+++ b/wigeonrouter/soak/main.py
@@ -26,6 +26,11 @@
 @click.option("--nodes", default=_run.Size().nodes)
 @click.option("--callers", default=_run.Size().callers)
 @click.option("--seconds", default=_run.Size().seconds)
+@click.option(
+    "--pooled-callers",
+    default=60,
+    help="Number of callers that keep a connection open.",
+)
 @click.option(
     "--regressions",
     is_flag=True,
@@ -34,10 +39,23 @@
 @click.option(
     "--directory", required=True, help="Directory for logs and settings."
 )
-def main(first, count, nodes, callers, seconds, regressions, directory):
+def main(
+    first,
+    count,
+    nodes,
+    callers,
+    seconds,
+    pooled_callers,
+    regressions,
+    directory,
+):
     """Run seeded soak tests of real node processes under injected faults."""
     size = _run.Size(
-        nodes=nodes, callers=callers, seconds=seconds, restores=True
+        nodes=nodes,
+        callers=callers,
+        seconds=seconds,
+        restores=True,
+        pooled_callers=pooled_callers,
     )
     cases = [(seed, size) for seed in range(first, first + count)]
     if regressions:
--- a/wigeonrouter/soak/main_test.py
+++ b/wigeonrouter/soak/main_test.py
@@ -23,6 +23,7 @@
             f"--first={seed}",
             "--nodes=4",
             "--callers=10",
+            "--pooled-callers=40",
             "--seconds=5",
             f"--directory={tmp_path}",
         ],
@@ -40,6 +41,15 @@
     assert _run.make_plan(7, size) != _run.make_plan(8, size)
 
 
+def test_rolls_are_planned_apart_from_other_faults():
+    """Guards against a seed whose other faults change with the rolls."""
+    plan = _run.make_plan(7, _run.Size())
+    with_rolls = _run.make_plan(7, _run.Size(pooled_callers=1))
+    rolls = [planned for planned in with_rolls if planned not in plan]
+    assert {planned.kind for planned in rolls} == {"roll_nodes"}
+    assert [planned for planned in with_rolls if planned in plan] == [*plan]
+
+
 def test_regressions_have_seed_cause_and_size():
     """Guards against regression seeds whose cause or size is missing."""
     for case in json.loads(main.REGRESSIONS.read_text("utf-8")):
