Take the time of arrival after a pause from the kernel

Callers of a node on a busy machine got 502 up to a second before the timeout of their route, several at the same moment, while servers worked on their requests; around a stop these count as lost.

The kernel knows for how long a connection has received nothing. After a pause, and only then, a request counts from that time. Where the kernel does not tell, it is the beginning of the pause, as before.

--- a/wigeonrouter/http1/_caller_connection.py
+++ b/wigeonrouter/http1/_caller_connection.py
@@ -108,6 +108,10 @@
             self._deadline = time.monotonic() + REQUEST_ARRIVAL_TIMEOUT_S
         return data
 
+    def time_since_bytes(self):
+        """Return the seconds since the last bytes arrived, None if unknown."""
+        return self._sock.time_since_bytes()
+
     def send(self, data):
         """Send all bytes.
 
--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -212,11 +212,24 @@
                 if request is None:
                     return
                 if not pending:
-                    arrived = self._pauses.earliest_arrival(time.monotonic())
+                    arrived = self._find_arrival(connection)
                 close = self._handle_request(
                     connection, reader, request, arrived
                 )
 
+    def _find_arrival(self, connection):
+        """Return when a request that was just read arrived, seconds.
+
+        After a pause that is when its last bytes did, as far as the kernel
+        knows, or else the earliest time at which it can have been.
+        """
+        now = time.monotonic()
+        earliest = self._pauses.earliest_arrival(now)
+        if earliest == now:
+            return now
+        elapsed = connection.time_since_bytes()
+        return earliest if elapsed is None else max(earliest, now - elapsed)
+
     def _read_request(self, connection, reader, pending, reservation):
         connection.begin_request(pending=pending)
         self._waiting[connection] = None
--- a/wigeonrouter/http1/_sockets.py
+++ b/wigeonrouter/http1/_sockets.py
@@ -5,6 +5,8 @@
 about half of the time of forwarding a request without any other processing.
 """
 
+import struct
+
 import gevent
 from gevent import hub as gevent_hub
 from gevent import monkey
@@ -12,6 +14,12 @@
 
 _PlainSocket = monkey.get_original("socket", "socket")
 _RECEIVE_BYTES = 1 << 16
+# The kernel's struct tcp_info: state of the connection, and the milliseconds
+# since the last bytes were received.
+_TCP_INFO_BYTES = 60
+_TCP_INFO = struct.Struct("=B51xI4x")
+_CONNECTED_STATES = frozenset({1, 8})
+_MILLISECONDS = 1000
 _READ_EVENT = 1
 _WRITE_EVENT = 2
 
@@ -39,6 +47,21 @@
             except BlockingIOError:
                 continue
 
+    def time_since_bytes(self):
+        """Return the seconds since the last bytes arrived, None if unknown."""
+        try:
+            info = self._sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
+            )
+        except OSError:
+            return None
+        if len(info) < _TCP_INFO_BYTES:
+            return None
+        state, milliseconds = _TCP_INFO.unpack(info)
+        if state not in _CONNECTED_STATES:
+            return None
+        return milliseconds / _MILLISECONDS
+
     def is_idle(self):
         """Return whether the peer has neither sent unread bytes nor closed."""
         try:
