Count in the log of a stop what it says

The event `stopped` counted requests as unfinished that were answered, while their callers had not closed yet, and `closed_unread` missed the requests that cross the close of an idle connection: what arrives then is dropped where it is received, not left in the socket.

A comment said that accept() fails for connections that were reset, which it does not; three names say more.

--- a/wigeonrouter/http1/_caller_connection.py
+++ b/wigeonrouter/http1/_caller_connection.py
@@ -30,6 +30,7 @@
         self._deadline = time.monotonic() + IDLE_TIMEOUT_S
         self._request_started = False
         self._expired = False
+        self._dropped_bytes = False
         self._task = None
 
     @property
@@ -42,6 +43,11 @@
         """Whether expire() was called."""
         return self._expired
 
+    @property
+    def dropped_bytes(self):
+        """Whether bytes arrived after expire(), which nobody reads."""
+        return self._dropped_bytes
+
     @property
     def request_started(self):
         """Whether any byte of the current request has arrived."""
@@ -102,6 +108,7 @@
         """Return the next bytes, or b"" at the end or after expire()."""
         data = self._sock.receive()
         if self._expired:
+            self._dropped_bytes = bool(data)
             return b""
         if not self._request_started:
             self._request_started = True
@@ -130,6 +137,7 @@
 
         The wait is limited to _LINGER_S and _LINGER_BYTES.
         """
+        self._request_started = False
         self._sock.shutdown(socket.SHUT_WR)
         linger_bytes_left = _LINGER_BYTES
         with gevent.Timeout(_LINGER_S, False):
--- a/wigeonrouter/http1/_pauses.py
+++ b/wigeonrouter/http1/_pauses.py
@@ -19,7 +19,7 @@
 _BACKLOG_POLLS = 16
 # Shortest sleep for which the event loop polls its sockets.
 _POLL_S = 0.001
-_NEVER = float("-inf")
+_LONG_AGO = float("-inf")
 
 
 class PauseDetector:
@@ -31,7 +31,7 @@
         self._last_tick = clock()
         self._previous_tick = self._last_tick
         self._paused_from = 0.0
-        self._resumed = _NEVER
+        self._resumed = _LONG_AGO
         self._tasks = []
 
     def start(self):
@@ -99,4 +99,4 @@
                 idle.join(timeout=_POLL_S)
             idle.kill()
             if not self._paused.is_set():
-                self._resumed = _NEVER
+                self._resumed = _LONG_AGO
--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -151,11 +151,12 @@
         """
         if self._server.closed:
             return
+        # The kernel holds no more of them.
         for _ in range(_LISTEN_BACKLOG):
             try:
                 accepted = self._server.do_read()
             except OSError:
-                # Of that connection only; the next one may be accepted.
+                # The requests in progress do not depend on this one.
                 continue
             if accepted is None:
                 break
@@ -179,7 +180,7 @@
         finally:
             self._connections.discard(connection)
             self._waiting.pop(connection, None)
-            if connection.expired and connection.has_unread_bytes():
+            if self._draining and connection.dropped_bytes:
                 self._closed_unread += 1
             connection.close()
 
--- a/wigeonrouter/http1/_server_test.py
+++ b/wigeonrouter/http1/_server_test.py
@@ -1,5 +1,6 @@
 """Tests of a server that stops while callers send requests."""
 
+import errno
 import time
 
 import gevent
@@ -153,15 +154,14 @@
 ):
     """Guards against a stop that ends at once, with requests in progress.
 
-    The kernel reports errors of connections which were reset before they were
-    accepted, or a lack of descriptors.
+    A process that has no descriptor left cannot accept connections.
     """
     sock = connect()
     sock.sendall(REQUEST % 1)
     gevent.sleep(0.01)
 
     def fail():
-        raise ConnectionAbortedError("reset before it was accepted")
+        raise OSError(errno.EMFILE, "too many open files")
 
     monkeypatch.setattr(server._server, "do_read", fail)
     stopping = gevent.spawn(server.stop)
@@ -262,3 +262,31 @@
     gevent.sleep(0.4)
     resumed_for = time.monotonic() - server.earliest_signal(time.monotonic())
     assert resumed_for < 0.25
+
+
+def test_request_that_crosses_the_close_is_counted(
+    server, connect, monkeypatch
+):
+    """Guards against a log that hides requests which nobody read."""
+    idle = connect()
+    gevent.sleep(0.05)
+    close_idle = server._close_idle
+
+    def close_and_send():
+        close_idle()
+        idle.sendall(REQUEST % 1)
+
+    monkeypatch.setattr(server, "_close_idle", close_and_send)
+    server.stop()
+    assert (server.closed_idle, server.closed_unread) == (1, 1)
+
+
+def test_answered_request_is_not_in_progress(server, connect):
+    """Guards against a log of unfinished requests that were answered."""
+    sock = connect()
+    sock.sendall(REQUEST % 1)
+    gevent.sleep(0.01)
+    server.drain()
+    assert server.requests_in_progress == 1
+    assert _receive_bodies(sock, 1) == [b"/1"]
+    assert server.requests_in_progress == 0
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -34,7 +34,8 @@
 _TIMEOUTS_WRITE_INTERVAL_S = 5.0
 _MAX_CALLER_CONNECTIONS = 3_000
 # TTL of directory responses. All responses that list a stopping node have to
-# expire before it stops accepting requests.
+# expire before it stops accepting requests, and until then it takes requests
+# that it may not finish, so a longer TTL would let more of them be cut off.
 _ENTRIES_TTL_S = 1.0
 _STOP_POLL_INTERVAL_S = 0.02
 # A directory request to a node that has just started waits this long for the
--- a/wigeonrouter/node/_request_log.py
+++ b/wigeonrouter/node/_request_log.py
@@ -79,7 +79,7 @@
             problem=rejection.problem,
             latency=latency,
         )
-        self._event(
+        self._write(
             "refused",
             id=request_id,
             problem=rejection.problem.name,
@@ -105,7 +105,7 @@
           latency: seconds.
         """
         metadata = attempt.metadata if attempt else None
-        self._event(
+        self._write(
             "attempt",
             id=context.request_id,
             digest=context.digest,
@@ -136,7 +136,7 @@
           latency: seconds.
         """
         response = attempt.response
-        self._event(
+        self._write(
             "forwarded",
             id=context.request_id,
             digest=context.digest,
@@ -150,7 +150,7 @@
 
     def _log_event(self, context, event, **fields):
         now = self._clock()
-        self._event(
+        self._write(
             event,
             id=context.request_id,
             route=context.route.name,
@@ -163,7 +163,7 @@
             **fields,
         )
 
-    def _event(self, name, **fields):
+    def _write(self, name, **fields):
         """Write a line; during a stop, with the time since it began."""
         stopping = self._clock() - self._stop_schedule().began
         if stopping >= 0:
--- a/wigeonrouter/placement/_stopping.py
+++ b/wigeonrouter/placement/_stopping.py
@@ -60,13 +60,13 @@
       grace: seconds until the process is killed.
       entries_ttl: TTL of the entries that callers got, seconds.
     """
-    lasting = grace * _EXIT_GRACE_SHARE
+    exit_delay = grace * _EXIT_GRACE_SHARE
     return StopSchedule(
         began=signalled,
         entries_expire=signalled + _ENTRIES_TTL_FACTOR * entries_ttl,
         accept_until=signalled + grace * _ACCEPT_GRACE_SHARE,
-        end=signalled + lasting - _RESPONSE_MARGIN_S,
-        exit=now + lasting,
+        end=signalled + exit_delay - _RESPONSE_MARGIN_S,
+        exit=now + exit_delay,
     )
 
 
