Give up no attempt whose request may not be sent again

A node that takes itself for cut off ends the attempts of idempotent requests, so that another node can serve them. It ended those, too, which it could not send anywhere: with no attempt left, or during a stop, with a deadline after its end. Their callers got a failure while a server was at work; around a stop that is a lost response. Servers that all stand still with a full backlog look like such a cut.

Such an attempt now goes on until its deadline, and its response is delivered if the servers come back. What the retry budget allows is not considered.

--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -299,6 +299,7 @@
                 registration=grant.registration,
                 idempotent=context.route.idempotent,
                 response_deadline=context.pending.deadline,
+                may_repeat=lambda: self._may_repeat(context, balancer),
             )
             return attempt
         except Exception:
@@ -357,6 +358,16 @@
             return None
         return _final_result(attempt, context)
 
+    def _may_repeat(self, context, balancer):
+        """Return whether a request that is at a server may be sent again."""
+        route = context.route
+        return (
+            route.idempotent
+            and context.attempts + 1 < route.max_attempts
+            and self._crash_monitor.may_retry(context.digest)
+            and balancer.check_stopping(context.pending, route) is None
+        )
+
     def _may_retry(self, context, balancer, attempt):
         if attempt.may_have_run and not context.route.idempotent:
             return False
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -56,18 +56,26 @@
         self._pool = pool
         self._codec = codec
         self._clock = clock
-        # Connections to servers that run idempotent requests.
-        self._repeatable = set()
+        # Dict from each connection that has a request at a server to the
+        # function that returns whether the request may be repeated.
+        self._at_servers = {}
 
     def abort_repeatable(self):
         """End the attempts at servers whose requests may be repeated.
 
+        The others may still get their response, if servers only stand still.
+
         Returns:
           The number of these attempts.
         """
-        for connection in self._repeatable:
+        repeatable = [
+            connection
+            for connection, may_repeat in self._at_servers.items()
+            if may_repeat()
+        ]
+        for connection in repeatable:
             connection.abort(http1.AbortReason.SERVERS_UNREACHABLE)
-        return len(self._repeatable)
+        return len(repeatable)
 
     def send(
         self,
@@ -77,11 +85,14 @@
         registration,
         idempotent,
         response_deadline,
+        may_repeat,
     ):
         """Send a request to a server and wait for the response.
 
         Args:
           registration: topology.Registration of the server.
+          may_repeat: function that returns whether the request may be sent
+            again if abort_repeatable() ends this attempt.
           others: see send_to().
         Returns:
           Attempt.
@@ -97,7 +108,7 @@
             request_id=request_id,
             idempotent=idempotent,
             response_deadline=response_deadline,
-            abortable=idempotent,
+            may_repeat=may_repeat,
             allow_close_delimited=True,
         )
 
@@ -110,7 +121,7 @@
         request_id,
         idempotent,
         response_deadline,
-        abortable=False,
+        may_repeat=None,
         allow_close_delimited=False,
     ):
         """Send a request to an address and wait for the response.
@@ -126,7 +137,8 @@
           idempotent: whether the request may run more than once.
           response_deadline: time after which the response is useless,
             monotonic seconds.
-          abortable: whether abort_repeatable() ends the attempt.
+          may_repeat: see send(); None if abort_repeatable() does not end
+            the attempt.
           allow_close_delimited: whether the response may have no length and
             end with the connection. Those of nodes always have one.
         Returns:
@@ -153,12 +165,12 @@
             allow_close_delimited=allow_close_delimited,
             clock=self._clock,
         )
-        if abortable:
-            self._repeatable.add(connection)
+        if may_repeat is not None:
+            self._at_servers[connection] = may_repeat
         try:
             return exchange.run(request, request_id, render, response_deadline)
         finally:
-            self._repeatable.discard(connection)
+            self._at_servers.pop(connection, None)
             request.reservation.drop()
             if exchange.reusable:
                 self._pool.checkin(address, connection)
--- a/wigeonrouter/platform/_partitioned_node_test.py
+++ b/wigeonrouter/platform/_partitioned_node_test.py
@@ -433,3 +433,70 @@
     gevent.joinall(tasks)
     assert not nodes[0].counts["server-ended-under-request"]
     assert not [key for key in store.keys() if "/crashes/" in key]
+
+
+def _configuration_without_retries():
+    route = conftest.configuration()["routes"]["r-read"]
+    return conftest.configuration(
+        2,
+        routes={
+            "r-once": {
+                **route,
+                "prefix": "/once/",
+                "timeout": "4s",
+                "max_attempts": 1,
+            }
+        },
+    )
+
+
+def _send_across_a_cut(node, paths, target):
+    """Return the response to a request that is at a server during a cut.
+
+    The cut is noticed, and ends before the server responds.
+    """
+    (caller,) = conftest.callers_of([node])
+    task = gevent.spawn(
+        caller.send, target, request_id="across", remaining=4000
+    )
+    gevent.sleep(0.2)
+    paths.cut(Cut.HANG)
+    _send_to_all([node], duration=_NOTICED_S)
+    assert node.counts["servers-unreachable"] == 1
+    paths.restore()
+    return task.get()
+
+
+def test_request_that_may_not_be_repeated_is_not_given_up(
+    store, servers, nodes, links
+):
+    """Guards against a failure in place of a response that still comes.
+
+    Servers that stand still look like paths that are cut.
+    """
+    store.put("op/config", _configuration_without_retries())
+    _send_to_all(nodes, duration=0.5)
+    for server in servers:
+        server.extra_time = 2.5
+    response = _send_across_a_cut(nodes[0], links[0], "/once/a")
+    assert response.status == 200
+
+
+def test_stopping_node_gives_up_no_request_that_it_cannot_pass_on(
+    store, servers, links, start_linked_node
+):
+    """Guards against a stop that loses a request at a working server.
+
+    No other node may get it, as its deadline is after the end of this one.
+    """
+    store.put("op/config", _configuration_with_long_timeout())
+    bounds = topology.Bounds(stop_grace=4.0, max_entry_ttl=0.25)
+    node = start_linked_node(_HOSTS[0], links[0], bounds=bounds)
+    _send_to_all([node], duration=0.5)
+    for server in servers:
+        server.extra_time = 2.5
+    stopping = gevent.spawn(node.stop)
+    gevent.sleep(0.05)
+    response = _send_across_a_cut(node, links[0], "/long/a")
+    stopping.join()
+    assert response.status == 200
