--- a/wigeonrouter/platform/_stopping_node_test.py
+++ b/wigeonrouter/platform/_stopping_node_test.py
@@ -1,5 +1,6 @@
 """Tests of what callers with open connections see while a node stops."""
 
+import dataclasses
 import time
 
 import gevent
@@ -155,3 +156,17 @@
     # The process ends here, with the connections of what is not finished.
     assert request.ready()
     assert request.value.status == 200
+
+
+def test_shorter_grace_of_a_reload_does_not_end_a_stop(backend, node, caller):
+    """Guards against settings that cut off what a stopping node has taken."""
+    start_ready(backend, node, "i-1", service_time=0.8)
+    stopping = gevent.spawn(node.stop)
+    gevent.sleep(0.2)
+    request = gevent.spawn(caller.send, "/read/a")
+    gevent.sleep(0.1)
+    bounds = dataclasses.replace(node.settings.bounds, stop_grace=0.5)
+    node.reload(dataclasses.replace(node.settings, bounds=bounds))
+    stopping.join()
+    assert request.ready()
+    assert request.value.status == 200
