Excuse an early SIGTERM in the soak test by processor time

The soak test reported "process exits only on request" for a node that SIGTERM ended before it had executed its first line. Since rolls send SIGTERM soon after the start, this became more likely.

The processor time counts now, as it does for SIGHUP: a process that has used 0.15 s and still is ended by SIGTERM is a violation at any age, where one of up to 1 s was excused before.

--- a/wigeonrouter/soak/_checks.py
+++ b/wigeonrouter/soak/_checks.py
@@ -15,10 +15,9 @@
 # The next two bounds are written to the settings of the nodes.
 DRAIN_BOUND_S = 2.5
 CONFIG_APPLY_BOUND_S = 2.5
-# A process may not have installed its handler for SIGTERM before this age.
-SIGNAL_HANDLER_START_S = 1.0
 # Before it has used this much processor time, the interpreter may not have
-# executed the program's first line, so that SIGHUP still ends the process.
+# executed the program's first line, so that SIGHUP and SIGTERM still end the
+# process by their default actions.
 INTERPRETER_START_CPU_S = 0.15
 # A response is due at most this long after the timeout of its route.
 RESPONSE_SLACK_S = 0.5
@@ -304,17 +303,12 @@
 
 def _exited_before_handler(process_exit):
     """Return whether a signal ended the process before its handler existed."""
-    if (
-        process_exit.code == -signal.SIGHUP
-        and process_exit.early_hang_up is not None
-        and process_exit.early_hang_up < INTERPRETER_START_CPU_S
-    ):
-        return True
+    cpu_at_signal = {
+        -signal.SIGHUP: process_exit.early_hang_up,
+        -signal.SIGTERM: process_exit.early_stop,
+    }.get(process_exit.code)
     return (
-        process_exit.code == -signal.SIGTERM
-        and process_exit.stopped is not None
-        and process_exit.stopped - process_exit.started
-        < SIGNAL_HANDLER_START_S
+        cpu_at_signal is not None and cpu_at_signal < INTERPRETER_START_CPU_S
     )
 
 
--- a/wigeonrouter/soak/_fleet.py
+++ b/wigeonrouter/soak/_fleet.py
@@ -73,6 +73,7 @@
         self._terminated_at = None
         self._was_killed = False
         self._early_hang_up = None
+        self._early_stop = None
         self._shutting_down = False
         self._task = None
 
@@ -102,6 +103,10 @@
         """Send SIGTERM, which requests a graceful stop."""
         if self._terminated_at is None:
             self._terminated_at = time.monotonic()
+        if self._process is not None and self._early_stop is None:
+            self._early_stop = _processes.cpu_before_handling(
+                self._process.pid, signal.SIGTERM
+            )
         self._signal(signal.SIGTERM)
 
     def reload_settings(self):
@@ -139,7 +144,7 @@
     def _run_once(self):
         path = self.write_settings()
         self._terminated_at, self._was_killed = None, False
-        self._early_hang_up = None
+        self._early_hang_up = self._early_stop = None
         self.incarnation += 1
         started = time.monotonic()
         with open(self._directory / f"{self.name}.log", "ab") as log:
@@ -165,6 +170,7 @@
                 stopped=self._terminated_at,
                 killed=self._was_killed or self._shutting_down,
                 early_hang_up=self._early_hang_up,
+                early_stop=self._early_stop,
             )
         )
 
--- a/wigeonrouter/soak/_records.py
+++ b/wigeonrouter/soak/_records.py
@@ -147,6 +147,7 @@
       killed: whether the soak test sent SIGKILL.
       early_hang_up: processor time in seconds that the process had used when
         it got SIGHUP before it handled that signal, None if it got none.
+      early_stop: the same for SIGTERM.
     """
 
     node: str
@@ -156,6 +157,7 @@
     stopped: float | None
     killed: bool
     early_hang_up: float | None = None
+    early_stop: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
