--- /dev/null
+++ b/wigeonrouter/platform/_known_faults_test.py
@@ -0,0 +1,168 @@
+"""Tests of faults that are known and not mended yet; see KNOWN-RED.txt."""
+
+import functools
+import os
+import resource
+import signal
+import subprocess
+import sys
+
+import gevent
+from gevent import socket
+import pytest
+
+from wigeonrouter import http1
+from wigeonrouter import topology
+from wigeonrouter.platform import conftest
+from wigeonrouter.platform import testing
+
+start_ready = conftest.start_ready
+wait_until = conftest.wait_until
+_RECEIVE_BYTES = 65536
+# More hosts than a node asks for the hub.
+_HOSTS = [f"127.0.0.{number}" for number in range(100, 112)]
+_DESCRIPTORS = 150
+_IDLE_CALLERS = 200
+
+
+def test_request_of_all_callers_is_served_after_all_servers_ended(
+    backend, node, caller
+):
+    """Guards against blaming a request for the end of all its servers.
+
+    They end at once, for another reason, while each runs the request that
+    all callers send. Servers of another service go on.
+    """
+    start_ready(backend, node, "i-other", service="beta")
+    servers = start_ready(
+        backend, node, "i-1", "i-2", "i-3", "i-4", slots=1, service_time=0.8
+    )
+    tasks = [
+        gevent.spawn(caller.send, "/read/hot", request_id=f"hot-{number}")
+        for number in range(len(servers))
+    ]
+    wait_until(lambda: all(server.runs for server in servers))
+    for server in servers:
+        server.stop()
+    gevent.joinall(tasks)
+    start_ready(backend, node, "i-5", "i-6")
+    assert caller.send("/read/other").status == 200
+    assert caller.send("/read/hot").status == 200
+
+
+def test_timeout_below_the_latency_of_slow_servers_is_kept(
+    store, backend, node, caller
+):
+    """Guards against an estimate that refuses all requests for good.
+
+    Servers were slow, the operator lowered the timeout of the route, and the
+    servers are quick again. Without responses nothing corrects the estimate.
+    """
+    servers = start_ready(backend, node, "i-1", "i-2", service_time=0.8)
+    for number in range(6):
+        assert caller.send(f"/read/{number}").status == 200
+    route = conftest.configuration()["routes"]["r-read"]
+    store.put(
+        "op/config",
+        conftest.configuration(
+            2, routes={"r-read": {**route, "timeout": "250ms"}}
+        ),
+    )
+    for server in servers:
+        server.stop()
+    start_ready(backend, node, "i-3", "i-4", service_time=0.02)
+    gevent.sleep(1.0)
+    statuses = []
+    for number in range(40):
+        statuses.append(caller.send(f"/read/late-{number}").status)
+        gevent.sleep(0.05)
+    assert statuses[-1] == 200
+
+
+def test_node_finds_the_hub_behind_removed_nodes(
+    store, make_settings, start_node, free_port
+):
+    """Guards against a second hub in a region whose nodes were replaced.
+
+    Nodes that were removed stay registered, and come first in the order in
+    which nodes are asked for the hub.
+    """
+    *removed, hub_host, other_host = topology.candidate_order("r1", _HOSTS)
+    port = free_port()
+    hub = start_node(make_settings("node-1", hub_host, peer_ports=(port, 0)))
+    wait_until(lambda: conftest.hubs([hub]))
+    for host in removed:
+        store.put(f"wigeonrouter/nodes/r1/{host}", {})
+    other = start_node(
+        make_settings("node-2", other_host, peer_ports=(port, 0))
+    )
+    gevent.sleep(4.0)
+    assert conftest.hubs([hub, other]) == [hub]
+
+
+def _ask(sock, number):
+    """Send a request and return the status, None if there is no response."""
+    data = testing.render_request(
+        method="GET",
+        target="/read/a",
+        host=conftest.HOST,
+        request_id=f"id-{number}",
+        remaining=1.0,
+    )
+    try:
+        sock.sendall(data)
+        return testing.read_response(
+            lambda: sock.recv(_RECEIVE_BYTES), method=b"GET"
+        ).status
+    except (OSError, http1.MalformedMessage):
+        return None
+
+
+@pytest.fixture
+def limited_process(tmp_path, make_settings):
+    """Run a node process with few descriptors; return its caller address."""
+    settings = make_settings()
+    path = tmp_path / "settings"
+    path.write_text(testing.render_settings(settings, bounds={"grace": "1s"}))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "wigeonrouter.platform.main"],
+        env={**os.environ, "WIGEONROUTER_SETTINGS": str(path)},
+        preexec_fn=functools.partial(
+            resource.setrlimit,
+            resource.RLIMIT_NOFILE,
+            (_DESCRIPTORS, _DESCRIPTORS),
+        ),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+    )
+    line = process.stdout.readline()
+    while b'"started"' not in line:
+        line = process.stdout.readline()
+    yield settings.caller_address
+    process.send_signal(signal.SIGKILL)
+    process.wait()
+    process.stdout.close()
+
+
+def test_idle_callers_leave_descriptors_for_servers_and_new_callers(
+    backend, limited_process
+):
+    """Guards against a node that idle connections shut off for good.
+
+    They use up all descriptors of the process before their own limit is
+    reached, so that it reaches no server and accepts no new connection.
+    """
+    for number in range(3):
+        backend(f"i-{number}", slots=40)
+    address = (limited_process.host, limited_process.port)
+    gevent.sleep(1.0)
+    idle = [socket.create_connection(address) for _ in range(_IDLE_CALLERS)]
+    gevent.sleep(1.0)
+    statuses = []
+    for number in range(5):
+        sock = socket.create_connection(address, timeout=1.5)
+        statuses.append(_ask(sock, number))
+        sock.close()
+    for sock in idle:
+        sock.close()
+    assert statuses == [200] * 5
