Let pooled callers of the soak test see that a connection was closed

Pooled callers of the soak test sent requests on connections that the node had closed some time before, as they do not read while a connection is unused.

They now look whether the node has closed the connection, as pools do, and open a new one. Requests that cross a close still occur.

--- a/wigeonrouter/soak/_callers.py
+++ b/wigeonrouter/soak/_callers.py
@@ -4,6 +4,7 @@
 import time
 
 import gevent
+from gevent import select
 from gevent import socket
 
 from wigeonrouter import http1
@@ -42,6 +43,13 @@
         self._sock.settimeout(None)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    @property
+    def was_closed(self):
+        """Whether the node has closed the connection while it was unused."""
+        poller = select.poll()
+        poller.register(self._sock, select.POLLIN)
+        return bool(poller.poll(0))
+
     def exchange(self, data, *, method, response_timeout):
         """Send a request and return its CallerResponse.
 
--- a/wigeonrouter/soak/_callers_test.py
+++ b/wigeonrouter/soak/_callers_test.py
@@ -4,6 +4,7 @@
 import types
 
 import gevent
+from gevent import event
 from gevent import server as gevent_server
 import pytest
 
@@ -12,6 +13,7 @@
 from wigeonrouter.soak import _records
 
 _ROUTE_TIMEOUT_S = 1.5
+_CLOSE_TIME_S = 0.1
 
 
 @pytest.fixture
@@ -55,3 +57,22 @@
     (request,) = observations.requests
     assert request.end is _records.End.TIMEOUT
     assert request.ended - request.sent >= request.patience
+
+
+def test_connection_that_its_node_closed_is_recognized():
+    """Guards against pools that use connections which they know are closed."""
+    closing = event.Event()
+    server = gevent_server.StreamServer(
+        ("127.0.0.1", 0), lambda sock, address: closing.wait()
+    )
+    server.start()
+    connection = _callers.Connection(
+        node=None, address=("127.0.0.1", server.server_port)
+    )
+    gevent.sleep(_CLOSE_TIME_S)
+    assert not connection.was_closed
+    closing.set()
+    gevent.sleep(_CLOSE_TIME_S)
+    assert connection.was_closed
+    connection.close()
+    server.stop(timeout=0)
--- a/wigeonrouter/soak/_pooled_callers.py
+++ b/wigeonrouter/soak/_pooled_callers.py
@@ -88,6 +88,8 @@
         usable = True
         while usable:
             gevent.sleep(self._rng.expovariate(1 / _MEAN_USE_INTERVAL_S))
+            if connection.was_closed:
+                return
             usable = self._sender.send(connection)
 
     def _connect(self):
