Roll all nodes once more after the other faults of a soak run

Few requests of pooled callers could show a fault of a stop: nodes that other faults had affected are excused, and killed nodes do not reach the end of their grace period.

Each run has that roll now, the servers take 0.16 s, and pooled callers use their connections every 2 s instead of 3 s.

--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -19,7 +19,7 @@
 POOLED_SERVICE = "gamma"
 _POOLED_SERVERS_PER_DOMAIN = 3
 DOMAINS = {"za": "r1", "zb": "r1", "zc": "r2", "zd": "r2"}
-_SERVICE_TIMES_S = {"alpha": 0.03, "beta": 0.03, POOLED_SERVICE: 0.6}
+_SERVICE_TIMES_S = {"alpha": 0.03, "beta": 0.03, POOLED_SERVICE: 0.16}
 _ROUTE_TIMEOUT_S = 1.5
 # Longer than what remains of the grace period when a stopping node still
 # takes requests.
--- a/wigeonrouter/soak/_pooled_callers.py
+++ b/wigeonrouter/soak/_pooled_callers.py
@@ -8,7 +8,7 @@
 from wigeonrouter.soak import _callers
 from wigeonrouter.soak import _environment
 
-_MEAN_USE_INTERVAL_S = 3.0
+_MEAN_USE_INTERVAL_S = 2.0
 _MEAN_RECONNECT_DELAY_S = 1.0
 # Interval between lookups of entries that found no node.
 _LOOKUP_RETRY_INTERVAL_S = 0.5
--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -25,7 +25,7 @@
 # Callers go on after the last fault for as long as recovery may take, plus
 # 3 s in which the requests for the recovery check are sent.
 _RECOVERY_OBSERVATION_S = checks.RECOVERY_TIME_S + 3.0
-_FAULT_JOIN_TIMEOUT_S = 12.0
+_FAULT_JOIN_TIMEOUT_S = 15.0
 # Range below the ephemeral ports, which the system assigns to outgoing
 # connections.
 _PORT_RANGE = (10_000, 30_000)
@@ -33,6 +33,9 @@
 # Number of faults of the same kind in a series, chosen uniformly.
 _SERIES_LENGTHS = (1, 1, 1, 2, 4)
 _SERIES_GAP_S = (0.2, 2.0)
+# The last roll begins this long after the last other fault began. Its nodes
+# are undisturbed, so that the checks of stops apply to all of them.
+_UNDISTURBED_ROLL_DELAY_S = 7.0
 # A roll of all nodes begins in each interval, this long after its start.
 _ROLL_INTERVAL_S = 10.0
 _ROLL_START_S = (0.0, 2.0)
@@ -104,13 +107,18 @@
     if not size.pooled_callers:
         return []
     rng = random.Random(f"rolls {seed}")
+    starts = [
+        number * _ROLL_INTERVAL_S + rng.uniform(*_ROLL_START_S)
+        for number in range(max(1, int(size.seconds / _ROLL_INTERVAL_S)))
+    ]
+    starts.append(size.seconds + _UNDISTURBED_ROLL_DELAY_S)
     return [
         Planned(
-            at=number * _ROLL_INTERVAL_S + rng.uniform(*_ROLL_START_S),
+            at=at,
             kind=_faults.roll_nodes.__name__,
             seed=rng.randrange(1 << 30),
         )
-        for number in range(max(1, int(size.seconds / _ROLL_INTERVAL_S)))
+        for at in starts
     ]
 
 
