--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -7,12 +7,11 @@
 import time
 from urllib import parse
 
-import gevent
-
 from wigeonrouter import core
 from wigeonrouter import http1
 from wigeonrouter import store
 from wigeonrouter.platform import _fields
+from wigeonrouter.platform import _progress
 
 _CONNECT_TIMEOUT_S = 0.5
 _RANGE_PATH = "/api/kv-range"
@@ -22,8 +21,6 @@
 _MAX_TRANSACTION_ROWS = 32
 _MAX_REVISION = (1 << 63) - 1
 _MAX_RESPONSE_BYTES = 16 << 20
-# A response that has begun goes on if so many bytes arrive within a timeout.
-_PROGRESS_BYTES = 4096
 # Changes that are larger than a listing by this factor are listed instead,
 # since a listing has only the newest value of each key.
 _MAX_CHANGES_FACTOR = 1.25
@@ -83,37 +80,6 @@
         return max((item.version for item in self.items), default=1)
 
 
-class _ProgressTimeout:
-    """Raises TimeoutError in the calling task if a response stalls.
-
-    Args:
-      first: seconds until the first bytes are due.
-      stall: seconds within which further ones are due.
-    """
-
-    def __init__(self, *, first, stall):
-        self._stall = stall
-        self._received = 0
-        self._timer = _start_timer(first)
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *_):
-        self._timer.close()
-
-    def receive(self, receive):
-        """Return what a function returns, and count it as progress."""
-        data = receive()
-        first = not self._received
-        self._received += len(data)
-        if first or self._received >= _PROGRESS_BYTES:
-            self._received = 1
-            self._timer.close()
-            self._timer = _start_timer(self._stall)
-        return data
-
-
 class StoreClient:
     """HTTP client of the store. Times are in seconds.
 
@@ -336,7 +302,7 @@
         if max_bytes is None:
             max_bytes = self._max_response_bytes
         try:
-            with _ProgressTimeout(
+            with _progress.ProgressTimeout(
                 first=timeout, stall=self._timeout
             ) as progress:
                 response = self._exchange(
@@ -402,10 +368,6 @@
         ).encode() + data
 
 
-def _start_timer(seconds):
-    return gevent.Timeout.start_new(seconds, TimeoutError("no answer in time"))
-
-
 def _is_too_large(error):
     return (
         isinstance(error, http1.MalformedMessage)
