Name limits and ask for pauses only at servers that never stand still

Such a server may stand still: it then cannot tell its limit, and it reads requests later than they were sent, several at once.

Limits and pauses are drawn among the servers of the other services now, as before there were pooled callers, so that their checks are as strict as before.

--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -135,6 +135,15 @@
         """List of the Backends that are neither removed nor draining."""
         return [backend for backend in self.running if not backend.draining]
 
+    @property
+    def never_still(self):
+        """List of the active Backends of services that never stand still.
+
+        A server that stands still cannot tell limits or pauses, and reads
+        requests later than they were sent.
+        """
+        return [b for b in self.active if b.service != POOLED_SERVICE]
+
     def routes(self):
         """Return the tuple of routes that callers use."""
         return (
--- a/wigeonrouter/soak/_limits.py
+++ b/wigeonrouter/soak/_limits.py
@@ -26,7 +26,7 @@
     """
     while True:
         gevent.sleep(rng.uniform(*_GAP_S))
-        active = environment.active
+        active = environment.never_still
         count = max(1, round(len(active) * rng.choice(shares)))
         backends = rng.sample(active, count)
         limit = rng.uniform(*_LIMIT_PER_S)
--- a/wigeonrouter/soak/_pauses.py
+++ b/wigeonrouter/soak/_pauses.py
@@ -20,7 +20,7 @@
     """Let some servers reject all requests, again and again until killed."""
     while True:
         gevent.sleep(rng.uniform(*_GAP_S))
-        active = environment.active
+        active = environment.never_still
         count = max(1, round(len(active) * rng.uniform(0.0, _MAX_SHARE)))
         backends = rng.sample(active, count)
         pause = round(rng.uniform(*_PAUSE_S), 3)
