--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -7,6 +7,7 @@
 from wigeonrouter import http1
 from wigeonrouter import placement
 from wigeonrouter import topology
+from wigeonrouter.node import _caller_timeouts
 from wigeonrouter.node import _forwarded_request
 from wigeonrouter.node import _grant
 from wigeonrouter.node import _request_context
@@ -24,9 +25,6 @@
 # Retry-After after the last attempt could not connect or was rejected by its
 # server.
 _FAILED_ATTEMPT_RETRY_S = 0.1
-# An estimated caller timeout is written to the store again when it differs
-# from the stored one by more than this share of it.
-_MIN_TIMEOUT_CHANGE_SHARE = 0.2
 # Outcomes of attempts whose server has run the request to its end.
 _COMPLETED = (
     placement.AttemptOutcome.SUCCEEDED,
@@ -76,7 +74,9 @@
         self._splitter = splitter
         self._request_log = request_log
         self._clock = clock
-        self._caller_timeouts = {}
+        self._caller_timeouts = _caller_timeouts.CallerTimeouts(
+            stored=lambda: cluster_state.caller_timeouts
+        )
         # The RequestContexts of requests that are being handled.
         self._in_progress = set()
 
@@ -91,16 +91,7 @@
         Returns:
           Dict from route to the usual caller timeout, seconds.
         """
-        changed = {}
-        for route, estimate in self._caller_timeouts.items():
-            stored = self._cluster_state.caller_timeouts.get(route)
-            learned = estimate.learned_timeout
-            if learned is not None and (
-                stored is None
-                or abs(learned - stored) > _MIN_TIMEOUT_CHANGE_SHARE * stored
-            ):
-                changed[route] = learned
-        return changed
+        return self._caller_timeouts.changed()
 
     def body_limit(self, request):
         """Return the maximum request body size in bytes."""
@@ -200,13 +191,7 @@
         remaining = request_metadata.remaining
         if remaining is None:
             remaining = route.timeout
-        estimate = self._caller_timeouts.get(route.name)
-        if estimate is None:
-            estimate = placement.CallerTimeoutEstimate(
-                stored=self._cluster_state.caller_timeouts.get(route.name)
-            )
-            self._caller_timeouts[route.name] = estimate
-        elapsed = estimate.estimate_age(remaining)
+        elapsed = self._caller_timeouts.estimate_age(route.name, remaining)
         return placement.PendingRequest(
             priority=route.priority,
             idempotent=route.idempotent,
