Plan a stop from its signal unless the process was held up

Each stop was planned 0.1 to 0.2 s early, since a signal was dated back to the tick before the last one also while the event loop ran on time. The listener closed that much earlier, so that callers were refused, and two tests of nodes that stop failed beside load. Ticks that are on time now say that the signal was handled when it came.

An attempt during a stop is given up only if the request is over before the node's end for sure, no longer on an estimate, which may have run out by the time the request is sent again.

--- a/wigeonrouter/http1/_pauses.py
+++ b/wigeonrouter/http1/_pauses.py
@@ -10,6 +10,8 @@
 from gevent import event
 
 _TICK_INTERVAL_S = 0.1
+# A tick that is later says that the event loop was held up.
+_MAX_TICK_DELAY_S = 0.05
 # Longer than a garbage collection or a short overload delays a tick.
 _MIN_PAUSE_S = 0.4
 # Longest time after a pause until the requests that arrived in it are read.
@@ -72,12 +74,15 @@
     def earliest_signal(self, now):
         """Return the earliest time when a signal handled now may have come.
 
-        The event loop handles signals whenever it runs, as it did at the tick
-        before the last one at the latest.
+        The event loop handles signals whenever it runs. If it was late, it had
+        run at the tick before the last one.
 
         Args:
           now: seconds on the monotonic clock.
         """
+        ticks = (self._last_tick - self._previous_tick, now - self._last_tick)
+        if max(ticks) <= _TICK_INTERVAL_S + _MAX_TICK_DELAY_S:
+            return now
         return min(self._previous_tick, self.earliest_arrival(now))
 
     def _run(self):
--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -114,6 +114,10 @@
             detail=f"deadline {excess * 1000:.0f} ms after the node's end",
         )
 
+    def outlasts(self, request):
+        """Return whether a request is over before this node's end for sure."""
+        return request.deadline <= self._stop_schedule().end
+
     def record_dispatch(self, request, route):
         """Count a request that is sent to a server."""
         now = self._clock()
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -111,6 +111,10 @@
         """
         return self._admission.check_stopping(request, route)
 
+    def outlasts(self, request):
+        """Return whether a request is over before this node's end for sure."""
+        return self._admission.outlasts(request)
+
     def acquire(self, request, route, *, should_leave=lambda: False):
         """Wait in the queue for a server.
 
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -350,7 +350,7 @@
             route.idempotent
             and context.attempts + 1 < route.max_attempts
             and self._crash_monitor.may_retry(context.digest)
-            and balancer.check_stopping(context.pending, route) is None
+            and balancer.outlasts(context.pending)
         )
 
     def _may_retry(self, context, balancer, attempt):
