--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -85,14 +85,15 @@
         registration,
         idempotent,
         response_deadline,
-        may_repeat,
+        may_repeat=None,
     ):
         """Send a request to a server and wait for the response.
 
         Args:
           registration: topology.Registration of the server.
           may_repeat: function that returns whether the request may be sent
-            again if abort_repeatable() ends this attempt.
+            again if abort_repeatable() ends this attempt; None if that does
+            not end it.
           others: see send_to().
         Returns:
           Attempt.
@@ -137,8 +138,7 @@
           idempotent: whether the request may run more than once.
           response_deadline: time after which the response is useless,
             monotonic seconds.
-          may_repeat: see send(); None if abort_repeatable() does not end
-            the attempt.
+          may_repeat: see send().
           allow_close_delimited: whether the response may have no length and
             end with the connection. Those of nodes always have one.
         Returns:
