--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -116,7 +116,7 @@
 
     def outlasts(self, request):
         """Return whether a request is over before this node's end for sure."""
-        return request.deadline <= self._stop_schedule().end
+        return self._stop_schedule().outlasts(request)
 
     def record_dispatch(self, request, route):
         """Count a request that is sent to a server."""
--- a/wigeonrouter/placement/_stopping.py
+++ b/wigeonrouter/placement/_stopping.py
@@ -42,6 +42,10 @@
     end: float = math.inf
     exit: float = math.inf
 
+    def outlasts(self, request):
+        """Return whether a PendingRequest is over before the end for sure."""
+        return request.deadline <= self.end
+
 
 NO_STOP = StopSchedule()
 
@@ -88,7 +92,7 @@
       Seconds on the monotonic clock: inf if there is no such time, -inf if
       the request must not be sent at all.
     """
-    if request.deadline <= schedule.end:
+    if schedule.outlasts(request):
         return math.inf
     if not request.idempotent:
         return -math.inf
