Log what an attempt's connection carried and what its response states

The log could not tell the hypotheses on refused requests that ran apart. The line of an attempt now has the status of the response, whether it states that the request was not run and has its id, and how many requests its connection had carried; responses of other requests that came first have a line.

--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -61,7 +61,7 @@
     def __init__(self, *, sock, now):
         self._sock = sock
         self._last_used = now
-        self._fresh = True
+        self._requests = 0
         self._abort_reason = None
 
     @property
@@ -69,10 +69,15 @@
         """Time of the last use, seconds on the monotonic clock."""
         return self._last_used
 
+    @property
+    def requests(self):
+        """Number of requests that were sent on the connection."""
+        return self._requests
+
     @property
     def fresh(self):
         """Whether no request has been sent on the connection yet."""
-        return self._fresh
+        return self._requests == 0
 
     def is_usable(self, now, max_idle):
         """Return whether the connection can be used for another request.
@@ -94,7 +99,7 @@
           RequestNotSent: the first system call failed; no byte was sent.
           OSError: some bytes may have been sent.
         """
-        self._fresh = False
+        self._requests += 1
         try:
             sent = self._sock.send_nonblocking(data)
         except OSError as error:
--- a/wigeonrouter/node/_request_log.py
+++ b/wigeonrouter/node/_request_log.py
@@ -105,6 +105,7 @@
           latency: seconds.
         """
         metadata = attempt.metadata if attempt else None
+        response = attempt.response if attempt else None
         self._write(
             "attempt",
             id=context.request_id,
@@ -121,10 +122,21 @@
             rate_limit=metadata.rate_limit if metadata else None,
             leaving=bool(metadata and metadata.leaving),
             pause_s=metadata.pause if metadata else None,
+            status=response.status if response else None,
+            not_executed=bool(metadata and metadata.not_executed),
+            names_id=bool(metadata and metadata.request_id),
+            connection_requests=attempt.connection_requests if attempt else 0,
             ended=outcome.value,
             latency_ms=_ms(latency),
             detail=attempt.detail if attempt else "",
         )
+        if attempt is not None and attempt.strays:
+            self._write(
+                "stray-responses",
+                id=context.request_id,
+                instance=grant.registration.instance,
+                count=attempt.strays,
+            )
 
     def on_forwarded(self, context, address, attempt, latency):
         """Record that a request was passed on to another node.
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -38,6 +38,9 @@
       timed_out: whether the attempt ended because its deadline passed.
       disconnected: whether the server broke the connection during the attempt.
       detail: diagnostic text for the log.
+      connection_requests: requests that its connection has carried, this one
+        included; 0 if it was not sent.
+      strays: responses of other requests that came before the own one.
     """
 
     outcome: placement.AttemptOutcome
@@ -47,6 +50,8 @@
     timed_out: bool = False
     disconnected: bool = False
     detail: str = ""
+    connection_requests: int = 0
+    strays: int = 0
 
 
 class Sender:
@@ -168,7 +173,14 @@
         if may_repeat is not None:
             self._at_servers[connection] = may_repeat
         try:
-            return exchange.run(request, request_id, render, response_deadline)
+            attempt = exchange.run(
+                request, request_id, render, response_deadline
+            )
+            return dataclasses.replace(
+                attempt,
+                connection_requests=connection.requests,
+                strays=exchange.strays,
+            )
         finally:
             self._at_servers.pop(connection, None)
             request.reservation.drop()
@@ -183,6 +195,7 @@
 
     Attributes:
       reusable: whether the connection can be used for another request.
+      strays: responses of other requests that were skipped.
     """
 
     def __init__(self, *, connection, codec, allow_close_delimited, clock):
@@ -191,6 +204,7 @@
         self._allow_close_delimited = allow_close_delimited
         self._clock = clock
         self.reusable = False
+        self.strays = 0
 
     def run(self, request, request_id, render, response_deadline):
         remaining = response_deadline - self._clock()
@@ -244,6 +258,7 @@
         )
 
         def is_own(metadata, skipped):
+            self.strays = skipped
             if metadata.request_id:
                 return metadata.request_id == request_id
             return not request_id or (
--- a/wigeonrouter/platform/_stray_responses_test.py
+++ b/wigeonrouter/platform/_stray_responses_test.py
@@ -231,3 +231,11 @@
     send = make_send([_response(b"one")], [refusal])
     assert send(b"one").may_have_run
     assert send(b"", timeout=0.3).may_have_run
+
+
+def test_attempt_says_what_its_connection_carried(make_send):
+    """Guards against a log that cannot tell a copy from an answer."""
+    send = make_send([_response(b"one")], [_response(b"one"), _response(b"2")])
+    first, second = send(b"one"), send(b"2")
+    assert (first.connection_requests, first.strays) == (1, 0)
+    assert (second.connection_requests, second.strays) == (2, 1)
