Send no request twice over one connection

What callers saw: 503 refused-by-server, which promises that a request has not run, for a POST that a server runs.

Cause: a server may write the copy of a refusal, with the id of the request that was refused, when that request is under way again on the same connection. The choice of a server left out the instance that had refused, not its address: after a replacement in place two instances have one address for a while, and the next attempt took the connection of the first from the pool.

Change: a connection remembers the ids of the requests that got a response and may be sent again, and the pool does not give it to them. Other requests go on using it, so that refusals cost no new connections. The ids are bounded; a connection with more than 256 is not kept.

--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -15,6 +15,9 @@
 # Backend servers may close idle connections at any time. Connections that were
 # idle for longer are not reused.
 MAX_IDLE_S = 4.0
+# A connection that has carried more requests which may be sent again is not
+# kept, so that their IDs take little memory.
+_MAX_UNSETTLED_IDS = 256
 
 
 class RequestNotSent(Exception):
@@ -62,6 +65,7 @@
         self._sock = sock
         self._last_used = now
         self._requests = 0
+        self._unsettled_ids = set()
         self._abort_reason = None
 
     @property
@@ -79,6 +83,23 @@
         """Whether no request has been sent on the connection yet."""
         return self._requests == 0
 
+    @property
+    def is_full(self):
+        """Whether the connection has carried too many unsettled requests."""
+        return len(self._unsettled_ids) > _MAX_UNSETTLED_IDS
+
+    def add_unsettled(self, request_id):
+        """Record a request that got a response, and may be sent again.
+
+        It is never sent on this connection again: the server may write its
+        response once more, and nothing would tell the copy from the new one.
+        """
+        self._unsettled_ids.add(request_id)
+
+    def may_carry(self, request_id):
+        """Return whether a response to the request could be told."""
+        return request_id not in self._unsettled_ids
+
     def is_usable(self, now, max_idle):
         """Return whether the connection can be used for another request.
 
@@ -183,6 +204,30 @@
             self.in_use += 1
             self.waiters.popleft().set()
 
+    def take_idle(self, now, max_idle, request_id):
+        """Return an idle connection that may carry a request, or None.
+
+        Connections that cannot be used for any request are closed.
+
+        Args:
+          now: seconds on the monotonic clock.
+          max_idle: longest time since the last use, seconds.
+          request_id: ID of the request, "" for none.
+        """
+        passed_over = []
+        found = None
+        while self.idle and now - self.idle[-1].idle_since <= max_idle:
+            connection = self.idle.pop()
+            if not connection.may_carry(request_id):
+                passed_over.append(connection)
+            elif connection.is_usable(now, max_idle):
+                found = connection
+                break
+            else:
+                connection.close()
+        self.idle.extend(reversed(passed_over))
+        return found
+
 
 class ConnectionPool:
     """Owns the connections of one process to all backend servers.
@@ -208,7 +253,9 @@
         """Number of idle connections."""
         return sum(len(pool.idle) for pool in self._pools.values())
 
-    def checkout(self, *, address, limit, deadline, max_idle=None):
+    def checkout(
+        self, *, address, limit, deadline, max_idle=None, request_id=""
+    ):
         """Return a Connection, an idle one of the pool if possible.
 
         Args:
@@ -218,6 +265,7 @@
             the monotonic clock.
           max_idle: longest time since the last use, seconds; None for the
             default of the pool, negative for a new connection.
+          request_id: ID of the request that it is to carry, "" for none.
         Raises:
           ConnectFailed: no permit or connection was available before the
             deadline, or the connection attempt failed.
@@ -231,11 +279,12 @@
         now = self._clock()
         if max_idle is None:
             max_idle = self._max_idle
-        while pool.idle and now - pool.idle[-1].idle_since <= max_idle:
-            connection = pool.idle.pop()
-            if connection.is_usable(now, max_idle):
-                return connection
-            connection.close()
+        connection = pool.take_idle(now, max_idle, request_id)
+        if connection is not None:
+            return connection
+        if pool.idle and pool.in_use + len(pool.idle) > limit:
+            # The idle ones cannot be used for this request.
+            pool.idle.pop(0).close()
         try:
             return self._connect(address, now, deadline)
         except BaseException:
@@ -244,6 +293,9 @@
 
     def checkin(self, address, connection):
         """Return a connection whose response was read completely."""
+        if connection.is_full:
+            self.discard(address, connection)
+            return
         connection.touch(self._clock())
         pool = self._pools[address]
         pool.idle.append(connection)
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -157,6 +157,7 @@
                     response_deadline, self._clock() + _CONNECT_TIMEOUT_S
                 ),
                 max_idle=_max_idle(request_id, idempotent),
+                request_id=request_id,
             )
         except http1.ConnectFailed as error:
             return Attempt(
@@ -270,8 +271,11 @@
         )
         request.reservation.keep()
         self.reusable = reader.reusable and not skipped
+        outcome = _classify(response, metadata)
+        if request_id and outcome is not placement.AttemptOutcome.SUCCEEDED:
+            self._connection.add_unsettled(request_id)
         return Attempt(
-            outcome=_classify(response, metadata),
+            outcome=outcome,
             may_have_run=not metadata.not_executed,
             timed_out=response.status == _GATEWAY_TIMEOUT_STATUS,
             response=response,
