Keep what an attempt says of a request whatever fails after it

What callers saw: 503 no-server, which promises that a request has not run, for one that a server ran. Only a fault within the node shows it; none is known that does.

Cause: whether a request may have run was recorded when the result of its attempt was handled. If a part of the node failed between the two (the release of the server, the crash monitor, the log), nothing was recorded, and the answer to the failure promised that it had not run.

Change: the end of the attempt records it, before anything else.

--- a/wigeonrouter/node/_forwarder.py
+++ b/wigeonrouter/node/_forwarder.py
@@ -91,7 +91,6 @@
             if attempt.outcome is placement.AttemptOutcome.UNREACHABLE:
                 continue
             context.attempts += 1
-            context.may_have_run = True
             if not may_retry(attempt):
                 return messages.Rejection(
                     problem=core.problems.ANSWER_LOST, detail=attempt.detail
@@ -112,7 +111,7 @@
             idempotent=context.route.idempotent,
             response_deadline=context.pending.deadline,
         )
-        context.take_back()
+        context.take_back(may_have_run=_may_have_run(attempt))
         self._request_log.on_forwarded(
             context, address, attempt, self._clock() - started
         )
@@ -148,6 +147,17 @@
         return [core.Address(host=host, port=self._port) for host in hosts]
 
 
+def _may_have_run(attempt):
+    """Return whether a request may have run after it was passed on.
+
+    Args:
+      attempt: Attempt.
+    """
+    if attempt.response is None:
+        return attempt.may_have_run
+    return not _forwarded_request.is_declined(attempt.response)
+
+
 class ForwardedRequestHandler:
     """Handles the requests that other nodes pass on.
 
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -293,12 +293,12 @@
             outcome = placement.AttemptOutcome.RESPONSE_LOST
             raise
         finally:
-            context.take_back()
-            if attempt is None:
-                # The attempt was cancelled or failed unexpectedly, so the
-                # server may have received the request.
-                context.may_have_run = True
-            else:
+            # First of all, since what follows may fail. Without an Attempt, it
+            # was cancelled or failed unexpectedly.
+            context.take_back(
+                may_have_run=attempt is None or attempt.may_have_run
+            )
+            if attempt is not None:
                 outcome = attempt.outcome
             latency = self._clock() - started
             balancer.release(
@@ -332,8 +332,6 @@
                 detail=attempt.detail,
             )
         context.attempts += 1
-        if attempt.may_have_run:
-            context.may_have_run = True
         if attempt.metadata is not None and attempt.metadata.misdirected:
             balancer.remove_server(instance)
         if attempt.outcome is placement.AttemptOutcome.SUCCEEDED:
--- a/wigeonrouter/node/_request_context.py
+++ b/wigeonrouter/node/_request_context.py
@@ -44,9 +44,14 @@
         self.receiver = receiver
         self.handed_over = now
 
-    def take_back(self):
-        """Record that the server or node has it no longer."""
+    def take_back(self, *, may_have_run):
+        """Record that the server or node has it no longer.
+
+        Args:
+          may_have_run: whether it may have begun to execute it.
+        """
         self.receiver = ""
+        self.may_have_run = self.may_have_run or may_have_run
 
     def exclude(self, instance):
         """Leave out a server in the choice for the next attempt."""
