Make no promise about a request that another node may have

What callers saw: 503 no-server for a request that was passed on to another node, if an exception ended the exchange with it. By reading; no such exception is known.

Cause: the forwarder recorded that a request may have run after the exchange only, while the proxy does so whatever ends an attempt.

Change: the end of the exchange records it in any case.

--- a/wigeonrouter/node/_forwarder.py
+++ b/wigeonrouter/node/_forwarder.py
@@ -101,17 +101,20 @@
     def _send(self, context, address):
         started = self._clock()
         context.hand_over(str(address), started)
-        attempt = self._sender.send_to(
-            address,
-            render=lambda remaining: _forwarded_request.render(
-                context.request, self._make_origin(context, remaining)
-            ),
-            request=context.request,
-            request_id=context.request_id,
-            idempotent=context.route.idempotent,
-            response_deadline=context.pending.deadline,
-        )
-        context.take_back(may_have_run=_may_have_run(attempt))
+        attempt = None
+        try:
+            attempt = self._sender.send_to(
+                address,
+                render=lambda remaining: _forwarded_request.render(
+                    context.request, self._make_origin(context, remaining)
+                ),
+                request=context.request,
+                request_id=context.request_id,
+                idempotent=context.route.idempotent,
+                response_deadline=context.pending.deadline,
+            )
+        finally:
+            context.take_back(may_have_run=_may_have_run(attempt))
         self._request_log.on_forwarded(
             context, address, attempt, self._clock() - started
         )
@@ -151,8 +154,10 @@
     """Return whether a request may have run after it was passed on.
 
     Args:
-      attempt: Attempt.
+      attempt: Attempt, None if it was cancelled or failed unexpectedly.
     """
+    if attempt is None:
+        return True
     if attempt.response is None:
         return attempt.may_have_run
     return not _forwarded_request.is_declined(attempt.response)
--- a/wigeonrouter/node/_proxy_test.py
+++ b/wigeonrouter/node/_proxy_test.py
@@ -286,6 +286,13 @@
     assert handle(attempt, fails={part}) not in _PROMISES
 
 
+@pytest.mark.parametrize("fails", [{"log"}, ()])
+def test_failure_while_a_node_has_the_request_is_no_promise(handle, fails):
+    """Guards against "has not run" for a request that another node has."""
+    result = _LOST if fails else ValueError("unexpected bytes")
+    assert handle(result, cut=True, fails=fails) not in _PROMISES
+
+
 def test_request_that_reached_no_server_may_be_sent_again(handle):
     """Guards against giving up a request that has not run."""
     assert handle(*[_UNREACHABLE] * 4) in _PROMISES
