Promise in one place that a request has not run

What callers saw: 503 connect-failed for a request whose first attempt may have run, if the servers that were tried after it could not be reached. Only requests that may be repeated are sent again then.

Cause: each way out of an attempt decided for itself whether the promise holds, and this one did not ask.

Change: the promise is checked once, where the request ends.

--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -135,7 +135,10 @@
         finally:
             self._in_progress.discard(context)
         if isinstance(result, messages.Rejection):
-            return self._reject(result, context.request_id, arrived, context)
+            rejection = _end_rejected(result, context)
+            return self._reject(
+                rejection, context.request_id, arrived, context
+            )
         self._request_log.on_response(context, result)
         return result
 
@@ -213,7 +216,7 @@
             if grant is None:
                 continue
             if isinstance(grant, messages.Rejection):
-                return _end_rejected(grant, context)
+                return grant
             try:
                 attempt = self._attempt(context, balancer, grant)
                 self._record_crash(context, grant, attempt)
@@ -230,7 +233,7 @@
         """
         rejection = balancer.check_stopping(context.pending, context.route)
         if rejection is not None:
-            return _end_rejected(rejection, context)
+            return rejection
         return self._forwarder.forward(
             context,
             lambda attempt: self._may_retry(context, balancer, attempt),
@@ -375,19 +378,21 @@
 
 
 def _end_rejected(rejection, context):
-    """Return the Rejection that ends a request which may have run before."""
-    if context.may_have_run:
-        return messages.Rejection(problem=core.problems.ANSWER_LOST)
+    """Return the Rejection that ends a request.
+
+    It promises that the request has not run only if no attempt may have.
+    """
+    promises = rejection.problem.outcome is core.Outcome.NOT_RUN
+    if promises and context.may_have_run:
+        return messages.Rejection(
+            problem=core.problems.ANSWER_LOST, detail=rejection.detail
+        )
     return rejection
 
 
 def _final_result(attempt, context):
     if attempt.response is not None and not attempt.metadata.not_executed:
         return attempt.response
-    if context.may_have_run:
-        return messages.Rejection(
-            problem=core.problems.ANSWER_LOST, detail=attempt.detail
-        )
     return messages.Rejection(
         problem=core.problems.REFUSED_BY_SERVER,
         retry_after=_FAILED_ATTEMPT_RETRY_S,
--- a/wigeonrouter/node/_proxy_test.py
+++ b/wigeonrouter/node/_proxy_test.py
@@ -293,6 +293,15 @@
     assert handle(result, cut=True, fails=fails) not in _PROMISES
 
 
+def test_servers_that_cannot_be_reached_do_not_undo_an_attempt(handle):
+    """Guards against "has not run" after an attempt that may have run.
+
+    The servers that are tried after it cannot be reached.
+    """
+    attempts = [_LOST] + [_UNREACHABLE] * 4
+    assert handle(*attempts, idempotent=True) not in _PROMISES
+
+
 def test_request_that_reached_no_server_may_be_sent_again(handle):
     """Guards against giving up a request that has not run."""
     assert handle(*[_UNREACHABLE] * 4) in _PROMISES
