Do not hand out a promise that a server did not make

What callers saw: 503, 429 or 408 with the server's stamp for a POST that the server had run. The status promises that the request has not run, which the server had not stated.

Cause: a server's response was returned as it is, whatever its status. Only a response that says so, or a 421, states that a request has not run.

Change: such a response is a failure of the server, so that a request that may be repeated is sent to another one, and the caller gets 502 answer-invalid without the stamp in its place: another status with the stamp would be a response that the server did not give.

--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -342,7 +342,7 @@
         if self._may_retry(context, balancer, attempt):
             context.exclude(instance)
             return None
-        return _final_result(attempt, context)
+        return _final_result(attempt)
 
     def _may_repeat(self, context, balancer):
         """Return whether a request that is at a server may be sent again."""
@@ -390,9 +390,17 @@
     return rejection
 
 
-def _final_result(attempt, context):
-    if attempt.response is not None and not attempt.metadata.not_executed:
-        return attempt.response
+def _final_result(attempt):
+    """Return what the caller gets after its last attempt has failed."""
+    response, metadata = attempt.response, attempt.metadata
+    if response is not None and metadata.unfounded_promise:
+        return messages.Rejection(
+            problem=core.problems.ANSWER_INVALID,
+            detail=f"status {response.status} without a statement that the"
+            " request has not run",
+        )
+    if response is not None and not metadata.not_executed:
+        return response
     return messages.Rejection(
         problem=core.problems.REFUSED_BY_SERVER,
         retry_after=_FAILED_ATTEMPT_RETRY_S,
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -301,6 +301,6 @@
 def _classify(response, metadata):
     if metadata.not_executed:
         return placement.AttemptOutcome.REJECTED
-    if response.status >= 500:
+    if response.status >= 500 or metadata.unfounded_promise:
         return placement.AttemptOutcome.FAILED
     return placement.AttemptOutcome.SUCCEEDED
--- a/wigeonrouter/node/messages.py
+++ b/wigeonrouter/node/messages.py
@@ -48,6 +48,8 @@
       not_executed: whether the server states that it did not execute the
         request.
       misdirected: whether the address now belongs to another server.
+      unfounded_promise: whether the status promises callers that the request
+        has not run, although the server does not state it.
       load: the server's load, None if it reports none.
       rate_limit: requests per second that the server accepts from all nodes
         together, None if the response names no limit.
@@ -65,6 +67,7 @@
     not_executed: bool
     misdirected: bool
     load: ServerLoad | None
+    unfounded_promise: bool = False
     rate_limit: float | None = None
     rate_limit_valid: bool = True
     leaving: bool = False
--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -81,6 +81,7 @@
       leaving: whether all of its responses say that it is about to end.
       pause: text of the Retry-After in its rejections, None for none.
       resting: whether it rejects all requests.
+      run_status: status of the responses to requests that it ran.
       crash_target: the server ends when it runs a request with this target;
         None for no such target.
       on_crash: called with the server after it has ended so.
@@ -101,6 +102,7 @@
         self.leaving = False
         self.pause = None
         self.resting = False
+        self.run_status = 200
         self.crash_target = None
         self.on_crash = lambda server: None
         self.fault = ""
@@ -232,7 +234,7 @@
         self._running += 1
         try:
             self._execute(request, sock)
-            status = 500 if self.fault == "errors" else 200
+            status = 500 if self.fault == "errors" else self.run_status
             return self._respond_with_load(
                 request, status, b"body of " + request.target
             )
--- a/wigeonrouter/platform/_end_to_end_test.py
+++ b/wigeonrouter/platform/_end_to_end_test.py
@@ -127,6 +127,25 @@
     assert float(response.headers["retry-after"]) > 0
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_promise_that_the_server_did_not_make_does_not_reach_the_caller(
+    backend, node, caller, status, method
+):
+    """Guards against "has not run" for a request that a server ran.
+
+    The server ran it and responds with a status that promises callers that it
+    has not, without a statement of its own.
+    """
+    (server,) = start_ready(backend, node, "i-1")
+    server.run_status = status
+    path = "/write/a" if method == "POST" else "/read/a"
+    response = caller.send(path, method=method)
+    assert server.runs
+    assert response.status == 502
+    assert "server-stamp" not in response.headers
+
+
 def test_response_to_another_request_is_dropped(backend, node, caller):
     """Guards against returning the response to another request.
 
--- a/wigeonrouter/platform/_http.py
+++ b/wigeonrouter/platform/_http.py
@@ -37,6 +37,8 @@
 # as a restart takes to be noticed by an operator.
 _MAX_PAUSE_S = 600.0
 _PAUSE_STATUS = 503
+# Statuses that promise callers that a request has not run.
+_PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 _DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 _READINESS_PATH = "/api/readiness"
 _RESOLVE_PATH = "/api/resolve"
@@ -101,6 +103,9 @@
             instance=response.header(_INSTANCE).decode("latin-1"),
             not_executed=not_executed,
             misdirected=response.status == 421,
+            unfounded_promise=(
+                response.status in _PROMISING_STATUSES and not not_executed
+            ),
             load=_read_load(response.header(_LOAD)),
             rate_limit=rate_limit,
             rate_limit_valid=rate_limit_valid,
