Ask more nodes for the hub while none replies

What operators saw: two hubs in a region whose nodes were replaced. Nodes that were removed stay registered; if the six that a node asks first were all removed, it found no hub and became one itself.

Change: if none of the first six replies, 24 more are asked, then the others; those that did not reply are asked last for ten seconds, so that the questions stay few. A node that is cut off from all others becomes a hub up to 1.2 s later in a region of 50; the bound on the age of its copy holds apart from that.

--- a/wigeonrouter/node/_hub_search.py
+++ b/wigeonrouter/node/_hub_search.py
@@ -11,6 +11,13 @@
 
 # A hub that this node lost is not followed again for this time.
 _FAILED_HUB_AVOID_S = 2.0
+# Nodes that are asked for their roles at a time. Any node knows the current
+# hub, so a few are enough; if none replies, more are asked.
+_FIRST_QUERIED_HOSTS = 6
+_QUERIED_HOSTS_GROWTH = 4
+# Nodes that did not reply are asked after the others for this time. Those that
+# were removed stay registered.
+_SILENT_HOST_S = 10.0
 
 
 class HubSearch:
@@ -28,6 +35,7 @@
         self._cluster_state = cluster_state
         self._clock = clock
         self._avoided_until = {}
+        self._silent_until = {}
         # A hub that those which are asked may not know, "" for none.
         self._successor = ""
 
@@ -51,26 +59,45 @@
 
     def avoided_hosts(self):
         """Return the frozenset of hosts that are not followed now."""
-        now = self._clock()
-        self._avoided_until = {
-            host: until
-            for host, until in self._avoided_until.items()
-            if until > now
-        }
+        self._avoided_until = _without_past(self._avoided_until, self._clock())
         return frozenset(self._avoided_until)
 
     def query_roles(self):
         """Query some peers for their roles; return a dict by host."""
+        hosts = self._hosts_to_query()
+        first, count = 0, _FIRST_QUERIED_HOSTS
+        while first < len(hosts):
+            queried = hosts[first : first + count]
+            roles = _peer_requests.query_roles(queried, port=self._port)
+            self._record_replies(queried, roles)
+            if roles:
+                return roles
+            first += count
+            count *= _QUERIED_HOSTS_GROWTH
+        return {}
+
+    def _hosts_to_query(self):
+        """Return the peers that may be asked, those that reply first."""
         avoided = self.avoided_hosts()
+        self._silent_until = _without_past(self._silent_until, self._clock())
         hosts = [
             host
             for host in self.candidate_order()
             if host != self._host and host not in avoided
         ]
+        hosts.sort(key=lambda host: host in self._silent_until)
         if self._successor in hosts:
             hosts.remove(self._successor)
             hosts.insert(0, self._successor)
-        return _peer_requests.query_roles(hosts, port=self._port)
+        return hosts
+
+    def _record_replies(self, queried, roles):
+        until = self._clock() + _SILENT_HOST_S
+        for host in queried:
+            if host in roles:
+                self._silent_until.pop(host, None)
+            else:
+                self._silent_until[host] = until
 
     def other_hub_reaches_store(self):
         """Return whether another hub is found that reaches the store."""
@@ -88,3 +115,8 @@
             excluded_hosts=self.avoided_hosts(),
             reaches_store=reaches_store,
         )
+
+
+def _without_past(times, now):
+    """Return a dict from host to a time without the times that are over."""
+    return {host: until for host, until in times.items() if until > now}
--- a/wigeonrouter/node/_peer_requests.py
+++ b/wigeonrouter/node/_peer_requests.py
@@ -8,8 +8,6 @@
 
 CONNECT_TIMEOUT_S = 0.3
 REQUEST_TIMEOUT_S = 0.3
-# Any node knows the current hub, so a few are enough to find it.
-_MAX_QUERIED_HOSTS = 6
 _ROLE_NUMBERS = {
     topology.RoleKind.UNDECIDED: node_pb2.Role.UNDECIDED,
     topology.RoleKind.HUB: node_pb2.Role.HUB,
@@ -22,17 +20,13 @@
     """Query some hosts for their roles in parallel.
 
     Args:
-      hosts: hosts in order of preference; only the first
-        _MAX_QUERIED_HOSTS are queried.
+      hosts: iterable of hosts.
       port: port for traffic between nodes.
     Returns:
       Dict from host to its topology.Role; hosts that did not reply in time
       are missing.
     """
-    tasks = {
-        host: gevent.spawn(_query_role, host, port)
-        for host in hosts[:_MAX_QUERIED_HOSTS]
-    }
+    tasks = {host: gevent.spawn(_query_role, host, port) for host in hosts}
     gevent.joinall(list(tasks.values()), timeout=2 * REQUEST_TIMEOUT_S)
     return {
         host: task.value
--- a/wigeonrouter/platform/_known_faults_test.py
+++ b/wigeonrouter/platform/_known_faults_test.py
@@ -12,15 +12,12 @@
 import pytest
 
 from wigeonrouter import http1
-from wigeonrouter import topology
 from wigeonrouter.platform import conftest
 from wigeonrouter.platform import testing
 
 start_ready = conftest.start_ready
 wait_until = conftest.wait_until
 _RECEIVE_BYTES = 65536
-# More hosts than a node asks for the hub.
-_HOSTS = [f"127.0.0.{number}" for number in range(100, 112)]
 _DESCRIPTORS = 150
 _IDLE_CALLERS = 200
 
@@ -79,27 +76,6 @@
     assert statuses[-1] == 200
 
 
-def test_node_finds_the_hub_behind_removed_nodes(
-    store, make_settings, start_node, free_port
-):
-    """Guards against a second hub in a region whose nodes were replaced.
-
-    Nodes that were removed stay registered, and come first in the order in
-    which nodes are asked for the hub.
-    """
-    *removed, hub_host, other_host = topology.candidate_order("r1", _HOSTS)
-    port = free_port()
-    hub = start_node(make_settings("node-1", hub_host, peer_ports=(port, 0)))
-    wait_until(lambda: conftest.hubs([hub]))
-    for host in removed:
-        store.put(f"wigeonrouter/nodes/r1/{host}", {})
-    other = start_node(
-        make_settings("node-2", other_host, peer_ports=(port, 0))
-    )
-    gevent.sleep(4.0)
-    assert conftest.hubs([hub, other]) == [hub]
-
-
 def _ask(sock, number):
     """Send a request and return the status, None if there is no response."""
     data = testing.render_request(
--- a/wigeonrouter/platform/_multi_node_test.py
+++ b/wigeonrouter/platform/_multi_node_test.py
@@ -7,7 +7,7 @@
 from wigeonrouter import core
 from wigeonrouter import topology
 from wigeonrouter.node import _channel
-from wigeonrouter.node import _peer_requests
+from wigeonrouter.node import _hub_search
 from wigeonrouter.platform import _emulator
 from wigeonrouter.platform import conftest
 
@@ -19,6 +19,8 @@
 _CONFIG_APPLY_S = 2.5
 _RETRY_RATIO = 0.2
 _HOSTS = tuple(f"127.0.0.{number}" for number in range(21, 26))
+# More hosts than a node asks for the hub at first.
+_REGISTERED_HOSTS = [f"127.0.0.{number}" for number in range(100, 112)]
 
 
 def add_route(store, version):
@@ -215,7 +217,7 @@
     itself, and a node asks only the first candidate for its role.
     """
     order = topology.candidate_order("r1", _HOSTS)
-    monkeypatch.setattr(_peer_requests, "_MAX_QUERIED_HOSTS", 1)
+    monkeypatch.setattr(_hub_search, "_FIRST_QUERIED_HOSTS", 1)
     monkeypatch.setattr(
         topology,
         "should_check_store",
@@ -260,3 +262,26 @@
             lambda caller=caller: caller.send("/new/a").status != 404,
             timeout=_CONFIG_APPLY_S,
         )
+
+
+def test_node_finds_the_hub_behind_removed_nodes(
+    store, make_settings, start_node, free_port
+):
+    """Guards against a second hub in a region whose nodes were replaced.
+
+    Nodes that were removed stay registered, and come first in the order in
+    which nodes are asked for the hub.
+    """
+    *removed, hub_host, other_host = topology.candidate_order(
+        "r1", _REGISTERED_HOSTS
+    )
+    port = free_port()
+    hub = start_node(make_settings("node-1", hub_host, peer_ports=(port, 0)))
+    wait_until(lambda: hubs([hub]))
+    for host in removed:
+        store.put(f"wigeonrouter/nodes/r1/{host}", {})
+    other = start_node(
+        make_settings("node-2", other_host, peer_ports=(port, 0))
+    )
+    gevent.sleep(4.0)
+    assert hubs([hub, other]) == [hub]
