Divide the descriptors between callers, servers and other nodes

What callers saw: no new connection is accepted and no server is reached, for as long as idle callers keep their connections. A node accepted 3,000 callers, whatever its descriptors; a soft limit of 1,024 is below that.

Change: the process raises its soft limit as far as it may, and each kind of accepted connection gets a share of what there is; over it the connection that has waited longest is closed, as before.

--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+import resource
 import time
 
 import gevent
@@ -32,7 +33,6 @@
 _MAX_BACKEND_IDLE_S = 8.0
 # Mean interval between writes of changed caller timeouts to the store.
 _TIMEOUTS_WRITE_INTERVAL_S = 5.0
-_MAX_CALLER_CONNECTIONS = 3_000
 # TTL of directory responses. All responses that list a stopping node have to
 # expire before it stops accepting requests, and until then it takes requests
 # that it may not finish, so a longer TTL would let more of them be cut off.
@@ -148,16 +148,21 @@
             splitter=topology.TrafficSplitter(rng=self._rng),
             request_log=request_log,
         )
+        limits = placement.connection_limits(
+            resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        )
         self._caller_server = http1.CallerServer(
             address=settings.caller_address,
             handler=self._proxy,
-            max_connections=_MAX_CALLER_CONNECTIONS,
+            max_connections=limits.callers,
             buffer_budget=self._buffer_budget,
         )
         self._forwarding_address = ""
         self._request_servers = [self._caller_server]
         if settings.peer_ports[0] != settings.peer_ports[1]:
-            self._request_servers.append(self._make_forwarding_server())
+            self._request_servers.append(
+                self._make_forwarding_server(limits.forwarded)
+            )
         directory_handler = _directory_handler.DirectoryHandler(
             codec=codec,
             choose_entries=self._choose_entries,
@@ -168,11 +173,21 @@
             metrics=self._metrics, read_gauges=self._read_gauges
         )
         self._auxiliary_servers = [
-            http1.CallerServer(address=address, handler=handler)
-            for address, handler in (
-                (settings.directory_address, directory_handler),
-                (settings.readiness_address, directory_handler),
-                (settings.control_address, metrics_handler),
+            http1.CallerServer(
+                address=address, handler=handler, max_connections=limit
+            )
+            for address, handler, limit in (
+                (
+                    settings.directory_address,
+                    directory_handler,
+                    limits.directory,
+                ),
+                (
+                    settings.readiness_address,
+                    directory_handler,
+                    limits.auxiliary,
+                ),
+                (settings.control_address, metrics_handler, limits.auxiliary),
             )
             if address is not None
         ]
@@ -442,7 +457,7 @@
             server.requests_in_progress for server in self._request_servers
         )
 
-    def _make_forwarding_server(self):
+    def _make_forwarding_server(self, max_connections):
         """Return the CallerServer for requests that other nodes pass on."""
         server = http1.CallerServer(
             address=core.Address(
@@ -453,7 +468,7 @@
                 link_monitor=self._link_monitor,
                 codec=self._codec,
             ),
-            max_connections=_MAX_CALLER_CONNECTIONS,
+            max_connections=max_connections,
             buffer_budget=self._buffer_budget,
         )
         self._forwarding_address = f"{self._settings.host}:{server.port}"
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -9,6 +9,7 @@
 from wigeonrouter.placement import _budget
 from wigeonrouter.placement import _caller_timeout
 from wigeonrouter.placement import _choice
+from wigeonrouter.placement import _connection_limits
 from wigeonrouter.placement import _crashes
 from wigeonrouter.placement import _estimate
 from wigeonrouter.placement import _exclusion
@@ -54,6 +55,7 @@
 plan_stop = _stopping.plan_stop
 is_nearly_full = _estimate.is_nearly_full
 choose = _choice.choose
+connection_limits = _connection_limits.connection_limits
 CRASH_RETENTION_S = _crashes.CRASH_RETENTION_S
 EXPECTED_SLOT_WAIT_S = _choice.EXPECTED_SLOT_WAIT_S
 find_exclusion = _exclusion.find_exclusion
--- a/wigeonrouter/platform/main.py
+++ b/wigeonrouter/platform/main.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import resource
 import signal
 
 if __name__ == "__main__":
@@ -44,6 +45,7 @@
     except _settings.SettingsError as error:
         print(f"wigeonrouter: {error}", file=sys.stderr)
         sys.exit(_EX_CONFIG)
+    _raise_descriptor_limit()
     events = events_api.EventLog(lines_per_second=_LOG_LINES_PER_SECOND)
     events.start()
     node = node_api.Node(
@@ -86,6 +88,16 @@
         signal.signal(number, signal.SIG_IGN)
 
 
+def _raise_descriptor_limit():
+    """Allow the process as many descriptors as the system lets it have."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    try:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    except (OSError, ValueError):
+        # The node divides what it has.
+        pass
+
+
 def _poll_settings(node, settings_file, events):
     while True:
         gevent.sleep(_SETTINGS_CHECK_INTERVAL_S)
