Move the servers of a node out of its module

The servers that it listens with, their limits and their part of a stop are in _node_servers.py now; nothing else changes.

--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -2,7 +2,6 @@
 
 import os
 import random
-import resource
 import time
 
 import gevent
@@ -20,6 +19,7 @@
 from wigeonrouter.node import _forwarder
 from wigeonrouter.node import _link_monitor
 from wigeonrouter.node import _metrics
+from wigeonrouter.node import _node_servers
 from wigeonrouter.node import _prober
 from wigeonrouter.node import _proxy
 from wigeonrouter.node import _region_member
@@ -37,7 +37,6 @@
 # expire before it stops accepting requests, and until then it takes requests
 # that it may not finish, so a longer TTL would let more of them be cut off.
 _ENTRIES_TTL_S = 1.0
-_STOP_POLL_INTERVAL_S = 0.02
 # A directory request to a node that has just started waits this long for the
 # configuration.
 _STARTUP_WAIT_S = 0.4
@@ -148,21 +147,6 @@
             splitter=topology.TrafficSplitter(rng=self._rng),
             request_log=request_log,
         )
-        limits = placement.connection_limits(
-            resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        )
-        self._caller_server = http1.CallerServer(
-            address=settings.caller_address,
-            handler=self._proxy,
-            max_connections=limits.callers,
-            buffer_budget=self._buffer_budget,
-        )
-        self._forwarding_address = ""
-        self._request_servers = [self._caller_server]
-        if settings.peer_ports[0] != settings.peer_ports[1]:
-            self._request_servers.append(
-                self._make_forwarding_server(limits.forwarded)
-            )
         directory_handler = _directory_handler.DirectoryHandler(
             codec=codec,
             choose_entries=self._choose_entries,
@@ -172,25 +156,18 @@
         metrics_handler = _metrics.MetricsHandler(
             metrics=self._metrics, read_gauges=self._read_gauges
         )
-        self._auxiliary_servers = [
-            http1.CallerServer(
-                address=address, handler=handler, max_connections=limit
-            )
-            for address, handler, limit in (
-                (
-                    settings.directory_address,
-                    directory_handler,
-                    limits.directory,
-                ),
-                (
-                    settings.readiness_address,
-                    directory_handler,
-                    limits.auxiliary,
-                ),
-                (settings.control_address, metrics_handler, limits.auxiliary),
-            )
-            if address is not None
-        ]
+        self._node_servers = _node_servers.NodeServers(
+            settings=settings,
+            proxy=self._proxy,
+            forwarded_handler=_forwarder.ForwardedRequestHandler(
+                proxy=self._proxy,
+                link_monitor=self._link_monitor,
+                codec=codec,
+            ),
+            directory_handler=directory_handler,
+            metrics_handler=metrics_handler,
+            buffer_budget=self._buffer_budget,
+        )
         self._tasks = []
 
     @property
@@ -243,10 +220,7 @@
 
     def start(self):
         """Start listening and following the store."""
-        for request_server in self._request_servers:
-            request_server.start()
-        for auxiliary_server in self._auxiliary_servers:
-            auxiliary_server.start()
+        self._node_servers.start()
         self._region_member.start()
         self._tasks = [
             gevent.spawn(self._supervise, "region", self._region_member.run),
@@ -285,7 +259,7 @@
         """
         self._stopping = True
         now = time.monotonic()
-        signalled = self._caller_server.earliest_signal(now)
+        signalled = self._node_servers.callers.earliest_signal(now)
         self._stop_schedule = schedule = placement.plan_stop(
             signalled=signalled,
             now=now,
@@ -294,32 +268,23 @@
         )
         self._events.notice(
             "stopping",
-            requests=self._requests_in_progress,
-            connections=self._caller_server.connections,
+            requests=self._node_servers.requests_in_progress,
+            connections=self._node_servers.callers.connections,
             signal_age_ms=round((now - signalled) * 1000),
             accepts_ms=round((schedule.accept_until - now) * 1000),
             exits_ms=round((schedule.exit - now) * 1000),
         )
-        for request_server in self._request_servers:
-            request_server.drain()
+        self._node_servers.drain()
         self._leave_region()
         self._balancers.recheck_queues()
-        while time.monotonic() < schedule.accept_until:
-            gevent.sleep(_STOP_POLL_INTERVAL_S)
-        gevent.joinall(
-            [gevent.spawn(server.stop) for server in self._request_servers],
-            timeout=max(0.0, schedule.exit - time.monotonic()),
-        )
-        # A server that failed to stop has not waited for its requests.
-        while self._requests_in_progress and time.monotonic() < schedule.exit:
-            gevent.sleep(_STOP_POLL_INTERVAL_S)
+        self._node_servers.stop(schedule)
         self._proxy.log_unfinished()
         self._events.notice(
             "stopped",
-            requests=self._requests_in_progress,
-            connections=self._caller_server.connections,
-            closed_idle=self._caller_server.closed_idle,
-            closed_unread=self._caller_server.closed_unread,
+            requests=self._node_servers.requests_in_progress,
+            connections=self._node_servers.callers.connections,
+            closed_idle=self._node_servers.callers.closed_idle,
+            closed_unread=self._node_servers.callers.closed_unread,
             after_ms=round((time.monotonic() - schedule.began) * 1000),
         )
         gevent.killall(self._tasks)
@@ -328,8 +293,7 @@
         """Stop at once, as if the process was killed."""
         gevent.killall(self._tasks)
         self._region_member.kill()
-        for server in (*self._request_servers, *self._auxiliary_servers):
-            server.kill()
+        self._node_servers.kill()
 
     def reload(self, settings):
         """Apply the settings that a running node can change.
@@ -387,7 +351,7 @@
                 "not ready": len(self._region_member.peers) - ready,
             },
             services=self._balancers.gauges,
-            unanswered_requests=self._requests_in_progress,
+            unanswered_requests=self._node_servers.requests_in_progress,
             events=dict(self._events.counts),
             dropped=self._events.total_dropped,
         )
@@ -405,7 +369,7 @@
         return _roster.NodeFacts(
             ready=self.ready,
             cut_from_servers=self._link_monitor.cut,
-            forwarding_address=self._forwarding_address,
+            forwarding_address=self._node_servers.forwarding_address,
             rate_limits=self._balancers.rate_limits,
             statements=self._balancers.server_statements,
         )
@@ -451,29 +415,6 @@
             return tuple(home_node.caller_address for home_node in home_nodes)
         return (self._settings.caller_address,) if self.ready else ()
 
-    @property
-    def _requests_in_progress(self):
-        return sum(
-            server.requests_in_progress for server in self._request_servers
-        )
-
-    def _make_forwarding_server(self, max_connections):
-        """Return the CallerServer for requests that other nodes pass on."""
-        server = http1.CallerServer(
-            address=core.Address(
-                host=self._settings.host, port=self._settings.peer_ports[1]
-            ),
-            handler=_forwarder.ForwardedRequestHandler(
-                proxy=self._proxy,
-                link_monitor=self._link_monitor,
-                codec=self._codec,
-            ),
-            max_connections=max_connections,
-            buffer_budget=self._buffer_budget,
-        )
-        self._forwarding_address = f"{self._settings.host}:{server.port}"
-        return server
-
     def _on_links_changed(self):
         """Apply that this node was cut off from all servers, or is back."""
         self._region_member.broadcast_state()
--- a/wigeonrouter/platform/_stopping_node_test.py
+++ b/wigeonrouter/platform/_stopping_node_test.py
@@ -145,7 +145,7 @@
     if step == "leave the region":
         monkeypatch.setattr(node.region_member, "leave", _fail)
     else:
-        monkeypatch.setattr(node._caller_server, "stop", _fail)
+        monkeypatch.setattr(node._node_servers.callers, "stop", _fail)
     start_ready(backend, node, "i-1", service_time=0.78)
     assert caller.send("/read/a").status == 200
     stopping = gevent.spawn(node.stop)
