Try a few requests of a route whose estimate is above its timeout

What callers saw: 503 to all requests of a route, for good, after the operator had lowered its timeout below what slow servers took, though the servers were fast again. The estimate changes with responses alone, and none came.

Change: such an estimate counts as nine tenths of the timeout, and one request in 0.2 s is admitted by it, the others are rejected at once as before; the first response in time replaces the estimate.

--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -47,6 +47,7 @@
         self._stop_schedule = stop_schedule
         self._clock = clock
         self._late_rate = placement.late_dispatch_rate()
+        self._trials = placement.TrialSchedule()
         self._arrivals = placement.SlidingWindowRate(window=_ARRIVAL_WINDOW_S)
         # Arrivals that could still meet their target latency.
         self._on_time_arrivals = placement.SlidingWindowRate(
@@ -72,8 +73,10 @@
         self._arrivals.record(now)
         if not placement.is_late(request, service_time=service_time, now=now):
             self._on_time_arrivals.record(now)
-        return self.check_stopping(request, route) or self._check_admission(
-            request, service_time, now
+        return (
+            self.check_stopping(request, route)
+            or self._check_timeout(request, route, now)
+            or self._check_admission(request, service_time, now)
         )
 
     def check_queued(self, request, route, *, became_late):
@@ -149,6 +152,15 @@
             schedule=self._stop_schedule(),
         )
 
+    def _check_timeout(self, request, route, now):
+        """Return the Rejection of a request whose timeout is too short."""
+        if not self._server_pool.service_times.exceeds_timeout(route):
+            return None
+        if self._trials.admit(route.name, now):
+            return None
+        service_time = self._service_time(route)
+        return self._reject_overload(request, service_time, service_time, now)
+
     def _check_admission(self, request, service_time, now):
         """Return the Rejection of a new request, None to admit it."""
         if not self._server_pool.views.has_usable:
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -29,6 +29,7 @@
 LoadReport = _records.LoadReport
 Pick = _choice.Pick
 SlidingWindowRate = _admission.SlidingWindowRate
+TrialSchedule = _admission.TrialSchedule
 RateLimits = _rate_limits.RateLimits
 RetryBudget = _budget.RetryBudget
 Exclusion = _exclusion.Exclusion
--- a/wigeonrouter/placement/_admission.py
+++ b/wigeonrouter/placement/_admission.py
@@ -26,6 +26,8 @@
 # A late request is queued only if its expected wait is at most this share of
 # the time left to its deadline.
 _MAX_LATE_WAIT_SHARE = 0.4
+# Interval of the requests that show whether servers have become faster.
+_TRIAL_INTERVAL_S = 0.2
 
 
 class SlidingWindowRate:
@@ -60,6 +62,25 @@
         return max(self._minimum, len(self._times) / covered)
 
 
+class TrialSchedule:
+    """Admits a few requests of routes that no request can be served of.
+
+    Load pattern: all servers of a service take longer than the timeout of a
+    route, since they became slow or the timeout was lowered. Responses alone
+    correct the estimate, so that some requests have to be sent.
+    """
+
+    def __init__(self):
+        self._next_trials = {}
+
+    def admit(self, route_name, now):
+        """Return whether a request is to be sent, at `now` seconds."""
+        if now < self._next_trials.get(route_name, float("-inf")):
+            return False
+        self._next_trials[route_name] = now + _TRIAL_INTERVAL_S
+        return True
+
+
 def late_dispatch_rate():
     """Return a SlidingWindowRate for late requests that get a server."""
     return SlidingWindowRate(
--- a/wigeonrouter/placement/_admission_test.py
+++ b/wigeonrouter/placement/_admission_test.py
@@ -111,3 +111,16 @@
     wait = placement.expected_late_wait(ahead=0, rate=0.0)
     request = make_request(target_time=-0.1)
     assert placement.should_reject_late(request, wait=wait, now=100.0)
+
+
+def test_one_request_at_a_time_shows_whether_servers_are_faster():
+    """Guards against sending all requests that will be late, or none."""
+    trials = placement.TrialSchedule()
+    admitted = [trials.admit("read", 0.01 * step) for step in range(100)]
+    assert admitted[0] and sum(admitted) == 5
+
+
+def test_trials_of_routes_do_not_depend_on_each_other():
+    """Guards against a route that takes the trials of another one."""
+    trials = placement.TrialSchedule()
+    assert trials.admit("read", 0.0) and trials.admit("write", 0.0)
--- a/wigeonrouter/placement/_estimate.py
+++ b/wigeonrouter/placement/_estimate.py
@@ -41,6 +41,8 @@
 # Service time of a route as a share of its target latency, until responses
 # have been measured.
 _INITIAL_SERVICE_TIME_SHARE = 0.35
+# Share of a route's timeout above which an estimate refuses all requests.
+_MAX_TIMEOUT_SHARE = 0.9
 
 
 class ServiceTimes:
@@ -77,10 +79,19 @@
         known = self._service_times.get(route.name)
         if known is None:
             return route.target_latency * _INITIAL_SERVICE_TIME_SHARE
-        return known
+        return min(known, _MAX_TIMEOUT_SHARE * route.timeout)
+
+    def exceeds_timeout(self, route):
+        """Return whether requests take longer than the route's timeout."""
+        known = self._service_times.get(route.name, 0.0)
+        return known > _MAX_TIMEOUT_SHARE * route.timeout
 
     def record_service_time(self, route, seconds):
         """Add the undisturbed service time of one request in seconds."""
+        if self.exceeds_timeout(route):
+            # A response in time shows that the estimate is outdated.
+            self._service_times[route.name] = seconds
+            return
         previous = self.service_time(route)
         self._service_times[route.name] = previous + _EWMA_WEIGHT * (
             seconds - previous
--- a/wigeonrouter/placement/_estimate_test.py
+++ b/wigeonrouter/placement/_estimate_test.py
@@ -53,9 +53,10 @@
     assert times[0] < times[1]
 
 
-def test_longest_latency_is_kept_and_decays():
-    """Guards against one slow response that counts forever."""
-    route = topology.Route(
+@pytest.fixture
+def route():
+    """Return a route with a timeout of four seconds."""
+    return topology.Route(
         name="reads",
         host="reads.example",
         prefix="/",
@@ -66,6 +67,10 @@
         priority=1,
         max_attempts=3,
     )
+
+
+def test_longest_latency_is_kept_and_decays(route):
+    """Guards against one slow response that counts forever."""
     service_times = placement.ServiceTimes()
     assert service_times.longest_latency(route) is None
     service_times.record_latency(route, 2.0)
@@ -104,3 +109,19 @@
     for slowdown in slowdowns:
         service_times.record_slowdown(slowdown)
     assert service_times.fast_slowdown == expected
+
+
+def test_response_within_a_lowered_timeout_replaces_the_estimate(route):
+    """Guards against an estimate above the timeout that refuses all requests.
+
+    It would take dozens of responses until the average is below the timeout.
+    """
+    times = placement.ServiceTimes()
+    for _ in range(200):
+        times.record_service_time(route, 0.8)
+    lowered = dataclasses.replace(route, timeout=0.25)
+    assert times.exceeds_timeout(lowered)
+    assert times.service_time(lowered) < lowered.timeout
+    times.record_service_time(lowered, 0.02)
+    assert not times.exceeds_timeout(lowered)
+    assert times.service_time(lowered) == 0.02
