Bound messages between nodes by their progress

What operators saw: nodes of a region leave their hub while a large change is on its way over a slow link, and read all of it from the store at once.

Cause: a message between nodes had a second to be sent and 1.2 s to arrive as a whole, whatever its size; a hub on such a link sends it to all followers at the same time.

Change: the timeouts are those of each part of 4 KB. A peer that stalls is left as soon as before.

--- a/wigeonrouter/http1/__init__.py
+++ b/wigeonrouter/http1/__init__.py
@@ -4,6 +4,7 @@
 from wigeonrouter.http1 import _caller_connection
 from wigeonrouter.http1 import _messages
 from wigeonrouter.http1 import _pool
+from wigeonrouter.http1 import _progress
 from wigeonrouter.http1 import _render
 from wigeonrouter.http1 import _request_reader
 from wigeonrouter.http1 import _response_reader
@@ -22,6 +23,7 @@
 HttpRequest = _messages.HttpRequest
 HttpResponse = _messages.HttpResponse
 MalformedMessage = _messages.MalformedMessage
+ProgressTimeout = _progress.ProgressTimeout
 RequestNotSent = _pool.RequestNotSent
 RequestReader = _request_reader.RequestReader
 ResponseReader = _response_reader.ResponseReader
--- a/wigeonrouter/node/_channel.py
+++ b/wigeonrouter/node/_channel.py
@@ -1,15 +1,19 @@
 """Length-prefixed messages between nodes over a TCP connection."""
 
+import functools
 import struct
 
 import gevent
 from gevent import socket
 from google.protobuf import message as protobuf_message
 
+from wigeonrouter import http1
 from wigeonrouter.schema import node_pb2
 
 _LENGTH_PREFIX = struct.Struct("!I")
 _CHUNK_BYTES = 64 << 10
+# A message that is sent goes on if so many bytes are taken within a timeout.
+_SENT_BYTES = 4 << 10
 # Messages with items of the store. The others have at most the state of one
 # node, which may name each backend server.
 _MAX_MESSAGE_BYTES = 16 << 20
@@ -30,15 +34,21 @@
     def send(self, message, *, timeout):
         """Send a PeerMessage.
 
+        A large one may take long on a slow link, so the timeout is that of
+        each part of it.
+
         Raises:
-          ChannelClosed: the message was not sent within `timeout` seconds.
+          ChannelClosed: the peer took nothing within `timeout` seconds.
         """
         data = message.SerializeToString()
+        rest = memoryview(_LENGTH_PREFIX.pack(len(data)) + data)
         try:
-            with gevent.Timeout(
-                timeout, TimeoutError("send to peer timed out")
-            ):
-                self._sock.sendall(_LENGTH_PREFIX.pack(len(data)) + data)
+            while rest:
+                with gevent.Timeout(
+                    timeout, TimeoutError("send to peer timed out")
+                ):
+                    self._sock.sendall(rest[:_SENT_BYTES])
+                rest = rest[_SENT_BYTES:]
         except OSError as error:
             raise ChannelClosed(str(error)) from error
 
@@ -46,34 +56,35 @@
         """Return the next PeerMessage.
 
         Args:
-          timeout: seconds.
+          timeout: seconds until it begins, and until more of it arrives.
           max_bytes: largest size of the message.
         Raises:
-          ChannelClosed: none arrived within `timeout` seconds, or it was
-            malformed or too large.
+          ChannelClosed: none began within `timeout` seconds, it stalled, or
+            it was malformed or too large.
         """
         try:
-            with gevent.Timeout(
-                timeout, TimeoutError("no message from peer in time")
-            ):
-                (length,) = _LENGTH_PREFIX.unpack(
-                    self._read(_LENGTH_PREFIX.size)
-                )
+            with http1.ProgressTimeout(
+                first=timeout, stall=timeout
+            ) as progress:
+                prefix = self._read(_LENGTH_PREFIX.size, progress)
+                (length,) = _LENGTH_PREFIX.unpack(prefix)
                 if length > max_bytes:
                     raise ChannelClosed(
                         f"message of {length} bytes is too large"
                     )
-                return node_pb2.PeerMessage.FromString(self._read(length))
+                data = self._read(length, progress)
+            return node_pb2.PeerMessage.FromString(data)
         except (OSError, protobuf_message.DecodeError) as error:
             raise ChannelClosed(str(error)) from error
 
     def close(self):
         self._sock.close()
 
-    def _read(self, length):
+    def _read(self, length, progress):
         data = bytearray()
         while len(data) < length:
-            chunk = self._sock.recv(min(_CHUNK_BYTES, length - len(data)))
+            count = min(_CHUNK_BYTES, length - len(data))
+            chunk = progress.receive(functools.partial(self._sock.recv, count))
             if not chunk:
                 raise ChannelClosed("closed by the peer")
             data += chunk
