Log whether a request may have run, and promises without a statement

The line of an attempt has the server's address, which two instances share after a replacement in place, and whether the attempt may have run the request; that of a refusal has the status that the caller got, and whether any attempt may have run. A refusal whose status promises "not run" though one may have is a fault of the node, which the log could not show.

A response whose status promises what its server does not state has a line and a count of its own, promise-unfounded, so that the server can be named.

--- a/wigeonrouter/node/_request_log.py
+++ b/wigeonrouter/node/_request_log.py
@@ -83,6 +83,8 @@
             "refused",
             id=request_id,
             problem=rejection.problem.name,
+            status=rejection.problem.status,
+            may_have_run=bool(context and context.may_have_run),
             retry_after=rejection.retry_after,
             detail=rejection.detail,
             attempts=context.attempts if context else 0,
@@ -105,13 +107,14 @@
           latency: seconds.
         """
         metadata = attempt.metadata if attempt else None
-        response = attempt.response if attempt else None
+        registration = grant.registration
         self._write(
             "attempt",
             id=context.request_id,
             digest=context.digest,
             number=context.attempts + context.connect_failures + 1,
-            instance=grant.registration.instance,
+            instance=registration.instance,
+            address=str(registration.address),
             waited_ms=_ms(grant.granted_at - context.pending.arrived),
             load=round(grant.expected_load, 1),
             slowness=round(grant.expected_slowdown, 2),
@@ -122,19 +125,26 @@
             rate_limit=metadata.rate_limit if metadata else None,
             leaving=bool(metadata and metadata.leaving),
             pause_s=metadata.pause if metadata else None,
-            status=response.status if response else None,
-            not_executed=bool(metadata and metadata.not_executed),
-            names_id=bool(metadata and metadata.request_id),
-            connection_requests=attempt.connection_requests if attempt else 0,
+            **_exchange_fields(attempt),
             ended=outcome.value,
             latency_ms=_ms(latency),
             detail=attempt.detail if attempt else "",
         )
-        if attempt is not None and attempt.strays:
+        if attempt is None:
+            return
+        if metadata is not None and metadata.unfounded_promise:
+            self._write(
+                "promise-unfounded",
+                id=context.request_id,
+                instance=registration.instance,
+                address=str(registration.address),
+                status=attempt.response.status,
+            )
+        if attempt.strays:
             self._write(
                 "stray-responses",
                 id=context.request_id,
-                instance=grant.registration.instance,
+                instance=registration.instance,
                 count=attempt.strays,
             )
 
@@ -183,5 +193,23 @@
         self._events.event(name, **fields)
 
 
+def _exchange_fields(attempt):
+    """Return what the exchange with a server tells of whether it ran.
+
+    Args:
+      attempt: Attempt, None if it was cancelled or failed unexpectedly.
+    """
+    if attempt is None:
+        return {"may_have_run": True}
+    response, metadata = attempt.response, attempt.metadata
+    return {
+        "may_have_run": attempt.may_have_run,
+        "status": response.status if response else None,
+        "not_executed": bool(metadata and metadata.not_executed),
+        "names_id": bool(metadata and metadata.request_id),
+        "connection_requests": attempt.connection_requests,
+    }
+
+
 def _ms(seconds):
     return round(seconds * 1000, 1)
--- a/wigeonrouter/node/_request_log_test.py
+++ b/wigeonrouter/node/_request_log_test.py
@@ -1,4 +1,4 @@
-"""Tests of what the log says of requests while a node stops."""
+"""Tests of what the log says of requests."""
 
 import pytest
 
@@ -6,8 +6,10 @@
 from wigeonrouter import http1
 from wigeonrouter import placement
 from wigeonrouter import topology
+from wigeonrouter.node import _grant
 from wigeonrouter.node import _request_context
 from wigeonrouter.node import _request_log
+from wigeonrouter.node import _sender
 from wigeonrouter.node import messages
 
 _NOW = 100.0
@@ -91,6 +93,29 @@
     )
 
 
+@pytest.fixture
+def grant():
+    """Return the Grant of a server."""
+    return _grant.Grant(
+        registration=topology.Registration(
+            instance="i-1",
+            service="alpha",
+            address=core.Address(host="192.0.2.7", port=9000),
+            place=core.Place(region="r1", failure_domain="za"),
+            slots=2,
+            state=topology.RegistrationState.READY,
+        ),
+        granted_at=_NOW - 0.9,
+        expected_slowdown=1.0,
+        nearly_full=False,
+        report_age=None,
+        expected_utility=1.0,
+        expected_load=0.0,
+        round_trip=0.001,
+        expected_latency=0.02,
+    )
+
+
 def test_cut_off_request_is_logged_with_the_server_that_works_on_it(
     make_log, events, context
 ):
@@ -117,3 +142,93 @@
     fields = events.fields["refused"]
     assert fields["left_to_deadline_ms"] == 1000.0
     assert "stopping_ms" not in fields
+
+
+@pytest.fixture
+def log_attempt(make_log, events, context, grant):
+    """Return a function that logs an attempt and returns the events."""
+
+    def run(attempt):
+        outcome = placement.AttemptOutcome.CANCELLED
+        if attempt is not None:
+            outcome = attempt.outcome
+        make_log(placement.NO_STOP).on_attempt(
+            context, grant, attempt, outcome, 0.004
+        )
+        return events.fields
+
+    return run
+
+
+def _responded(status, *, request_id="r-1", **metadata):
+    not_executed = metadata.pop("not_executed", False)
+    return _sender.Attempt(
+        outcome=placement.AttemptOutcome.REJECTED
+        if not_executed
+        else placement.AttemptOutcome.FAILED,
+        may_have_run=not not_executed,
+        response=http1.HttpResponse(status=status, headers=(), body=b""),
+        metadata=messages.ResponseMetadata(
+            request_id=request_id,
+            instance="",
+            not_executed=not_executed,
+            misdirected=False,
+            load=None,
+            **metadata,
+        ),
+        connection_requests=3,
+    )
+
+
+def test_attempt_shows_what_its_response_states(log_attempt):
+    """Guards against refusals of which nobody can tell why they were believed.
+
+    A refusal without an ID can be one of another request, and so can one with
+    the ID on a connection that had carried the request.
+    """
+    fields = log_attempt(_responded(503, not_executed=True, request_id=""))
+    attempt = fields["attempt"]
+    assert attempt["instance"] == "i-1"
+    assert attempt["address"] == "192.0.2.7:9000"
+    assert attempt["status"] == 503
+    assert attempt["connection_requests"] == 3
+    assert attempt["not_executed"] and not attempt["names_id"]
+    assert not attempt["may_have_run"]
+    assert "promise-unfounded" not in fields
+
+
+def test_unfounded_promise_names_the_server(log_attempt):
+    """Guards against a 502 of the node that does not show who caused it."""
+    fields = log_attempt(_responded(429, unfounded_promise=True))
+    assert fields["promise-unfounded"] == {
+        "id": "r-1",
+        "instance": "i-1",
+        "address": "192.0.2.7:9000",
+        "status": 429,
+    }
+    assert fields["attempt"]["may_have_run"]
+
+
+def test_attempt_that_failed_unexpectedly_may_have_run(log_attempt):
+    """Guards against attempts that seem to show that nothing has run."""
+    fields = log_attempt(None)
+    assert fields["attempt"]["may_have_run"]
+    assert "status" not in fields["attempt"]
+
+
+@pytest.mark.parametrize("may_have_run", [False, True])
+def test_rejection_shows_its_status_and_whether_a_server_may_have_run(
+    make_log, events, context, may_have_run
+):
+    """Guards against a log that does not show a false promise."""
+    context.hand_over("i-1", _NOW - 0.5)
+    context.take_back(may_have_run=may_have_run)
+    make_log(placement.NO_STOP).on_rejection(
+        messages.Rejection(problem=core.problems.NO_SERVER),
+        context.request_id,
+        context.pending.arrived,
+        context,
+    )
+    fields = events.fields["refused"]
+    assert fields["status"] == 503
+    assert fields["may_have_run"] == may_have_run
