Log the ids of skipped responses, and those that health checks skip

A response that a health check skipped left no trace; it now has a line for each health check at most, probe-stray-responses, which the metrics count.

The lines name the ids of the skipped responses, so that a copy can be found by the request that it belongs to. The count of an attempt left out the last skipped response if its own one did not follow: two copies in the place of a lost response counted as one.

--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -73,7 +73,9 @@
         self._was_ready = False
         self._buffer_budget = http1.BufferBudget(limit=_buffer_limit(settings))
         self._pool = http1.ConnectionPool(max_idle=_MAX_BACKEND_IDLE_S)
-        self._prober = _prober.Prober(pool=self._pool, codec=codec)
+        self._prober = _prober.Prober(
+            pool=self._pool, codec=codec, events=events
+        )
         self._addresses = {}
         self._published_facts = None
         self._metrics = observability.Metrics()
--- a/wigeonrouter/node/_prober.py
+++ b/wigeonrouter/node/_prober.py
@@ -33,11 +33,18 @@
 
 
 class Prober:
-    """Sends health checks over the connection pool that requests use."""
+    """Sends health checks over the connection pool that requests use.
 
-    def __init__(self, *, pool, codec, clock=time.monotonic):
+    Args:
+      pool: http1.ConnectionPool.
+      codec: the adapter's HTTP codec.
+      events: events.EventLog.
+    """
+
+    def __init__(self, *, pool, codec, events, clock=time.monotonic):
         self._pool = pool
         self._codec = codec
+        self._events = events
         self._clock = clock
         self._running_probes = {}
 
@@ -66,13 +73,26 @@
         gevent.joinall(tasks, timeout=timeout)
 
     def _run(self, registration, path, timeout, deliver):
+        # Request IDs of the responses that were skipped.
+        stray_ids = []
         try:
-            result = self._exchange(registration, path, timeout)
+            result = self._exchange(registration, path, timeout, stray_ids)
         finally:
             self._running_probes.pop(registration.instance, None)
         deliver(registration.instance, result)
+        if stray_ids:
+            self._log_strays(registration, stray_ids)
+
+    def _log_strays(self, registration, stray_ids):
+        self._events.event(
+            "probe-stray-responses",
+            instance=registration.instance,
+            address=str(registration.address),
+            count=len(stray_ids),
+            response_ids=stray_ids,
+        )
 
-    def _exchange(self, registration, path, timeout):
+    def _exchange(self, registration, path, timeout, stray_ids):
         address = registration.address
         deadline = self._clock() + timeout
         try:
@@ -100,6 +120,9 @@
                     method=b"GET",
                     codec=self._codec,
                     is_own=lambda metadata, _: not metadata.request_id,
+                    on_stray=lambda metadata: stray_ids.append(
+                        metadata.request_id
+                    ),
                 )
                 reusable = reader.reusable and not skipped
         except (
--- a/wigeonrouter/node/_request_log.py
+++ b/wigeonrouter/node/_request_log.py
@@ -140,12 +140,14 @@
                 address=str(registration.address),
                 status=attempt.response.status,
             )
-        if attempt.strays:
+        if attempt.stray_ids:
             self._write(
                 "stray-responses",
                 id=context.request_id,
                 instance=registration.instance,
-                count=attempt.strays,
+                address=str(registration.address),
+                count=len(attempt.stray_ids),
+                response_ids=attempt.stray_ids,
             )
 
     def on_forwarded(self, context, address, attempt, latency):
--- a/wigeonrouter/node/_request_log_test.py
+++ b/wigeonrouter/node/_request_log_test.py
@@ -1,5 +1,7 @@
 """Tests of what the log says of requests."""
 
+import dataclasses
+
 import pytest
 
 from wigeonrouter import core
@@ -209,6 +211,25 @@
     assert fields["attempt"]["may_have_run"]
 
 
+def test_skipped_responses_are_logged_with_their_ids(log_attempt):
+    """Guards against copies whose own request cannot be found."""
+    attempt = dataclasses.replace(
+        _responded(200), stray_ids=("r-0", "", "r-0")
+    )
+    assert log_attempt(attempt)["stray-responses"] == {
+        "id": "r-1",
+        "instance": "i-1",
+        "address": "192.0.2.7:9000",
+        "count": 3,
+        "response_ids": ("r-0", "", "r-0"),
+    }
+
+
+def test_attempt_without_skipped_responses_has_no_line_for_them(log_attempt):
+    """Guards against a count of requests instead of surplus responses."""
+    assert "stray-responses" not in log_attempt(_responded(200))
+
+
 def test_attempt_that_failed_unexpectedly_may_have_run(log_attempt):
     """Guards against attempts that seem to show that nothing has run."""
     fields = log_attempt(None)
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -40,7 +40,8 @@
       detail: diagnostic text for the log.
       connection_requests: requests that its connection has carried, this one
         included; 0 if it was not sent.
-      strays: responses of other requests that came before the own one.
+      stray_ids: request IDs of the responses to other requests that came
+        before the own one, "" for a response without.
     """
 
     outcome: placement.AttemptOutcome
@@ -51,7 +52,7 @@
     disconnected: bool = False
     detail: str = ""
     connection_requests: int = 0
-    strays: int = 0
+    stray_ids: tuple[str, ...] = ()
 
 
 class Sender:
@@ -180,7 +181,7 @@
             return dataclasses.replace(
                 attempt,
                 connection_requests=connection.requests,
-                strays=exchange.strays,
+                stray_ids=tuple(exchange.stray_ids),
             )
         finally:
             self._at_servers.pop(connection, None)
@@ -196,7 +197,7 @@
 
     Attributes:
       reusable: whether the connection can be used for another request.
-      strays: responses of other requests that were skipped.
+      stray_ids: request IDs of the responses that were skipped.
     """
 
     def __init__(self, *, connection, codec, allow_close_delimited, clock):
@@ -205,7 +206,7 @@
         self._allow_close_delimited = allow_close_delimited
         self._clock = clock
         self.reusable = False
-        self.strays = 0
+        self.stray_ids = []
 
     def run(self, request, request_id, render, response_deadline):
         remaining = response_deadline - self._clock()
@@ -259,7 +260,6 @@
         )
 
         def is_own(metadata, skipped):
-            self.strays = skipped
             if metadata.request_id:
                 return metadata.request_id == request_id
             return not request_id or (
@@ -267,7 +267,13 @@
             )
 
         response, metadata, skipped = _stray_responses.read_own(
-            reader, method=request.method, codec=self._codec, is_own=is_own
+            reader,
+            method=request.method,
+            codec=self._codec,
+            is_own=is_own,
+            on_stray=lambda metadata: self.stray_ids.append(
+                metadata.request_id
+            ),
         )
         request.reservation.keep()
         self.reusable = reader.reusable and not skipped
--- a/wigeonrouter/node/_stray_responses.py
+++ b/wigeonrouter/node/_stray_responses.py
@@ -7,7 +7,7 @@
 _MAX_STRAY_RESPONSES = 4
 
 
-def read_own(reader, *, method, codec, is_own):
+def read_own(reader, *, method, codec, is_own, on_stray):
     """Read responses until the own one.
 
     Args:
@@ -16,6 +16,8 @@
       codec: the adapter's HTTP codec.
       is_own: function of the messages.ResponseMetadata of a response and of
         the number of responses before it.
+      on_stray: called with the messages.ResponseMetadata of each response
+        that is skipped, before the next one is read.
     Returns:
       HttpResponse, its messages.ResponseMetadata, and the number of responses
       that were skipped.
@@ -28,6 +30,7 @@
         metadata = codec.read_response(response)
         if is_own(metadata, skipped):
             return response, metadata, skipped
+        on_stray(metadata)
     raise http1.MalformedMessage(
         core.problems.ANSWER_INVALID, "responses of other requests"
     )
--- a/wigeonrouter/platform/_stray_responses_test.py
+++ b/wigeonrouter/platform/_stray_responses_test.py
@@ -33,8 +33,24 @@
     return make
 
 
+class _Events:
+    """Event log that keeps (name, fields) of its events."""
+
+    def __init__(self):
+        self.written = []
+
+    def event(self, name, /, **fields):
+        self.written.append((name, fields))
+
+
+@pytest.fixture
+def events():
+    """Return the event log."""
+    return _Events()
+
+
 @pytest.fixture
-def probe(registration_of, scripted_server):
+def probe(registration_of, scripted_server, events):
     """Return a function that probes a scripted server.
 
     It returns the ProbeResult, and whether the connection is kept.
@@ -42,7 +58,9 @@
 
     def run(*segments):
         pool = http1.ConnectionPool()
-        prober = _prober.Prober(pool=pool, codec=_http.HttpCodec())
+        prober = _prober.Prober(
+            pool=pool, codec=_http.HttpCodec(), events=events
+        )
         registration = registration_of(scripted_server([segments]))
         results = []
         prober.probe(
@@ -88,6 +106,31 @@
     assert not kept
 
 
+@pytest.mark.parametrize(
+    ("response", "count"), [(COPY + REJECTION, 1), (COPY * 5, 5)]
+)
+def test_probe_logs_the_responses_that_it_skips(
+    probe, events, response, count
+):
+    """Guards against copies that nobody sees, since no request is concerned.
+
+    Also if no response to the probe follows. A probe has one line at most.
+    """
+    probe(response)
+    ((name, fields),) = events.written
+    assert name == "probe-stray-responses"
+    assert fields["instance"] == "server-1"
+    assert fields["address"].startswith("127.0.0.1:")
+    assert fields["count"] == count
+    assert fields["response_ids"] == ["earlier"] * count
+
+
+def test_probe_that_skips_nothing_logs_nothing(probe, events):
+    """Guards against a line for each health check."""
+    probe(REJECTION)
+    assert not events.written
+
+
 def _response(request_id):
     return (
         b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nContent-Length: %d\r\n\r\n%b"
@@ -237,5 +280,16 @@
     """Guards against a log that cannot tell a copy from an answer."""
     send = make_send([_response(b"one")], [_response(b"one"), _response(b"2")])
     first, second = send(b"one"), send(b"2")
-    assert (first.connection_requests, first.strays) == (1, 0)
-    assert (second.connection_requests, second.strays) == (2, 1)
+    assert (first.connection_requests, first.stray_ids) == (1, ())
+    assert (second.connection_requests, second.stray_ids) == (2, ("one",))
+
+
+def test_lost_response_shows_the_copies_that_came_in_its_place(make_send):
+    """Guards against a lost response whose log line hides what arrived."""
+    send = make_send(
+        [_response(b"one")], [_response(b"one") + EARLIER_REFUSALS["no id"]]
+    )
+    send(b"one")
+    attempt = send(b"two", timeout=0.3)
+    assert attempt.outcome is placement.AttemptOutcome.RESPONSE_LOST
+    assert attempt.stray_ids == ("one", "")
