Count the connections that a node opens to servers

Where a request does not use a connection that it was refused on, a server may get more new connections. wigeonrouter_server_connections_opened_total allows to compare before and after, and wigeonrouter_server_connections_full_total counts those that are closed since the request ids on them are bounded.

--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -242,6 +242,18 @@
         self._clock = clock
         self._max_idle = max_idle
         self._pools = {}
+        self._opened = 0
+        self._closed_full = 0
+
+    @property
+    def opened(self):
+        """Number of connections that were opened since the start."""
+        return self._opened
+
+    @property
+    def closed_full(self):
+        """Number of connections that were closed since they were full."""
+        return self._closed_full
 
     @property
     def in_use(self):
@@ -294,6 +306,7 @@
     def checkin(self, address, connection):
         """Return a connection whose response was read completely."""
         if connection.is_full:
+            self._closed_full += 1
             self.discard(address, connection)
             return
         connection.touch(self._clock())
@@ -337,4 +350,5 @@
             )
         except OSError as error:
             raise ConnectFailed(str(error)) from error
+        self._opened += 1
         return Connection(sock=_sockets.TaskSocket(sock), now=now)
--- a/wigeonrouter/http1/_pool_test.py
+++ b/wigeonrouter/http1/_pool_test.py
@@ -105,3 +105,25 @@
         connection.add_unsettled(str(number))
         pool.checkin(address, connection)
     assert len(connections) == 2
+    assert (pool.opened, pool.closed_full) == (2, 2)
+
+
+def test_only_new_connections_count_as_opened(pool, address, checkout):
+    """Guards against a metric that hides what new connections cost."""
+    pool.checkin(address, checkout("one"))
+    connection = checkout("two")
+    assert pool.opened == 1
+    pool.discard(address, connection)
+    checkout("three")
+    assert (pool.opened, pool.closed_full) == (2, 0)
+
+
+def test_failed_connect_does_not_count_as_opened(pool):
+    """Guards against counting connections that a server did not get."""
+    with pytest.raises(http1.ConnectFailed):
+        pool.checkout(
+            address=core.Address(host="127.0.0.1", port=1),
+            limit=LIMIT,
+            deadline=time.monotonic() + 1.0,
+        )
+    assert pool.opened == 0
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -348,6 +348,8 @@
             store_copy_age=self._region_member.copy_age,
             ready=self.ready,
             servers_reachable=not self._link_monitor.cut,
+            connections_opened=self._pool.opened,
+            connections_full=self._pool.closed_full,
             members={
                 "ready": ready,
                 "not ready": len(self._region_member.peers) - ready,
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -47,6 +47,10 @@
       store_copy_age: seconds for which the copy of the store may be
         outdated.
       servers_reachable: false while no backend server can be reached.
+      connections_opened: connections to backend servers that were opened since
+        the start.
+      connections_full: those of them that were closed since they had carried
+        too many requests that may be sent again.
     """
 
     revision: int
@@ -59,6 +63,8 @@
     store_era: int = 0
     store_copy_age: float = 0.0
     servers_reachable: bool = True
+    connections_opened: int = 0
+    connections_full: int = 0
 
 
 class _Collector(registry.Collector):
@@ -117,6 +123,7 @@
         members.add_metric((state,), count)
     yield members
     yield from _collect_services(gauges.services)
+    yield from _collect_connections(gauges)
     yield from _collect_events(gauges)
 
 
@@ -155,6 +162,24 @@
     yield excluded
 
 
+def _collect_connections(gauges):
+    for name, text, value in (
+        (
+            "connections_opened",
+            "Connections to backend servers that were opened",
+            gauges.connections_opened,
+        ),
+        (
+            "connections_full",
+            "Connections that were closed since their request IDs are bounded",
+            gauges.connections_full,
+        ),
+    ):
+        yield prometheus_core.CounterMetricFamily(
+            f"wigeonrouter_server_{name}", text, value=value
+        )
+
+
 def _collect_events(gauges):
     events = prometheus_core.CounterMetricFamily(
         "wigeonrouter_events",
