Explain what the response to an attempt states, and skipped responses

wigeonrouter explain shows the address of the server, what its connection had carried, the status, whether the response has the id and states that the request has not run, and what the node made of that. Responses to the request that other requests or health checks skipped are shown too. Lines of earlier builds read as before.

--- a/wigeonrouter/cli/_explain.py
+++ b/wigeonrouter/cli/_explain.py
@@ -5,6 +5,10 @@
 
 # Field of a log event that holds the request id.
 _ID_FIELD = "id"
+# Field that holds the ids of responses that were skipped.
+_RESPONSE_IDS_FIELD = "response_ids"
+# How an attempt ended whose response the caller gets.
+_ANSWERED = "answered"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -25,6 +29,9 @@
 def search(lines, request_id):
     """Search log lines for the events of a request.
 
+    Responses to the request that other requests or health checks skipped are
+    events of the request too.
+
     Text before the first brace of a line, such as a VM name, is ignored.
 
     Args:
@@ -46,7 +53,9 @@
             continue
         if event.get("event") == "lines-dropped":
             dropped += sum(event.get("by_event", {}).values())
-        if event.get(_ID_FIELD) == request_id:
+        if event.get(_ID_FIELD) == request_id or request_id in (
+            event.get(_RESPONSE_IDS_FIELD) or ()
+        ):
             events.append(event)
     events.sort(key=lambda event: event.get("time", 0.0))
     return SearchResult(
@@ -78,23 +87,55 @@
     pause = event.get("pause_s")
     paused = "" if pause is None else f"; asked for a pause of {pause} s"
     leaving = "; it leaves" if event.get("leaving") else ""
-    detail = f" ({event['detail']})" if event.get("detail") else ""
     return (
-        f"sent to {event.get('instance')} after {event.get('waited_ms')} ms"
+        f"sent to {_server(event)} after {event.get('waited_ms')} ms"
         f" at this node: load {event.get('load')}, slowness"
-        f" {event.get('slowness')}, {known}; {event.get('ended')} after"
-        f" {event.get('latency_ms')} ms{limited}{paused}{leaving}{detail}"
+        f" {event.get('slowness')}, {known}{_describe_connection(event)};"
+        f" {event.get('ended')} after {event.get('latency_ms')} ms"
+        f"{_describe_statement(event)}{_describe_belief(event)}"
+        f"{limited}{paused}{leaving}{_detail(event)}"
     )
 
 
+def _describe_connection(event):
+    requests = event.get("connection_requests")
+    if not requests:
+        return ""
+    if requests == 1:
+        return "; on a new connection"
+    return f"; on a connection that had carried {requests - 1} requests"
+
+
+def _describe_statement(event):
+    """Return what the response to an attempt states of the request."""
+    status = event.get("status")
+    if status is None:
+        return ""
+    text = f" with status {status}"
+    if "names_id" in event:
+        text += ", with its id" if event["names_id"] else ", without an id"
+    if event.get("not_executed"):
+        text += ", which states that it has not run"
+    elif event.get("ended") != _ANSWERED and "not_executed" in event:
+        text += ", which does not state that it has not run"
+    return text
+
+
+def _describe_belief(event):
+    """Return whether the node takes the request for one that has not run."""
+    may_have_run = event.get("may_have_run")
+    if may_have_run is None or event.get("ended") == _ANSWERED:
+        return ""
+    return "; it may have run" if may_have_run else "; taken for not run"
+
+
 def _describe_forwarding(event):
     status = event.get("status")
     response = "" if status is None else f" with status {status}"
-    detail = f" ({event['detail']})" if event.get("detail") else ""
     return (
         f"passed on to node {event.get('node')} after"
         f" {event.get('waited_ms')} ms at this node; {event.get('ended')}"
-        f"{response} after {event.get('latency_ms')} ms{detail}"
+        f"{response} after {event.get('latency_ms')} ms{_detail(event)}"
     )
 
 
@@ -106,11 +147,12 @@
 def _describe_refusal(event):
     retry = event.get("retry_after")
     advice = "" if retry is None else f"; asked to return after {retry:.2f} s"
-    detail = f" ({event['detail']})" if event.get("detail") else ""
+    status = event.get("status")
+    response = "" if status is None else f" with status {status}"
     return (
-        f"refused: {event.get('problem')}{detail}, held"
+        f"refused: {event.get('problem')}{response}{_detail(event)}, held"
         f" {event.get('held_ms')} ms, {event.get('attempts')} attempts"
-        f"{advice}{_describe_origin(event)}"
+        f"{_describe_belief(event)}{advice}{_describe_origin(event)}"
     )
 
 
@@ -129,6 +171,42 @@
     return f"the caller disconnected after {event.get('took_ms')} ms"
 
 
+def _describe_unfounded_promise(event):
+    return (
+        f"status {event.get('status')} promises that it has not run, which"
+        f" {_server(event)} does not state"
+    )
+
+
+def _describe_strays(event):
+    return _describe_skipped(event, f"request {event.get(_ID_FIELD)}")
+
+
+def _describe_probe_strays(event):
+    return _describe_skipped(event, "a health check")
+
+
+def _describe_skipped(event, purpose):
+    ids = event.get(_RESPONSE_IDS_FIELD)
+    named = ""
+    if ids:
+        named = f"; their ids: {', '.join(name or 'none' for name in ids)}"
+    return (
+        f"skipped {event.get('count')} responses that were not to {purpose},"
+        f" on its connection to {_server(event)}{named}"
+    )
+
+
+def _server(event):
+    """Return the name of the server of an event, and its address if known."""
+    address = event.get("address")
+    return f"{event.get('instance')}" + (f" ({address})" if address else "")
+
+
+def _detail(event):
+    return f" ({event['detail']})" if event.get("detail") else ""
+
+
 def _describe_other(event):
     return json.dumps(event)
 
@@ -139,4 +217,7 @@
     "refused": _describe_refusal,
     "answered": _describe_response,
     "caller-gone": _describe_disconnect,
+    "promise-unfounded": _describe_unfounded_promise,
+    "stray-responses": _describe_strays,
+    "probe-stray-responses": _describe_probe_strays,
 }
