--- a/wigeonrouter/platform/_end_to_end_test.py
+++ b/wigeonrouter/platform/_end_to_end_test.py
@@ -1,6 +1,7 @@
 """End-to-end tests of one node between callers and emulated servers."""
 
 import dataclasses
+import re
 
 import gevent
 import pytest
@@ -294,6 +295,28 @@
     assert control.send("/other").status == 404
 
 
+def test_metrics_count_responses_that_cannot_be_believed(
+    backend, node, caller
+):
+    """Guards against surplus and false refusals that only a log shows."""
+    (server,) = start_ready(backend, node, "i-1")
+    server.run_status = 503
+    assert caller.send("/write/a", method="POST").status == 502
+    server.run_status = 200
+    server.fault = "stray"
+    assert caller.send("/write/a", method="POST").status == 200
+    control = conftest.Caller(address=node.settings.control_address)
+    text = control.send("/metrics").body.decode()
+    for event in ("promise-unfounded", "stray-responses"):
+        assert f'wigeonrouter_events_total{{event="{event}"}} 1.0' in text
+    opened = re.search(
+        r"^wigeonrouter_server_connections_opened_total (\S+)$",
+        text,
+        re.MULTILINE,
+    )
+    assert float(opened[1]) > 0
+
+
 def test_changed_settings_reach_all_components(node):
     """Guards against a reload that does not reach all components."""
     bounds = dataclasses.replace(node.settings.bounds, stop_grace=3.0)
