Log which connection of the node an attempt used

Whether two attempts of a request used one connection could only be guessed from the address and the number of requests before. The line of an attempt now has the number of the connection, which shows or rules out a copied refusal.

--- a/wigeonrouter/cli/_explain.py
+++ b/wigeonrouter/cli/_explain.py
@@ -101,9 +101,11 @@
     requests = event.get("connection_requests")
     if not requests:
         return ""
+    number = event.get("connection")
+    name = "" if number is None else f" {number}"
     if requests == 1:
-        return "; on a new connection"
-    return f"; on a connection that had carried {requests - 1} requests"
+        return f"; on new connection{name}"
+    return f"; on connection{name}, used {requests - 1} times before"
 
 
 def _describe_statement(event):
--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -59,15 +59,22 @@
     Args:
       sock: TaskSocket.
       now: seconds on the monotonic clock.
+      number: which of the connections of its pool it is, from 1.
     """
 
-    def __init__(self, *, sock, now):
+    def __init__(self, *, sock, now, number):
         self._sock = sock
+        self._number = number
         self._last_used = now
         self._requests = 0
         self._unsettled_ids = set()
         self._abort_reason = None
 
+    @property
+    def number(self):
+        """Which of the connections of its pool it is, from 1."""
+        return self._number
+
     @property
     def idle_since(self):
         """Time of the last use, seconds on the monotonic clock."""
@@ -351,4 +358,6 @@
         except OSError as error:
             raise ConnectFailed(str(error)) from error
         self._opened += 1
-        return Connection(sock=_sockets.TaskSocket(sock), now=now)
+        return Connection(
+            sock=_sockets.TaskSocket(sock), now=now, number=self._opened
+        )
--- a/wigeonrouter/http1/_pool_test.py
+++ b/wigeonrouter/http1/_pool_test.py
@@ -118,6 +118,16 @@
     assert (pool.opened, pool.closed_full) == (2, 0)
 
 
+def test_connections_differ_in_their_numbers(pool, address, checkout):
+    """Guards against a log that mistakes one connection for another."""
+    first = checkout("one")
+    pool.discard(address, first)
+    second = checkout("one")
+    assert (first.number, second.number) == (1, 2)
+    pool.checkin(address, second)
+    assert checkout("two").number == 2
+
+
 def test_failed_connect_does_not_count_as_opened(pool):
     """Guards against counting connections that a server did not get."""
     with pytest.raises(http1.ConnectFailed):
--- a/wigeonrouter/node/_request_log.py
+++ b/wigeonrouter/node/_request_log.py
@@ -209,6 +209,7 @@
         "status": response.status if response else None,
         "not_executed": bool(metadata and metadata.not_executed),
         "names_id": bool(metadata and metadata.request_id),
+        "connection": attempt.connection,
         "connection_requests": attempt.connection_requests,
     }
 
--- a/wigeonrouter/node/_request_log_test.py
+++ b/wigeonrouter/node/_request_log_test.py
@@ -178,6 +178,7 @@
             load=None,
             **metadata,
         ),
+        connection=17,
         connection_requests=3,
     )
 
@@ -193,6 +194,7 @@
     assert attempt["instance"] == "i-1"
     assert attempt["address"] == "192.0.2.7:9000"
     assert attempt["status"] == 503
+    assert attempt["connection"] == 17
     assert attempt["connection_requests"] == 3
     assert attempt["not_executed"] and not attempt["names_id"]
     assert not attempt["may_have_run"]
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -38,6 +38,7 @@
       timed_out: whether the attempt ended because its deadline passed.
       disconnected: whether the server broke the connection during the attempt.
       detail: diagnostic text for the log.
+      connection: number of its connection, None without one.
       connection_requests: requests that its connection has carried, this one
         included; 0 if it was not sent.
       stray_ids: request IDs of the responses to other requests that came
@@ -51,6 +52,7 @@
     timed_out: bool = False
     disconnected: bool = False
     detail: str = ""
+    connection: int | None = None
     connection_requests: int = 0
     stray_ids: tuple[str, ...] = ()
 
@@ -180,6 +182,7 @@
             )
             return dataclasses.replace(
                 attempt,
+                connection=connection.number,
                 connection_requests=connection.requests,
                 stray_ids=tuple(exchange.stray_ids),
             )
--- a/wigeonrouter/platform/_stray_responses_test.py
+++ b/wigeonrouter/platform/_stray_responses_test.py
@@ -280,6 +280,7 @@
     """Guards against a log that cannot tell a copy from an answer."""
     send = make_send([_response(b"one")], [_response(b"one"), _response(b"2")])
     first, second = send(b"one"), send(b"2")
+    assert first.connection == second.connection == 1
     assert (first.connection_requests, first.stray_ids) == (1, ())
     assert (second.connection_requests, second.stray_ids) == (2, ("one",))
 
