Use a server again that another one answered for

What callers saw: 503 no-server, for as long as nothing in the store changed, after one 421 or one health check that another instance answered. It may be a true 421: a server that is replaced in place registers before the old process has ended, which answers at their address.

Cause: the server was removed from the node's views, and only the next change in the store, of any entry, brought it back.

Change: its view stays, marked as misdirected, and gets no requests. While only such servers are left, the others are rejected at once. The set of servers is told when the attempt is released, so Balancer.remove_server() is gone, and the test that used it releases a misdirected attempt instead.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -160,7 +160,10 @@
             latency=latency,
             timed_out=timed_out,
         )
-        self._wake_head()
+        if metadata is not None and metadata.misdirected:
+            self._on_servers_changed()
+        else:
+            self._wake_head()
 
     def on_links_changed(self, *, cut):
         """Apply that this node was cut off from all servers, or is back."""
@@ -183,11 +186,6 @@
         if self._server_pool.views.refresh_rate_limits(peer_limits):
             self._on_servers_changed()
 
-    def remove_server(self, instance):
-        """Remove a server whose address now belongs to another one."""
-        self._server_pool.views.remove(instance)
-        self._on_servers_changed()
-
     def _wait_for_grant(self, waiter, request, route, should_leave):
         """Wait in the queue; return what acquire() returns.
 
--- a/wigeonrouter/node/_balancer_test.py
+++ b/wigeonrouter/node/_balancer_test.py
@@ -116,17 +116,24 @@
 
 
 def test_last_server_gone_rejects_all_queued_requests(
-    make_balancer, make_pending, acquire, occupy
+    make_balancer, make_pending, make_metadata, acquire, occupy, route
 ):
-    """Guards against requests that wait for servers that no longer exist.
+    """Guards against requests that wait for a server that is not there.
 
-    Not only the head of the queue has to be told.
+    Another one answers at its address. Not only the head of the queue has to
+    be told.
     """
     balancer = make_balancer(servers=1)
-    occupy(balancer)
+    grant, _ = occupy(balancer)
     waiting = [acquire(balancer, make_pending()) for _ in range(20)]
     gevent.sleep(0.05)
-    balancer.remove_server("server-0")
+    balancer.release(
+        grant,
+        route=route,
+        outcome=placement.AttemptOutcome.REJECTED,
+        metadata=make_metadata(not_executed=True, misdirected=True),
+        latency=0.1,
+    )
     gevent.joinall(waiting, timeout=WAIT_S)
     rejections = [task.value for task in waiting]
     assert all(isinstance(value, messages.Rejection) for value in rejections)
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -335,8 +335,6 @@
                 detail=attempt.detail,
             )
         context.attempts += 1
-        if attempt.metadata is not None and attempt.metadata.misdirected:
-            balancer.remove_server(instance)
         if attempt.outcome is placement.AttemptOutcome.SUCCEEDED:
             return attempt.response
         if self._may_retry(context, balancer, attempt):
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -13,6 +13,7 @@
 
 from wigeonrouter import placement
 from wigeonrouter.node import _grant
+from wigeonrouter.node import _misdirected_servers
 from wigeonrouter.node import _server_views
 
 # Remote servers that are probed before a choice if no server is local.
@@ -22,6 +23,9 @@
 # which takes a second round trip.
 _REMOTE_PROBE_ROUND_TRIPS = 2.2
 _REMOTE_PROBE_MARGIN_S = 0.03
+# Timeout of the checks of servers that another one answers for, which no
+# request waits for.
+_MISDIRECTED_CHECK_TIMEOUT_S = 0.25
 # While the own region has too few free slots, this many remote servers are
 # probed at this interval. Polling ends if no request needs it for a while.
 _POLLED_REMOTE_SERVERS = 6
@@ -70,6 +74,12 @@
         self._views = _server_views.ServerViews(
             place=place, events=events, limit_share=limit_share, clock=clock
         )
+        self._misdirected = _misdirected_servers.MisdirectedServers(
+            views=self._views,
+            events=events,
+            check=self._check_misdirected,
+            clock=clock,
+        )
         self._service_times = placement.ServiceTimes()
         self._remote_poll_task = None
         self._remote_poll_until = float("-inf")
@@ -134,6 +144,7 @@
         """
         self._health_path = health_path
         self._views.configure(registered)
+        self._misdirected.configure()
 
     def remote_with_fresh_reports(self):
         """Return the remote views with fresh reports.
@@ -168,13 +179,8 @@
                 _REMOTE_PROBE_MARGIN_S
                 + _REMOTE_PROBE_ROUND_TRIPS * max_round_trip
             )
-        self._prober.probe(
-            [
-                (self._views.registration(view.instance), self._health_path)
-                for view in self._views.latest(views)
-            ],
-            timeout=timeout,
-            deliver=self._on_probe,
+        self._probe(
+            [view.instance for view in self._views.latest(views)], timeout
         )
 
     def grant(self, pick, service_time):
@@ -213,6 +219,7 @@
             ),
         )
         self._views.record_sent(view)
+        self._misdirected.on_sent(grant.registration)
         return grant
 
     def release(self, grant, *, route, outcome, metadata, latency, timed_out):
@@ -222,6 +229,7 @@
         if metadata is not None:
             self._views.record_statements(grant.registration, metadata)
             self._views.record_rate_limit(instance, metadata, from_probe=False)
+            self._record_responder(grant.registration, metadata)
         self._notify_link_monitor(instance, outcome)
         view = self._views.get(instance)
         if (
@@ -248,6 +256,15 @@
         for view in list(self._views.all):
             self._views.replace(placement.after_cut(view))
 
+    def _record_responder(self, registration, metadata):
+        """Record which server has responded to a request."""
+        if metadata.misdirected:
+            self._misdirected.on_other(registration)
+        elif metadata.instance == registration.instance or not (
+            metadata.instance or metadata.not_executed
+        ):
+            self._misdirected.on_own(registration)
+
     def _notify_link_monitor(self, instance, outcome):
         if outcome in _WITHOUT_RESPONSE:
             self._link_monitor.on_no_response(instance)
@@ -293,6 +310,20 @@
             self.probe(chosen, remote=True)
             gevent.sleep(_REMOTE_POLL_INTERVAL_S)
 
+    def _probe(self, instances, timeout):
+        self._prober.probe(
+            [
+                (self._views.registration(instance), self._health_path)
+                for instance in instances
+            ],
+            timeout=timeout,
+            deliver=self._on_probe,
+        )
+
+    def _check_misdirected(self, instances):
+        """Check servers that another one answers for."""
+        self._probe(instances, _MISDIRECTED_CHECK_TIMEOUT_S)
+
     def _on_probe(self, instance, result):
         if result is None:
             self._link_monitor.on_no_response(instance)
@@ -317,8 +348,11 @@
             self._views.replace(placement.after_no_response(view, now=now))
             return
         if not result.instance_matches:
-            self._views.remove(instance)
+            self._misdirected.on_other(self._views.registration(instance))
             return
+        if result.metadata.instance:
+            self._misdirected.on_own(self._views.registration(instance))
+            view = self._views.get(instance)
         report = None
         if result.metadata.load is not None:
             report = self._make_report(result.metadata.load, view, now)
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -6,11 +6,7 @@
 
 from wigeonrouter import placement
 from wigeonrouter import topology
-
-# Assumed round trip to another region until one is measured.
-_REMOTE_ROUND_TRIP_S = 0.042
-# Assumed round trip within the region until one is measured.
-_LOCAL_ROUND_TRIP_S = 0.0015
+from wigeonrouter.node import _new_view
 
 
 class ServerViews:
@@ -112,6 +108,11 @@
         """Return the ServerView of an instance, None if it is unknown."""
         return self._views.get(instance)
 
+    @property
+    def registrations(self):
+        """Iterable of the topology.Registrations of all these servers."""
+        return self._registrations.values()
+
     def registration(self, instance):
         """Return the topology.Registration of a known instance."""
         return self._registrations[instance]
@@ -142,7 +143,7 @@
             view = self._views.get(instance)
             previous = self._registrations.get(instance)
             if view is None or previous.started_ms != registration.started_ms:
-                view = self._new_view(registration)
+                view = _new_view.make_view(registration, place=self._place)
                 self._rate_limits.forget([instance])
             statement = self._statements.get(_start(registration))
             views[instance] = dataclasses.replace(
@@ -159,12 +160,23 @@
         }
         self._group_by_locality()
 
-    def remove(self, instance):
-        """Remove a server whose address now belongs to another one."""
-        self._registrations.pop(instance, None)
-        self._views.pop(instance, None)
-        self._rate_limits.forget([instance])
-        self._group_by_locality()
+    def set_misdirected(self, instances):
+        """Leave out the servers that others answer for, and no others.
+
+        Args:
+          instances: set of their instances.
+        """
+        changed = [
+            view
+            for view in self._views.values()
+            if view.misdirected != (view.instance in instances)
+        ]
+        for view in changed:
+            self._views[view.instance] = dataclasses.replace(
+                view, misdirected=not view.misdirected
+            )
+        if changed:
+            self._group_by_locality()
 
     def replace(self, view):
         """Store an updated view; log an ejection or a recovery."""
@@ -368,29 +380,13 @@
         """Sort the servers that this node may use by their locality."""
         local, remote = [], []
         for instance, view in self._views.items():
-            if view.rate_limit == 0.0 or view.leaving:
+            if view.rate_limit == 0.0 or view.leaving or view.misdirected:
                 continue
             is_remote = view.locality is placement.Locality.REMOTE
             (remote if is_remote else local).append(instance)
         self._local_instances = tuple(local)
         self._remote_instances = tuple(remote)
 
-    def _new_view(self, registration):
-        place = registration.place
-        if place.failure_domain == self._place.failure_domain:
-            locality = placement.Locality.DOMAIN
-        elif place.region == self._place.region:
-            locality = placement.Locality.REGION
-        else:
-            locality = placement.Locality.REMOTE
-        remote = locality is placement.Locality.REMOTE
-        return placement.ServerView(
-            instance=registration.instance,
-            locality=locality,
-            slots=registration.slots,
-            round_trip=_REMOTE_ROUND_TRIP_S if remote else _LOCAL_ROUND_TRIP_S,
-        )
-
 
 def _start(registration):
     return registration.instance, registration.started_ms
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -14,6 +14,7 @@
 from wigeonrouter.placement import _estimate
 from wigeonrouter.placement import _exclusion
 from wigeonrouter.placement import _health
+from wigeonrouter.placement import _misdirections
 from wigeonrouter.placement import _rate_limits
 from wigeonrouter.placement import _records
 from wigeonrouter.placement import _request_queue
@@ -37,6 +38,7 @@
 ServerStatements = _statements.ServerStatements
 ServerView = _records.ServerView
 Locality = _records.Locality
+Misdirections = _misdirections.Misdirections
 CallerTimeoutEstimate = _caller_timeout.CallerTimeoutEstimate
 RequestQueue = _request_queue.RequestQueue
 ServiceTimes = _estimate.ServiceTimes
@@ -62,6 +64,7 @@
 find_exclusion = _exclusion.find_exclusion
 is_available = _health.is_available
 sample_views = _choice.sample_views
+TRIAL_INTERVAL_S = _misdirections.TRIAL_INTERVAL_S
 undisturbed_service_time = _estimate.undisturbed_service_time
 next_check_time = _admission.next_check_time
 probe_candidates = _choice.probe_candidates
--- a/wigeonrouter/placement/_exclusion.py
+++ b/wigeonrouter/placement/_exclusion.py
@@ -9,6 +9,7 @@
     """Why a server gets no request. Draining servers have no view."""
 
     LEAVING = "leaving"
+    MISDIRECTED = "misdirected"
     PAUSED = "paused"
     LIMITED = "limited"
     EJECTED = "ejected"
@@ -25,6 +26,8 @@
     """
     if view.leaving:
         return Exclusion.LEAVING
+    if view.misdirected:
+        return Exclusion.MISDIRECTED
     if view.paused_until > now:
         return Exclusion.PAUSED
     if view.rate_limit == 0.0 or view.next_send_at > now:
--- a/wigeonrouter/placement/_records.py
+++ b/wigeonrouter/placement/_records.py
@@ -57,6 +57,7 @@
       next_send_at: time before which the limit allows no further request.
       leaving: whether it has said that it is about to end.
       paused_until: time before which it has asked for no requests.
+      misdirected: whether another server answers for it at its address.
     """
 
     instance: str
@@ -75,6 +76,7 @@
     next_send_at: float = float("-inf")
     leaving: bool = False
     paused_until: float = float("-inf")
+    misdirected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
