Do not take what another server says for a server's own words

What callers saw: a server that took requests was left out, or got few, for what another one at its address had said: that it leaves, a pause, a rate limit, its load. Two entries may have one address, and an address may be used again. After a 421 the registered server counted as full.

Cause: the metadata of a response was applied to the registration that the request was sent for, whichever instance it named. Only a 421 was left out, but not its load.

Change: statements and load count only if the response names the registered instance or none, and is not a 421. A failure counts whoever has responded, as the next request would meet the same server.

--- a/wigeonrouter/node/_misdirected_servers.py
+++ b/wigeonrouter/node/_misdirected_servers.py
@@ -57,6 +57,22 @@
             self._events.event("server-back", instance=registration.instance)
             self._update_views()
 
+    def on_response(self, registration, metadata):
+        """Record which server has responded to a request.
+
+        A rejection that names no instance does not tell: a full server may
+        reject before it looks at whom the request is for.
+
+        Args:
+          metadata: messages.ResponseMetadata of the response.
+        """
+        if metadata.misdirected:
+            self.on_other(registration)
+        elif metadata.may_be_from(registration.instance) and (
+            metadata.instance or not metadata.not_executed
+        ):
+            self.on_own(registration)
+
     def on_sent(self, registration):
         """Record that a request is sent to a server."""
         key = _key(registration)
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -225,11 +225,12 @@
     def release(self, grant, *, route, outcome, metadata, latency, timed_out):
         """Record the end of an attempt; see Balancer.release()."""
         instance = grant.registration.instance
-        load = metadata.load if metadata is not None else None
-        if metadata is not None:
+        own = metadata is not None and metadata.may_be_from(instance)
+        if own:
             self._views.record_statements(grant.registration, metadata)
             self._views.record_rate_limit(instance, metadata, from_probe=False)
-            self._record_responder(grant.registration, metadata)
+        if metadata is not None:
+            self._misdirected.on_response(grant.registration, metadata)
         self._notify_link_monitor(instance, outcome)
         view = self._views.get(instance)
         if (
@@ -238,7 +239,7 @@
         ):
             outcome = placement.AttemptOutcome.TIMED_OUT
         if view is not None:
-            self._update_view(view, outcome, load)
+            self._update_view(view, outcome, metadata if own else None)
         if outcome is placement.AttemptOutcome.SUCCEEDED:
             self._service_times.record_latency(route, latency)
             self._service_times.record_service_time(
@@ -256,30 +257,32 @@
         for view in list(self._views.all):
             self._views.replace(placement.after_cut(view))
 
-    def _record_responder(self, registration, metadata):
-        """Record which server has responded to a request."""
-        if metadata.misdirected:
-            self._misdirected.on_other(registration)
-        elif metadata.instance == registration.instance or not (
-            metadata.instance or metadata.not_executed
-        ):
-            self._misdirected.on_own(registration)
-
     def _notify_link_monitor(self, instance, outcome):
         if outcome in _WITHOUT_RESPONSE:
             self._link_monitor.on_no_response(instance)
         elif outcome is not placement.AttemptOutcome.CANCELLED:
             self._link_monitor.on_response()
 
-    def _update_view(self, view, outcome, load):
+    def _update_view(self, view, outcome, metadata):
+        """Update a view after an attempt.
+
+        A failure counts whichever server at the address has responded, since
+        the next request would meet the same one.
+
+        Args:
+          metadata: messages.ResponseMetadata, None if the server itself has
+            not responded.
+        """
         now = self._clock()
+        load = metadata.load if metadata is not None else None
         if load is not None:
             # The report still counts the finished request, so it is recorded
             # before `in_flight` is decremented.
             report = self._make_report(load, view, now)
             view = dataclasses.replace(view, report=report)
         view = dataclasses.replace(view, in_flight=max(0, view.in_flight - 1))
-        if load is None and outcome is placement.AttemptOutcome.REJECTED:
+        rejected = outcome is placement.AttemptOutcome.REJECTED
+        if rejected and metadata is not None and load is None:
             view = dataclasses.replace(
                 view, report=_saturated_report(view, now)
             )
--- a/wigeonrouter/node/messages.py
+++ b/wigeonrouter/node/messages.py
@@ -74,6 +74,14 @@
     pause: float | None = None
     invalid_statements: tuple[str, ...] = ()
 
+    def may_be_from(self, instance):
+        """Return whether an instance may have given the response.
+
+        Two entries may have one address for a while, and an address may be
+        used again. What another server says of itself does not count then.
+        """
+        return not self.misdirected and self.instance in ("", instance)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EntryQuery:
