Do not start a pause again with a copied health check

What callers saw: nothing known; by reading. A server that had asked for a short pause in the response to a health check got no requests for up to that long once more.

Cause: a health check has no id, so a late copy of the response to the one before on a connection counts as its own, and a pause counts from when it is heard.

Change: a response that equals the one before it on its connection names no pause. Health checks get no id: at an address that is used again, the server could take one for a request.

--- a/wigeonrouter/node/_prober.py
+++ b/wigeonrouter/node/_prober.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import time
+import weakref
 
 import gevent
 
@@ -47,6 +48,8 @@
         self._events = events
         self._clock = clock
         self._running_probes = {}
+        # Dict from connection to the last response to a health check.
+        self._last_responses = weakref.WeakKeyDictionary()
 
     def probe(self, targets, *, timeout, deliver):
         """Probe servers in parallel and wait for the results.
@@ -125,6 +128,9 @@
                     ),
                 )
                 reusable = reader.reusable and not skipped
+                metadata = self._without_copied_pause(
+                    connection, response, metadata
+                )
         except (
             OSError,
             http1.RequestNotSent,
@@ -142,3 +148,18 @@
             metadata=metadata,
             round_trip=self._clock() - started,
         )
+
+    def _without_copied_pause(self, connection, response, metadata):
+        """Return the metadata, without a pause that may have been told before.
+
+        A response that equals the one before it on its connection may be a
+        late copy of that, and would start the pause again. If it is none, the
+        pause is told by the next rejection of a request, which has an ID.
+        """
+        last = self._last_responses.get(connection)
+        self._last_responses[connection] = response
+        if metadata.pause is None or last is None:
+            return metadata
+        if (last.status, last.headers) != (response.status, response.headers):
+            return metadata
+        return dataclasses.replace(metadata, pause=None)
