--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -3,65 +3,28 @@
 import base64
 import dataclasses
 import json
-import re
-import time
 from urllib import parse
 
-from wigeonrouter import core
-from wigeonrouter import http1
 from wigeonrouter import store
 from wigeonrouter.platform import _fields
-from wigeonrouter.platform import _progress
+from wigeonrouter.platform import _store_exchange
 
-_CONNECT_TIMEOUT_S = 0.5
 _RANGE_PATH = "/api/kv-range"
 _WATCH_PATH = "/api/kv-watch"
 _TRANSACTION_PATH = "/api/kv-txn"
 _LEASE_PATH = "/api/kv-lease"
 _MAX_TRANSACTION_ROWS = 32
-_MAX_REVISION = (1 << 63) - 1
 _MAX_RESPONSE_BYTES = 16 << 20
 # Changes that are larger than a listing by this factor are listed instead,
 # since a listing has only the newest value of each key.
 _MAX_CHANGES_FACTOR = 1.25
 _MIN_CHANGES_LIMIT_BYTES = 1 << 20
-# One watch and a few short concurrent calls.
-_MAX_CONNECTIONS = 8
-# Connections that were idle for longer are closed, not reused.
-_MAX_IDLE_S = 30.0
-_ERA = b"store-era"
-_ERA_NUMBER = re.compile(rb"[0-9]{1,15}")
 
 
 class _InvalidRow(ValueError):
     """A row of a response is no item."""
 
 
-class _ResponseTooLarge(store.StoreReplyLost):
-    """A response is larger than it may be."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Reply:
-    """A response of the store.
-
-    Attributes:
-      size: bytes of its body.
-    """
-
-    status: int
-    document: dict
-    era: int
-    size: int
-
-    def position(self):
-        """Return the store.Position that the reply names."""
-        revision = _field(self.document, "as_of", int)
-        if not 0 <= revision <= _MAX_REVISION:
-            raise store.StoreUnavailable("response with an invalid revision")
-        return store.Position(era=self.era, revision=revision)
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Page:
     """A page of a listing.
@@ -101,13 +64,12 @@
         max_response_bytes=_MAX_RESPONSE_BYTES,
         on_unreadable=lambda detail: None,
     ):
-        self._address = address
         self._timeout = timeout
         self._max_response_bytes = max_response_bytes
         self._on_unreadable = on_unreadable
-        self._pool = http1.ConnectionPool(max_idle=_MAX_IDLE_S)
-        # The latest era that a reply has named.
-        self._era = 0
+        self._exchange = _store_exchange.StoreExchange(
+            address=address, timeout=timeout
+        )
         # Dict from prefix to the bytes of its latest listing.
         self._listed_bytes = {}
 
@@ -150,7 +112,7 @@
         while True:
             reply = self._get(_RANGE_PATH, query, self._timeout)
             size += reply.size
-            rows = _field(reply.document, "items", list)
+            rows = reply.field("items", list)
             page = _Page(
                 items=tuple(self._read_items(rows)), position=reply.position()
             )
@@ -191,12 +153,10 @@
                 wait + self._timeout,
                 self._changes_limit(prefix),
             )
-        except _ResponseTooLarge as error:
+        except _store_exchange.ResponseTooLarge as error:
             raise store.HistoryLost() from error
         return store.Events(
-            changes=tuple(
-                self._read_items(_field(reply.document, "events", list))
-            ),
+            changes=tuple(self._read_items(reply.field("events", list))),
             position=reply.position(),
         )
 
@@ -266,10 +226,10 @@
 
     def _grant_lease(self, ttl):
         body = json.dumps({"ttl_time": _fields.format_duration(ttl)})
-        reply = self._call("POST", _LEASE_PATH, body, self._timeout)
+        reply = self._post(_LEASE_PATH, body)
         if reply.status != 200:
             raise store.StoreUnavailable(f"status {reply.status}")
-        return _field(reply.document, "lease", int)
+        return reply.field("lease", int)
 
     def _transact(self, *, expected=(), writes=(), remove=()):
         """Execute a transaction; return whether the expectations were met."""
@@ -280,100 +240,39 @@
                 "remove": list(remove),
             }
         )
-        reply = self._call("POST", _TRANSACTION_PATH, body, self._timeout)
+        reply = self._post(_TRANSACTION_PATH, body)
         if reply.status not in (200, 412):
             raise store.StoreUnavailable(f"status {reply.status}")
         return reply.status == 200
 
     def close(self):
         """Close the idle connections."""
-        self._pool.close_idle_to(self._address)
+        self._exchange.close()
+
+    def _post(self, path, body):
+        return self._exchange.call(
+            "POST",
+            path,
+            body,
+            timeout=self._timeout,
+            max_bytes=self._max_response_bytes,
+        )
 
     def _get(self, path, query, timeout, max_bytes=None):
         target = f"{path}?{parse.urlencode(query)}"
-        reply = self._call("GET", target, "", timeout, max_bytes)
+        reply = self._exchange.call(
+            "GET",
+            target,
+            "",
+            timeout=timeout,
+            max_bytes=max_bytes or self._max_response_bytes,
+        )
         if reply.status == 410:
             raise store.HistoryLost()
         if reply.status != 200:
             raise store.StoreUnavailable(f"status {reply.status}")
         return reply
 
-    def _call(self, method, target, body, timeout, max_bytes=None):
-        if max_bytes is None:
-            max_bytes = self._max_response_bytes
-        try:
-            with _progress.ProgressTimeout(
-                first=timeout, stall=self._timeout
-            ) as progress:
-                response = self._exchange(
-                    method, target, body, progress, max_bytes
-                )
-            return _Reply(
-                status=response.status,
-                document=_parse(response.body),
-                era=self._read_era(response),
-                size=len(response.body),
-            )
-        except (
-            OSError,
-            ValueError,
-            RecursionError,
-            http1.RequestNotSent,
-            http1.MalformedMessage,
-        ) as error:
-            lost = store.StoreReplyLost
-            if _is_too_large(error):
-                lost = _ResponseTooLarge
-            raise lost(f"{type(error).__name__}: {error}") from error
-
-    def _read_era(self, response):
-        """Return the era of a response, the latest one if it names none."""
-        value = response.header(_ERA)
-        if not _ERA_NUMBER.fullmatch(value):
-            return self._era
-        era = int(value)
-        self._era = max(self._era, era)
-        return era
-
-    def _exchange(self, method, target, body, progress, max_bytes):
-        self._pool.close_idle()
-        connection = self._pool.checkout(
-            address=self._address,
-            limit=_MAX_CONNECTIONS,
-            deadline=time.monotonic() + _CONNECT_TIMEOUT_S,
-        )
-        reusable = False
-        try:
-            connection.send(self._render(method, target, body))
-            reader = http1.ResponseReader(
-                receive=lambda: progress.receive(connection.receive),
-                max_bytes=max_bytes,
-            )
-            response = reader.read(method.encode("ascii"))
-            reusable = reader.reusable
-            return response
-        finally:
-            if reusable:
-                self._pool.checkin(self._address, connection)
-            else:
-                # A late response may still arrive on this connection.
-                self._pool.discard(self._address, connection)
-
-    def _render(self, method, target, body):
-        data = body.encode()
-        return (
-            f"{method} {target} HTTP/1.1\r\nHost: {self._address}\r\n"
-            "Content-Type: application/json\r\n"
-            f"Content-Length: {len(data)}\r\n\r\n"
-        ).encode() + data
-
-
-def _is_too_large(error):
-    return (
-        isinstance(error, http1.MalformedMessage)
-        and error.problem is core.problems.ANSWER_TOO_LARGE
-    )
-
 
 def _write(key, value, lease=0):
     return {
@@ -383,20 +282,6 @@
     }
 
 
-def _parse(data):
-    # Error responses may have no JSON body.
-    if not data.startswith(b"{"):
-        return {}
-    return json.loads(data)
-
-
-def _field(document, name, kind):
-    value = document.get(name) if isinstance(document, dict) else None
-    if not isinstance(value, kind):
-        raise store.StoreUnavailable(f"response without {name}")
-    return value
-
-
 def _read_item(row):
     """Return the store.Item of a row.
 
@@ -408,7 +293,10 @@
     key, version = row.get("key"), row.get("revision")
     if not isinstance(key, str) or not _is_encodable(key):
         raise _InvalidRow(f"key {key!r:.80} is no text")
-    if not isinstance(version, int) or not 0 <= version <= _MAX_REVISION:
+    if (
+        not isinstance(version, int)
+        or not 0 <= version <= _store_exchange.MAX_REVISION
+    ):
         raise _InvalidRow(f"{key}: invalid revision")
     if row.get("deleted"):
         return store.Item(key=key, value=None, version=version)
