Make calls to the store on connections of their own

What operators saw: nothing is recorded; by the protocol, a reply of the store may come once more, where the next one is due, and has no id. A node whose create() got such a copy took itself for registered and never tried again in that era, so that no other node found it; a crash counted as stored, or as removed; a lease was that of another call; a write that was done counted as refused, or the reverse. The copy of the empty listing with which a node checks that it reaches the store, taken for a listing of all keys, emptied the node's copy of the store: no servers.

Cause: all calls shared the kept connections, and nothing told a reply from a copy of the one before.

Change: a listing's page, a lease and a transaction have a connection of their own, where the first reply is theirs. Watches and checks, the frequent calls, share kept ones, on which nothing else is sent, and a connection whose reply was no success is not kept. The check is a call of its own and no listing.

--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -55,7 +55,7 @@
 
     def check(self):
         """Check that this node reaches the store; raises StoreError if not."""
-        self._client.list(_store_values.ABSENT_PREFIX, stale=True)
+        self._client.check(_store_values.ABSENT_PREFIX)
 
     def register(self, *, region, host):
         """Register this node so that other nodes of its region find it."""
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -110,7 +110,7 @@
             query["stale_ok"] = "1"
         era, size = None, 0
         while True:
-            reply = self._get(_RANGE_PATH, query, self._timeout)
+            reply = self._get(_RANGE_PATH, query)
             size += reply.size
             rows = reply.field("items", list)
             page = _Page(
@@ -142,24 +142,40 @@
             to be listed again.
           StoreError: the call failed.
         """
+        query = {
+            "prefix": prefix,
+            "after": str(revision),
+            "wait_ms": str(round(wait * 1000)),
+        }
         try:
-            reply = self._get(
-                _WATCH_PATH,
-                {
-                    "prefix": prefix,
-                    "after": str(revision),
-                    "wait_ms": str(round(wait * 1000)),
-                },
-                wait + self._timeout,
-                self._changes_limit(prefix),
+            reply = self._exchange.get_shared(
+                _target(_WATCH_PATH, query),
+                timeout=wait + self._timeout,
+                max_bytes=self._changes_limit(prefix),
             )
         except _store_exchange.ResponseTooLarge as error:
             raise store.HistoryLost() from error
+        _check_read(reply)
         return store.Events(
             changes=tuple(self._read_items(reply.field("events", list))),
             position=reply.position(),
         )
 
+    def check(self, prefix):
+        """Check that the store responds to reads; raises StoreError if not.
+
+        Args:
+          prefix: key prefix of a few items.
+        """
+        query = {"prefix": prefix, "stale_ok": "1"}
+        reply = self._exchange.get_shared(
+            _target(_RANGE_PATH, query),
+            timeout=self._timeout,
+            max_bytes=self._max_response_bytes,
+        )
+        _check_read(reply)
+        reply.field("items", list)
+
     def _changes_limit(self, prefix):
         """Return the largest size of changes, bytes."""
         return min(
@@ -258,22 +274,30 @@
             max_bytes=self._max_response_bytes,
         )
 
-    def _get(self, path, query, timeout, max_bytes=None):
-        target = f"{path}?{parse.urlencode(query)}"
+    def _get(self, path, query):
         reply = self._exchange.call(
             "GET",
-            target,
+            _target(path, query),
             "",
-            timeout=timeout,
-            max_bytes=max_bytes or self._max_response_bytes,
+            timeout=self._timeout,
+            max_bytes=self._max_response_bytes,
         )
-        if reply.status == 410:
-            raise store.HistoryLost()
-        if reply.status != 200:
-            raise store.StoreUnavailable(f"status {reply.status}")
+        _check_read(reply)
         return reply
 
 
+def _target(path, query):
+    return f"{path}?{parse.urlencode(query)}"
+
+
+def _check_read(reply):
+    """Raise the StoreError of a reply without the data of a read."""
+    if reply.status == 410:
+        raise store.HistoryLost()
+    if reply.status != 200:
+        raise store.StoreUnavailable(f"status {reply.status}")
+
+
 def _write(key, value, lease=0):
     return {
         "key": key,
--- a/wigeonrouter/platform/_store_exchange.py
+++ b/wigeonrouter/platform/_store_exchange.py
@@ -16,6 +16,8 @@
 _MAX_CONNECTIONS = 8
 # Connections that were idle for longer are closed, not reused.
 _MAX_IDLE_S = 30.0
+# No idle connection is used.
+_NEW_CONNECTION = -1.0
 _ERA = b"store-era"
 _ERA_NUMBER = re.compile(rb"[0-9]{1,15}")
 
@@ -63,6 +65,10 @@
 class StoreExchange:
     """Sends calls to the store and reads their replies.
 
+    Replies have no ID, and the store may write one again later, where the
+    next one on the connection is due. So each call has a connection of its
+    own, but for frequent ones whose replies show whose they are.
+
     Args:
       address: core.Address of the store.
       timeout: time within which a response goes on, seconds.
@@ -80,7 +86,7 @@
         self._pool.close_idle_to(self._address)
 
     def call(self, method, target, body, *, timeout, max_bytes):
-        """Make one call and return its Reply.
+        """Make one call on a connection of its own and return its Reply.
 
         Args:
           timeout: time within which the response has to begin, seconds.
@@ -89,12 +95,24 @@
           ResponseTooLarge: the response is larger.
           StoreReplyLost: there was no valid response.
         """
+        return self._call(
+            method, target, body, timeout, max_bytes, shared=False
+        )
+
+    def get_shared(self, target, *, timeout, max_bytes):
+        """Read on a connection that is kept; see call().
+
+        No other kind of call uses such a connection.
+        """
+        return self._call("GET", target, "", timeout, max_bytes, shared=True)
+
+    def _call(self, method, target, body, timeout, max_bytes, *, shared):
         try:
             with _progress.ProgressTimeout(
                 first=timeout, stall=self._timeout
             ) as progress:
                 response = self._exchange(
-                    method, target, body, progress, max_bytes
+                    method, target, body, progress, max_bytes, shared
                 )
             return Reply(
                 status=response.status,
@@ -123,12 +141,13 @@
         self._era = max(self._era, era)
         return era
 
-    def _exchange(self, method, target, body, progress, max_bytes):
+    def _exchange(self, method, target, body, progress, max_bytes, shared):
         self._pool.close_idle()
         connection = self._pool.checkout(
             address=self._address,
             limit=_MAX_CONNECTIONS,
             deadline=time.monotonic() + _CONNECT_TIMEOUT_S,
+            max_idle=None if shared else _NEW_CONNECTION,
         )
         reusable = False
         try:
@@ -138,7 +157,8 @@
                 max_bytes=max_bytes,
             )
             response = reader.read(method.encode("ascii"))
-            reusable = reader.reusable
+            # Nothing would tell the copy of a refusal from the next one.
+            reusable = shared and reader.reusable and response.status == 200
             return response
         finally:
             if reusable:
