Take no copied reply of the store for that of a watch

What operators saw: nothing is recorded. By reading and test: the copy of a watch's reply, arriving when the next watch is under way, says "no change" at once. The copy of the store then counts as current while it is not, and each later watch gets the reply of the one before. The copy of a check's reply is an error there, and a hub counts the store as lost.

Cause: the reply to a watch or a check was accepted on a used connection whatever it had.

Change: on a used connection a reply has to show that it is no copy, or it is dropped and the call made again on a new connection: its changes are after the revision that was asked for, it is no earlier era's, and one without changes comes after the wait. A watch that hardly waits has a connection of its own. A first reply on a connection and one of a new era are believed as before.

Price: a store that ends quiet watches early, with a success, gets each second one twice. What remains: a copy that comes in the last tenth of a watch's wait counts as "no change" until then.

--- a/wigeonrouter/platform/_copied_store_replies_test.py
+++ b/wigeonrouter/platform/_copied_store_replies_test.py
@@ -165,6 +165,49 @@
     check(copying_store, client)
 
 
+@pytest.mark.parametrize("call", EARLIER_CALLS.values(), ids=EARLIER_CALLS)
+def test_copied_reply_hides_no_change_from_a_watch(
+    copying_store, client, call
+):
+    """Guards against "no change" for a store that has changed."""
+    revision = client.list("").position.revision
+    events = client.watch("", revision=revision, wait=0.001)
+    call(copying_store, client)
+    events = client.watch("", revision=events.position.revision, wait=WATCH_S)
+    position = client.list("").position
+    for number in range(3):
+        key = f"new/{number}"
+        copying_store.put(key, b"")
+        events = client.watch("", revision=position.revision, wait=WATCH_S)
+        assert [item.key for item in events.changes] == [key]
+        position = events.position
+
+
+@pytest.mark.parametrize("wait", [0.001, WATCH_S])
+def test_copied_reply_of_a_watch_is_no_proof_of_a_current_copy(
+    copying_store, client, wait
+):
+    """Guards against a copy of the store that counts as current.
+
+    The store changes while the copied reply "no change" is on its way.
+    """
+    revision = client.list("").position.revision
+    client.watch("", revision=revision, wait=wait)
+    copying_store.put("new", b"")
+    events = client.watch("", revision=revision, wait=wait)
+    assert [item.key for item in events.changes] == ["new"]
+
+
+def test_events_of_an_earlier_watch_are_no_present_ones(copying_store, client):
+    """Guards against an answer that is always that of the watch before."""
+    position = client.list("").position
+    for number in range(4):
+        copying_store.put("k/1", b"%d" % number)
+        events = client.watch("", revision=position.revision, wait=WATCH_S)
+        assert [item.value for item in events.changes] == [b"%d" % number]
+        position = events.position
+
+
 def test_quiet_watches_share_a_connection():
     """Guards against a new connection for each watch."""
     store = _CountingStore()
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -19,6 +19,10 @@
 # since a listing has only the newest value of each key.
 _MAX_CHANGES_FACTOR = 1.25
 _MIN_CHANGES_LIMIT_BYTES = 1 << 20
+# A watch without changes returns after its wait. It returned early if it took
+# less than this part of it. The time of a shorter wait shows nothing.
+_MIN_WAITED = 0.9
+_MIN_TELLING_WAIT_S = 0.1
 
 
 class _InvalidRow(ValueError):
@@ -147,12 +151,22 @@
             "after": str(revision),
             "wait_ms": str(round(wait * 1000)),
         }
+        target = _target(_WATCH_PATH, query)
+        limits = {
+            "timeout": wait + self._timeout,
+            "max_bytes": self._changes_limit(prefix),
+        }
         try:
-            reply = self._exchange.get_shared(
-                _target(_WATCH_PATH, query),
-                timeout=wait + self._timeout,
-                max_bytes=self._changes_limit(prefix),
-            )
+            if wait < _MIN_TELLING_WAIT_S:
+                reply = self._exchange.call("GET", target, "", **limits)
+            else:
+                reply = self._exchange.get_shared(
+                    target,
+                    is_own=lambda reply, elapsed: _answers_watch(
+                        reply, revision, elapsed >= _MIN_WAITED * wait
+                    ),
+                    **limits,
+                )
         except _store_exchange.ResponseTooLarge as error:
             raise store.HistoryLost() from error
         _check_read(reply)
@@ -172,6 +186,8 @@
             _target(_RANGE_PATH, query),
             timeout=self._timeout,
             max_bytes=self._max_response_bytes,
+            # It does not matter which listing it is.
+            is_own=lambda reply, _: "items" in reply.document,
         )
         _check_read(reply)
         reply.field("items", list)
@@ -298,6 +314,29 @@
         raise store.StoreUnavailable(f"status {reply.status}")
 
 
+def _answers_watch(reply, revision, waited):
+    """Return whether a reply cannot be that of an earlier watch or check.
+
+    Args:
+      reply: Reply.
+      revision: revision after which changes are wanted. The changes of an
+        earlier watch are no later.
+      waited: whether the wait for changes was over.
+    """
+    events, shown = reply.document.get("events"), reply.document.get("as_of")
+    if not isinstance(events, list) or not isinstance(shown, int):
+        return False
+    if not events:
+        return waited and shown >= revision
+    return all(_is_after(row, revision) for row in events)
+
+
+def _is_after(row, revision):
+    """Return whether a row is not known to be from before a revision."""
+    changed = row.get("revision") if isinstance(row, dict) else None
+    return not isinstance(changed, int) or changed > revision
+
+
 def _write(key, value, lease=0):
     return {
         "key": key,
--- a/wigeonrouter/platform/_store_exchange.py
+++ b/wigeonrouter/platform/_store_exchange.py
@@ -62,6 +62,10 @@
         return value
 
 
+class _NotOwnReply(Exception):
+    """A reply on a used connection may be the copy of an earlier one."""
+
+
 class StoreExchange:
     """Sends calls to the store and reads their replies.
 
@@ -96,30 +100,43 @@
           StoreReplyLost: there was no valid response.
         """
         return self._call(
-            method, target, body, timeout, max_bytes, shared=False
+            self._render(method, target, body),
+            timeout=timeout,
+            max_bytes=max_bytes,
+            max_idle=_NEW_CONNECTION,
         )
 
-    def get_shared(self, target, *, timeout, max_bytes):
+    def get_shared(self, target, *, timeout, max_bytes, is_own):
         """Read on a connection that is kept; see call().
 
-        No other kind of call uses such a connection.
+        No other kind of call uses such a connection. A reply on it that may
+        be the copy of an earlier one is dropped, and the call is made again
+        on a new connection.
+
+        Args:
+          is_own: function from a Reply with status 200, and the seconds until
+            it came, to whether it cannot be the copy of an earlier one of the
+            same era.
         """
-        return self._call("GET", target, "", timeout, max_bytes, shared=True)
+        request = self._render("GET", target, "")
+        options = {
+            "timeout": timeout,
+            "max_bytes": max_bytes,
+            "is_own": is_own,
+        }
+        try:
+            return self._call(request, max_idle=_MAX_IDLE_S, **options)
+        except _NotOwnReply:
+            return self._call(request, max_idle=_NEW_CONNECTION, **options)
 
-    def _call(self, method, target, body, timeout, max_bytes, *, shared):
+    def _call(self, request, *, timeout, max_bytes, max_idle, is_own=None):
         try:
             with _progress.ProgressTimeout(
                 first=timeout, stall=self._timeout
             ) as progress:
-                response = self._exchange(
-                    method, target, body, progress, max_bytes, shared
+                return self._exchange(
+                    request, progress, max_bytes, max_idle, is_own
                 )
-            return Reply(
-                status=response.status,
-                document=_parse(response.body),
-                era=self._read_era(response),
-                size=len(response.body),
-            )
         except (
             OSError,
             ValueError,
@@ -132,34 +149,43 @@
                 lost = ResponseTooLarge
             raise lost(f"{type(error).__name__}: {error}") from error
 
-    def _read_era(self, response):
-        """Return the era of a response, the latest one if it names none."""
-        value = response.header(_ERA)
-        if not _ERA_NUMBER.fullmatch(value):
-            return self._era
-        era = int(value)
-        self._era = max(self._era, era)
-        return era
+    def _exchange(self, request, progress, max_bytes, max_idle, is_own):
+        """Send a request and return the Reply.
 
-    def _exchange(self, method, target, body, progress, max_bytes, shared):
+        Args:
+          max_idle: longest time since the last use of the connection, seconds.
+          is_own: see get_shared(); None if the connection is not to be kept.
+        Raises:
+          _NotOwnReply: the reply may be the copy of an earlier one. On a new
+            connection none is.
+        """
         self._pool.close_idle()
         connection = self._pool.checkout(
             address=self._address,
             limit=_MAX_CONNECTIONS,
             deadline=time.monotonic() + _CONNECT_TIMEOUT_S,
-            max_idle=None if shared else _NEW_CONNECTION,
+            max_idle=max_idle,
         )
+        used = not connection.fresh
+        known_era, sent_at = self._era, time.monotonic()
         reusable = False
         try:
-            connection.send(self._render(method, target, body))
+            connection.send(request)
             reader = http1.ResponseReader(
                 receive=lambda: progress.receive(connection.receive),
                 max_bytes=max_bytes,
             )
-            response = reader.read(method.encode("ascii"))
+            # Other methods than HEAD make no difference.
+            reply = self._read_reply(reader.read(b"GET"))
+            succeeded = reply.status == 200
+            # No copy is of an era that no reply has named yet.
+            if used and succeeded and reply.era <= known_era:
+                elapsed = time.monotonic() - sent_at
+                if reply.era < known_era or not is_own(reply, elapsed):
+                    raise _NotOwnReply()
             # Nothing would tell the copy of a refusal from the next one.
-            reusable = shared and reader.reusable and response.status == 200
-            return response
+            reusable = is_own is not None and reader.reusable and succeeded
+            return reply
         finally:
             if reusable:
                 self._pool.checkin(self._address, connection)
@@ -167,6 +193,23 @@
                 # A late response may still arrive on this connection.
                 self._pool.discard(self._address, connection)
 
+    def _read_reply(self, response):
+        return Reply(
+            status=response.status,
+            document=_parse(response.body),
+            era=self._read_era(response),
+            size=len(response.body),
+        )
+
+    def _read_era(self, response):
+        """Return the era of a response, the latest one if it names none."""
+        value = response.header(_ERA)
+        if not _ERA_NUMBER.fullmatch(value):
+            return self._era
+        era = int(value)
+        self._era = max(self._era, era)
+        return era
+
     def _render(self, method, target, body):
         data = body.encode()
         return (
