Take a write for not done only if the store says so

A create, a write or a lease that got 500, 502, 504 or 408 raised StoreUnavailable, "it had no effect", also when it was done. A transaction that got 200 with any body counted as done, and 412 as a condition that failed where there was none.

Cause: all statuses but 200 and 412 were taken for refusals, and the body of a success was not read.

Change: only 403, 404, 412, 429 and 503, which the protocol names, say that a write was not done. A success has to name the revision or the lease. All else raises StoreReplyLost. The node's callers retry after both errors alike, so what changes is what the error says.

--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -19,6 +19,10 @@
 # since a listing has only the newest value of each key.
 _MAX_CHANGES_FACTOR = 1.25
 _MIN_CHANGES_LIMIT_BYTES = 1 << 20
+# With other statuses than these and 200 a write may have been done. A proxy or
+# a failing store may give one after it.
+_NOT_DONE_STATUSES = frozenset({403, 404, 412, 429, 503})
+_CONDITION_FAILED_STATUS = 412
 # A watch without changes returns after its wait. It returned early if it took
 # less than this part of it. The time of a shorter wait shows nothing.
 _MIN_WAITED = 0.9
@@ -259,9 +263,7 @@
     def _grant_lease(self, ttl):
         body = json.dumps({"ttl_time": _fields.format_duration(ttl)})
         reply = self._post(_LEASE_PATH, body)
-        if reply.status != 200:
-            raise store.StoreUnavailable(f"status {reply.status}")
-        return reply.field("lease", int)
+        return _written(reply, "lease")
 
     def _transact(self, *, expected=(), writes=(), remove=()):
         """Execute a transaction; return whether the expectations were met."""
@@ -273,9 +275,10 @@
             }
         )
         reply = self._post(_TRANSACTION_PATH, body)
-        if reply.status not in (200, 412):
-            raise store.StoreUnavailable(f"status {reply.status}")
-        return reply.status == 200
+        if expected and reply.status == _CONDITION_FAILED_STATUS:
+            return False
+        _written(reply, "revision")
+        return True
 
     def close(self):
         """Close the idle connections."""
@@ -314,6 +317,21 @@
         raise store.StoreUnavailable(f"status {reply.status}")
 
 
+def _written(reply, name):
+    """Return the number that the reply to a successful write names.
+
+    Raises:
+      StoreUnavailable: the write was not done.
+      StoreReplyLost: the reply does not tell.
+    """
+    if reply.status in _NOT_DONE_STATUSES:
+        raise store.StoreUnavailable(f"status {reply.status}")
+    number = reply.document.get(name)
+    if reply.status != 200 or not isinstance(number, int):
+        raise store.StoreReplyLost(f"status {reply.status}, {name} {number!r}")
+    return number
+
+
 def _answers_watch(reply, revision, waited):
     """Return whether a reply cannot be that of an earlier watch or check.
 
