Keep no connection whose response was a failure

What callers saw: X-Outcome: failed, or answer-invalid, for a request that the backend server ran with success, if the server wrote the failure of an earlier request once more. Also for the same request sent again, whose id the copy has. Nothing is recorded; the cases are from the test.

Cause: only a connection with a refusal was closed. With hedging, two names of one address may also send one id over a connection that had a failure.

Price: a connection for each failure, as for each refusal before; not measured.

--- a/wigeonrouter/request_path/_attempt.py
+++ b/wigeonrouter/request_path/_attempt.py
@@ -129,9 +129,10 @@
                     problem=core.problems.ANSWER_INVALID,
                     detail="response to another request",
                 )
-            if outcome_of(response) is core.Outcome.NOT_RUN:
-                # The server may write a refusal once more, and nothing would
-                # tell it from the refusal of the next request.
+            if outcome_of(response) is not core.Outcome.OK:
+                # The server may write it once more. Nothing would tell it from
+                # the response to the next request, or to the same one if the
+                # caller sends it again.
                 reusable = False
             return response
         except TimeoutError:
