--- a/wigeonrouter/platform/_copied_health_check_test.py
+++ b/wigeonrouter/platform/_copied_health_check_test.py
@@ -4,6 +4,7 @@
 import pytest
 
 from wigeonrouter import core
+from wigeonrouter import events as events_api
 from wigeonrouter import http1
 from wigeonrouter import topology
 from wigeonrouter.node import _prober
@@ -38,7 +39,11 @@
 
     def make(*segments_by_request):
         pool = http1.ConnectionPool()
-        prober = _prober.Prober(pool=pool, codec=_http.HttpCodec())
+        prober = _prober.Prober(
+            pool=pool,
+            codec=_http.HttpCodec(),
+            events=events_api.EventLog(lines_per_second=0),
+        )
         registration = topology.Registration(
             instance="server-1",
             service="alpha",
