Refuse a response whose head has two status lines

What callers saw: 503 refused-by-server for requests that ran, and requests that are not idempotent ran at two servers. A server sends a surplus refusal that is cut short within a header, and the response to the next request right behind it.

Cause: the status line of the second response became the value of the header that was cut off, since a value may have any characters. The result had the status and the statement of the first response and the id of the second.

Change: a status line within a head makes it invalid. Whether the request ran is open then, and the connection is closed.

--- a/wigeonrouter/http1/_messages.py
+++ b/wigeonrouter/http1/_messages.py
@@ -48,6 +48,7 @@
 _RESPONSE_HEAD = re.compile(
     rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [\t -~\x80-\xff]*+)?\r\n" + _HEADER_LINES
 )
+_STATUS_LINE_START = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 _NO_HEADER_NAMES = frozenset()
 _CONTENT_LENGTH = re.compile(rb"[0-9]{1,12}")
 
@@ -146,6 +147,11 @@
         raise MalformedMessage(
             core.problems.ANSWER_INVALID, "invalid status line or header line"
         )
+    if _STATUS_LINE_START.search(head, 1):
+        # The lines before it belong to a response that was cut short.
+        raise MalformedMessage(
+            core.problems.ANSWER_INVALID, "two status lines in a head"
+        )
 
 
 def index_headers(headers):
--- a/wigeonrouter/platform/_stray_responses_test.py
+++ b/wigeonrouter/platform/_stray_responses_test.py
@@ -11,6 +11,7 @@
 from wigeonrouter import topology
 from wigeonrouter.node import _prober
 from wigeonrouter.node import _sender
+from wigeonrouter.node import _stray_responses
 from wigeonrouter.platform import _http
 
 WAIT_S = 5.0
@@ -294,3 +295,44 @@
     attempt = send(b"two", timeout=0.3)
     assert attempt.outcome is placement.AttemptOutcome.RESPONSE_LOST
     assert attempt.stray_ids == ("one", "")
+
+
+def _refusals():
+    """Return refusals of request "one", with its id first, last or absent."""
+    request_id, statement = b"Request-Id: one\r\n", b"Not-Executed: 1\r\n"
+    headers = (request_id + statement, statement + request_id, statement)
+    return [
+        b"HTTP/1.1 %d Refused\r\n%bServer-Load: 2,3,2,100\r\n"
+        b"Content-Length: 0\r\n\r\n" % (status, lines)
+        for status in (503, 429, 421)
+        for lines in headers
+    ]
+
+
+@pytest.mark.parametrize("refusal", _refusals())
+@pytest.mark.parametrize("status", [200, 500])
+def test_refusal_that_was_cut_short_does_not_change_the_next_response(
+    refusal, status
+):
+    """Guards against "has not run" for a request that a server runs.
+
+    The head of the next response continued that of the surplus one, so that
+    the id of the one came with the status and statement of the other.
+    """
+    own = _response(b"two").replace(b"200 OK", b"%d X" % status)
+    for end in range(1, len(refusal)):
+        chunks = [refusal[:end], own, b""]
+        reader = http1.ResponseReader(
+            receive=lambda chunks=chunks: chunks.pop(0), max_bytes=1 << 16
+        )
+        try:
+            response, metadata, _ = _stray_responses.read_own(
+                reader,
+                method=b"POST",
+                codec=_http.HttpCodec(),
+                is_own=lambda metadata, _: metadata.request_id == "two",
+                on_stray=lambda metadata: None,
+            )
+        except http1.MalformedMessage:
+            continue
+        assert response.status == status and not metadata.not_executed
