Keep hashes of ids, not the ids, with a connection

What operators would see: a node that uses up its memory.

Change: it keeps their hashes; two equal ones cost a new connection. The test with 256 long ids failed before and holds 64 KB now. Another test shows that an older idle connection is used behind those that may not carry a request.

--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -68,6 +68,8 @@
         self._number = number
         self._last_used = now
         self._requests = 0
+        # Hashes of the IDs, which may be long. Two that are equal cost a new
+        # connection.
         self._unsettled_ids = set()
         self._abort_reason = None
 
@@ -114,11 +116,11 @@
         It is never sent on this connection again: the server may write its
         response once more, and nothing would tell the copy from the new one.
         """
-        self._unsettled_ids.add(request_id)
+        self._unsettled_ids.add(hash(request_id))
 
     def may_carry(self, request_id):
         """Return whether a response to the request could be told."""
-        return request_id not in self._unsettled_ids
+        return hash(request_id) not in self._unsettled_ids
 
     def is_usable(self, now, max_idle):
         """Return whether the connection can be used for another request.
--- a/wigeonrouter/http1/_pool_test.py
+++ b/wigeonrouter/http1/_pool_test.py
@@ -1,6 +1,7 @@
 """Tests of which connection of a pool a request gets."""
 
 import time
+import tracemalloc
 
 from gevent import server as gevent_server
 import pytest
@@ -10,6 +11,7 @@
 from wigeonrouter.http1 import _pool
 
 LIMIT = 2
+MAX_IDS_BYTES = 64 << 10
 
 
 @pytest.fixture
@@ -95,6 +97,30 @@
     assert pool.in_use + pool.idle == LIMIT
 
 
+def test_older_connection_is_used_behind_those_that_are_passed_over(
+    pool, address, checkout
+):
+    """Guards against a new connection while another one could be used."""
+    first, second = checkout("a"), checkout("b")
+    second.add_unsettled("one")
+    for connection in (first, second):
+        pool.checkin(address, connection)
+    assert checkout("one") is first
+
+
+def test_long_ids_take_no_more_memory(checkout):
+    """Guards against callers whose long IDs use up the memory."""
+    connection = checkout("")
+    tracemalloc.start()
+    try:
+        for number in range(_pool._MAX_UNSETTLED_IDS):
+            connection.add_unsettled(f"{number}" * 10_000)
+        size, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert size < MAX_IDS_BYTES
+
+
 def test_ids_of_a_connection_are_bounded(pool, address, checkout, monkeypatch):
     """Guards against memory that grows with each refusal of a server."""
     monkeypatch.setattr(_pool, "_MAX_UNSETTLED_IDS", 3)
