Let the emulated server write surplus responses

An emulated backend server writes copies of earlier responses, also of refusals, as the protocol allows: at once, while the connection is idle, or where the next response is due, also when the same request is under way again.

The tests of copied refusals use it in place of a server of their own.

--- a/wigeonrouter/platform/_copied_refusal_test.py
+++ b/wigeonrouter/platform/_copied_refusal_test.py
@@ -19,11 +19,17 @@
 RUN_S = 0.2
 
 
-class CopyingBackend(_emulator.EmulatedBackend):
+COPIES_BEFORE_THE_SAME_REQUEST = _emulator.SurplusResponses(
+    probabilities={_emulator.SurplusMoment.SAME_REQUEST: 1.0}
+)
+
+
+class RefusingBackend(_emulator.EmulatedBackend):
     """Refuses requests, and writes each refusal once more.
 
     The copy follows when a request with the same id arrives on the connection
-    of the refusal, before the server runs that.
+    of the refusal, before the server runs that. Its health checks name no
+    instance.
 
     Attributes:
       refusals: number of refusals, without the copies.
@@ -36,28 +42,25 @@
     def __init__(self, *, refusal=None, **options):
         self._refusal = refusal
         self._refused = set()
-        self._copies = {}
         self.refusals = 0
         super().__init__(**options)
+        self.names_instance_in_probes = False
+        self.surplus.option = COPIES_BEFORE_THE_SAME_REQUEST
 
     def handle(self, request, sock):
-        """Handle a request after the copy of its refusal."""
-        key = (sock, request.header(b"request-id"))
-        copy = self._copies.pop(key, None)
-        if copy is not None:
-            sock.sendall(copy)
+        """Handle a request and count the refusals."""
         response = self._respond(request, sock)
         if response is not None and response.status not in (200, 500):
             self.refusals += 1
-            self._copies[key] = self.render(request, response)
         return response
 
     def _respond(self, request, sock):
         request_id = request.header(b"request-id")
-        if request.target == b"/health":
-            # The health check names no instance.
-            return http1.HttpResponse(status=200, headers=(), body=b"")
-        if self._refusal is None or request_id in self._refused:
+        if (
+            request.target == b"/health"
+            or self._refusal is None
+            or request_id in self._refused
+        ):
             return super().handle(request, sock)
         self._refused.add(request_id)
         headers = ((b"request-id", request_id),)
@@ -70,11 +73,11 @@
 
 @pytest.fixture
 def copying_server():
-    """Return a function that runs a CopyingBackend named "server-2"."""
+    """Return a function that runs a RefusingBackend named "server-2"."""
     servers = []
 
     def start(**options):
-        server = CopyingBackend(
+        server = RefusingBackend(
             instance="server-2", service="alpha", **options
         )
         servers.append(server)
--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -9,6 +9,7 @@
 
 from wigeonrouter import http1
 from wigeonrouter.platform import _emulated_server
+from wigeonrouter.platform import _surplus_responses
 
 # Interval at which a busy backend server checks whether the caller is still
 # connected.
@@ -71,6 +72,10 @@
       rate_limit: limit that its responses name, requests per second; None
         for no limit. The server does not enforce it.
       names_limit_in_probes: whether responses to health checks name it too.
+      names_instance_in_probes: whether responses to health checks name the
+        instance.
+      surplus: SurplusWriter, which writes earlier responses again if its
+        option says so.
       runs: Run of each request that it began to execute.
       probes: number of health checks received.
       rejected_count: number of requests rejected for lack of a slot.
@@ -99,6 +104,8 @@
         self.extra_time = 0.0
         self.rate_limit = None
         self.names_limit_in_probes = True
+        self.names_instance_in_probes = True
+        self.surplus = _surplus_responses.SurplusWriter()
         self.leaving = False
         self.pause = None
         self.resting = False
@@ -137,6 +144,10 @@
             **changes,
         }
 
+    def prepare(self, request, sock):
+        """Write the surplus responses that are due before the request."""
+        self.surplus.on_request(sock, request.header(b"request-id"))
+
     def handle(self, request, sock):
         """Handle one request or health check."""
         if request.target == b"/health":
@@ -195,6 +206,7 @@
         endless = ENDLESS_BYTES.get(self.fault)
         if endless is None or request.target == b"/health":
             super().send(sock, request, response)
+            self._copy(sock, request, response)
             return
         start, repeated = endless
         request_id = b"Request-Id: %b\r\n" % request.header(b"request-id")
@@ -202,6 +214,15 @@
         while True:
             sock.sendall(repeated)
 
+    def _copy(self, sock, request, response):
+        """Offer a response to the writer of surplus responses."""
+        if not self.fault:
+            self.surplus.on_response(
+                sock,
+                request.header(b"request-id"),
+                self.render(request, response),
+            )
+
     def closes_after_response(self):
         """Return whether the connection is closed after each response."""
         return self.fault in (
@@ -258,6 +279,7 @@
                 raise ConnectionResetError("caller disconnected")
 
     def _respond_with_load(self, request, status, body, headers=()):
+        is_probe = request.target == b"/health"
         load = f"{self._running},0,{self._slots},{self.slowdown * 100:.0f}"
         return http1.HttpResponse(
             status=status,
@@ -265,7 +287,11 @@
                 *headers,
                 (b"request-id", request.header(b"request-id")),
                 (b"server-stamp", b"stamp." + self.instance.encode()),
-                (b"instance-id", self.instance.encode()),
+                *(
+                    [(b"instance-id", self.instance.encode())]
+                    if self.names_instance_in_probes or not is_probe
+                    else ()
+                ),
                 (b"server-load", load.encode()),
                 *self._limit_headers(request),
                 *([(b"server-leaving", b"1")] if self.leaving else ()),
--- a/wigeonrouter/platform/_emulated_server.py
+++ b/wigeonrouter/platform/_emulated_server.py
@@ -54,6 +54,9 @@
         for sock in list(self._connections):
             sock.close()
 
+    def prepare(self, request, sock):
+        """Write what comes before a request is handled; by default nothing."""
+
     def handle(self, request, sock):
         """Return the HttpResponse for a request, None to never respond."""
         raise NotImplementedError
@@ -74,6 +77,7 @@
                 if request is None or self.resetting:
                     return
                 gevent.sleep(self.delay)
+                self.prepare(request, sock)
                 response = self.handle(request, sock)
                 if self.losing:
                     return
