Register no removed server again in the soak test

Registrations are restored one after the other over 1.5 s. A server that was removed meanwhile was registered again, for good, or as draining if its drain began right after its removal. No plan explains such an entry.

--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -190,7 +190,7 @@
 
     def drain(self, backend):
         """Drain a backend server, wait _DRAIN_DURATION_S and remove it."""
-        if backend.draining:
+        if backend.draining or backend.removed:
             return
         backend.draining = True
         # A server that stands still would read earlier requests after the
@@ -233,6 +233,9 @@
     def restore_registrations(self):
         """Register all running backend servers again, spread over time."""
         for backend in self.running:
+            if backend.removed:
+                # It was removed while the ones before registered.
+                continue
             self.register(backend)
             gevent.sleep(_REREGISTRATION_TIME_S / max(1, len(self.running)))
 
