Write surplus responses and replace servers in place in the soak test

The soak could not show the incident of refused requests that ran: no server wrote a response twice, and no two names had one address.

Servers now copy earlier responses at random times, and servers are replaced in place while their old entry stays. Both are drawn apart from the plan of other faults. The line of a seed counts the copies.

--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -209,11 +209,12 @@
         """Stop a backend server for good and delete its registration."""
         if backend.removed:
             return
-        backend.removed = True
-        self.observations.removed_at[backend.instance] = time.monotonic()
+        self.unregister(backend)
+        self._stop(backend)
+
+    def unregister(self, backend):
+        """Delete the registration of a backend server."""
         self.store.remove(testing.server_key(backend.instance))
-        self._record_backend(backend)
-        backend.stop()
 
     def replace(self, backend):
         """Remove a backend server and reuse its address.
@@ -225,10 +226,23 @@
         other = SERVICES[SERVICES[0] == backend.service]
         self.add_backend(other, backend.domain, port=backend.proxy.port)
 
+    def replace_in_place(self, backend):
+        """Stop a backend server and start it at its address under a new name.
+
+        Its registration stays until unregister() deletes it.
+
+        Returns:
+          The new Backend.
+        """
+        self._stop(backend)
+        return self.add_backend(
+            backend.service, backend.domain, port=backend.proxy.port
+        )
+
     def remove_registrations(self):
         """Delete all registrations, as if they had expired in an outage."""
         for backend in self.running:
-            self.store.remove(testing.server_key(backend.instance))
+            self.unregister(backend)
 
     def restore_registrations(self):
         """Register all running backend servers again, spread over time."""
@@ -277,6 +291,12 @@
                     self._acknowledged_at,
                 )
 
+    def _stop(self, backend):
+        backend.removed = True
+        self.observations.removed_at[backend.instance] = time.monotonic()
+        self._record_backend(backend)
+        backend.stop()
+
     def collect_observations(self):
         """Record what the running backend servers observed."""
         for backend in self.running:
@@ -313,6 +333,9 @@
         observations.cancelled.update(
             (request_id, backend.instance) for request_id in server.cancelled
         )
+        observations.surplus_responses.update(
+            moment.name for moment, _ in server.surplus.written
+        )
         for request_id, at in server.ended.items():
             observations.execution_ended_at[request_id, backend.instance] = at
 
--- a/wigeonrouter/soak/_faults.py
+++ b/wigeonrouter/soak/_faults.py
@@ -13,6 +13,7 @@
 
 from wigeonrouter.soak import _fault_proxy
 from wigeonrouter.soak import _records
+from wigeonrouter.soak import _surplus
 
 _FAULT_KINDS = {}
 # Kinds that a plan gets apart from those drawn at random.
@@ -315,6 +316,22 @@
     environment.add_backend(backend.service, rng.choice(("za", "zc")))
 
 
+@planned_apart
+def replace_in_place(environment, rng):
+    """Starts a server again under another name while the old entry stays.
+
+    Both entries have its address, and requests for the old name get 421,
+    which it may write again.
+    """
+    backend = rng.choice(environment.active)
+    with recording_fault(environment, backend):
+        server = environment.replace_in_place(backend).server
+        server.names_instance_in_probes = rng.choice((False, True))
+        server.surplus.option = _surplus.make_option(rng)
+        gevent.sleep(rng.uniform(*_SHORT_DURATION_S))
+        environment.unregister(backend)
+
+
 @fault_kind
 def change_configuration(environment, rng):
     """Writes one new configuration or six in quick succession."""
--- a/wigeonrouter/soak/_records.py
+++ b/wigeonrouter/soak/_records.py
@@ -3,6 +3,7 @@
 All times are seconds on the monotonic clock.
 """
 
+import collections
 import dataclasses
 import enum
 
@@ -204,6 +205,8 @@
         while the server executed the request.
       removed_at: dict from instance to the time at which the operator
         stopped that backend server.
+      surplus_responses: Counter of the surplus responses that backend servers
+        wrote, by the name of their SurplusMoment.
       faults_over_at: time at which all injected faults had ended.
     """
 
@@ -215,6 +218,9 @@
     removed_at: dict = dataclasses.field(default_factory=dict)
     limit_periods: list = dataclasses.field(default_factory=list)
     pause_periods: list = dataclasses.field(default_factory=list)
+    surplus_responses: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
     drains: list = dataclasses.field(default_factory=list)
     probes: list = dataclasses.field(default_factory=list)
     exits: list = dataclasses.field(default_factory=list)
--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -19,6 +19,7 @@
 from wigeonrouter.soak import _records
 from wigeonrouter.soak import _restores
 from wigeonrouter.soak import _standstills
+from wigeonrouter.soak import _surplus
 from wigeonrouter.soak import checks
 
 _STARTUP_S = 3.0
@@ -39,6 +40,8 @@
 # A roll of all nodes begins in each interval, this long after its start.
 _ROLL_INTERVAL_S = 10.0
 _ROLL_START_S = (0.0, 2.0)
+# A server is replaced in place this long after the previous one.
+_REPLACEMENT_GAP_S = (0.5, 2.0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,7 +88,7 @@
     """Return the tuple of Planned that a seed determines for a Size."""
     rng = random.Random(seed)
     kinds = _faults.random_kinds()
-    plan = _plan_rolls(seed, size)
+    plan = _plan_rolls(seed, size) + _plan_replacements(seed, size)
     at = 0.0
     while True:
         at += rng.expovariate(1 / size.pause)
@@ -122,6 +125,23 @@
     ]
 
 
+def _plan_replacements(seed, size):
+    """Return the list of Planned replacements, drawn apart like rolls."""
+    rng = random.Random(f"replacements {seed}")
+    plan = []
+    at = rng.uniform(*_REPLACEMENT_GAP_S)
+    while at < size.seconds:
+        plan.append(
+            Planned(
+                at=at,
+                kind=_faults.replace_in_place.__name__,
+                seed=rng.randrange(1 << 30),
+            )
+        )
+        at += rng.uniform(*_REPLACEMENT_GAP_S)
+    return plan
+
+
 def run_seed(seed, size, directory):
     """Execute the run that a seed determines.
 
@@ -166,6 +186,11 @@
                 environment,
                 random.Random(f"standstills {seed}"),
             ),
+            _in_background(
+                _surplus.write_surplus_responses,
+                environment,
+                random.Random(f"surplus {seed}"),
+            ),
             _restoring_store(environment, seed, size),
         ):
             _inject_faults(environment, make_plan(seed, size))
--- a/wigeonrouter/soak/main.py
+++ b/wigeonrouter/soak/main.py
@@ -83,7 +83,9 @@
     )
     print(
         f"seed {seed}: {len(observations.requests)} requests"
-        f" {dict(outcomes.most_common())}, {len(violations)} violations",
+        f" {dict(outcomes.most_common())},"
+        f" surplus responses {dict(observations.surplus_responses)},"
+        f" {len(violations)} violations",
         flush=True,
     )
     counts = collections.Counter(
--- a/wigeonrouter/soak/main_test.py
+++ b/wigeonrouter/soak/main_test.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from wigeonrouter.soak import _faults
 from wigeonrouter.soak import _run
 from wigeonrouter.soak import main
 
@@ -50,6 +51,22 @@
     assert [planned for planned in with_rolls if planned in plan] == [*plan]
 
 
+def test_replacements_are_planned_apart_from_other_faults(monkeypatch):
+    """Guards against a seed whose other faults change with replacements."""
+
+    def others(plan):
+        return [p for p in plan if p.kind != "replace_in_place"]
+
+    size = _run.Size(pooled_callers=1)
+    plan = _run.make_plan(7, size)
+    assert "replace_in_place" in {planned.kind for planned in plan}
+    monkeypatch.setattr(_run, "_REPLACEMENT_GAP_S", (0.1, 0.2))
+    with_more = _run.make_plan(7, size)
+    assert len(with_more) > len(plan)
+    assert others(with_more) == others(plan)
+    assert "replace_in_place" not in _faults.random_kinds()
+
+
 def test_regressions_have_seed_cause_and_size():
     """Guards against regression seeds whose cause or size is missing."""
     for case in json.loads(main.REGRESSIONS.read_text("utf-8")):
