Free the port of a stopped fault proxy at once in the soak test

A process that is being started has copies of all sockets until its interpreter runs, so that a closed listening socket goes on listening. That is the likely cause: nodes were restarted within the same second.

--- a/wigeonrouter/soak/_fault_proxy.py
+++ b/wigeonrouter/soak/_fault_proxy.py
@@ -52,6 +52,11 @@
         """Port that the proxy listens on."""
         return self._server.server_port
 
+    @property
+    def listening_descriptor(self):
+        """File descriptor of the listening socket."""
+        return self._server.socket.fileno()
+
     @property
     def address(self):
         """Pair of host and port that the proxy listens on."""
@@ -80,7 +85,12 @@
             connection.blackhole()
 
     def stop(self):
-        """Stop listening and reset all connections."""
+        """Stop listening and reset all connections.
+
+        The port is free afterwards: a process that is being started may still
+        hold a copy of the socket, which goes on listening unless shut down.
+        """
+        self._server.socket.shutdown(socket.SHUT_RDWR)
         self._server.stop(timeout=0)
         self.reset()
 
