Test a caller that repeats a refused request with the same ID

A caller's second try finds the connection of the first one in the pool, and nothing of the first request is known but what that connection has carried.

--- a/wigeonrouter/platform/_copied_refusal_test.py
+++ b/wigeonrouter/platform/_copied_refusal_test.py
@@ -184,3 +184,29 @@
         wait_for_servers(node, {"server-2"})
     assert server.refusals == REPLACEMENTS
     assert not [path for path in refused if ran(server, path)]
+
+
+def test_copied_refusal_does_not_reach_a_caller_that_repeats_its_request(
+    store, node, caller, copying_server
+):
+    """Guards against "has not run" for a request that the server runs.
+
+    A caller sends a refused request again with the same id. The node knows
+    nothing of the first one but what the connection has carried.
+    """
+    server = copying_server(refusal=503)
+    store.put("servers/server-2", server.registration())
+    wait_for_servers(node, {"server-2"})
+    path = "/write/a"
+    statuses = []
+
+    def reaches_server_again():
+        response = caller.send(path, method="POST", request_id=path)
+        statuses.append(response.status)
+        return server.arrivals
+
+    # The node itself turns requests away for a while after the refusal.
+    conftest.wait_until(reaches_server_again)
+    assert statuses[0] == 503
+    assert statuses[-1] == 200
+    assert ran(server, path)
