--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -279,10 +279,10 @@
             ),
         )
         request.reservation.keep()
-        self.reusable = reader.reusable and not skipped
         outcome = _classify(response, metadata)
         if request_id and outcome is not placement.AttemptOutcome.SUCCEEDED:
             self._connection.add_unsettled(request_id)
+        self.reusable = reader.reusable and not skipped
         return Attempt(
             outcome=outcome,
             may_have_run=not metadata.not_executed,
