--- a/wigeonrouter/platform/_store_exchange.py
+++ b/wigeonrouter/platform/_store_exchange.py
@@ -8,7 +8,6 @@
 from wigeonrouter import core
 from wigeonrouter import http1
 from wigeonrouter import store
-from wigeonrouter.platform import _progress
 
 MAX_REVISION = (1 << 63) - 1
 _CONNECT_TIMEOUT_S = 0.5
@@ -131,7 +130,7 @@
 
     def _call(self, request, *, timeout, max_bytes, max_idle, is_own=None):
         try:
-            with _progress.ProgressTimeout(
+            with http1.ProgressTimeout(
                 first=timeout, stall=self._timeout
             ) as progress:
                 return self._exchange(
