Hand out no promise that a node of an earlier build passes on

What callers saw: a server's 503 for a POST that it had run, if the node that took the request passed it on to a node of an earlier build, which hands out what the server did not state.

Change: a promise with a server's stamp is no promise of a node; the caller gets 502 answer-invalid. A node's own rejection has no stamp and is handed out.

Evidence: one of two new cases failed before, none after.

--- a/wigeonrouter/node/_forwarder.py
+++ b/wigeonrouter/node/_forwarder.py
@@ -85,7 +85,7 @@
             if attempt.response is not None:
                 if _forwarded_request.is_declined(attempt.response):
                     continue
-                return attempt.response
+                return _check_promise(attempt)
             if attempt.outcome is placement.AttemptOutcome.CANCELLED:
                 break
             if attempt.outcome is placement.AttemptOutcome.UNREACHABLE:
@@ -150,6 +150,18 @@
         return [core.Address(host=host, port=self._port) for host in hosts]
 
 
+def _check_promise(attempt):
+    """Return the HttpResponse of a node, or the Rejection in its place.
+
+    Nodes of earlier builds hand out a server's status that promises that the
+    request has not run, although the server did not state it.
+    """
+    metadata = attempt.metadata
+    if metadata.unfounded_promise and metadata.stamped:
+        return messages.Rejection(problem=core.problems.ANSWER_INVALID)
+    return attempt.response
+
+
 def _may_have_run(attempt):
     """Return whether a request may have run after it was passed on.
 
--- a/wigeonrouter/node/_proxy_test.py
+++ b/wigeonrouter/node/_proxy_test.py
@@ -293,6 +293,25 @@
     assert handle(result, cut=True, fails=fails) not in _PROMISES
 
 
+@pytest.mark.parametrize("stamped", [True, False])
+def test_promise_of_a_server_that_an_earlier_build_hands_out_is_not_made(
+    handle, stamped
+):
+    """Guards against "has not run" for a request that a server ran.
+
+    A node's own rejection, which has no stamp, is handed out.
+    """
+    attempt = dataclasses.replace(
+        _RAN,
+        outcome=placement.AttemptOutcome.FAILED,
+        response=dataclasses.replace(_RAN.response, status=503),
+        metadata=dataclasses.replace(
+            _RAN.metadata, unfounded_promise=True, stamped=stamped
+        ),
+    )
+    assert (handle(attempt, cut=True) in _PROMISES) is not stamped
+
+
 def test_servers_that_cannot_be_reached_do_not_undo_an_attempt(handle):
     """Guards against "has not run" after an attempt that may have run.
 
--- a/wigeonrouter/node/messages.py
+++ b/wigeonrouter/node/messages.py
@@ -50,6 +50,7 @@
       misdirected: whether the address now belongs to another server.
       unfounded_promise: whether the status promises callers that the request
         has not run, although the server does not state it.
+      stamped: whether a server has made the response, and not a node.
       load: the server's load, None if it reports none.
       rate_limit: requests per second that the server accepts from all nodes
         together, None if the response names no limit.
@@ -68,6 +69,7 @@
     misdirected: bool
     load: ServerLoad | None
     unfounded_promise: bool = False
+    stamped: bool = False
     rate_limit: float | None = None
     rate_limit_valid: bool = True
     leaving: bool = False
--- a/wigeonrouter/platform/_http.py
+++ b/wigeonrouter/platform/_http.py
@@ -17,6 +17,7 @@
 _EXPECTED_INSTANCE = b"expect-instance"
 _INSTANCE = b"instance-id"
 _NOT_EXECUTED = b"not-executed"
+_STAMP = b"server-stamp"
 _LOAD = b"server-load"
 _RATE_LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
@@ -106,6 +107,7 @@
             unfounded_promise=(
                 response.status in _PROMISING_STATUSES and not not_executed
             ),
+            stamped=bool(response.header(_STAMP)),
             load=_read_load(response.header(_LOAD)),
             rate_limit=rate_limit,
             rate_limit_valid=rate_limit_valid,
