--- a/wigeonrouter/platform/_sender_state_test.py
+++ b/wigeonrouter/platform/_sender_state_test.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies
 
 from wigeonrouter import core
+from wigeonrouter import events as events_api
 from wigeonrouter import http1
 from wigeonrouter import placement
 from wigeonrouter import topology
@@ -222,7 +223,11 @@
         self._pool = WatchedPool(self._server)
         codec = _http.HttpCodec()
         self._sender = _sender.Sender(pool=self._pool, codec=codec)
-        self._prober = _prober.Prober(pool=self._pool, codec=codec)
+        self._prober = _prober.Prober(
+            pool=self._pool,
+            codec=codec,
+            events=events_api.EventLog(lines_per_second=0),
+        )
         self._sent = 0
         self._attempts = {}
 
