Keep no connection after a response without an id

What callers saw: nothing; a search found it. A server refuses a request with a response that has no id, and writes the copy of it where the response to the next health check is due: the server counts as busy or unhealthy by it, and the response to the check is outstanding when the connection goes back to the pool.

Change: a connection whose response named no id is closed. Servers name the ids of requests, so that only requests without one cost a connection more.

Evidence: the test failed before and passes now; a second one holds that a connection is closed after responses of others, which no test showed.

--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -282,7 +282,11 @@
         outcome = _classify(response, metadata)
         if request_id and outcome is not placement.AttemptOutcome.SUCCEEDED:
             self._connection.add_unsettled(request_id)
-        self.reusable = reader.reusable and not skipped
+        # The copy of a response without an ID would be read as that of the
+        # next health check.
+        self.reusable = (
+            reader.reusable and not skipped and bool(metadata.request_id)
+        )
         return Attempt(
             outcome=outcome,
             may_have_run=not metadata.not_executed,
--- a/wigeonrouter/platform/_stray_responses_test.py
+++ b/wigeonrouter/platform/_stray_responses_test.py
@@ -183,6 +183,21 @@
     assert not attempt.may_have_run
 
 
+def test_connection_is_not_kept_after_a_response_without_id(make_send):
+    """Guards against a health check that reads the copy of a refusal."""
+    send = make_send([REJECTION], [REJECTION])
+    assert send(b"one").connection_requests == 1
+    assert send(b"two").connection_requests == 1
+
+
+def test_connection_is_not_kept_after_responses_of_others(make_send):
+    """Guards against a connection with more responses outstanding."""
+    send = make_send([_response(b"one")], [_response(b"one"), _response(b"2")])
+    assert send(b"one").connection_requests == 1
+    assert send(b"2").connection_requests == 2
+    assert send(b"one").connection_requests == 1
+
+
 def test_late_rejection_of_a_probe_is_not_that_of_a_request(make_send):
     """Guards against running a request twice.
 
