--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -17,7 +17,7 @@
 MAX_IDLE_S = 4.0
 # A connection that has carried more requests which may be sent again is not
 # kept, so that their IDs take little memory.
-_MAX_UNSETTLED_IDS = 256
+_MAX_RETRYABLE_IDS = 256
 
 
 class RequestNotSent(Exception):
@@ -70,7 +70,7 @@
         self._requests = 0
         # Hashes of the IDs, which may be long. Two that are equal cost a new
         # connection.
-        self._unsettled_ids = set()
+        self._retryable_ids = set()
         self._abort_reason = None
 
     @property
@@ -102,25 +102,26 @@
         return self._requests == 0
 
     @property
-    def is_full(self):
-        """Whether the connection has carried too many unsettled requests."""
-        return len(self._unsettled_ids) > _MAX_UNSETTLED_IDS
+    def is_exhausted(self):
+        """Whether the connection has carried too many retryable requests."""
+        return len(self._retryable_ids) > _MAX_RETRYABLE_IDS
 
     def record_named_id(self):
         """Record that a response has named the ID of its request."""
         self._names_ids = True
 
-    def add_unsettled(self, request_id):
+    def add_retryable(self, request_id):
         """Record a request that got a response, and may be sent again.
 
         It is never sent on this connection again: the server may write its
         response once more, and nothing would tell the copy from the new one.
+        Requests that succeeded are not recorded, as they are not sent again.
         """
-        self._unsettled_ids.add(hash(request_id))
+        self._retryable_ids.add(hash(request_id))
 
     def may_carry(self, request_id):
         """Return whether a response to the request could be told."""
-        return hash(request_id) not in self._unsettled_ids
+        return hash(request_id) not in self._retryable_ids
 
     def is_usable(self, now, max_idle):
         """Return whether the connection can be used for another request.
@@ -268,7 +269,7 @@
         self._max_idle = max_idle
         self._pools = {}
         self._opened = 0
-        self._closed_full = 0
+        self._closed_exhausted = 0
 
     @property
     def opened(self):
@@ -276,9 +277,9 @@
         return self._opened
 
     @property
-    def closed_full(self):
-        """Number of connections that were closed since they were full."""
-        return self._closed_full
+    def closed_exhausted(self):
+        """Number of connections that were closed since they were exhausted."""
+        return self._closed_exhausted
 
     @property
     def in_use(self):
@@ -339,8 +340,8 @@
 
     def checkin(self, address, connection):
         """Return a connection whose response was read completely."""
-        if connection.is_full:
-            self._closed_full += 1
+        if connection.is_exhausted:
+            self._closed_exhausted += 1
             self.discard(address, connection)
             return
         connection.touch(self._clock())
--- a/wigeonrouter/http1/_pool_test.py
+++ b/wigeonrouter/http1/_pool_test.py
@@ -48,24 +48,24 @@
 
 @pytest.fixture
 def carry(pool, address, checkout):
-    """Return a function that lets a connection carry an unsettled request."""
+    """Return a function that lets a connection carry a retryable request."""
 
     def run(request_id):
         connection = checkout(request_id)
-        connection.add_unsettled(request_id)
+        connection.add_retryable(request_id)
         pool.checkin(address, connection)
         return connection
 
     return run
 
 
-def test_connection_never_carries_an_unsettled_request_again(carry, checkout):
+def test_connection_never_carries_a_retryable_request_again(carry, checkout):
     """Guards against a copy that nothing tells from the answer."""
     carried = carry("one")
     assert checkout("one") is not carried
 
 
-def test_connection_carries_other_requests_after_an_unsettled_one(
+def test_connection_carries_other_requests_after_a_retryable_one(
     carry, checkout
 ):
     """Guards against a new connection after each refusal."""
@@ -79,7 +79,7 @@
     """Guards against using the connection that is closest to its timeout."""
     first, second = checkout("a"), checkout("b")
     for connection in (first, second):
-        connection.add_unsettled("one")
+        connection.add_retryable("one")
         pool.checkin(address, connection)
     checkout("one").close()
     assert checkout("two") is second
@@ -91,7 +91,7 @@
     """Guards against more connections to a server than it accepts."""
     connections = [checkout(str(number)) for number in range(LIMIT)]
     for connection in connections:
-        connection.add_unsettled("one")
+        connection.add_retryable("one")
         pool.checkin(address, connection)
     checkout("one")
     assert pool.in_use + pool.idle == LIMIT
@@ -102,7 +102,7 @@
 ):
     """Guards against a new connection while another one could be used."""
     first, second = checkout("a"), checkout("b")
-    second.add_unsettled("one")
+    second.add_retryable("one")
     for connection in (first, second):
         pool.checkin(address, connection)
     assert checkout("one") is first
@@ -113,8 +113,8 @@
     connection = checkout("")
     tracemalloc.start()
     try:
-        for number in range(_pool._MAX_UNSETTLED_IDS):
-            connection.add_unsettled(f"{number}" * 10_000)
+        for number in range(_pool._MAX_RETRYABLE_IDS):
+            connection.add_retryable(f"{number}" * 10_000)
         size, _ = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
@@ -123,15 +123,15 @@
 
 def test_ids_of_a_connection_are_bounded(pool, address, checkout, monkeypatch):
     """Guards against memory that grows with each refusal of a server."""
-    monkeypatch.setattr(_pool, "_MAX_UNSETTLED_IDS", 3)
+    monkeypatch.setattr(_pool, "_MAX_RETRYABLE_IDS", 3)
     connections = set()
     for number in range(8):
         connection = checkout(str(number))
         connections.add(connection)
-        connection.add_unsettled(str(number))
+        connection.add_retryable(str(number))
         pool.checkin(address, connection)
     assert len(connections) == 2
-    assert (pool.opened, pool.closed_full) == (2, 2)
+    assert (pool.opened, pool.closed_exhausted) == (2, 2)
 
 
 def test_only_new_connections_count_as_opened(pool, address, checkout):
@@ -141,7 +141,7 @@
     assert pool.opened == 1
     pool.discard(address, connection)
     checkout("three")
-    assert (pool.opened, pool.closed_full) == (2, 0)
+    assert (pool.opened, pool.closed_exhausted) == (2, 0)
 
 
 def test_connections_differ_in_their_numbers(pool, address, checkout):
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -349,7 +349,7 @@
             ready=self.ready,
             servers_reachable=not self._link_monitor.cut,
             connections_opened=self._pool.opened,
-            connections_full=self._pool.closed_full,
+            connections_exhausted=self._pool.closed_exhausted,
             members={
                 "ready": ready,
                 "not ready": len(self._region_member.peers) - ready,
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -389,7 +389,10 @@
 
 
 def _final_result(attempt):
-    """Return what the caller gets after its last attempt has failed."""
+    """Return what the caller gets after its last attempt has failed.
+
+    _end_rejected() replaces the Rejection if the request may have run.
+    """
     response, metadata = attempt.response, attempt.metadata
     if response is not None and metadata.unfounded_promise:
         return messages.Rejection(
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -281,7 +281,7 @@
         request.reservation.keep()
         outcome = _classify(response, metadata)
         if request_id and outcome is not placement.AttemptOutcome.SUCCEEDED:
-            self._connection.add_unsettled(request_id)
+            self._connection.add_retryable(request_id)
         # The copy of a response without an ID would be read as that of the
         # next health check.
         self.reusable = (
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -49,8 +49,8 @@
       servers_reachable: false while no backend server can be reached.
       connections_opened: connections to backend servers that were opened since
         the start.
-      connections_full: those of them that were closed since they had carried
-        too many requests that may be sent again.
+      connections_exhausted: those of them that were closed since they had
+        carried too many requests that may be sent again.
     """
 
     revision: int
@@ -64,7 +64,7 @@
     store_copy_age: float = 0.0
     servers_reachable: bool = True
     connections_opened: int = 0
-    connections_full: int = 0
+    connections_exhausted: int = 0
 
 
 class _Collector(registry.Collector):
@@ -170,9 +170,9 @@
             gauges.connections_opened,
         ),
         (
-            "connections_full",
+            "connections_exhausted",
             "Connections that were closed since their request IDs are bounded",
-            gauges.connections_full,
+            gauges.connections_exhausted,
         ),
     ):
         yield prometheus_core.CounterMetricFamily(
--- a/wigeonrouter/observability/_metrics_test.py
+++ b/wigeonrouter/observability/_metrics_test.py
@@ -96,7 +96,7 @@
             store_era=2,
             store_copy_age=1.5,
             connections_opened=9,
-            connections_full=2,
+            connections_exhausted=2,
         ),
     ).decode()
     samples = {
@@ -108,7 +108,9 @@
     assert samples["wigeonrouter_store_era", None] == 2
     assert samples["wigeonrouter_store_copy_age_seconds", None] == 1.5
     assert samples["wigeonrouter_server_connections_opened_total", None] == 9
-    assert samples["wigeonrouter_server_connections_full_total", None] == 2
+    assert (
+        samples["wigeonrouter_server_connections_exhausted_total", None] == 2
+    )
     assert samples["wigeonrouter_queue_length", None] == 2
     assert samples["wigeonrouter_limited_servers", None] == 3
     assert samples["wigeonrouter_in_flight", None] == 4
