--- a/wigeonrouter/platform/_early_response_test.py
+++ b/wigeonrouter/platform/_early_response_test.py
@@ -153,6 +153,12 @@
         return
     attempt = send(b"long", body)
     assert attempt.may_have_run == (response is RUN)
+    if not request_id:
+        # No further request follows on this connection.
+        send(b"next", b"next")
+        assert len(server.connections) == 2
+        assert _body_of(server.connections[0]) == body
+        return
     assert send(b"next", b"next").response.body == b"hi"
     assert len(server.connections) == 1
     requests = bytes(server.connections[0]).split(b"POST / HTTP/1.1")
