Name a new connection without idle time once

Three modules had the same negative idle time of their own, which only the pool explained. Nothing else changes. The tests of pool, sender, store client and the daemon's request path pass; the whole suite was not run on this commit.

--- a/wigeonrouter/http1/__init__.py
+++ b/wigeonrouter/http1/__init__.py
@@ -23,6 +23,7 @@
 HttpRequest = _messages.HttpRequest
 HttpResponse = _messages.HttpResponse
 MalformedMessage = _messages.MalformedMessage
+NEW_CONNECTION = _pool.NEW_CONNECTION
 ProgressTimeout = _progress.ProgressTimeout
 RequestNotSent = _pool.RequestNotSent
 RequestReader = _request_reader.RequestReader
--- a/wigeonrouter/http1/_pool.py
+++ b/wigeonrouter/http1/_pool.py
@@ -15,6 +15,8 @@
 # Backend servers may close idle connections at any time. Connections that were
 # idle for longer are not reused.
 MAX_IDLE_S = 4.0
+# As the longest idle time of a connection: no idle one is used.
+NEW_CONNECTION = -1.0
 # A connection that has carried more requests which may be sent again is not
 # kept, so that their IDs take little memory.
 _MAX_RETRYABLE_IDS = 256
@@ -309,7 +311,7 @@
           deadline: end of waiting for a permit and of connecting, seconds on
             the monotonic clock.
           max_idle: longest time since the last use, seconds; None for the
-            default of the pool, negative for a new connection.
+            default of the pool, NEW_CONNECTION for a new one.
           request_id: ID of the request that it is to carry, "" for none.
           names_ids: whether the server has to name IDs on it, unless it is
             new.
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -18,9 +18,6 @@
 # request could not be retried then. It therefore only uses connections that
 # were idle for a short time.
 _MAX_IDLE_NON_IDEMPOTENT_S = 0.5
-# No idle connection is used for a request without an ID, since nothing tells
-# its response from a late one to an earlier request.
-_MAX_IDLE_WITHOUT_ID_S = -1.0
 MAX_RESPONSE_BYTES = 64 << 20
 # Status of a backend server whose deadline for the request has passed.
 _GATEWAY_TIMEOUT_STATUS = 504
@@ -299,7 +296,8 @@
 def _max_idle(request_id, idempotent):
     """Return the longest idle time of a connection, None for the default."""
     if not request_id:
-        return _MAX_IDLE_WITHOUT_ID_S
+        # Nothing would tell its response from a late one to another one.
+        return http1.NEW_CONNECTION
     return None if idempotent else _MAX_IDLE_NON_IDEMPOTENT_S
 
 
--- a/wigeonrouter/platform/_store_exchange.py
+++ b/wigeonrouter/platform/_store_exchange.py
@@ -15,8 +15,6 @@
 _MAX_CONNECTIONS = 8
 # Connections that were idle for longer are closed, not reused.
 _MAX_IDLE_S = 30.0
-# No idle connection is used.
-_NEW_CONNECTION = -1.0
 _ERA = b"store-era"
 _ERA_NUMBER = re.compile(rb"[0-9]{1,15}")
 
@@ -102,7 +100,7 @@
             self._render(method, target, body),
             timeout=timeout,
             max_bytes=max_bytes,
-            max_idle=_NEW_CONNECTION,
+            max_idle=http1.NEW_CONNECTION,
         )
 
     def get_shared(self, target, *, timeout, max_bytes, is_own):
@@ -126,7 +124,9 @@
         try:
             return self._call(request, max_idle=_MAX_IDLE_S, **options)
         except _NotOwnReply:
-            return self._call(request, max_idle=_NEW_CONNECTION, **options)
+            return self._call(
+                request, max_idle=http1.NEW_CONNECTION, **options
+            )
 
     def _call(self, request, *, timeout, max_bytes, max_idle, is_own=None):
         try:
--- a/wigeonrouter/request_path/_attempt.py
+++ b/wigeonrouter/request_path/_attempt.py
@@ -12,9 +12,6 @@
 from wigeonrouter.http1 import _response_reader
 from wigeonrouter.request_path import _request_rules
 
-# No idle connection is used.
-_NEW_CONNECTION = -1.0
-
 
 class AttemptSender:
     """Makes single attempts over pooled connections."""
@@ -191,7 +188,7 @@
         return {}
     if forwarding.request.header(b"x-request-id"):
         return {"names_ids": True}
-    return {"max_idle": _NEW_CONNECTION}
+    return {"max_idle": _pool.NEW_CONNECTION}
 
 
 def _matches_request(response, request, names_ids):
