Read tenants, home regions, evacuations and cold rates

Two deployments configure tenants with API keys and limits, regions that may serve a route or tenant, failure domains to evacuate, and the request rate that a cold server bears. The records and the adapter have these fields now, so that the parts that use them share one interface. No decision uses them yet.

--- a/wigeonrouter/core/_problems.py
+++ b/wigeonrouter/core/_problems.py
@@ -61,6 +61,11 @@
 REQUEST_TIMEOUT = _not_run(
     "request-timeout", "The request did not arrive in time", 408
 )
+UNKNOWN_KEY = _not_run("unknown-key", "No tenant has the API key", 401)
+OVER_QUOTA = _not_run("over-quota", "The tenant has exceeded its limit", 429)
+NO_HOME = _not_run(
+    "no-home", "No home region of the request can serve it", 503
+)
 NO_ROUTE = _not_run("no-route", "No service matches the request", 404)
 NO_SERVER = _not_run("no-server", "No backend server is available", 503)
 QUEUE_FULL = _not_run("queue-full", "The queue of the service is full", 503)
--- a/wigeonrouter/node/_new_view.py
+++ b/wigeonrouter/node/_new_view.py
@@ -20,6 +20,7 @@
     return placement.ServerView(
         instance=registration.instance,
         locality=locality,
+        place=registration.place,
         slots=registration.slots,
         round_trip=_REMOTE_ROUND_TRIP_S if remote else _LOCAL_ROUND_TRIP_S,
     )
--- a/wigeonrouter/node/_request_context.py
+++ b/wigeonrouter/node/_request_context.py
@@ -20,6 +20,7 @@
       origin: what the node says that has passed the request on, None if it
         comes from its caller.
       forwarding_failed: whether no other node takes the request.
+      tenant: the tenant whose API key the request has, None without one.
       receiver: server instance or node that has the request now, "" if it is
         at none.
       handed_over: time when it was sent there.
@@ -36,6 +37,7 @@
     may_have_run: bool = False
     origin: _forwarded_request.Origin | None = None
     forwarding_failed: bool = False
+    tenant: topology.Tenant | None = None
     receiver: str = ""
     handed_over: float = 0.0
 
--- a/wigeonrouter/node/messages.py
+++ b/wigeonrouter/node/messages.py
@@ -15,10 +15,12 @@
     Attributes:
       remaining: time until the caller's deadline, None if the request has
         no deadline.
+      api_key: the caller's API key, "" without a usable one.
     """
 
     request_id: str
     remaining: float | None
+    api_key: str = dataclasses.field(default="", repr=False)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/placement/_records.py
+++ b/wigeonrouter/placement/_records.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from wigeonrouter import core
+
 
 class Locality(enum.IntEnum):
     """How far away a backend server is from this node.
@@ -58,6 +60,7 @@
       leaving: whether it has said that it is about to end.
       paused_until: time before which it has asked for no requests.
       misdirected: whether another server answers for it at its address.
+      place: where it runs.
     """
 
     instance: str
@@ -77,6 +80,7 @@
     leaving: bool = False
     paused_until: float = float("-inf")
     misdirected: bool = False
+    place: core.Place = core.Place(region="", failure_domain="")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,6 +92,9 @@
       target_time: time by which a response has its full utility.
       deadline: time after which a response is of no use.
       excluded: instances where an attempt of this request has failed.
+      tenant: name of its tenant, "" without one.
+      tenant_priority: goes before `priority`, 0 is the highest.
+      home_regions: the only regions whose servers may run it, all if empty.
     """
 
     priority: int
@@ -96,3 +103,6 @@
     target_time: float
     deadline: float
     excluded: frozenset[str] = frozenset()
+    tenant: str = ""
+    tenant_priority: int = 0
+    home_regions: frozenset[str] = frozenset()
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -122,6 +122,8 @@
             return self._decode_registration(item)
         if item.key.startswith(_store_values.NODE_PREFIX):
             return _decode_node(item)
+        if item.key.startswith(_store_values.EVACUATION_PREFIX):
+            return _decode_evacuation(item)
         if item.key.startswith(_store_values.CALLER_TIMEOUT_PREFIX):
             return _decode_caller_timeout(item)
         if item.key.startswith(_store_values.CRASH_PREFIX):
@@ -175,6 +177,16 @@
     return topology.NodeWritten(region=region, host=host)
 
 
+def _decode_evacuation(item):
+    kind = topology.EvacuationWritten
+    if item.value is None:
+        kind = topology.EvacuationRemoved
+    return kind(
+        failure_domain=item.key.removeprefix(_store_values.EVACUATION_PREFIX),
+        revision=item.version,
+    )
+
+
 def _decode_caller_timeout(item):
     if item.value is None or not _TIMEOUT_MS.fullmatch(item.value):
         return None
--- a/wigeonrouter/platform/_fields.py
+++ b/wigeonrouter/platform/_fields.py
@@ -49,6 +49,20 @@
     return value
 
 
+def get_number(document, name, *, default=0):
+    """Return the number, at least 0, in a field that may be missing."""
+    value = document.get(name)
+    if value is None:
+        return default
+    if (
+        isinstance(value, bool)
+        or not isinstance(value, int | float)
+        or not 0 <= value <= _MAX_INTEGER
+    ):
+        raise FieldError(f"{name}: not a number from 0 to {_MAX_INTEGER}")
+    return value
+
+
 def get_duration(document, name):
     """Return the duration in a field, in seconds."""
     return parse_duration(get_string(document, name))
--- a/wigeonrouter/platform/_settings.py
+++ b/wigeonrouter/platform/_settings.py
@@ -111,6 +111,10 @@
         },
         heartbeat=_fields.get_duration(values, "heartbeat"),
         bounds=_read_bounds(values.get("bounds", "")),
+        contracts=frozenset(
+            filter(None, values.get("contracts", "").split(","))
+        ),
+        first_start=values.get("bootstrap") == "true",
     )
 
 
@@ -154,13 +158,24 @@
         ("stop_grace", "grace"),
         ("config_apply", "config_apply"),
         ("drain_apply", "drain"),
+        ("revoke_apply", "revoke"),
+        ("evacuation_apply", "evacuate"),
+        ("quota_window", "quota_window"),
     ):
         if values.get(wire_name):
             parsed[name] = _fields.parse_duration(values[wire_name])
-    ratio = values.get("retry_budget_ratio")
-    if ratio:
-        try:
-            parsed["retry_ratio"] = float(ratio)
-        except ValueError as error:
-            raise _fields.FieldError(f"bounds: {error}") from error
+    for name, wire_name in (
+        ("retry_ratio", "retry_budget_ratio"),
+        ("quota_overage", "quota_overage"),
+        ("quota_slack", "quota_slack"),
+        ("slow_start_overage", "warmup_overage"),
+        ("slow_start_slack", "warmup_slack"),
+    ):
+        if values.get(wire_name):
+            try:
+                parsed[name] = float(values[wire_name])
+            except ValueError as error:
+                raise _fields.FieldError(f"bounds: {error}") from error
+    if values.get("revoke_strict"):
+        parsed["revoke_strict"] = values["revoke_strict"] == "true"
     return topology.Bounds(**parsed)
--- a/wigeonrouter/platform/_store_values.py
+++ b/wigeonrouter/platform/_store_values.py
@@ -8,6 +8,8 @@
 from wigeonrouter.platform import _fields
 
 CONFIGURATION_KEY = "op/config"
+# The operator evacuates a failure domain by a key under this prefix.
+EVACUATION_PREFIX = "op/evacuate/"
 SERVER_PREFIX = "servers/"
 # Nodes register under this prefix, with keys REGION/HOST.
 NODE_PREFIX = "wigeonrouter/nodes/"
@@ -55,6 +57,7 @@
         routes=routes,
         services=services,
         limits=_read_limits(document.get("limits")),
+        tenants=_read_tenants(document),
     )
 
 
@@ -155,6 +158,45 @@
         target_latency=_fields.get_duration(route, "target_latency"),
         priority=_fields.get_integer(route, "priority"),
         max_attempts=_fields.get_integer(route, "max_attempts", minimum=1),
+        public=route.get("public") is True,
+        home_regions=_read_regions(f"routes.{name}", route),
+    )
+
+
+def _read_regions(path, document):
+    """Return the frozenset of regions in `allowed_regions`."""
+    regions = document.get("allowed_regions") or []
+    if not isinstance(regions, list) or not all(
+        isinstance(region, str) for region in regions
+    ):
+        raise _fields.FieldError(f"{path}: allowed_regions is not a list")
+    return frozenset(regions)
+
+
+def _read_tenants(document):
+    if document.get("tenants") is None:
+        return {}
+    return {
+        name: _read_tenant(name, tenant)
+        for name, tenant in _fields.get_object(document, "tenants").items()
+    }
+
+
+def _read_tenant(name, tenant):
+    if not isinstance(tenant, dict):
+        raise _fields.FieldError(f"tenants.{name}: not an object")
+    keys = tenant.get("api_keys") or []
+    if not isinstance(keys, list) or not all(
+        isinstance(key, str) and key for key in keys
+    ):
+        raise _fields.FieldError(f"tenants.{name}: api_keys is not a list")
+    return topology.Tenant(
+        name=name,
+        api_keys=tuple(keys),
+        priority=int(_fields.get_number(tenant, "priority")),
+        rate=_fields.get_number(tenant, "rate_per_s"),
+        burst=_fields.get_number(tenant, "burst"),
+        home_regions=_read_regions(f"tenants.{name}", tenant),
     )
 
 
@@ -190,6 +232,12 @@
         name=name,
         health_path=_fields.get_string(service, "health_path"),
         max_connections=_fields.get_integer(service, "max_conns", minimum=1),
+        slow_start=(
+            _fields.get_duration(service, "warmup")
+            if service.get("warmup")
+            else 0.0
+        ),
+        slow_start_rate=_fields.get_number(service, "warmup_per_s"),
     )
 
 
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -55,6 +55,8 @@
       target_latency: time within which a response has its full utility.
       priority: priority of the requests, 0 is the highest.
       max_attempts: largest number of backend servers tried for a request.
+      public: whether requests need no API key.
+      home_regions: the only regions that may serve it, all if empty.
     """
 
     name: str
@@ -66,15 +68,44 @@
     target_latency: float
     priority: int
     max_attempts: int
+    public: bool = False
+    home_regions: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Tenant:
+    """A customer of the operator, whose requests carry an API key.
+
+    Attributes:
+      priority: priority before that of the route, 0 is the highest.
+      rate: requests per second of all nodes together, 0 without a limit.
+      burst: requests that may exceed the rate for a moment.
+      home_regions: the only regions that may serve it, all if empty.
+    """
+
+    name: str
+    api_keys: tuple[str, ...] = dataclasses.field(repr=False)
+    priority: int = 0
+    rate: float = 0.0
+    burst: float = 0.0
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceSettings:
-    """Settings of a service, written by the operator."""
+    """Settings of a service, written by the operator.
+
+    Attributes:
+      slow_start: seconds for which its servers are cold after a start.
+      slow_start_rate: requests per second of all nodes together that a cold
+        server bears, 0 without a limit.
+    """
 
     name: str
     health_path: str
     max_connections: int
+    slow_start: float = 0.0
+    slow_start_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -89,12 +120,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Configuration:
-    """The whole configuration by the operator, at one version."""
+    """The whole configuration by the operator, at one version.
+
+    Attributes:
+      tenants: dict from name to Tenant. Without tenants, requests need no
+        API key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSettings]
     limits: CallerLimits
+    tenants: dict[str, Tenant] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -148,6 +185,22 @@
     host: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EvacuationWritten:
+    """The operator asked to send nothing to a failure domain's servers."""
+
+    failure_domain: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EvacuationRemoved:
+    """The operator took a failure domain back into service."""
+
+    failure_domain: str
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallerTimeoutLearned:
     """A node wrote the usual timeout of a route's callers, in seconds."""
@@ -235,6 +288,15 @@
       config_apply: time within which an accepted change must be in force.
       drain_apply: time within which a server that drains must get no more
         requests.
+      revoke_apply: time within which a removed API key must be rejected.
+      revoke_strict: whether that also holds for a node that gets no changes.
+      evacuation_apply: time within which an evacuated failure domain must get
+        no more requests.
+      quota_window: seconds over which the requests of a tenant are counted.
+      quota_overage: share by which a tenant's limit may be exceeded.
+      quota_slack: requests by which it may be exceeded besides.
+      slow_start_overage: factor on the rate limit of cold servers.
+      slow_start_slack: requests in a second that cold servers bear besides.
     """
 
     retry_ratio: float = 0.1
@@ -243,6 +305,14 @@
     stop_grace: float = 6.0
     config_apply: float = 2.5
     drain_apply: float = 2.5
+    revoke_apply: float = 5.0
+    revoke_strict: bool = False
+    evacuation_apply: float = 5.0
+    quota_window: float = 5.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
+    slow_start_overage: float = 1.0
+    slow_start_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -255,6 +325,8 @@
       memory_bytes: memory that it may use.
       control_address: where metrics are served.
       regions: dict from failure domain to region.
+      contracts: names of the terms that the deployment asks for.
+      first_start: whether the whole system starts for the first time.
       peer_ports: first and last port for traffic between nodes. Requests are
         passed on at the last one.
     """
@@ -274,3 +346,5 @@
     regions: dict[str, str]
     heartbeat: float
     bounds: Bounds
+    contracts: frozenset[str] = frozenset()
+    first_start: bool = False
