Run pipelined idempotent requests of a connection in parallel

Cause: a request behind another one of its connection was read only after the response to it. It spent its target latency unread, and the node took it for a new one when it was read at last.

Responses keep their order. A request that is not idempotent waits for the responses to those before it, and nothing behind it is read until it has its own. Nothing is read behind a request that closes the connection, and a failure or a close by the caller cancels what is unanswered. Connections that do not pipeline are served by one task as before. Without an idempotent route, as for requests that nodes pass on, nothing overlaps.

--- a/wigeonrouter/http1/_caller_connection.py
+++ b/wigeonrouter/http1/_caller_connection.py
@@ -29,9 +29,10 @@
         self._sock = _sockets.TaskSocket(sock)
         self._deadline = time.monotonic() + IDLE_TIMEOUT_S
         self._request_started = False
+        self._unanswered = 0
+        self._watching = False
         self._expired = False
         self._dropped_bytes = False
-        self._task = None
 
     @property
     def deadline(self):
@@ -50,9 +51,19 @@
 
     @property
     def request_started(self):
-        """Whether any byte of the current request has arrived."""
+        """Whether a part of a request has arrived, but not all of it."""
         return self._request_started
 
+    @property
+    def unanswered(self):
+        """Number of requests that have been read and have no response yet."""
+        return self._unanswered
+
+    @property
+    def requests_in_progress(self):
+        """Number of unanswered requests, including one that is arriving."""
+        return self._unanswered + self._request_started
+
     def begin_request(self, *, pending):
         """Start the timeout for the next request.
 
@@ -65,23 +76,44 @@
             REQUEST_ARRIVAL_TIMEOUT_S if pending else IDLE_TIMEOUT_S
         )
 
-    def begin_handling(self, *, detect_disconnect):
-        """End the arrival timeout, since the request is complete.
+    def end_request(self):
+        """End the arrival timeout, since the request is complete."""
+        self._request_started = False
+        self._unanswered += 1
+        self._deadline = _NEVER
+
+    def end_response(self):
+        """Record that the response to a request has been sent."""
+        self._unanswered -= 1
+
+    def watch(self, *, on_close, on_bytes=None):
+        """Wait in the background until the caller closes or sends bytes.
+
+        No task may receive meanwhile. A close behind unread bytes is not
+        noticed. The functions are called from the event loop, at most one of
+        them and only once.
 
         Args:
-          detect_disconnect: throw CallerDisconnected into the current task
-            when the caller closes. Not possible while a further request is
-            readable.
+          on_close: called if the caller has closed.
+          on_bytes: called if bytes have arrived, None to do nothing.
         """
-        self._deadline = _NEVER
-        if detect_disconnect:
-            self._task = gevent.getcurrent()
-            self._sock.watch_readable(self._on_readable)
 
-    def end_handling(self):
-        """Stop detecting a disconnect."""
-        self._task = None
-        self._sock.stop_watching()
+        def on_readable():
+            self.stop_watching()
+            if self._sock.is_closed_by_peer():
+                on_close()
+            elif on_bytes is not None:
+                on_bytes()
+
+        self.stop_watching()
+        self._watching = True
+        self._sock.watch_readable(on_readable)
+
+    def stop_watching(self):
+        """Stop watch(); has no effect while it is not active."""
+        if self._watching:
+            self._watching = False
+            self._sock.stop_watching()
 
     def expire(self):
         """Stop receiving: receive() returns b"" from now on."""
@@ -99,7 +131,7 @@
         Returns:
           Whether the connection was idle.
         """
-        idle = not self._request_started and self._sock.is_idle()
+        idle = not self.requests_in_progress and self._sock.is_idle()
         if idle:
             self.expire()
         return idle
@@ -132,12 +164,17 @@
         """Return whether bytes have arrived that were not received yet."""
         return not (self._sock.is_idle() or self._sock.is_closed_by_peer())
 
+    def is_closed_by_peer(self):
+        """Return whether the caller has closed and no bytes are unread."""
+        return self._sock.is_closed_by_peer()
+
     def linger(self):
         """Discard input after the final response until the caller closes.
 
         The wait is limited to _LINGER_S and _LINGER_BYTES.
         """
         self._request_started = False
+        self._unanswered = 0
         self._sock.shutdown(socket.SHUT_WR)
         linger_bytes_left = _LINGER_BYTES
         with gevent.Timeout(_LINGER_S, False):
@@ -147,9 +184,3 @@
     def close(self):
         """Close the connection."""
         self._sock.close()
-
-    def _on_readable(self):
-        self._sock.stop_watching()
-        if self._sock.is_closed_by_peer() and self._task is not None:
-            task, self._task = self._task, None
-            task.throw(CallerDisconnected)
--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -1,7 +1,6 @@
-"""HTTP server for callers, with one task per connection."""
+"""HTTP server for callers, with a task for each connection."""
 
 import collections
-import dataclasses
 import math
 import time
 
@@ -12,8 +11,9 @@
 from wigeonrouter import core
 from wigeonrouter.http1 import _buffer_budget
 from wigeonrouter.http1 import _caller_connection
-from wigeonrouter.http1 import _messages
+from wigeonrouter.http1 import _exchange_reader
 from wigeonrouter.http1 import _pauses
+from wigeonrouter.http1 import _pipeline
 from wigeonrouter.http1 import _render
 from wigeonrouter.http1 import _request_reader
 
@@ -36,6 +36,8 @@
       max_connections: largest number of open connections.
       buffer_budget: BufferBudget of requests and their responses, None for
         no limit.
+      may_overlap: function from an HttpRequest to whether it may run beside
+        pipelined requests before and behind it; for none by default.
     """
 
     def __init__(
@@ -45,8 +47,10 @@
         handler,
         max_connections=MAX_CONNECTIONS,
         buffer_budget=None,
+        may_overlap=lambda request: False,
     ):
         self._handler = handler
+        self._may_overlap = may_overlap
         self._buffer_budget = buffer_budget or _buffer_budget.BufferBudget(
             limit=math.inf
         )
@@ -75,7 +79,7 @@
     @property
     def requests_in_progress(self):
         """Number of unanswered requests, including partially received ones."""
-        return sum(c.request_started for c in self._connections)
+        return sum(c.requests_in_progress for c in self._connections)
 
     @property
     def last_arrival(self):
@@ -192,76 +196,57 @@
         """
         if len(self._connections) <= self._max_connections:
             return True
-        if not self._waiting:
-            return False
-        connection, _ = self._waiting.popitem(last=False)
-        connection.expire()
-        return True
+        for connection in self._waiting:
+            if not connection.unanswered:
+                del self._waiting[connection]
+                connection.expire()
+                return True
+        return False
 
     def _serve_requests(self, connection):
-        reader = _request_reader.RequestReader(
-            body_limit=self._handler.body_limit,
-            send_continue=lambda: connection.send(_CONTINUE),
+        reader = _exchange_reader.ExchangeReader(
+            connection=connection,
+            reader=_request_reader.RequestReader(
+                body_limit=self._handler.body_limit,
+                send_continue=lambda: connection.send(_CONTINUE),
+            ),
+            buffer_budget=self._buffer_budget,
+            waiting=self._waiting,
+            pauses=self._pauses,
         )
-        close, arrived = False, 0.0
-        while not close:
-            pending = reader.pending
-            with self._buffer_budget.reserve() as reservation:
-                request = self._read_request(
-                    connection, reader, pending, reservation
-                )
-                if request is None:
+        with _pipeline.Pipeline(
+            connection=connection,
+            reader=reader,
+            handle=self._handle,
+            may_overlap=self._may_overlap,
+        ) as pipeline:
+            close = False
+            while not close and (exchange := pipeline.next()) is not None:
+                if exchange.error is not None:
+                    self._reject_malformed(connection, exchange)
                     return
-                if not pending:
-                    arrived = self._find_arrival(connection)
-                close = self._handle_request(
-                    connection, reader, request, arrived
-                )
+                close = self._respond(connection, pipeline, exchange)
 
-    def _find_arrival(self, connection):
-        """Return when a request that was just read arrived, seconds.
-
-        After a pause that is when its last bytes did, as far as the kernel
-        knows, or else the earliest time at which it can have been.
-        """
-        now = time.monotonic()
-        earliest = self._pauses.earliest_arrival(now)
-        if earliest == now:
-            return now
-        elapsed = connection.time_since_bytes()
-        return earliest if elapsed is None else max(earliest, now - elapsed)
-
-    def _read_request(self, connection, reader, pending, reservation):
-        connection.begin_request(pending=pending)
-        self._waiting[connection] = None
-        receive = reservation.counting(
-            connection.receive,
-            abort=connection.expire,
-            problem=core.problems.BUFFERS_FULL,
+    def _handle(self, request, arrived):
+        self._last_arrival = time.monotonic()
+        return self._handler.handle(request, arrived)
+
+    def _reject_malformed(self, connection, exchange):
+        problem = exchange.error.problem
+        if connection.expired and not exchange.buffers_full:
+            problem = core.problems.REQUEST_TIMEOUT
+        self._send_failure(
+            connection,
+            core.Problem(problem=problem, detail=str(exchange.error)),
         )
-        try:
-            request = reader.read(receive)
-        except _messages.MalformedMessage as error:
-            problem = error.problem
-            if connection.expired and not reservation.aborted:
-                problem = core.problems.REQUEST_TIMEOUT
-            self._send_failure(
-                connection, core.Problem(problem=problem, detail=str(error))
-            )
-            return None
-        finally:
-            self._waiting.pop(connection, None)
-        if request is None:
-            return None
-        reservation.keep()
-        return dataclasses.replace(request, reservation=reservation)
 
-    def _handle_request(self, connection, reader, request, arrived):
-        self._last_arrival = time.monotonic()
-        connection.begin_handling(detect_disconnect=not reader.pending)
+    def _respond(self, connection, pipeline, exchange):
+        """Send the response; return whether it closes the connection."""
+        request = exchange.request
         try:
-            response = self._run_handler(connection, request, arrived)
+            response = pipeline.run(exchange)
         except Exception:
+            pipeline.cancel()
             self._send_failure(
                 connection,
                 core.Problem(problem=core.problems.INTERNAL),
@@ -269,26 +254,19 @@
             )
             raise
         # A pipelined request has arrived already and is still handled.
-        close = not request.keep_alive or (
-            self._draining
-            and not reader.pending
-            and not connection.has_unread_bytes()
-        )
+        close = not request.keep_alive or (self._draining and pipeline.is_last)
+        if close:
+            pipeline.stop_reading()
         connection.send(
             _render.render_response(
                 response=response, close=close, method=request.method
             )
         )
+        connection.end_response()
         if close:
             connection.linger()
         return close
 
-    def _run_handler(self, connection, request, arrived):
-        try:
-            return self._handler.handle(request, arrived)
-        finally:
-            connection.end_handling()
-
     def _send_failure(self, connection, failure, method=b""):
         response = _render.problem_response(failure=failure, request_id="")
         connection.send(
--- a/wigeonrouter/http1/_sockets.py
+++ b/wigeonrouter/http1/_sockets.py
@@ -25,7 +25,7 @@
 
 
 class TaskSocket:
-    """A connected socket that is used by one task at a time."""
+    """A connected socket that one task at a time reads, and one writes."""
 
     __slots__ = ("_hub", "_readable", "_sock", "_writable")
 
--- a/wigeonrouter/node/_node_servers.py
+++ b/wigeonrouter/node/_node_servers.py
@@ -42,6 +42,7 @@
             handler=proxy,
             max_connections=limits.callers,
             buffer_budget=buffer_budget,
+            may_overlap=proxy.may_overlap,
         )
         self._request_servers = [self._caller_server]
         self._forwarding_address = ""
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -100,6 +100,17 @@
             return topology.CallerLimits().max_body_bytes
         return configuration.limits.max_body_bytes
 
+    def may_overlap(self, request):
+        """Return whether a request may run beside others of its connection.
+
+        Requests that are not idempotent may depend on those before them.
+        """
+        if self._cluster_state.configuration is None:
+            return False
+        host, path = _host_and_path(request)
+        route = self._cluster_state.routes.find(host=host.lower(), path=path)
+        return route is not None and route.idempotent
+
     def handle(self, request, arrived, origin=None):
         """Handle one request.
 
@@ -150,10 +161,7 @@
                 problem=core.problems.NOT_READY,
                 retry_after=_NOT_READY_RETRY_S,
             )
-        path = request.target.decode("latin-1").partition("?")[0]
-        if "%" in path:
-            path = parse.unquote(path, "latin-1")
-        host = request.header(b"host").decode("latin-1").partition(":")[0]
+        host, path = _host_and_path(request)
         route = self._cluster_state.routes.find(host=host.lower(), path=path)
         if route is None:
             return messages.Rejection(
@@ -375,6 +383,15 @@
         return response
 
 
+def _host_and_path(request):
+    """Return what the route of a request depends on."""
+    path = request.target.decode("latin-1").partition("?")[0]
+    if "%" in path:
+        path = parse.unquote(path, "latin-1")
+    host = request.header(b"host").decode("latin-1").partition(":")[0]
+    return host, path
+
+
 def _end_rejected(rejection, context):
     """Return the Rejection that ends a request.
 
