Reject configurations with duplicate routes, keys or late targets

Two routes with one host and prefix, a target latency above the timeout and a key that two tenants hold were read, and the last one read won. They now reject the configuration as a whole, as the other faults do. So does a tenant whose name fits no header, since the name is sent to servers. The error names the tenants and not the key, because it is logged.

pytest of _configuration_checks_test, _store_values_test and _store_contents_test passes; the whole suite was not run.

--- a/wigeonrouter/platform/_store_values.py
+++ b/wigeonrouter/platform/_store_values.py
@@ -23,6 +23,9 @@
 # An instance ID is sent in a header.
 _INSTANCE = re.compile(r"[!-~]{1,200}")
 _VERSION = re.compile(r"[0-9a-fA-F]{1,16}")
+# A tenant's name is sent in a header, so it is visible ASCII, with spaces
+# inside only.
+_TENANT_NAME = re.compile(r"[!-~](?:[ -~]{0,198}[!-~])?")
 _MAX_SLOTS = 1 << 16
 _CRASH = re.compile(r"([0-9a-f]{32})/([0-9a-f]{16}\.[0-9]{1,9})")
 
@@ -52,6 +55,7 @@
                 raise _fields.FieldError(
                     f"routes.{route.name}: unknown service {share.service}"
                 )
+    _check_distinct(routes)
     return topology.Configuration(
         version=_read_version(document),
         routes=routes,
@@ -138,6 +142,17 @@
     return int(text, 16)
 
 
+def _check_distinct(routes):
+    """Raise FieldError if two routes have the same host and prefix."""
+    names = {}
+    for route in routes:
+        first = names.setdefault((route.host, route.prefix), route.name)
+        if first != route.name:
+            raise _fields.FieldError(
+                f"routes.{route.name}: same host and prefix as {first}"
+            )
+
+
 def _read_route(name, route):
     if not isinstance(route, dict):
         raise _fields.FieldError(f"routes.{name}: not an object")
@@ -147,6 +162,12 @@
         raise _fields.FieldError(
             f"routes.{name}: prefix does not start and end with a slash"
         )
+    timeout = _fields.get_duration(route, "timeout")
+    target_latency = _fields.get_duration(route, "target_latency")
+    if target_latency > timeout:
+        raise _fields.FieldError(
+            f"routes.{name}: target_latency is longer than timeout"
+        )
     return topology.Route(
         name=name,
         host=_fields.get_string(route, "host").lower(),
@@ -154,8 +175,8 @@
         shares=_read_shares(name, route),
         # Requests of an unknown kind are treated as non-idempotent.
         idempotent=kind == "safe",
-        timeout=_fields.get_duration(route, "timeout"),
-        target_latency=_fields.get_duration(route, "target_latency"),
+        timeout=timeout,
+        target_latency=target_latency,
         priority=_fields.get_integer(route, "priority"),
         max_attempts=_fields.get_integer(route, "max_attempts", minimum=1),
         public=route.get("public") is True,
@@ -176,13 +197,32 @@
 def _read_tenants(document):
     if document.get("tenants") is None:
         return {}
-    return {
+    tenants = {
         name: _read_tenant(name, tenant)
         for name, tenant in _fields.get_object(document, "tenants").items()
     }
+    _check_holders(tenants.values())
+    return tenants
+
+
+def _check_holders(tenants):
+    """Raise FieldError if two tenants hold the same key.
+
+    The error names the tenants, since it is logged, and not the key.
+    """
+    holders = {}
+    for tenant in tenants:
+        for key in tenant.api_keys:
+            holder = holders.setdefault(key, tenant.name)
+            if holder != tenant.name:
+                raise _fields.FieldError(
+                    f"tenants.{tenant.name}: holds a key of {holder}"
+                )
 
 
 def _read_tenant(name, tenant):
+    if not _TENANT_NAME.fullmatch(name):
+        raise _fields.FieldError(f"tenants: name {name!r} fits no header")
     if not isinstance(tenant, dict):
         raise _fields.FieldError(f"tenants.{name}: not an object")
     keys = tenant.get("api_keys") or []
