Authenticate requests by their API key

No request had a tenant: keys went to servers, and so did a Tenant header that the caller had made up. Where the configuration has tenants, each request is now authenticated when it arrives and again right before each attempt. A request without one usable, known key gets 401; public routes need none. Both headers are removed in any form, and Tenant is set to the name of the key's tenant. A request whose key has got another tenant while it waited, and with revoke_strict a request whose node has an old copy of the store, get 503 with the new problem key-unsettled. Digests of crashing requests depend on the tenant and not on the key, and HttpRequest does not print its headers.

--- a/wigeonrouter/core/_problems.py
+++ b/wigeonrouter/core/_problems.py
@@ -62,6 +62,9 @@
     "request-timeout", "The request did not arrive in time", 408
 )
 UNKNOWN_KEY = _not_run("unknown-key", "No tenant has the API key", 401)
+KEY_UNSETTLED = _not_run(
+    "key-unsettled", "The node cannot tell now who holds the API key", 503
+)
 OVER_QUOTA = _not_run("over-quota", "The tenant has exceeded its limit", 429)
 NO_HOME = _not_run(
     "no-home", "No home region of the request can serve it", 503
--- a/wigeonrouter/http1/_messages.py
+++ b/wigeonrouter/http1/_messages.py
@@ -78,10 +78,13 @@
 
     method: bytes
     target: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
+    # Headers have credentials, which must not get into a log or an error.
+    headers: tuple[tuple[bytes, bytes], ...] = dataclasses.field(repr=False)
     body: bytes
     keep_alive: bool
-    fields: dict[bytes, bytes] | None = None
+    fields: dict[bytes, bytes] | None = dataclasses.field(
+        default=None, repr=False
+    )
     reservation: object = dataclasses.field(
         default=None, compare=False, repr=False
     )
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -12,6 +12,7 @@
 from wigeonrouter import placement
 from wigeonrouter import store
 from wigeonrouter import topology
+from wigeonrouter.node import _authenticator
 from wigeonrouter.node import _balancer_registry
 from wigeonrouter.node import _cluster_state
 from wigeonrouter.node import _crash_monitor
@@ -148,6 +149,10 @@
             codec=codec,
             splitter=topology.TrafficSplitter(rng=self._rng),
             request_log=request_log,
+            authenticator=_authenticator.Authenticator(
+                cluster_state=self._cluster_state,
+                is_outdated=self._are_keys_outdated,
+            ),
         )
         directory_handler = _directory_handler.DirectoryHandler(
             codec=codec,
@@ -402,6 +407,13 @@
                         "wait-not-kept", route=route, error=str(error)
                     )
 
+    def _are_keys_outdated(self):
+        bounds = self._settings.bounds
+        return (
+            bounds.revoke_strict
+            and self._region_member.copy_age > bounds.revoke_apply
+        )
+
     def _entries_ttl(self):
         return min(_ENTRIES_TTL_S, self._settings.bounds.max_entry_ttl)
 
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -1,27 +1,20 @@
 """Handles a caller's request from route lookup to the final response."""
 
 import time
-from urllib import parse
 
 from wigeonrouter import core
 from wigeonrouter import http1
 from wigeonrouter import placement
 from wigeonrouter import topology
-from wigeonrouter.node import _caller_timeouts
+from wigeonrouter.node import _authenticator
 from wigeonrouter.node import _forwarded_request
 from wigeonrouter.node import _grant
-from wigeonrouter.node import _request_context
-from wigeonrouter.node import _request_digest
+from wigeonrouter.node import _request_router
 from wigeonrouter.node import messages
 
 # Failed connects do not count as attempts, because the server never got the
 # request, but a request is rejected after more than this number of them.
 _MAX_CONNECT_FAILURES = 3
-# Retry-After of a node that has no configuration yet.
-_NOT_READY_RETRY_S = 0.3
-# A node that has just started usually has its configuration within this time.
-# Until then it holds requests instead of rejecting them.
-_STARTUP_WAIT_S = 0.5
 # Retry-After after the last attempt could not connect or was rejected by its
 # server.
 _FAILED_ATTEMPT_RETRY_S = 0.1
@@ -34,8 +27,6 @@
 _DECLINED_PROBLEMS = frozenset(
     {core.problems.SERVERS_UNREACHABLE, core.problems.STOPPING}
 )
-# Network time of a response to the caller, subtracted from the target latency.
-_RESPONSE_TRANSIT_S = 0.003
 
 
 class Proxy:
@@ -50,6 +41,8 @@
       codec: the adapter's HTTP codec.
       splitter: topology.TrafficSplitter, chooses the service of a route.
       request_log: RequestLog.
+      authenticator: Authenticator, one without a limit on the age of the
+        configuration by default.
     """
 
     def __init__(
@@ -63,6 +56,7 @@
         codec,
         splitter,
         request_log,
+        authenticator=None,
         clock=time.monotonic,
     ):
         self._cluster_state = cluster_state
@@ -71,11 +65,15 @@
         self._crash_monitor = crash_monitor
         self._forwarder = forwarder
         self._codec = codec
-        self._splitter = splitter
         self._request_log = request_log
         self._clock = clock
-        self._caller_timeouts = _caller_timeouts.CallerTimeouts(
-            stored=lambda: cluster_state.caller_timeouts
+        self._authenticator = authenticator or _authenticator.Authenticator(
+            cluster_state=cluster_state
+        )
+        self._router = _request_router.RequestRouter(
+            cluster_state=cluster_state,
+            authenticator=self._authenticator,
+            splitter=splitter,
         )
         # The RequestContexts of requests that are being handled.
         self._in_progress = set()
@@ -91,7 +89,7 @@
         Returns:
           Dict from route to the usual caller timeout, seconds.
         """
-        return self._caller_timeouts.changed()
+        return self._router.changed_timeouts()
 
     def body_limit(self, request):
         """Return the maximum request body size in bytes."""
@@ -115,7 +113,9 @@
           http1.CallerDisconnected: the caller closed its connection.
         """
         request_metadata = self._codec.read_request(request)
-        context = self._route(request, request_metadata, arrived, origin)
+        context = self._router.route(
+            request, request_metadata, arrived, origin
+        )
         if isinstance(context, messages.Rejection):
             return self._reject(
                 context, request_metadata.request_id, arrived, None
@@ -142,70 +142,6 @@
         self._request_log.on_response(context, result)
         return result
 
-    def _route(self, request, request_metadata, arrived, origin):
-        if self._cluster_state.configuration is None:
-            self._cluster_state.wait_configured(_STARTUP_WAIT_S)
-        if self._cluster_state.configuration is None:
-            return messages.Rejection(
-                problem=core.problems.NOT_READY,
-                retry_after=_NOT_READY_RETRY_S,
-            )
-        path = request.target.decode("latin-1").partition("?")[0]
-        if "%" in path:
-            path = parse.unquote(path, "latin-1")
-        host = request.header(b"host").decode("latin-1").partition(":")[0]
-        route = self._cluster_state.routes.find(host=host.lower(), path=path)
-        if route is None:
-            return messages.Rejection(
-                problem=core.problems.NO_ROUTE, detail=f"{host}{path}"
-            )
-        return _request_context.RequestContext(
-            request=request,
-            request_id=request_metadata.request_id,
-            digest=_request_digest.compute(request),
-            route=route,
-            service=self._choose_service(route, origin),
-            pending=self._make_pending(
-                route, request_metadata, arrived, origin
-            ),
-            attempts=origin.attempts if origin else 0,
-            may_have_run=origin is not None and origin.may_have_run,
-            origin=origin,
-        )
-
-    def _choose_service(self, route, origin):
-        if origin is not None and any(
-            share.service == origin.service for share in route.shares
-        ):
-            return origin.service
-        return self._splitter.choose(route)
-
-    def _make_pending(self, route, request_metadata, arrived, origin):
-        if origin is not None:
-            # Less time is left than its caller usually waits, so it says
-            # nothing about that.
-            return placement.PendingRequest(
-                priority=route.priority,
-                idempotent=route.idempotent,
-                arrived=arrived,
-                target_time=arrived + origin.time_to_target,
-                deadline=arrived + min(origin.time_to_deadline, route.timeout),
-            )
-        remaining = request_metadata.remaining
-        if remaining is None:
-            remaining = route.timeout
-        elapsed = self._caller_timeouts.estimate_age(route.name, remaining)
-        return placement.PendingRequest(
-            priority=route.priority,
-            idempotent=route.idempotent,
-            arrived=arrived,
-            target_time=arrived
-            + route.target_latency
-            - elapsed
-            - _RESPONSE_TRANSIT_S,
-            deadline=arrived + min(remaining, route.timeout),
-        )
-
     def _run(self, context, balancer):
         while True:
             if self._forwarder.should_forward(context):
@@ -231,7 +167,9 @@
 
         Its caller waits for this node, so the node has to last as long.
         """
-        rejection = balancer.check_stopping(context.pending, context.route)
+        rejection = balancer.check_stopping(
+            context.pending, context.route
+        ) or self._authenticator.recheck(context)
         if rejection is not None:
             return rejection
         return self._forwarder.forward(
@@ -254,7 +192,9 @@
         )
         if not isinstance(grant, _grant.Grant):
             return grant
-        rejection = self._crash_monitor.begin(context.digest)
+        rejection = self._authenticator.recheck(
+            context
+        ) or self._crash_monitor.begin(context.digest)
         if rejection is None:
             return grant
         balancer.release(
@@ -287,6 +227,7 @@
                 registration=grant.registration,
                 idempotent=context.route.idempotent,
                 response_deadline=context.pending.deadline,
+                tenant=self._authenticator.name_for_server(context),
                 may_repeat=lambda: self._may_repeat(context, balancer),
             )
             return attempt
--- a/wigeonrouter/node/_request_context.py
+++ b/wigeonrouter/node/_request_context.py
@@ -21,6 +21,7 @@
         comes from its caller.
       forwarding_failed: whether no other node takes the request.
       tenant: the tenant whose API key the request has, None without one.
+      api_key: the caller's API key, "" without a usable one.
       receiver: server instance or node that has the request now, "" if it is
         at none.
       handed_over: time when it was sent there.
@@ -38,6 +39,7 @@
     origin: _forwarded_request.Origin | None = None
     forwarding_failed: bool = False
     tenant: topology.Tenant | None = None
+    api_key: str = dataclasses.field(default="", repr=False)
     receiver: str = ""
     handed_over: float = 0.0
 
--- a/wigeonrouter/node/_request_digest.py
+++ b/wigeonrouter/node/_request_digest.py
@@ -7,14 +7,17 @@
 _BODY_END_BYTES = 32 << 10
 
 
-def compute(request):
+def compute(request, tenant=""):
     """Return the digest of a request as 32 hexadecimal digits.
 
-    Requests with the same method, host, target, credentials and body have the
-    same digest.
+    Requests with the same method, host, target, credentials, tenant and body
+    have the same digest. The API key is left out, since digests are logged
+    and stored; a tenant may have several keys.
 
     Args:
       request: HttpRequest.
+      tenant: name of its tenant, "" without one. The digest is then that of
+        earlier builds.
     """
     body = request.body
     parts = [
@@ -28,6 +31,8 @@
         parts.append(body)
     else:
         parts += [body[:_BODY_END_BYTES], body[-_BODY_END_BYTES:]]
+    if tenant:
+        parts.append(tenant.encode())
     hashed = hashlib.blake2b(digest_size=_DIGEST_BYTES)
     for part in parts:
         hashed.update(b"%d:" % len(part))
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -90,12 +90,15 @@
         registration,
         idempotent,
         response_deadline,
+        tenant=None,
         may_repeat=None,
     ):
         """Send a request to a server and wait for the response.
 
         Args:
           registration: topology.Registration of the server.
+          tenant: name of the request's tenant for the server, "" without
+            one; None if the deployment has no tenants.
           may_repeat: function that returns whether the request may be sent
             again if abort_repeatable() ends this attempt; None if that does
             not end it.
@@ -109,6 +112,7 @@
                 request=request,
                 remaining=remaining,
                 instance=registration.instance,
+                tenant=tenant,
             ),
             request=request,
             request_id=request_id,
--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -53,6 +53,7 @@
     Attributes:
       deadline_ms: value of the request's deadline header, 0 without one.
       started: monotonic seconds.
+      headers: pairs of name in lower case and value.
     """
 
     request_id: str
@@ -61,6 +62,7 @@
     body: bytes
     deadline_ms: int
     started: float
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class EmulatedBackend(_emulated_server.EmulatedServer):
@@ -241,6 +243,7 @@
                 body=request.body,
                 deadline_ms=int(request.header(b"deadline-ms") or 0),
                 started=time.monotonic(),
+                headers=request.headers,
             )
         )
         if request.target == self.crash_target:
--- a/wigeonrouter/platform/_http.py
+++ b/wigeonrouter/platform/_http.py
@@ -15,6 +15,10 @@
 _REQUEST_ID = b"request-id"
 _DEADLINE = b"deadline-ms"
 _EXPECTED_INSTANCE = b"expect-instance"
+# The caller's API key, and the name of its tenant for the server.
+_KEY = b"key"
+_TENANT = b"tenant"
+_API_KEY = re.compile(rb"[ -~]+")
 _INSTANCE = b"instance-id"
 _NOT_EXECUTED = b"not-executed"
 _STAMP = b"server-stamp"
@@ -58,23 +62,38 @@
                 if remaining.isdigit() and len(remaining) < 10
                 else None
             ),
+            api_key=_read_key(request),
         )
 
-    def render_request(self, *, request, remaining, instance):
+    def key_headers(self, request):
+        """Return the headers with which another node gets the API key.
+
+        Connection may name the header, and its value may be unusable; the
+        other node has to see the same as this one.
+        """
+        return tuple((b"Key", value) for value in _values(request, _KEY))
+
+    def render_request(self, *, request, remaining, instance, tenant=None):
         """Return the bytes of a request for a backend server.
 
         Args:
           request: HttpRequest of the caller.
           remaining: time left until the deadline, seconds.
           instance: instance ID of the server that should handle it.
+          tenant: name of its tenant, "" without one, None if the deployment
+            has no tenants and the caller's headers mean nothing.
         """
+        not_forwarded = _NOT_FORWARDED
+        added = (
+            (b"Deadline-Ms", b"%d" % max(1, int(remaining * 1000))),
+            (b"Expect-Instance", instance.encode("latin-1")),
+        )
+        if tenant is not None:
+            not_forwarded = not_forwarded | _identity_names(request)
+        if tenant:
+            added += ((b"Tenant", tenant.encode("ascii")),)
         return http1.render_forwarded(
-            request=request,
-            not_forwarded=_NOT_FORWARDED,
-            added=(
-                (b"Deadline-Ms", b"%d" % max(1, int(remaining * 1000))),
-                (b"Expect-Instance", instance.encode("latin-1")),
-            ),
+            request=request, not_forwarded=not_forwarded, added=added
         )
 
     def render_probe(self, *, path, address):
@@ -169,6 +188,28 @@
         return _json_response(200 if ready else 503, {"ready": ready})
 
 
+def _read_key(request):
+    """Return the API key as text, "" if there is not one usable value."""
+    if _KEY not in request.fields:
+        return ""
+    values = [value.strip(b" \t") for value in _values(request, _KEY)]
+    if len(values) > 1 or not _API_KEY.fullmatch(values[0]):
+        return ""
+    return values[0].decode("ascii")
+
+
+def _identity_names(request):
+    """Return the names under which a server could read a key or a tenant.
+
+    Servers that hand headers on as variables take underscores for hyphens.
+    """
+    return {
+        name
+        for name in request.fields
+        if name.replace(b"_", b"-").strip(b"-") in (_KEY, _TENANT)
+    }
+
+
 def _json_response(status, document):
     return http1.HttpResponse(
         status=status,
@@ -199,11 +240,11 @@
     )
 
 
-def _values(response, name):
-    """Return all values of a header."""
-    if name not in response.fields:
+def _values(message, name):
+    """Return all values of a header of a request or response."""
+    if name not in message.fields:
         return []
-    return [value for other, value in response.headers if other == name]
+    return [value for other, value in message.headers if other == name]
 
 
 def _read_leaving(response):
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -93,10 +93,12 @@
         remaining=2000,
         request_id=None,
         host=HOST,
+        headers=(),
     ):
         """Send a request and return the TimedResponse.
 
-        `remaining` is the request's deadline in ms.
+        `remaining` is the request's deadline in ms, `headers` are pairs of
+        further headers.
         """
         self._number += 1
         client = geventhttpclient.HTTPClient(
@@ -113,6 +115,7 @@
                 "Host": host,
                 "Request-Id": request_id or f"id-{self._number}",
                 "Deadline-Ms": str(remaining),
+                **dict(headers),
             },
         )
         result = TimedResponse(
--- a/wigeonrouter/topology/_freshness.py
+++ b/wigeonrouter/topology/_freshness.py
@@ -61,5 +61,7 @@
       rng: random.Random.
     """
     bound = min(bounds.config_apply, bounds.drain_apply)
+    if bounds.revoke_strict:
+        bound = min(bound, bounds.revoke_apply)
     age = bound * rng.uniform(_MIN_AGE_SHARE, _MAX_AGE_SHARE)
     return max(_SHORTEST_AGE_S, age)
