Send nothing to the servers of an evacuated failure domain

Evacuations were read from the store, but no decision used them. ClusterState keeps the evacuated failure domains, and a listing replaces them, also that of a restored store. A request that was granted a server is asked about right before its first byte is sent, since a new connection takes time; it then looks for another server without using up an attempt or a retry.

The whole suite was not run on this commit.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -92,6 +92,11 @@
             )
         }
 
+    @property
+    def evacuated_domains(self):
+        """Number of failure domains with servers that are evacuated."""
+        return self._server_pool.views.evacuated_domains
+
     @property
     def limited_servers(self):
         """Number of servers that name a rate limit, as far as is known."""
--- a/wigeonrouter/node/_balancer_registry.py
+++ b/wigeonrouter/node/_balancer_registry.py
@@ -81,6 +81,7 @@
                 in_flight=balancer.in_flight,
                 limited_servers=balancer.limited_servers,
                 excluded_servers=balancer.excluded_servers,
+                evacuated_domains=balancer.evacuated_domains,
             )
             for name, balancer in sorted(self._balancers.items())
         )
@@ -109,7 +110,7 @@
         if configuration is None:
             return
         by_service = collections.defaultdict(list)
-        for record in self._cluster_state.directory.known.values():
+        for record in self._cluster_state.servers:
             by_service[record.registration.service].append(record)
         for name, balancer in self._balancers.items():
             service = configuration.services.get(name)
--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -28,6 +28,7 @@
         self._configured = event.Event()
         self._routes = topology.RouteTable(())
         self._directory = topology.ServerDirectory()
+        self._evacuations = topology.Evacuations()
         # The version in the store, which may have lost the one in force.
         self._stored_version = None
         self._encoded_configuration = b""
@@ -58,6 +59,19 @@
         """topology.ServerDirectory."""
         return self._directory
 
+    @property
+    def evacuated(self):
+        """Frozenset of the evacuated failure domains."""
+        return self._evacuations.evacuated
+
+    @property
+    def servers(self):
+        """List of all topology.KnownServers, with their evacuations."""
+        return [
+            self._evacuations.mark(known)
+            for known in self._directory.known.values()
+        ]
+
     @property
     def crash_history(self):
         """placement.CrashHistory of all nodes."""
@@ -136,6 +150,7 @@
             self._registered_nodes = set()
             self._replace_crashes(content.records, scope)
             self._replace_registrations(content.records, scope, now)
+            self._replace_evacuations(content.records, now)
         else:
             self._directory.remove(_removed_instances(content.records), now)
         for record in content.records:
@@ -160,6 +175,13 @@
                 revision=record.revision,
                 reason=record.reason,
             )
+        elif isinstance(
+            record, (topology.EvacuationWritten, topology.EvacuationRemoved)
+        ):
+            self._log_evacuations(
+                lambda: self._evacuations.apply(record, now),
+                revision=record.revision,
+            )
         elif isinstance(record, topology.NodeWritten):
             self._hosts.setdefault(record.region, set()).add(record.host)
             self._registered_nodes.add((record.region, record.host))
@@ -191,6 +213,40 @@
             self._caller_timeouts = {}
             self._directory.on_store_restored(instances, now)
 
+    def _replace_evacuations(self, records, now):
+        """Apply which failure domains a listing evacuates.
+
+        Also a restored store replaces them. It states what the operator wants
+        as of now, and one that is taken back later is removed there.
+        """
+        evacuated = {
+            record.failure_domain
+            for record in records
+            if isinstance(record, topology.EvacuationWritten)
+        }
+        self._log_evacuations(
+            lambda: self._evacuations.replace(evacuated, now), revision=None
+        )
+
+    def _log_evacuations(self, change, *, revision):
+        """Change the evacuations and log what differs.
+
+        Args:
+          change: function that changes them.
+          revision: revision of the change, None for a listing.
+        """
+        before = self.evacuated
+        if not change():
+            return
+        for name, failure_domains in (
+            ("failure-domain-evacuated", self.evacuated - before),
+            ("failure-domain-back", before - self.evacuated),
+        ):
+            for failure_domain in sorted(failure_domains):
+                self._events.notice(
+                    name, failure_domain=failure_domain, revision=revision
+                )
+
     def _replace_crashes(self, records, scope):
         """Drop crashes that the store lists no longer.
 
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -288,6 +288,7 @@
                 idempotent=context.route.idempotent,
                 response_deadline=context.pending.deadline,
                 may_repeat=lambda: self._may_repeat(context, balancer),
+                may_send=lambda: not self._is_evacuated(grant),
             )
             return attempt
         except Exception:
@@ -319,6 +320,9 @@
     def _handle_result(self, context, balancer, grant, attempt):
         """Return the final response or Rejection, None to try again."""
         instance = grant.registration.instance
+        if attempt.withdrawn:
+            # It looks for another server, which costs no retry.
+            return None
         if attempt.outcome is placement.AttemptOutcome.UNREACHABLE:
             context.connect_failures += 1
             context.exclude(instance)
@@ -342,6 +346,10 @@
             return None
         return _final_result(attempt)
 
+    def _is_evacuated(self, grant):
+        domain = grant.registration.place.failure_domain
+        return domain in self._cluster_state.evacuated
+
     def _may_repeat(self, context, balancer):
         """Return whether a request that is at a server may be sent again."""
         route = context.route
--- a/wigeonrouter/node/_proxy_test.py
+++ b/wigeonrouter/node/_proxy_test.py
@@ -324,3 +324,16 @@
 def test_request_that_reached_no_server_may_be_sent_again(handle):
     """Guards against giving up a request that has not run."""
     assert handle(*[_UNREACHABLE] * 4) in _PROMISES
+
+
+def test_withdrawn_attempt_is_followed_by_another(handle):
+    """Guards against giving up a request whose server was evacuated.
+
+    It was not sent, so it neither uses up an attempt nor a retry.
+    """
+    withdrawn = _sender.Attempt(
+        outcome=placement.AttemptOutcome.CANCELLED,
+        may_have_run=False,
+        withdrawn=True,
+    )
+    assert handle(withdrawn, withdrawn, _RAN, max_attempts=1) == 200
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -35,6 +35,8 @@
       timed_out: whether the attempt ended because its deadline passed.
       disconnected: whether the server broke the connection during the attempt.
       detail: diagnostic text for the log.
+      withdrawn: whether the request was not sent since the server must get
+        no requests any more.
       connection: number of its connection, None without one.
       connection_requests: requests that its connection has carried, this one
         included; 0 if it was not sent.
@@ -49,6 +51,7 @@
     timed_out: bool = False
     disconnected: bool = False
     detail: str = ""
+    withdrawn: bool = False
     connection: int | None = None
     connection_requests: int = 0
     stray_ids: tuple[str, ...] = ()
@@ -91,6 +94,7 @@
         idempotent,
         response_deadline,
         may_repeat=None,
+        may_send=lambda: True,
     ):
         """Send a request to a server and wait for the response.
 
@@ -99,6 +103,7 @@
           may_repeat: function that returns whether the request may be sent
             again if abort_repeatable() ends this attempt; None if that does
             not end it.
+          may_send: see send_to().
           others: see send_to().
         Returns:
           Attempt.
@@ -115,6 +120,7 @@
             idempotent=idempotent,
             response_deadline=response_deadline,
             may_repeat=may_repeat,
+            may_send=may_send,
             allow_close_delimited=True,
         )
 
@@ -128,6 +134,7 @@
         idempotent,
         response_deadline,
         may_repeat=None,
+        may_send=lambda: True,
         allow_close_delimited=False,
     ):
         """Send a request to an address and wait for the response.
@@ -144,6 +151,9 @@
           response_deadline: time after which the response is useless,
             monotonic seconds.
           may_repeat: see send().
+          may_send: function that returns whether the request may still be
+            sent. It is asked last, since a new connection takes time in which
+            the receiver may be evacuated.
           allow_close_delimited: whether the response may have no length and
             end with the connection. Those of nodes always have one.
         Returns:
@@ -175,7 +185,7 @@
             self._at_servers[connection] = may_repeat
         try:
             attempt = exchange.run(
-                request, request_id, render, response_deadline
+                request, request_id, render, response_deadline, may_send
             )
             return dataclasses.replace(
                 attempt,
@@ -208,7 +218,7 @@
         self.reusable = False
         self.stray_ids = []
 
-    def run(self, request, request_id, render, response_deadline):
+    def run(self, request, request_id, render, response_deadline, may_send):
         remaining = response_deadline - self._clock()
         if remaining <= 0:
             return Attempt(
@@ -216,6 +226,13 @@
                 may_have_run=False,
                 detail="deadline passed before the request was sent",
             )
+        if not may_send():
+            return Attempt(
+                outcome=placement.AttemptOutcome.CANCELLED,
+                may_have_run=False,
+                withdrawn=True,
+                detail="server was evacuated before the request was sent",
+            )
         data = render(remaining)
         fresh = self._connection.fresh
         try:
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -324,8 +324,15 @@
         )
 
     def _check_misdirected(self, instances):
-        """Check servers that another one answers for."""
-        self._probe(instances, _MISDIRECTED_CHECK_TIMEOUT_S)
+        """Check servers that another one answers for, unless evacuated."""
+        self._probe(
+            [
+                instance
+                for instance in instances
+                if not self._views.get(instance).evacuated
+            ],
+            _MISDIRECTED_CHECK_TIMEOUT_S,
+        )
 
     def _on_probe(self, instance, result):
         if result is None:
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -87,6 +87,13 @@
         del reasons[None]
         return dict(reasons)
 
+    @property
+    def evacuated_domains(self):
+        """Number of failure domains with servers that are evacuated."""
+        return len(
+            {view.place.failure_domain for view in self.all if view.evacuated}
+        )
+
     @property
     def limited_count(self):
         """Number of servers with a rate limit that this node knows."""
@@ -151,6 +158,7 @@
                 slots=registration.slots,
                 leaving=statement.leaving,
                 paused_until=statement.paused_until,
+                evacuated=record.evacuated,
                 slow_start_until=record.learned_at + registration.slow_start,
             )
         self._rate_limits.forget(self._views.keys() - views.keys())
@@ -382,6 +390,8 @@
         for instance, view in self._views.items():
             if view.rate_limit == 0.0 or view.leaving or view.misdirected:
                 continue
+            if view.evacuated:
+                continue
             is_remote = view.locality is placement.Locality.REMOTE
             (remote if is_remote else local).append(instance)
         self._local_instances = tuple(local)
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -22,6 +22,7 @@
       limited_servers: backend servers that name a rate limit.
       excluded_servers: dict from the reason why backend servers get no request
         at present to their number.
+      evacuated_domains: evacuated failure domains that have backend servers.
     """
 
     service: str
@@ -29,6 +30,7 @@
     in_flight: int
     limited_servers: int = 0
     excluded_servers: dict = dataclasses.field(default_factory=dict)
+    evacuated_domains: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -144,6 +146,11 @@
             "Backend servers that name a rate limit",
             lambda gauges: gauges.limited_servers,
         ),
+        (
+            "evacuated_failure_domains",
+            "Evacuated failure domains that have backend servers",
+            lambda gauges: gauges.evacuated_domains,
+        ),
     ):
         family = prometheus_core.GaugeMetricFamily(
             f"wigeonrouter_{name}", text, labels=("service",)
--- a/wigeonrouter/placement/_exclusion.py
+++ b/wigeonrouter/placement/_exclusion.py
@@ -8,6 +8,7 @@
 class Exclusion(enum.Enum):
     """Why a server gets no request. Draining servers have no view."""
 
+    EVACUATED = "evacuated"
     LEAVING = "leaving"
     MISDIRECTED = "misdirected"
     PAUSED = "paused"
@@ -24,6 +25,8 @@
       view: ServerView.
       now: seconds on the monotonic clock.
     """
+    if view.evacuated:
+        return Exclusion.EVACUATED
     if view.leaving:
         return Exclusion.LEAVING
     if view.misdirected:
--- a/wigeonrouter/placement/_records.py
+++ b/wigeonrouter/placement/_records.py
@@ -60,6 +60,7 @@
       leaving: whether it has said that it is about to end.
       paused_until: time before which it has asked for no requests.
       misdirected: whether another server answers for it at its address.
+      evacuated: whether its failure domain is evacuated.
       place: where it runs.
     """
 
@@ -80,6 +81,7 @@
     leaving: bool = False
     paused_until: float = float("-inf")
     misdirected: bool = False
+    evacuated: bool = False
     place: core.Place = core.Place(region="", failure_domain="")
 
 
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -1,6 +1,7 @@
 """What a node knows of its deployment: routes, servers and nodes."""
 
 from wigeonrouter.topology import _directory
+from wigeonrouter.topology import _evacuations
 from wigeonrouter.topology import _freshness
 from wigeonrouter.topology import _records
 from wigeonrouter.topology import _region
@@ -16,6 +17,7 @@
 CrashStored = _records.CrashStored
 CopyFreshness = _freshness.CopyFreshness
 Departure = _records.Departure
+Evacuations = _evacuations.Evacuations
 EvacuationRemoved = _records.EvacuationRemoved
 EvacuationWritten = _records.EvacuationWritten
 KnownServer = _directory.KnownServer
--- a/wigeonrouter/topology/_directory.py
+++ b/wigeonrouter/topology/_directory.py
@@ -27,11 +27,16 @@
       learned_at: time of arrival, seconds on the monotonic clock.
       lapsed_at: time at which it lapsed in an outage of the store, None
         otherwise.
+      evacuated: whether its failure domain is evacuated.
+      returned_at: time at which its failure domain was taken back into
+        service, None if it was not evacuated.
     """
 
     registration: _records.Registration
     learned_at: float
     lapsed_at: float | None = None
+    evacuated: bool = False
+    returned_at: float | None = None
 
 
 class ServerDirectory:
