Give the limits of servers a module of their own

What limits the requests to a server is now in ServerLimits; nothing else changes.

The tests of node and placement and of rate limits in platform pass. The whole suite was not run on this commit.

--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -7,6 +7,7 @@
 from wigeonrouter import placement
 from wigeonrouter import topology
 from wigeonrouter.node import _new_view
+from wigeonrouter.node import _server_limits
 
 
 class ServerViews:
@@ -22,9 +23,10 @@
     def __init__(self, *, place, events, limit_share, clock=time.monotonic):
         self._place = place
         self._events = events
-        self._limit_share = limit_share
         self._clock = clock
-        self._rate_limits = placement.RateLimits()
+        self._limits = _server_limits.ServerLimits(
+            events=events, limit_share=limit_share, clock=clock
+        )
         self._statements = placement.ServerStatements()
         self._invalid_statements = set()
         # No server of the service is paused after this time.
@@ -60,11 +62,7 @@
 
         None stands for a limit that has ended.
         """
-        if not self._rate_limits.has_statements:
-            return {}
-        return self._rate_limits.statements(
-            self._clock(), is_sender=self._limit_share() > 0.0
-        )
+        return self._limits.statements
 
     @property
     def statements(self):
@@ -97,13 +95,13 @@
     @property
     def limited_count(self):
         """Number of servers with a rate limit that this node knows."""
-        return len(self._rate_limits.limited)
+        return len(self._limits.limited)
 
     @property
     def time_to_next_send(self):
         """Seconds until some server's limit and pause allow a request."""
         now = self._clock()
-        if not self._rate_limits.limited and self._last_pause_ends <= now:
+        if not self._limits.limited and self._last_pause_ends <= now:
             return 0.0
         times = (
             max(view.next_send_at, view.paused_until)
@@ -151,7 +149,7 @@
             previous = self._registrations.get(instance)
             if view is None or previous.started_ms != registration.started_ms:
                 view = _new_view.make_view(registration, place=self._place)
-                self._rate_limits.forget([instance])
+                self._limits.forget([instance])
             statement = self._statements.get(_start(registration))
             views[instance] = dataclasses.replace(
                 view,
@@ -161,7 +159,7 @@
                 evacuated=record.evacuated,
                 slow_start_until=record.learned_at + registration.slow_start,
             )
-        self._rate_limits.forget(self._views.keys() - views.keys())
+        self._limits.forget(self._views.keys() - views.keys())
         self._registrations, self._views = registrations, views
         self._invalid_statements &= {
             _start(registration) for registration in registrations.values()
@@ -206,8 +204,8 @@
         now = self._clock()
         view = self._views.get(instance)
         if view is not None and view.rate_limit is not None:
-            self._rate_limits.set_share(self._limit_share(), now)
-            view = self._apply_rate_limit(view, now)
+            self._limits.refresh_share()
+            view = self._apply_rate_limit(view)
         if view is None:
             return None
         exclusion = placement.find_exclusion(view, now)
@@ -217,12 +215,11 @@
 
     def record_sent(self, view):
         """Count a request that is sent to a server."""
-        now = self._clock()
         view = dataclasses.replace(view, in_flight=view.in_flight + 1)
         self._views[view.instance] = view
-        self._rate_limits.record_sent(view.instance, now)
+        self._limits.record_sent(view.instance)
         if view.rate_limit is not None:
-            self._apply_rate_limit(view, now)
+            self._apply_rate_limit(view)
 
     def record_statements(self, registration, metadata):
         """Apply what a response says about its server.
@@ -283,28 +280,9 @@
           metadata: messages.ResponseMetadata of the response.
           from_probe: whether it is the response to a health check.
         """
-        if not metadata.rate_limit_valid or instance not in self._views:
-            return
-        if metadata.misdirected:
-            # Another server has responded.
-            return
-        if metadata.rate_limit is None and metadata.not_executed:
-            # A server that rejects requests may well need its limit still.
-            return
-        changed = self._rate_limits.record_response(
-            instance,
-            limit=metadata.rate_limit,
-            from_probe=from_probe,
-            now=self._clock(),
-        )
-        if changed:
-            self._events.event(
-                "server-rate-limit",
-                instance=instance,
-                per_second=metadata.rate_limit,
-                source="probe" if from_probe else "response",
-                share=self._limit_share(),
-            )
+        if instance in self._views and self._limits.record_response(
+            instance, metadata, from_probe=from_probe
+        ):
             self._apply_rate_limits()
 
     def refresh_rate_limits(self, peer_limits):
@@ -321,11 +299,7 @@
             for instance, limit in peer_limits.items()
             if instance in self._views
         }
-        self._rate_limits.record_peer_limits(known, self._clock())
-        if not self._rate_limits.limited:
-            # Without limits it is not tracked whether this node is the home,
-            # so it counts as a new one when a server names a limit.
-            self._rate_limits.set_share(0.0, self._clock())
+        if not self._limits.record_peer_limits(known):
             return False
         self._apply_rate_limits()
         return True
@@ -361,26 +335,14 @@
 
     def _apply_rate_limits(self):
         """Update the views from the limits, and which servers may be used."""
-        now = self._clock()
-        self._rate_limits.set_share(self._limit_share(), now)
-        for instance in self._rate_limits.limited:
-            self._apply_rate_limit(self._views[instance], now)
+        self._limits.refresh_share()
+        for instance in self._limits.limited:
+            self._apply_rate_limit(self._views[instance])
         self._group_by_locality()
 
-    def _apply_rate_limit(self, view, now):
+    def _apply_rate_limit(self, view):
         """Update one view from its limit and return it."""
-        rate = self._rate_limits.rate(
-            view.instance,
-            local=view.locality is not placement.Locality.REMOTE,
-            now=now,
-        )
-        view = dataclasses.replace(
-            view,
-            rate_limit=rate,
-            next_send_at=self._rate_limits.next_send_time(
-                view.instance, rate=rate, now=now
-            ),
-        )
+        view = self._limits.apply(view)
         self._views[view.instance] = view
         return view
 
