--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -237,6 +237,7 @@
                 response_deadline=context.pending.deadline,
                 tenant=self._authenticator.name_for_server(context),
                 may_repeat=lambda: self._may_repeat(context, balancer),
+                may_send=lambda: not self._is_evacuated(grant),
             )
             return attempt
         except Exception:
@@ -268,6 +269,9 @@
     def _handle_result(self, context, balancer, grant, attempt):
         """Return the final response or Rejection, None to try again."""
         instance = grant.registration.instance
+        if attempt.withdrawn:
+            # It looks for another server, which costs no retry.
+            return None
         if attempt.outcome is placement.AttemptOutcome.UNREACHABLE:
             context.connect_failures += 1
             context.exclude(instance)
@@ -291,6 +295,10 @@
             return None
         return _final_result(attempt)
 
+    def _is_evacuated(self, grant):
+        domain = grant.registration.place.failure_domain
+        return domain in self._cluster_state.evacuated
+
     def _may_repeat(self, context, balancer):
         """Return whether a request that is at a server may be sent again."""
         route = context.route
