Serve requests in their home regions only

A route or tenant may name the only regions that may execute its requests. The names were read and not used: a request went to the closest server, to any node that took it, and callers of other regions were sent to nodes of this one.

PendingRequest.home_regions is now None where all are allowed, so that an empty set stands for none. A node outside the home regions queues such requests apart, for the servers there: admission, expected waits and the choice go by their slots, and the round trip shortens the time that is left. Their load reports are kept fresh in the background while such requests arrive, so that few wait for a probe's round trip. Where no server or region is left, NO_HOME is returned at once, also to all that wait. A cut-off node passes requests on to its own region and to home regions, and the directory names only nodes of the caller's region or of home regions to callers of other regions.

Requests without home regions take the same path as before.

The fakes of node/_proxy_test.py have the method and the argument that were added; no assertion there has changed.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -10,6 +10,7 @@
 
 from wigeonrouter import placement
 from wigeonrouter.node import _admission_controller
+from wigeonrouter.node import _home_balancers
 from wigeonrouter.node import _server_pool
 
 # A request at the head of the queue looks for a server again after this share
@@ -44,6 +45,18 @@
         self._rng = rng
         self._clock = clock
         self._queue = placement.RequestQueue()
+        self._homes = _home_balancers.HomeBalancers(
+            server_pool=server_pool,
+            make_balancer=lambda home_pool: Balancer(
+                server_pool=home_pool,
+                budget=budget,
+                rng=rng,
+                stop_schedule=stop_schedule,
+                clock=clock,
+            ),
+            rng=rng,
+            clock=clock,
+        )
         self._admission = _admission_controller.AdmissionController(
             server_pool=server_pool,
             queue=self._queue,
@@ -65,7 +78,9 @@
     @property
     def queue_length(self):
         """Number of requests that wait for a server in the queue."""
-        return len(self._queue)
+        return len(self._queue) + sum(
+            balancer.queue_length for balancer in self._homes.all
+        )
 
     @property
     def in_flight(self):
@@ -104,6 +119,15 @@
         )
         self._on_servers_changed()
 
+    def check_homes(self, request):
+        """Return the Rejection of a request whose home regions cannot serve.
+
+        None if a server there can be used.
+        """
+        if request.home_regions is None:
+            return None
+        return self._homes.check(request)
+
     def check_stopping(self, request, route):
         """Return the Rejection of a request that this node may not finish.
 
@@ -127,6 +151,17 @@
           Grant, which must be released, messages.Rejection, or None if it
           has left.
         """
+        if request.home_regions is None:
+            return self.acquire_any(request, route, should_leave)
+        return self._homes.acquire(
+            request,
+            route,
+            should_leave=should_leave,
+            acquire_local=self.acquire_any,
+        )
+
+    def acquire_any(self, request, route, should_leave):
+        """Wait for any of the servers of the pool; see acquire()."""
         rejection = self._admission.check_arrival(request, route)
         if rejection is not None:
             return rejection
@@ -137,7 +172,7 @@
             return self._wait_for_grant(waiter, request, route, should_leave)
         finally:
             self._queue.remove(waiter)
-            self._wake_head()
+            self.wake_head()
 
     def release(
         self, grant, *, route, outcome, metadata, latency, timed_out=False
@@ -163,7 +198,7 @@
         if metadata is not None and metadata.misdirected:
             self._on_servers_changed()
         else:
-            self._wake_head()
+            self.wake_head()
 
     def on_links_changed(self, *, cut):
         """Apply that this node was cut off from all servers, or is back."""
@@ -210,7 +245,7 @@
                 timeout = poll_interval
             else:
                 if was_at_head:
-                    self._wake_head()
+                    self.wake_head()
                 timeout = self._admission.time_to_check(request, route)
             was_at_head = at_head
             waiter.wait(timeout=timeout)
@@ -276,14 +311,17 @@
         the reports fresh while the own region has too few free slots. Only
         without any local server are remote ones probed for each request.
         """
-        if not self._server_pool.views.remote:
+        views = placement.find_allowed(
+            self._server_pool.views.remote, request.home_regions
+        )
+        if not views:
             return placement.Pick(view=None)
         if not self._server_pool.views.local:
             return self._probe_and_choose(
                 request, service_time, _server_pool.REMOTE_PROBES, remote=True
             )
         return placement.choose(
-            self._server_pool.remote_with_fresh_reports(),
+            self._server_pool.remote_with_fresh_reports(request.home_regions),
             request=request,
             service_time=service_time,
             mean_slowdown=self._server_pool.service_times.mean_slowdown,
@@ -301,8 +339,9 @@
           placement.Pick.
         """
         server_pool = self._server_pool
+        views = server_pool.views.remote if remote else server_pool.views.local
         sampled = placement.sample_views(
-            server_pool.views.remote if remote else server_pool.views.local,
+            placement.find_allowed(views, request.home_regions),
             request=request,
             now=self._clock(),
             rng=self._rng,
@@ -329,15 +368,20 @@
 
     def _on_servers_changed(self):
         """Wake the requests that the set of servers may concern."""
-        if self._server_pool.views.has_usable:
-            self._wake_head()
+        if self._server_pool.views.has_usable and not self._homes.used:
+            self.wake_head()
         else:
             self._wake_all()
 
     def _wake_all(self):
+        for balancer in self._homes.all:
+            balancer.recheck_queue()
         for waiter in self._queue:
             waiter.set()
 
-    def _wake_head(self):
+    def wake_head(self):
+        """Let the first queued requests look for a server again."""
+        for balancer in self._homes.all:
+            balancer.wake_head()
         for waiter in self._queue.head(self._clock()):
             waiter.set()
--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -76,12 +76,17 @@
         """Return the frozenset of hosts registered as nodes of a region."""
         return frozenset(self._hosts.get(region, ()))
 
-    def remote_hosts(self, region):
-        """Return the set of hosts registered as nodes of other regions."""
+    def remote_hosts(self, region, home_regions=None):
+        """Return the set of hosts registered as nodes of other regions.
+
+        Args:
+          region: the region that is left out.
+          home_regions: the only regions to look in, None for all.
+        """
         return {
             host
             for other, hosts in self._hosts.items()
-            if other != region
+            if other != region and placement.allows_region(home_regions, other)
             for host in hosts
         }
 
--- a/wigeonrouter/node/_forwarder.py
+++ b/wigeonrouter/node/_forwarder.py
@@ -80,7 +80,7 @@
           HttpResponse of the other node, messages.Rejection, or None if no
           node takes the request, which this one has to handle then.
         """
-        for address in self._addresses(context.service):
+        for address in self._addresses(context):
             attempt = self._send(context, address)
             if attempt.response is not None:
                 if _forwarded_request.is_declined(attempt.response):
@@ -130,10 +130,14 @@
             time_to_deadline=remaining,
         )
 
-    def _addresses(self, service):
-        """Return the addresses that a request is sent to, best first."""
+    def _addresses(self, context):
+        """Return the addresses that a request is sent to, best first.
+
+        The body of a request with home regions stays in these and in its
+        caller's region, which is the own one.
+        """
         peers = topology.forwarding_peers(
-            service=service,
+            service=context.service,
             peers=self._peers(),
             own_host=self._host,
             count=_REGION_PEERS,
@@ -143,8 +147,10 @@
                 core.parse_address(peer.forwarding_address) for peer in peers
             ]
         hosts = topology.remote_forwarding_hosts(
-            service=service,
-            hosts=self._cluster_state.remote_hosts(self._region),
+            service=context.service,
+            hosts=self._cluster_state.remote_hosts(
+                self._region, context.pending.home_regions
+            ),
             count=_REMOTE_PEERS,
         )
         return [core.Address(host=host, port=self._port) for host in hosts]
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -23,6 +23,7 @@
 from wigeonrouter.node import _prober
 from wigeonrouter.node import _proxy
 from wigeonrouter.node import _region_member
+from wigeonrouter.node import _remote_entries
 from wigeonrouter.node import _request_log
 from wigeonrouter.node import _roster
 from wigeonrouter.node import _sender
@@ -409,6 +410,11 @@
         self._cluster_state.wait_configured(_STARTUP_WAIT_S)
         if self._cluster_state.configuration is None:
             return ()
+        remote = _remote_entries.choose(
+            query, settings=self._settings, cluster_state=self._cluster_state
+        )
+        if remote is not None:
+            return remote
         services = self._cluster_state.routes.services_of(query.host)
         home_nodes = topology.home_nodes(
             service=services[0] if services else "",
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -166,7 +166,7 @@
             route=route,
             service=self._choose_service(route, origin),
             pending=self._make_pending(
-                route, request_metadata, arrived, origin
+                route, None, request_metadata, arrived, origin
             ),
             attempts=origin.attempts if origin else 0,
             may_have_run=origin is not None and origin.may_have_run,
@@ -180,7 +180,8 @@
             return origin.service
         return self._splitter.choose(route)
 
-    def _make_pending(self, route, request_metadata, arrived, origin):
+    def _make_pending(self, route, tenant, request_metadata, arrived, origin):
+        home_regions = placement.merge_home_regions(route, tenant)
         if origin is not None:
             # Less time is left than its caller usually waits, so it says
             # nothing about that.
@@ -190,6 +191,7 @@
                 arrived=arrived,
                 target_time=arrived + origin.time_to_target,
                 deadline=arrived + min(origin.time_to_deadline, route.timeout),
+                home_regions=home_regions,
             )
         remaining = request_metadata.remaining
         if remaining is None:
@@ -204,10 +206,14 @@
             - elapsed
             - _RESPONSE_TRANSIT_S,
             deadline=arrived + min(remaining, route.timeout),
+            home_regions=home_regions,
         )
 
     def _run(self, context, balancer):
         while True:
+            rejection = balancer.check_homes(context.pending)
+            if rejection is not None:
+                return rejection
             if self._forwarder.should_forward(context):
                 result = self._forward(context, balancer)
                 if result is not None:
--- a/wigeonrouter/node/_proxy_test.py
+++ b/wigeonrouter/node/_proxy_test.py
@@ -89,6 +89,9 @@
     def __init__(self, *, script):
         self._script = script
 
+    def check_homes(self, pending):
+        return None
+
     def check_stopping(self, pending, route):
         return None
 
@@ -176,7 +179,7 @@
             services={},
             limits=topology.CallerLimits(),
         )
-        self.remote_hosts = lambda region: ("127.0.0.3",)
+        self.remote_hosts = lambda region, home_regions: ("127.0.0.3",)
         self.routes = topology.RouteTable([route])
         self.caller_timeouts = {}
 
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -14,6 +14,7 @@
 from wigeonrouter import placement
 from wigeonrouter.node import _grant
 from wigeonrouter.node import _misdirected_servers
+from wigeonrouter.node import _server_capacity
 from wigeonrouter.node import _server_views
 
 # Remote servers that are probed before a choice if no server is local.
@@ -82,7 +83,9 @@
         )
         self._service_times = placement.ServiceTimes()
         self._remote_poll_task = None
-        self._remote_poll_until = float("-inf")
+        # Dict from the home regions of requests, None for all, to the time
+        # until which their remote servers are polled.
+        self._remote_polls = {}
 
     @property
     def views(self):
@@ -105,13 +108,10 @@
         Args:
           service_time: undisturbed service time, seconds.
         """
-        return sum(
-            placement.usable_slots(
-                view,
-                service_time=service_time,
-                mean_slowdown=self._service_times.mean_slowdown,
-            )
-            for view in self._preferred()
+        return _server_capacity.usable_slots(
+            self._preferred(),
+            service_time=service_time,
+            mean_slowdown=self._service_times.mean_slowdown,
         )
 
     @property
@@ -122,18 +122,12 @@
         """
         if not self._views.limited_count:
             return None
-        views = self._preferred()
-        if any(view.rate_limit is None for view in views):
-            return None
-        return sum(view.rate_limit for view in views)
+        return _server_capacity.limited_throughput(self._preferred())
 
     @property
     def utilization(self):
         """Expected load of the servers that are preferred, per slot."""
-        now = self._clock()
-        views = self._preferred()
-        used = sum(placement.expected_load(view, now) for view in views)
-        return used / max(1, sum(view.slots for view in views))
+        return _server_capacity.utilization(self._preferred(), self._clock())
 
     def configure(self, *, health_path, registered):
         """Update the set of servers; see ServerViews.configure().
@@ -146,18 +140,25 @@
         self._views.configure(registered)
         self._misdirected.configure()
 
-    def remote_with_fresh_reports(self):
+    def remote_with_fresh_reports(self, home_regions=None):
         """Return the remote views with fresh reports.
 
         Starts or prolongs the background polling that keeps them fresh.
+
+        Args:
+          home_regions: regions of the servers, None for all.
         """
-        self._remote_poll_until = self._clock() + _REMOTE_POLL_DURATION_S
+        self._remote_polls[home_regions] = (
+            self._clock() + _REMOTE_POLL_DURATION_S
+        )
         if self._remote_poll_task is None or self._remote_poll_task.ready():
             self._remote_poll_task = gevent.spawn(self._poll_remote)
         now = self._clock()
         return [
             view
-            for view in self._views.remote
+            for view in placement.find_allowed(
+                self._views.remote, home_regions
+            )
             if view.report is not None
             and now - view.report.received < _REMOTE_REPORT_MAX_AGE_S
         ]
@@ -298,21 +299,39 @@
         a pause do not belong to them.
         """
         now = self._clock()
-        local = _without_paused(self._views.local, now)
+        local = _server_capacity.without_paused(self._views.local, now)
         if any(view.rate_limit is None for view in local):
             return local
-        return local + _without_paused(self._views.remote, now)
+        return local + _server_capacity.without_paused(self._views.remote, now)
 
     def _poll_remote(self):
         """Probe random remote servers at intervals while they are needed."""
-        while self._clock() < self._remote_poll_until:
-            views = _without_paused(self._views.remote, self._clock())
+        while views := self._polled_views():
             chosen = self._rng.sample(
                 views, min(len(views), _POLLED_REMOTE_SERVERS)
             )
             self.probe(chosen, remote=True)
             gevent.sleep(_REMOTE_POLL_INTERVAL_S)
 
+    def _polled_views(self):
+        """Return the remote servers that requests needed lately."""
+        now = self._clock()
+        self._remote_polls = {
+            home_regions: until
+            for home_regions, until in self._remote_polls.items()
+            if now < until
+        }
+        return [
+            view
+            for view in _server_capacity.without_paused(
+                self._views.remote, now
+            )
+            if any(
+                placement.allows_region(home_regions, view.place.region)
+                for home_regions in self._remote_polls
+            )
+        ]
+
     def _probe(self, instances, timeout):
         self._prober.probe(
             [
@@ -381,10 +400,6 @@
         )
 
 
-def _without_paused(views, now):
-    return [view for view in views if view.paused_until <= now]
-
-
 def _saturated_report(view, now):
     """Return the LoadReport implied by a rejection without one: all busy."""
     return placement.LoadReport(
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -7,6 +7,7 @@
 from wigeonrouter import placement
 from wigeonrouter import topology
 from wigeonrouter.node import _new_view
+from wigeonrouter.node import _server_capacity
 
 
 class ServerViews:
@@ -98,11 +99,9 @@
         now = self._clock()
         if not self._rate_limits.limited and self._last_pause_ends <= now:
             return 0.0
-        times = (
-            max(view.next_send_at, view.paused_until)
-            for view in (*self.local, *self.remote)
+        return _server_capacity.time_to_next_send(
+            (*self.local, *self.remote), now
         )
-        return max(0.0, min(times, default=0.0) - now)
 
     def get(self, instance):
         """Return the ServerView of an instance, None if it is unknown."""
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -14,6 +14,7 @@
 from wigeonrouter.placement import _estimate
 from wigeonrouter.placement import _exclusion
 from wigeonrouter.placement import _health
+from wigeonrouter.placement import _home_regions
 from wigeonrouter.placement import _misdirections
 from wigeonrouter.placement import _rate_limits
 from wigeonrouter.placement import _records
@@ -62,6 +63,13 @@
 CRASH_RETENTION_S = _crashes.CRASH_RETENTION_S
 EXPECTED_SLOT_WAIT_S = _choice.EXPECTED_SLOT_WAIT_S
 find_exclusion = _exclusion.find_exclusion
+allows_region = _home_regions.allows
+as_closest = _home_regions.as_closest
+entry_regions = _home_regions.entry_regions
+find_allowed = _home_regions.find_allowed
+merge_home_regions = _home_regions.merge
+unavoidable_round_trip = _home_regions.unavoidable_round_trip
+without_round_trip = _home_regions.without_round_trip
 is_available = _health.is_available
 sample_views = _choice.sample_views
 TRIAL_INTERVAL_S = _misdirections.TRIAL_INTERVAL_S
--- a/wigeonrouter/placement/_records.py
+++ b/wigeonrouter/placement/_records.py
@@ -94,7 +94,8 @@
       excluded: instances where an attempt of this request has failed.
       tenant: name of its tenant, "" without one.
       tenant_priority: goes before `priority`, 0 is the highest.
-      home_regions: the only regions whose servers may run it, all if empty.
+      home_regions: the only regions whose servers may run it, None for all.
+        None may run it if it is empty.
     """
 
     priority: int
@@ -105,4 +106,4 @@
     excluded: frozenset[str] = frozenset()
     tenant: str = ""
     tenant_priority: int = 0
-    home_regions: frozenset[str] = frozenset()
+    home_regions: frozenset[str] | None = None
--- a/wigeonrouter/topology/_routing.py
+++ b/wigeonrouter/topology/_routing.py
@@ -33,6 +33,10 @@
                 return route
         return None
 
+    def routes_of(self, host):
+        """Return the topology.Routes of a host."""
+        return tuple(self._by_host.get(host, {}).values())
+
     def services_of(self, host):
         """Return the services of a host's routes, by descending weight."""
         weights = {}
