--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -152,6 +152,9 @@
 
     def _run(self, context, balancer):
         while True:
+            rejection = balancer.check_homes(context.pending)
+            if rejection is not None:
+                return rejection
             if self._forwarder.should_forward(context):
                 result = self._forward(context, balancer)
                 if result is not None:
--- a/wigeonrouter/node/_request_router.py
+++ b/wigeonrouter/node/_request_router.py
@@ -123,6 +123,7 @@
             deadline=arrived + min(remaining, route.timeout),
             tenant=tenant.name if tenant else "",
             tenant_priority=tenant.priority if tenant else 0,
+            home_regions=placement.merge_home_regions(route, tenant),
         )
 
 
