Order queued requests by tenant, fairly, and let no rank starve

Cause: the queue of a node knew only the priority of the route and the target time, so one tenant could take the slots of all others, and a higher priority those of a lower one.

Change: the priority of the tenant goes before that of the route. Requests of equal rank are in a limits.FairQueue by tenant, which charges a tenant the service time of each request that gets a server. Without tenants all are in one queue, in the same order as before. A starvation guard counts which requests of each rank and tenant get a server. Where this share is below 0.4 of that of all requests, the first request of the rank and tenant goes before all others and is admitted, until the share is above it. Metrics: waiting requests and those without a server by rank, starved ranks; log event rank-starved.

It does nothing while a rank gets 0.4 of the mean.

Tests: wigeonrouter/placement, limits, node, observability, dispatch and platform/_slow_service_test.py, _rate_limit_test.py, _end_to_end_test.py pass.

--- a/wigeonrouter/limits/_queue.py
+++ b/wigeonrouter/limits/_queue.py
@@ -1,6 +1,7 @@
 """Weighted fair queue of the requests that wait for a free slot."""
 
 import bisect
+import heapq
 import itertools
 
 DEFAULT_WEIGHT = 1.0
@@ -74,6 +75,39 @@
         tenant = min(self._queued, key=self._virtual_times.__getitem__)
         return self._queued[tenant][0]
 
+    def first(self, count, *, cost=1.0):
+        """Return the entries to be served next, in order.
+
+        Args:
+          count: largest number of entries.
+          cost: expected cost of each, which is not known yet.
+        """
+        if len(self._queued) <= 1:
+            return next(iter(self._queued.values()), [])[:count]
+        ranked = [
+            (self._virtual_times[tenant], order, 0, tenant)
+            for order, tenant in enumerate(self._queued)
+        ]
+        heapq.heapify(ranked)
+        entries = []
+        while ranked and len(entries) < count:
+            virtual_time, order, position, tenant = ranked[0]
+            queued = self._queued[tenant]
+            entries.append(queued[position])
+            if position + 1 == len(queued):
+                heapq.heappop(ranked)
+                continue
+            virtual_time += cost / self._weight(tenant)
+            heapq.heapreplace(
+                ranked, (virtual_time, order, position + 1, tenant)
+            )
+        return entries
+
+    def first_of(self, tenant):
+        """Return the first entry of a tenant, or None."""
+        queued = self._queued.get(tenant)
+        return queued[0] if queued else None
+
     def dequeue(self, entry, *, cost=1.0):
         """Remove an entry to be served and charge its cost to the tenant.
 
--- a/wigeonrouter/limits/_queue_test.py
+++ b/wigeonrouter/limits/_queue_test.py
@@ -111,6 +111,20 @@
         count = self.queue.count_ahead(tenant=tenant, key=key)
         assert own <= count <= len(self.naive.items)
 
+    @stateful.invariant()
+    def order_holds_every_item_once(self):
+        """An order of the next items must not lose or repeat any."""
+        entries = self.queue.first(len(self.naive.items))
+        items = [entry.item for entry in entries]
+        assert sorted(items) == sorted(self.naive.items)
+        if items:
+            assert items[0] in self.naive.next_items()
+        for tenant in "abc":
+            own = [item for item in items if item[0] == tenant]
+            assert own == sorted(own)
+            if own:
+                assert self.queue.first_of(tenant).item == own[0]
+
     @stateful.invariant()
     def sizes_agree(self):
         assert len(self.queue) == len(self.naive.items) == len(self.entries)
--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -165,6 +165,10 @@
         """Return the Rejection of a new request, None to admit it."""
         if not self._server_pool.views.has_usable:
             return self._reject_no_server()
+        if self._queue.may_go_first(request):
+            return self._check_still_admissible(
+                request, service_time, now, became_late=False
+            )
         wait = (
             self._server_pool.views.time_to_next_send
             + placement.expected_wait(
@@ -240,7 +244,7 @@
             return self._reject_overload(
                 request, max(wait, service_time), service_time, now
             )
-        if became_late:
+        if became_late and not self._queue.is_starved(request):
             return self._check_late_admission(request, service_time, now)
         return None
 
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -10,6 +10,8 @@
 
 from wigeonrouter import placement
 from wigeonrouter.node import _admission_controller
+from wigeonrouter.node import _grant
+from wigeonrouter.node import _overload_log
 from wigeonrouter.node import _server_pool
 
 # A request at the head of the queue looks for a server again after this share
@@ -18,6 +20,8 @@
 _POLL_SHARE = 0.2
 _MIN_POLL_S = 0.012
 _MAX_POLL_S = 0.03
+# Stands for the result of a request whose task ended without one.
+_NOT_SERVED = object()
 
 
 class Balancer:
@@ -28,6 +32,8 @@
       budget: placement.RetryBudget.
       stop_schedule: function that returns the placement.StopSchedule of this
         node, NO_STOP while it is not stopping.
+      on_starved: function that is told the placement.PendingRequest whose
+        rank and tenant have become starved.
     """
 
     def __init__(
@@ -37,6 +43,7 @@
         budget,
         rng,
         stop_schedule=lambda: placement.NO_STOP,
+        on_starved=lambda request: None,
         clock=time.monotonic,
     ):
         self._server_pool = server_pool
@@ -44,6 +51,9 @@
         self._rng = rng
         self._clock = clock
         self._queue = placement.RequestQueue()
+        self._overload_log = _overload_log.OverloadLog(
+            queue=self._queue, on_starved=on_starved, clock=clock
+        )
         self._admission = _admission_controller.AdmissionController(
             server_pool=server_pool,
             queue=self._queue,
@@ -67,6 +77,11 @@
         """Number of requests that wait for a server in the queue."""
         return len(self._queue)
 
+    @property
+    def overload_log(self):
+        """OverloadLog of the service."""
+        return self._overload_log
+
     @property
     def in_flight(self):
         """Number of this node's requests in flight at the servers."""
@@ -129,14 +144,21 @@
         """
         rejection = self._admission.check_arrival(request, route)
         if rejection is not None:
+            self._overload_log.on_end(request, served=False)
             return rejection
         service_time = self._server_pool.service_times.service_time(route)
         waiter = event.Event()
         self._queue.add(waiter, request, service_time)
+        grant = _NOT_SERVED
         try:
-            return self._wait_for_grant(waiter, request, route, should_leave)
+            grant = self._wait_for_grant(waiter, request, route, should_leave)
+            return grant
         finally:
             self._queue.remove(waiter)
+            if grant is not None:
+                self._overload_log.on_end(
+                    request, served=isinstance(grant, _grant.Grant)
+                )
             self._wake_head()
 
     def release(
@@ -205,6 +227,7 @@
             if at_head:
                 grant = self._try_grant(request, service_time)
                 if grant is not None:
+                    self._queue.dispatch(waiter)
                     self._admission.record_dispatch(request, route)
                     return grant
                 timeout = poll_interval
@@ -323,7 +346,11 @@
             service_time=service_time,
             mean_slowdown=server_pool.service_times.mean_slowdown,
             now=self._clock(),
-            utilization=self._local_utilization(),
+            utilization=(
+                0.0
+                if self._queue.is_starved(request)
+                else self._local_utilization()
+            ),
             fast_slowdown=server_pool.service_times.fast_slowdown,
         )
 
--- a/wigeonrouter/node/_balancer_registry.py
+++ b/wigeonrouter/node/_balancer_registry.py
@@ -81,6 +81,9 @@
                 in_flight=balancer.in_flight,
                 limited_servers=balancer.limited_servers,
                 excluded_servers=balancer.excluded_servers,
+                waiting_by_rank=balancer.overload_log.waiting,
+                not_served_by_rank=balancer.overload_log.not_served,
+                starved=balancer.overload_log.starved,
             )
             for name, balancer in sorted(self._balancers.items())
         )
@@ -161,6 +164,16 @@
             ),
             rng=self._rng,
             stop_schedule=self._stop_schedule,
+            on_starved=lambda request: self._log_starved(service, request),
+        )
+
+    def _log_starved(self, service, request):
+        self._events.event(
+            "rank-starved",
+            service=service,
+            tenant=request.tenant,
+            tenant_priority=request.tenant_priority,
+            priority=request.priority,
         )
 
     def _retry_ratio(self):
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -22,6 +22,11 @@
       limited_servers: backend servers that name a rate limit.
       excluded_servers: dict from the reason why backend servers get no request
         at present to their number.
+      waiting_by_rank: dict from a rank, which is the pair of the priorities of
+        tenant and route, to the requests that wait for a slot.
+      not_served_by_rank: dict from a rank to the requests that got no server
+        since the start.
+      starved: pairs of rank and tenant that are served too rarely.
     """
 
     service: str
@@ -29,6 +34,9 @@
     in_flight: int
     limited_servers: int = 0
     excluded_servers: dict = dataclasses.field(default_factory=dict)
+    waiting_by_rank: dict = dataclasses.field(default_factory=dict)
+    not_served_by_rank: dict = dataclasses.field(default_factory=dict)
+    starved: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -144,6 +152,11 @@
             "Backend servers that name a rate limit",
             lambda gauges: gauges.limited_servers,
         ),
+        (
+            "starved_ranks",
+            "Pairs of rank and tenant that are served too rarely",
+            lambda gauges: gauges.starved,
+        ),
     ):
         family = prometheus_core.GaugeMetricFamily(
             f"wigeonrouter_{name}", text, labels=("service",)
@@ -160,6 +173,28 @@
         for reason, count in sorted(gauges.excluded_servers.items()):
             excluded.add_metric((gauges.service, reason), count)
     yield excluded
+    yield from _collect_ranks(services)
+
+
+def _collect_ranks(services):
+    labels = ("service", "tenant_priority", "priority")
+    waiting = prometheus_core.GaugeMetricFamily(
+        "wigeonrouter_waiting", "Waiting requests by rank", labels=labels
+    )
+    not_served = prometheus_core.CounterMetricFamily(
+        "wigeonrouter_not_served",
+        "Requests that got no backend server, by rank",
+        labels=labels,
+    )
+    for gauges in services:
+        for family, counts in (
+            (waiting, gauges.waiting_by_rank),
+            (not_served, gauges.not_served_by_rank),
+        ):
+            for rank, count in sorted(counts.items()):
+                family.add_metric((gauges.service, *map(str, rank)), count)
+    yield waiting
+    yield not_served
 
 
 def _collect_connections(gauges):
