Take a request that a busy server drops as a sign that it is full

Cause: servers that reset connections when slots and queue are full, or never respond to what they cannot queue, counted as failed. Two resets in a row ejected a server that was running other requests.

Change: a connection that a server with other requests breaks within half of the expected latency, or a deadline that passes while it responds to others, counts as full. Log event server-dropped-request.

Tests: wigeonrouter/placement, node/_balancer_test.py, _proxy_test.py, _server_views_test.py, platform/_end_to_end_test.py, _sender_state_test.py and _crashing_request_test.py pass.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -162,7 +162,15 @@
             self._wake_head()
 
     def release(
-        self, grant, *, route, outcome, metadata, latency, timed_out=False
+        self,
+        grant,
+        *,
+        route,
+        outcome,
+        metadata,
+        latency,
+        timed_out=False,
+        disconnected=False,
     ):
         """Release a server's slot and record the outcome of the attempt.
 
@@ -173,6 +181,7 @@
           metadata: messages.ResponseMetadata, None without a response.
           latency: duration of the attempt, seconds.
           timed_out: whether the attempt ended because its deadline passed.
+          disconnected: whether the server broke the connection.
         """
         self._server_pool.release(
             grant,
@@ -181,6 +190,7 @@
             metadata=metadata,
             latency=latency,
             timed_out=timed_out,
+            disconnected=disconnected,
         )
         if metadata is not None and metadata.misdirected:
             self._on_servers_changed()
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -319,6 +319,7 @@
                 metadata=attempt.metadata if attempt else None,
                 latency=latency,
                 timed_out=attempt is not None and attempt.timed_out,
+                disconnected=attempt is not None and attempt.disconnected,
             )
             self._request_log.on_attempt(
                 context, grant, attempt, outcome, latency
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -67,6 +67,7 @@
         clock=time.monotonic,
     ):
         self._prober = prober
+        self._events = events
         self._link_monitor = link_monitor
         self._rng = rng
         self._clock = clock
@@ -222,7 +223,17 @@
         self._misdirected.on_sent(grant.registration)
         return grant
 
-    def release(self, grant, *, route, outcome, metadata, latency, timed_out):
+    def release(
+        self,
+        grant,
+        *,
+        route,
+        outcome,
+        metadata,
+        latency,
+        timed_out,
+        disconnected=False,
+    ):
         """Record the end of an attempt; see Balancer.release()."""
         instance = grant.registration.instance
         own = metadata is not None and metadata.may_be_from(instance)
@@ -238,7 +249,18 @@
             and latency < _EARLY_TIMEOUT_FACTOR * grant.expected_latency
         ):
             outcome = placement.AttemptOutcome.TIMED_OUT
-        if view is not None:
+        now = self._clock()
+        if view is not None and placement.is_full_loss(
+            view,
+            outcome=outcome,
+            disconnected=disconnected,
+            timed_out=timed_out,
+            latency=latency,
+            expected_latency=grant.expected_latency,
+            now=now,
+        ):
+            self._record_full_loss(view, now)
+        elif view is not None:
             self._update_view(view, outcome, metadata if own else None)
         if outcome is placement.AttemptOutcome.SUCCEEDED:
             self._service_times.record_latency(route, latency)
@@ -263,6 +285,16 @@
         elif outcome is not placement.AttemptOutcome.CANCELLED:
             self._link_monitor.on_response()
 
+    def _record_full_loss(self, view, now):
+        limited = placement.after_full_loss(view, now=now)
+        self._views.replace(limited)
+        self._events.event(
+            "server-dropped-request",
+            instance=view.instance,
+            expected_load=round(placement.expected_load(view, now), 1),
+            load_limit=round(limited.load_limit, 1),
+        )
+
     def _update_view(self, view, outcome, metadata):
         """Update a view after an attempt.
 
@@ -284,7 +316,7 @@
         rejected = outcome is placement.AttemptOutcome.REJECTED
         if rejected and metadata is not None and load is None:
             view = dataclasses.replace(
-                view, report=_saturated_report(view, now)
+                view, report=placement.saturated_report(view, now)
             )
         self._views.replace(
             placement.after_attempt(view, outcome=outcome, now=now)
@@ -383,15 +415,3 @@
 
 def _without_paused(views, now):
     return [view for view in views if view.paused_until <= now]
-
-
-def _saturated_report(view, now):
-    """Return the LoadReport implied by a rejection without one: all busy."""
-    return placement.LoadReport(
-        running=view.slots,
-        queued=1,
-        slots=view.slots,
-        slowdown=view.report.slowdown if view.report else 1.0,
-        received=now,
-        own_in_flight=view.in_flight,
-    )
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -13,6 +13,7 @@
 from wigeonrouter.placement import _crashes
 from wigeonrouter.placement import _estimate
 from wigeonrouter.placement import _exclusion
+from wigeonrouter.placement import _full_servers
 from wigeonrouter.placement import _health
 from wigeonrouter.placement import _misdirections
 from wigeonrouter.placement import _rate_limits
@@ -45,6 +46,7 @@
 
 after_attempt = _health.after_attempt
 after_cut = _health.after_cut
+after_full_loss = _full_servers.after_full_loss
 after_probe = _health.after_probe
 after_no_response = _health.after_no_response
 expected_load = _estimate.expected_load
@@ -63,6 +65,10 @@
 EXPECTED_SLOT_WAIT_S = _choice.EXPECTED_SLOT_WAIT_S
 find_exclusion = _exclusion.find_exclusion
 is_available = _health.is_available
+is_full_loss = _full_servers.is_full_loss
+load_limit = _full_servers.load_limit
+saturated_report = _full_servers.saturated_report
+without_unknown_load = _full_servers.without_unknown_load
 sample_views = _choice.sample_views
 TRIAL_INTERVAL_S = _misdirections.TRIAL_INTERVAL_S
 undisturbed_service_time = _estimate.undisturbed_service_time
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -16,6 +16,7 @@
 from wigeonrouter.placement import _admission
 from wigeonrouter.placement import _estimate
 from wigeonrouter.placement import _exclusion
+from wigeonrouter.placement import _full_servers
 from wigeonrouter.placement import _health
 from wigeonrouter.placement import _records
 from wigeonrouter.placement import _request_queue
@@ -142,7 +143,8 @@
     return [
         view
         for view in available
-        if _estimate.expected_load(view, now) + 0.5 <= view.slots
+        if _estimate.expected_load(view, now) + 0.5
+        <= _full_servers.load_limit(view, now)
     ]
 
 
@@ -279,7 +281,10 @@
     """
     best, best_utility = None, float("-inf")
     late = _request_queue.is_late(request, service_time=service_time, now=now)
-    for view in find_usable(views, request=request, now=now):
+    usable = find_usable(views, request=request, now=now)
+    for view in _full_servers.without_unknown_load(
+        usable, views=views, request=request, now=now
+    ):
         utility = utility_of(
             view,
             request=request,
--- a/wigeonrouter/placement/_health.py
+++ b/wigeonrouter/placement/_health.py
@@ -89,6 +89,9 @@
         consecutive_failures=consecutive_failures,
         consecutive_no_response=0,
         ejected_until=ejected_until,
+        responded_at=now
+        if outcome is AttemptOutcome.SUCCEEDED
+        else view.responded_at,
     )
 
 
--- a/wigeonrouter/placement/_records.py
+++ b/wigeonrouter/placement/_records.py
@@ -61,6 +61,9 @@
       paused_until: time before which it has asked for no requests.
       misdirected: whether another server answers for it at its address.
       place: where it runs.
+      load_limit: most requests that it should have at `load_limit_at`, since
+        it dropped one then; None for its slots.
+      responded_at: time of its latest response that was a success.
     """
 
     instance: str
@@ -81,6 +84,9 @@
     paused_until: float = float("-inf")
     misdirected: bool = False
     place: core.Place = core.Place(region="", failure_domain="")
+    load_limit: float | None = None
+    load_limit_at: float = float("-inf")
+    responded_at: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
