--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -44,6 +44,7 @@
         self._server_pool = server_pool
         self._queue = queue
         self._rng = rng
+        self._retry_spread = placement.RetrySpread(rng=rng)
         self._stop_schedule = stop_schedule
         self._clock = clock
         self._late_rate = placement.late_dispatch_rate()
@@ -165,6 +166,10 @@
         """Return the Rejection of a new request, None to admit it."""
         if not self._server_pool.views.has_usable:
             return self._reject_no_server()
+        if self._queue.may_go_first(request):
+            return self._check_still_admissible(
+                request, service_time, now, became_late=False
+            )
         wait = (
             self._server_pool.views.time_to_next_send
             + placement.expected_wait(
@@ -240,7 +245,7 @@
             return self._reject_overload(
                 request, max(wait, service_time), service_time, now
             )
-        if became_late:
+        if became_late and not self._queue.is_starved(request):
             return self._check_late_admission(request, service_time, now)
         return None
 
@@ -267,7 +272,11 @@
     def _reject_overload(self, request, wait, service_time, now):
         return messages.Rejection(
             problem=core.problems.DEADLINE_TOO_SHORT,
-            retry_after=placement.retry_after(wait=wait, rng=self._rng),
+            retry_after=self._retry_spread.retry_after(
+                tenant=request.tenant,
+                wait=wait,
+                time_left=request.deadline - now,
+            ),
             detail=(
                 f"expected wait {wait * 1000:.0f} ms, service time"
                 f" {service_time * 1000:.0f} ms, time to deadline"
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -10,7 +10,9 @@
 
 from wigeonrouter import placement
 from wigeonrouter.node import _admission_controller
+from wigeonrouter.node import _grant
 from wigeonrouter.node import _home_balancers
+from wigeonrouter.node import _overload_log
 from wigeonrouter.node import _server_pool
 
 # A request at the head of the queue looks for a server again after this share
@@ -19,6 +21,8 @@
 _POLL_SHARE = 0.2
 _MIN_POLL_S = 0.012
 _MAX_POLL_S = 0.03
+# Stands for the result of a request whose task ended without one.
+_NOT_SERVED = object()
 
 
 class Balancer:
@@ -29,6 +33,8 @@
       budget: placement.RetryBudget.
       stop_schedule: function that returns the placement.StopSchedule of this
         node, NO_STOP while it is not stopping.
+      on_starved: function that is told the placement.PendingRequest whose
+        rank and tenant have become starved.
     """
 
     def __init__(
@@ -38,6 +44,7 @@
         budget,
         rng,
         stop_schedule=lambda: placement.NO_STOP,
+        on_starved=lambda request: None,
         clock=time.monotonic,
     ):
         self._server_pool = server_pool
@@ -52,11 +59,15 @@
                 budget=budget,
                 rng=rng,
                 stop_schedule=stop_schedule,
+                on_starved=on_starved,
                 clock=clock,
             ),
             rng=rng,
             clock=clock,
         )
+        self._overload_log = _overload_log.OverloadLog(
+            queue=self._queue, on_starved=on_starved, clock=clock
+        )
         self._admission = _admission_controller.AdmissionController(
             server_pool=server_pool,
             queue=self._queue,
@@ -82,6 +93,11 @@
             balancer.queue_length for balancer in self._homes.all
         )
 
+    @property
+    def overload_log(self):
+        """OverloadLog of the service."""
+        return self._overload_log
+
     @property
     def in_flight(self):
         """Number of this node's requests in flight at the servers."""
@@ -169,18 +185,33 @@
         """Wait for any of the servers of the pool; see acquire()."""
         rejection = self._admission.check_arrival(request, route)
         if rejection is not None:
+            self._overload_log.on_end(request, served=False)
             return rejection
         service_time = self._server_pool.service_times.service_time(route)
         waiter = event.Event()
         self._queue.add(waiter, request, service_time)
+        grant = _NOT_SERVED
         try:
-            return self._wait_for_grant(waiter, request, route, should_leave)
+            grant = self._wait_for_grant(waiter, request, route, should_leave)
+            return grant
         finally:
             self._queue.remove(waiter)
+            if grant is not None:
+                self._overload_log.on_end(
+                    request, served=isinstance(grant, _grant.Grant)
+                )
             self.wake_head()
 
     def release(
-        self, grant, *, route, outcome, metadata, latency, timed_out=False
+        self,
+        grant,
+        *,
+        route,
+        outcome,
+        metadata,
+        latency,
+        timed_out=False,
+        disconnected=False,
     ):
         """Release a server's slot and record the outcome of the attempt.
 
@@ -191,6 +222,7 @@
           metadata: messages.ResponseMetadata, None without a response.
           latency: duration of the attempt, seconds.
           timed_out: whether the attempt ended because its deadline passed.
+          disconnected: whether the server broke the connection.
         """
         self._server_pool.release(
             grant,
@@ -199,6 +231,7 @@
             metadata=metadata,
             latency=latency,
             timed_out=timed_out,
+            disconnected=disconnected,
         )
         if metadata is not None and metadata.misdirected:
             self._on_servers_changed()
@@ -245,6 +278,7 @@
             if at_head:
                 grant = self._try_grant(request, service_time)
                 if grant is not None:
+                    self._queue.dispatch(waiter)
                     self._admission.record_dispatch(request, route)
                     return grant
                 timeout = poll_interval
@@ -367,7 +401,11 @@
             service_time=service_time,
             mean_slowdown=server_pool.service_times.mean_slowdown,
             now=self._clock(),
-            utilization=self._local_utilization(),
+            utilization=(
+                0.0
+                if self._queue.is_starved(request)
+                else self._local_utilization()
+            ),
             fast_slowdown=server_pool.service_times.fast_slowdown,
         )
 
--- a/wigeonrouter/node/_balancer_registry.py
+++ b/wigeonrouter/node/_balancer_registry.py
@@ -82,6 +82,9 @@
                 limited_servers=balancer.limited_servers,
                 excluded_servers=balancer.excluded_servers,
                 evacuated_domains=balancer.evacuated_domains,
+                waiting_by_rank=balancer.overload_log.waiting,
+                not_served_by_rank=balancer.overload_log.not_served,
+                starved=balancer.overload_log.starved,
             )
             for name, balancer in sorted(self._balancers.items())
         )
@@ -162,6 +165,16 @@
             ),
             rng=self._rng,
             stop_schedule=self._stop_schedule,
+            on_starved=lambda request: self._log_starved(service, request),
+        )
+
+    def _log_starved(self, service, request):
+        self._events.event(
+            "rank-starved",
+            service=service,
+            tenant=request.tenant,
+            tenant_priority=request.tenant_priority,
+            priority=request.priority,
         )
 
     def _retry_ratio(self):
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -13,12 +13,14 @@
 from wigeonrouter.placement import _crashes
 from wigeonrouter.placement import _estimate
 from wigeonrouter.placement import _exclusion
+from wigeonrouter.placement import _full_servers
 from wigeonrouter.placement import _health
 from wigeonrouter.placement import _home_regions
 from wigeonrouter.placement import _misdirections
 from wigeonrouter.placement import _rate_limits
 from wigeonrouter.placement import _records
 from wigeonrouter.placement import _request_queue
+from wigeonrouter.placement import _retry_spread
 from wigeonrouter.placement import _server_links
 from wigeonrouter.placement import _statements
 from wigeonrouter.placement import _stopping
@@ -42,10 +44,12 @@
 Misdirections = _misdirections.Misdirections
 CallerTimeoutEstimate = _caller_timeout.CallerTimeoutEstimate
 RequestQueue = _request_queue.RequestQueue
+RetrySpread = _retry_spread.RetrySpread
 ServiceTimes = _estimate.ServiceTimes
 
 after_attempt = _health.after_attempt
 after_cut = _health.after_cut
+after_full_loss = _full_servers.after_full_loss
 after_probe = _health.after_probe
 after_no_response = _health.after_no_response
 expected_load = _estimate.expected_load
@@ -71,12 +75,18 @@
 unavoidable_round_trip = _home_regions.unavoidable_round_trip
 without_round_trip = _home_regions.without_round_trip
 is_available = _health.is_available
+is_full_loss = _full_servers.is_full_loss
+load_limit = _full_servers.load_limit
+saturated_report = _full_servers.saturated_report
+without_unknown_load = _full_servers.without_unknown_load
 sample_views = _choice.sample_views
 TRIAL_INTERVAL_S = _misdirections.TRIAL_INTERVAL_S
 undisturbed_service_time = _estimate.undisturbed_service_time
 next_check_time = _admission.next_check_time
 probe_candidates = _choice.probe_candidates
 probe_count = _choice.probe_count
+MAX_RETRY_AFTER_S = _admission.MAX_RETRY_AFTER_S
+MIN_RETRY_AFTER_S = _admission.MIN_RETRY_AFTER_S
 retry_after = _admission.retry_after
 spare_throughput = _admission.spare_throughput
 late_dispatch_rate = _admission.late_dispatch_rate
