Accept routes whose timeout is below their target latency

Cause: configurations were rejected whose timeout an operator had lowered below the target latency. The store accepts them, so nodes had no configuration, or an old one, and responded with 404 and 401 to valid requests.

--- a/wigeonrouter/platform/_store_values.py
+++ b/wigeonrouter/platform/_store_values.py
@@ -162,12 +162,6 @@
         raise _fields.FieldError(
             f"routes.{name}: prefix does not start and end with a slash"
         )
-    timeout = _fields.get_duration(route, "timeout")
-    target_latency = _fields.get_duration(route, "target_latency")
-    if target_latency > timeout:
-        raise _fields.FieldError(
-            f"routes.{name}: target_latency is longer than timeout"
-        )
     return topology.Route(
         name=name,
         host=_fields.get_string(route, "host").lower(),
@@ -175,8 +169,8 @@
         shares=_read_shares(name, route),
         # Requests of an unknown kind are treated as non-idempotent.
         idempotent=kind == "safe",
-        timeout=timeout,
-        target_latency=target_latency,
+        timeout=_fields.get_duration(route, "timeout"),
+        target_latency=_fields.get_duration(route, "target_latency"),
         priority=_fields.get_integer(route, "priority"),
         max_attempts=_fields.get_integer(route, "max_attempts", minimum=1),
         public=route.get("public") is True,
