Forward requests with keys only to nodes that check them

A node of an earlier build passes the API key on to backend servers. Nodes now announce that they check keys, in NodeState (field 10) and in their registration, which replaces one of an earlier build. Where the configuration has tenants, requests are only forwarded to such nodes, with their key even if Connection names it, and the directory prefers such nodes. The origin is then in a header of another name, which a node of an earlier build rejects, since an announcement may outlast a downgrade of its host.

Nodes of earlier builds ignore the new field and read the registration's key only. Without tenants, requests are forwarded as before.

pytest of platform/_mixed_builds_test, _tenants_test, _partitioned_node_test, _restored_store_test, _copied_store_replies_test, node and topology passes; the whole suite was not run.

--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -34,6 +34,8 @@
         # Hosts of nodes by region, also of those that the store has lost.
         self._hosts = {}
         self._registered_nodes = set()
+        # Pairs of region and host of the nodes that authenticate requests.
+        self._key_checkers = set()
         self._caller_timeouts = {}
         self._crash_history = placement.CrashHistory()
         self._stored_crashes = set()
@@ -85,9 +87,18 @@
             for host in hosts
         }
 
+    def remote_key_checkers(self, region):
+        """Return the remote_hosts() that authenticate requests."""
+        return {
+            host
+            for other, host in self._key_checkers
+            if other != region and host in self._hosts.get(other, ())
+        }
+
     def is_registered(self, region, host):
-        """Return whether the store lists a node."""
-        return (region, host) in self._registered_nodes
+        """Return whether the store lists a node, as this build registers."""
+        node = (region, host)
+        return node in self._registered_nodes and node in self._key_checkers
 
     @property
     def memory(self):
@@ -161,8 +172,7 @@
                 reason=record.reason,
             )
         elif isinstance(record, topology.NodeWritten):
-            self._hosts.setdefault(record.region, set()).add(record.host)
-            self._registered_nodes.add((record.region, record.host))
+            self._apply_node(record)
         elif isinstance(record, topology.CallerTimeoutLearned):
             self._caller_timeouts[record.route] = record.seconds
         elif isinstance(record, topology.CrashStored):
@@ -177,6 +187,15 @@
                 reason=record.reason,
             )
 
+    def _apply_node(self, record):
+        node = (record.region, record.host)
+        self._hosts.setdefault(record.region, set()).add(record.host)
+        self._registered_nodes.add(node)
+        if record.checks_keys:
+            self._key_checkers.add(node)
+        else:
+            self._key_checkers.discard(node)
+
     def _replace_registrations(self, records, scope, now):
         """Apply which servers a listing has, before its records.
 
@@ -238,6 +257,7 @@
             version=new.version,
             revision=record.revision,
             routes=len(new.routes),
+            tenants=len(new.tenants),
         )
 
     def _apply_registration(self, record, now, listed):
--- a/wigeonrouter/node/_forwarded_request.py
+++ b/wigeonrouter/node/_forwarded_request.py
@@ -15,8 +15,18 @@
 from wigeonrouter.schema import node_pb2
 
 _ORIGIN = b"wigeonrouter-origin"
+# In place of the header above where the configuration has tenants. A node of
+# an earlier build would pass the API key on to a server; it does not know this
+# header and rejects the request, even if an entry of the store or the roster
+# still has what a newer build announced for its host.
+_KEYED_ORIGIN = b"wigeonrouter-keyed-origin"
 _DECLINED = b"wigeonrouter-declined"
-_NOT_FORWARDED = http1.HOP_BY_HOP | {b"content-length", b"expect", _ORIGIN}
+_NOT_FORWARDED = http1.HOP_BY_HOP | {
+    b"content-length",
+    b"expect",
+    _ORIGIN,
+    _KEYED_ORIGIN,
+}
 _MICROSECONDS = 1_000_000
 # Status of all problems for which a node declines a request.
 _DECLINED_STATUS = 503
@@ -43,12 +53,14 @@
     time_to_deadline: float
 
 
-def render(request, origin):
+def render(request, origin, key_headers=None):
     """Return the bytes of a request for another node.
 
     Args:
       request: HttpRequest of the caller.
       origin: Origin.
+      key_headers: headers with its API key, which the other node checks; None
+        if the deployment has no tenants.
     """
     message = node_pb2.ForwardedRequest(
         host=origin.host,
@@ -60,10 +72,17 @@
             origin.time_to_deadline * _MICROSECONDS
         ),
     )
+    encoded = base64.b64encode(message.SerializeToString())
+    not_forwarded = _NOT_FORWARDED
+    added = ((_ORIGIN, encoded),)
+    if key_headers is not None:
+        # Added again, since Connection may have named them.
+        not_forwarded = not_forwarded | {
+            name.lower() for name, _ in key_headers
+        }
+        added = ((_KEYED_ORIGIN, encoded), *key_headers)
     return http1.render_forwarded(
-        request=request,
-        not_forwarded=_NOT_FORWARDED,
-        added=((_ORIGIN, base64.b64encode(message.SerializeToString())),),
+        request=request, not_forwarded=not_forwarded, added=added
     )
 
 
@@ -78,14 +97,19 @@
     """
     try:
         message = node_pb2.ForwardedRequest.FromString(
-            base64.b64decode(request.header(_ORIGIN), validate=True)
+            base64.b64decode(
+                request.header(_KEYED_ORIGIN) or request.header(_ORIGIN),
+                validate=True,
+            )
         )
     except (binascii.Error, protobuf_message.DecodeError):
         return request, None
     if not message.host:
         return request, None
     headers = tuple(
-        header for header in request.headers if header[0] != _ORIGIN
+        header
+        for header in request.headers
+        if header[0] not in (_ORIGIN, _KEYED_ORIGIN)
     )
     origin = Origin(
         host=message.host,
--- a/wigeonrouter/node/_forwarder.py
+++ b/wigeonrouter/node/_forwarder.py
@@ -26,6 +26,7 @@
       cluster_state: ClusterState, which knows the nodes of other regions.
       peers: function that returns the topology.Peers of the own region.
       request_log: RequestLog.
+      codec: the adapter's HTTP codec.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         cluster_state,
         peers,
         request_log,
+        codec=None,
         clock=time.monotonic,
     ):
         self._host = settings.host
@@ -47,6 +49,7 @@
         self._cluster_state = cluster_state
         self._peers = peers
         self._request_log = request_log
+        self._codec = codec
         self._clock = clock
 
     def should_forward(self, context):
@@ -102,11 +105,16 @@
         started = self._clock()
         context.hand_over(str(address), started)
         attempt = None
+        key_headers = None
+        if self._has_tenants:
+            key_headers = self._codec.key_headers(context.request)
         try:
             attempt = self._sender.send_to(
                 address,
                 render=lambda remaining: _forwarded_request.render(
-                    context.request, self._make_origin(context, remaining)
+                    context.request,
+                    self._make_origin(context, remaining),
+                    key_headers,
                 ),
                 request=context.request,
                 request_id=context.request_id,
@@ -120,6 +128,10 @@
         )
         return attempt
 
+    @property
+    def _has_tenants(self):
+        return bool(self._cluster_state.configuration.tenants)
+
     def _make_origin(self, context, remaining):
         return _forwarded_request.Origin(
             host=self._host,
@@ -137,14 +149,18 @@
             peers=self._peers(),
             own_host=self._host,
             count=_REGION_PEERS,
+            has_tenants=self._has_tenants,
         )
         if peers:
             return [
                 core.parse_address(peer.forwarding_address) for peer in peers
             ]
+        remote_hosts = self._cluster_state.remote_hosts
+        if self._has_tenants:
+            remote_hosts = self._cluster_state.remote_key_checkers
         hosts = topology.remote_forwarding_hosts(
             service=service,
-            hosts=self._cluster_state.remote_hosts(self._region),
+            hosts=remote_hosts(self._region),
             count=_REMOTE_PEERS,
         )
         return [core.Address(host=host, port=self._port) for host in hosts]
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -145,6 +145,7 @@
                 cluster_state=self._cluster_state,
                 peers=lambda: self._region_member.peers,
                 request_log=request_log,
+                codec=codec,
             ),
             codec=codec,
             splitter=topology.TrafficSplitter(rng=self._rng),
@@ -424,7 +425,10 @@
         services = self._cluster_state.routes.services_of(query.host)
         home_nodes = topology.home_nodes(
             service=services[0] if services else "",
-            peers=self._region_member.peers,
+            peers=topology.entry_peers(
+                self._region_member.peers,
+                has_tenants=bool(self._cluster_state.configuration.tenants),
+            ),
             count=_HOMES_PER_SERVICE,
         )
         if home_nodes:
--- a/wigeonrouter/node/_roster.py
+++ b/wigeonrouter/node/_roster.py
@@ -27,6 +27,8 @@
       rate_limits: dict from instance to the requests per second that the
         backend server named to it, None for a limit that has ended.
       statements: iterable of the core.ServerStatements that it has heard.
+      checks_keys: whether it authenticates requests, as all nodes of this
+        build do.
     """
 
     ready: bool
@@ -34,6 +36,7 @@
     forwarding_address: str
     rate_limits: dict
     statements: tuple
+    checks_keys: bool = True
 
 
 def find_change(before, after):
@@ -103,6 +106,7 @@
         statements=[
             _encode_statement(statement) for statement in facts.statements
         ],
+        checks_keys=facts.checks_keys,
     )
 
 
@@ -122,6 +126,7 @@
                 for limit in state.rate_limits
             },
             statements=tuple(map(_decode_statement, state.statements)),
+            checks_keys=state.checks_keys,
         )
         for state in roster.values()
     )
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -11,7 +11,9 @@
 # A single listing and a single watch cover the configuration, the
 # registrations and the nodes' own keys.
 _ALL_KEYS = ""
-_REGISTERED = b"{}"
+# What a node of this build registers. Those of earlier builds write {}, and
+# read the key only.
+_REGISTERED = b'{"checks_keys":true}'
 _CRASHED = b"{}"
 _TIMEOUT_MS = re.compile(rb"[1-9][0-9]{0,8}")
 
@@ -58,8 +60,11 @@
         self._client.check(_store_values.ABSENT_PREFIX)
 
     def register(self, *, region, host):
-        """Register this node so that other nodes of its region find it."""
-        self._client.create(
+        """Register this node so that other nodes find it.
+
+        It replaces what an earlier build has registered on this host.
+        """
+        self._client.write(
             f"{_store_values.NODE_PREFIX}{region}/{host}", _REGISTERED
         )
 
@@ -174,7 +179,9 @@
         return None
     if item.value is None:
         return topology.NodeRemoved(region=region, host=host)
-    return topology.NodeWritten(region=region, host=host)
+    return topology.NodeWritten(
+        region=region, host=host, checks_keys=item.value == _REGISTERED
+    )
 
 
 def _decode_evacuation(item):
--- a/wigeonrouter/platform/_tenants_test.py
+++ b/wigeonrouter/platform/_tenants_test.py
@@ -73,12 +73,10 @@
         )
 
 
-def identity(server):
-    """Return the key and tenant headers of the last request it ran."""
+def identity(run):
+    """Return the key and tenant headers of a request that a server ran."""
     return [
-        header
-        for header in server.runs[-1].headers
-        if header[0].strip(b"_-") in _IDENTITY
+        header for header in run.headers if header[0].strip(b"_-") in _IDENTITY
     ]
 
 
@@ -109,7 +107,7 @@
 def test_server_gets_the_tenant_of_the_key_and_no_key(server, node, lines):
     """Guards against a caller that passes as another tenant."""
     assert send_raw(node, lines).status == 200
-    assert identity(server) == [(b"tenant", b"acme")]
+    assert identity(server.runs[-1]) == [(b"tenant", b"acme")]
 
 
 @pytest.mark.parametrize(
@@ -177,7 +175,7 @@
 def test_public_route_needs_no_key_and_has_no_tenant(server, node, lines):
     """Guards against a public route that tells a server of a tenant."""
     assert send_raw(node, lines, path="/public/a").status == 200
-    assert identity(server) == []
+    assert identity(server.runs[-1]) == []
 
 
 def test_deployment_without_tenants_passes_the_headers_on(
@@ -187,7 +185,10 @@
     (server,) = conftest.start_ready(backend, node, "i-1")
     headers = {"Key": "mine", "Tenant": "me"}.items()
     assert caller.send("/read/a", headers=headers).status == 200
-    assert sorted(identity(server)) == [(b"key", b"mine"), (b"tenant", b"me")]
+    assert sorted(identity(server.runs[-1])) == [
+        (b"key", b"mine"),
+        (b"tenant", b"me"),
+    ]
 
 
 def test_removed_key_is_rejected_on_an_open_connection(server, store, node):
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -45,6 +45,7 @@
 catch_up_age = _freshness.catch_up_age
 candidate_order = _region.candidate_order
 decide_role = _region.decide_role
+entry_peers = _region.entry_peers
 forwarding_peers = _region.forwarding_peers
 home_nodes = _region.home_nodes
 later_hubs = _region.later_hubs
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -179,10 +179,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NodeWritten:
-    """A node of any region registered itself."""
+    """A node of any region registered itself.
+
+    Attributes:
+      checks_keys: whether it authenticates requests, which nodes of earlier
+        builds do not.
+    """
 
     region: str
     host: str
+    checks_keys: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/topology/_region.py
+++ b/wigeonrouter/topology/_region.py
@@ -54,6 +54,8 @@
         that backend server limits all nodes, as it told this peer; None for
         a limit that has ended.
       statements: core.ServerStatements that hold, as this peer heard them.
+      checks_keys: whether it authenticates requests. Nodes of earlier builds
+        pass API keys on to servers.
     """
 
     host: str
@@ -67,6 +69,7 @@
         default_factory=dict
     )
     statements: tuple[core.ServerStatement, ...] = ()
+    checks_keys: bool = False
 
 
 class HubAction(enum.Enum):
@@ -230,7 +233,22 @@
     return tuple(ready[host] for host in order[:count])
 
 
-def forwarding_peers(*, service, peers, own_host, count):
+def entry_peers(peers, *, has_tenants):
+    """Return the peers that the directory chooses from.
+
+    Load pattern: a deployment gets tenants while nodes of an earlier build
+    still run. Callers are sent to the nodes that check their keys, unless
+    none of these is ready.
+
+    Args:
+      peers: iterable of Peer of one region.
+      has_tenants: whether the configuration has tenants.
+    """
+    checking = tuple(peer for peer in peers if peer.checks_keys and peer.ready)
+    return checking if has_tenants and checking else peers
+
+
+def forwarding_peers(*, service, peers, own_host, count, has_tenants=False):
     """Return the peers that may take a request which this node cannot serve.
 
     The home of the service comes first, since it knows which slots are taken.
@@ -240,6 +258,8 @@
       peers: iterable of Peer of one region.
       own_host: host of this node.
       count: largest number of peers.
+      has_tenants: whether the configuration has tenants. Only peers that
+        check keys get requests then.
     Returns:
       A tuple of Peer.
     """
@@ -249,6 +269,7 @@
         if peer.host != own_host
         and peer.reaches_servers
         and peer.forwarding_address
+        and (peer.checks_keys or not has_tenants)
     ]
     return home_nodes(service=service, peers=able, count=count)
 
