Log tenants, and count a copy of unknown age as old

The lines of requests have their tenant, configuration-in-force has the number of tenants, and so has the metric wigeonrouter_tenants. Keys are in none of them; a test reads log and metrics for them.

With revoke_strict, a node that started while the store was down accepted keys for up to revoke by a copy that it had got from a peer, of any age. It now rejects requests with keys until somebody who reaches the store shows the age. The test for it fails with copy_age in place of assured_copy_age.

pytest of platform/_tenants_test, node/_request_log_test and observability passes; the whole suite was not run.

--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -348,12 +348,14 @@
 
     def _read_gauges(self):
         ready = sum(peer.ready for peer in self._region_member.peers)
+        configuration = self._cluster_state.configuration
         return observability.Gauges(
             revision=self._region_member.position.revision,
             store_era=self._region_member.position.era,
             store_copy_age=self._region_member.copy_age,
             ready=self.ready,
             servers_reachable=not self._link_monitor.cut,
+            tenants=len(configuration.tenants) if configuration else 0,
             connections_opened=self._pool.opened,
             connections_exhausted=self._pool.closed_exhausted,
             members={
@@ -412,7 +414,7 @@
         bounds = self._settings.bounds
         return (
             bounds.revoke_strict
-            and self._region_member.copy_age > bounds.revoke_apply
+            and self._region_member.assured_copy_age > bounds.revoke_apply
         )
 
     def _entries_ttl(self):
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -148,6 +148,18 @@
         """Seconds for which the copy of the store may be outdated."""
         return self._freshness.age(self._clock())
 
+    @property
+    def assured_copy_age(self):
+        """Like copy_age, but infinite while nobody can tell how old it is.
+
+        A node that starts while the store is down gets a copy of any age from
+        its peers.
+        """
+        proven_age = self._freshness.proven_age(self._clock())
+        if proven_age is None and not self._reaches_store:
+            return float("inf")
+        return self.copy_age
+
     @property
     def is_hub(self):
         """Whether this node is the hub of its region."""
--- a/wigeonrouter/node/_request_log.py
+++ b/wigeonrouter/node/_request_log.py
@@ -89,6 +89,7 @@
             detail=rejection.detail,
             attempts=context.attempts if context else 0,
             route=context.route.name if context else "",
+            tenant=context.pending.tenant if context else "",
             origin=context.origin.host if context and context.origin else None,
             held_ms=_ms(latency),
             left_to_deadline_ms=(
@@ -112,6 +113,7 @@
             "attempt",
             id=context.request_id,
             digest=context.digest,
+            tenant=context.pending.tenant,
             number=context.attempts + context.connect_failures + 1,
             instance=registration.instance,
             address=str(registration.address),
@@ -179,6 +181,7 @@
             id=context.request_id,
             route=context.route.name,
             service=context.service,
+            tenant=context.pending.tenant,
             version=self._cluster_state.configuration.version,
             attempts=context.attempts,
             took_ms=_ms(now - context.pending.arrived),
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -47,6 +47,7 @@
       store_copy_age: seconds for which the copy of the store may be
         outdated.
       servers_reachable: false while no backend server can be reached.
+      tenants: tenants of the configuration in force.
       connections_opened: connections to backend servers that were opened since
         the start.
       connections_exhausted: those of them that were closed since they had
@@ -63,6 +64,7 @@
     store_era: int = 0
     store_copy_age: float = 0.0
     servers_reachable: bool = True
+    tenants: int = 0
     connections_opened: int = 0
     connections_exhausted: int = 0
 
@@ -107,6 +109,7 @@
             "0 while no backend server can be reached",
             int(gauges.servers_reachable),
         ),
+        ("tenants", "Tenants of the configuration in force", gauges.tenants),
         (
             "requests_unanswered",
             "Requests without answer",
--- a/wigeonrouter/platform/_tenants_test.py
+++ b/wigeonrouter/platform/_tenants_test.py
@@ -293,6 +293,28 @@
     assert send_raw(node, [_KEY_LINE], path="/public/a").status == 200
 
 
+def test_copy_of_unknown_age_is_not_used_where_that_is_strict(
+    store, backend, make_settings, start_node, free_port
+):
+    """Guards against a removed key at a node that starts without a store."""
+    options = {
+        "peer_ports": (free_port(), 0),
+        "bounds": topology.Bounds(revoke_strict=True),
+    }
+    put_tenants(store, 2, tenants())
+    backend("i-1")
+    first = start_node(
+        make_settings("node-1", "127.0.0.71", **options), servers=1
+    )
+    assert send_raw(first, [_KEY_LINE]).status == 200
+    store.stop()
+    second = start_node(
+        make_settings("node-2", "127.0.0.72", seeds=("127.0.0.71",), **options)
+    )
+    assert send_raw(second, [_KEY_LINE]).status == 503
+    assert send_raw(second, [], path="/public/a").status == 200
+
+
 def test_keys_are_in_no_log_line_or_metric(server, node, caplog, capfd):
     """Guards against keys that are read from a log or from the metrics."""
     caplog.set_level(logging.DEBUG)
