Limit the requests of all nodes to a cold server

A cold server only counted as slower, and crashes well above the rate that its service names. Where a service names one, the homes in its region share it as they share the limits that servers state themselves, but for each second. It is cold until the later of its entry's and its health responses' statement (Warmup-Ms), and after its failure domain was taken back into service until a health response says otherwise. A node that has sent a server nothing for the length of its slow start needs a health response first, so that nodes that do not know that it is cold again do not overload it together.

The rate is lowered where the bound of the deployment has no room for two homes at once. Services without a rate are served as before. The tests of node, placement, topology and observability, and of http, rate limits, evacuation, end to end and several nodes of platform pass. The whole suite was not run on this commit.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -92,6 +92,11 @@
             )
         }
 
+    @property
+    def cold_servers(self):
+        """Number of servers that are in their slow start."""
+        return self._server_pool.views.cold_count
+
     @property
     def evacuated_domains(self):
         """Number of failure domains with servers that are evacuated."""
@@ -102,10 +107,10 @@
         """Number of servers that name a rate limit, as far as is known."""
         return self._server_pool.views.limited_count
 
-    def configure(self, *, health_path, registered):
+    def configure(self, *, health_path, registered, **options):
         """Update the set of servers; see ServerPool.configure()."""
         self._server_pool.configure(
-            health_path=health_path, registered=registered
+            health_path=health_path, registered=registered, **options
         )
         self._on_servers_changed()
 
--- a/wigeonrouter/node/_balancer_registry.py
+++ b/wigeonrouter/node/_balancer_registry.py
@@ -81,6 +81,7 @@
                 in_flight=balancer.in_flight,
                 limited_servers=balancer.limited_servers,
                 excluded_servers=balancer.excluded_servers,
+                cold_servers=balancer.cold_servers,
                 evacuated_domains=balancer.evacuated_domains,
             )
             for name, balancer in sorted(self._balancers.items())
@@ -103,6 +104,7 @@
                 ratio=self._retry_ratio(),
                 window=settings.bounds.retry_window,
             )
+        self.configure()
 
     def configure(self):
         """Apply the configuration and servers that ClusterState has."""
@@ -117,6 +119,7 @@
             balancer.configure(
                 health_path=service.health_path if service else "/",
                 registered=by_service.get(name, ()),
+                slow_start=self._slow_start_rule(service),
             )
 
     def recheck_queues(self):
@@ -164,5 +167,16 @@
             stop_schedule=self._stop_schedule,
         )
 
+    def _slow_start_rule(self, service):
+        """Return the placement.SlowStartRule of topology.ServiceSettings."""
+        if service is None:
+            return placement.NO_SLOW_START
+        return placement.make_slow_start_rule(
+            duration=service.slow_start,
+            rate=service.slow_start_rate,
+            overage=self._settings.bounds.slow_start_overage,
+            slack=self._settings.bounds.slow_start_slack,
+        )
+
     def _retry_ratio(self):
         return self._settings.bounds.retry_ratio * _RETRY_BUDGET_SHARE
--- a/wigeonrouter/node/_server_limits.py
+++ b/wigeonrouter/node/_server_limits.py
@@ -20,6 +20,7 @@
         self._limit_share = limit_share
         self._clock = clock
         self._rate_limits = placement.RateLimits()
+        self._slow_starts = placement.SlowStarts()
 
     @property
     def limited(self):
@@ -38,6 +39,39 @@
             self._clock(), is_sender=self._limit_share() > 0.0
         )
 
+    def configure(self, rule):
+        """Apply the placement.SlowStartRule of the service."""
+        self._slow_starts.configure(rule)
+
+    def register(self, record):
+        """Apply the registration of a server (topology.KnownServer)."""
+        registration = record.registration
+        self._slow_starts.register(
+            _start(registration),
+            cold_until=record.learned_at + registration.slow_start,
+            returned_at=record.returned_at,
+        )
+        self._update_slow_start(registration)
+
+    def retain(self, registrations):
+        """Forget the slow starts of all but these topology.Registrations."""
+        self._slow_starts.retain(map(_start, registrations))
+
+    def record_health(self, registration, metadata):
+        """Apply what a health response says about a slow start."""
+        key = _start(registration)
+        now = self._clock()
+        was_cold = self._slow_starts.cold_until(key) > now
+        self._slow_starts.record_health(key, metadata.slow_start, now)
+        cold_until = self._slow_starts.cold_until(key)
+        if (cold_until > now) != was_cold:
+            self._events.event(
+                "server-warm" if was_cold else "server-cold",
+                instance=registration.instance,
+                for_ms=round(max(0.0, cold_until - now) * 1000),
+            )
+        self._update_slow_start(registration)
+
     def forget(self, instances):
         """Forget servers that have left or restarted."""
         self._rate_limits.forget(instances)
@@ -46,9 +80,11 @@
         """Apply which share of the limits this node may use at present."""
         self._rate_limits.set_share(self._limit_share(), self._clock())
 
-    def record_sent(self, instance):
+    def record_sent(self, registration):
         """Count a request that is sent to a server."""
-        self._rate_limits.record_sent(instance, self._clock())
+        now = self._clock()
+        self._rate_limits.record_sent(registration.instance, now)
+        self._slow_starts.record_sent(_start(registration), now)
 
     def record_response(self, instance, metadata, *, from_probe):
         """Apply what a response says about its server's limit.
@@ -98,6 +134,17 @@
         self._rate_limits.set_share(0.0, self._clock())
         return False
 
+    def apply_slow_start(self, view, registration):
+        """Return a ServerView with the slow start that holds for it now."""
+        key = _start(registration)
+        cold_until = self._slow_starts.cold_until(key)
+        check_due = self._slow_starts.check_due(key)
+        if (cold_until, check_due) == (view.slow_start_until, view.check_due):
+            return view
+        return dataclasses.replace(
+            view, slow_start_until=cold_until, check_due=check_due
+        )
+
     def apply(self, view):
         """Return a ServerView with the limit that holds for it now."""
         now = self._clock()
@@ -113,3 +160,22 @@
                 view.instance, rate=rate, now=now
             ),
         )
+
+    def _update_slow_start(self, registration):
+        """Limit the rate of a server if it is cold."""
+        rule = self._slow_starts.rule
+        until = self._slow_starts.cold_until(_start(registration))
+        instance = registration.instance
+        if instance in self._rate_limits.limited or (
+            rule.is_limited and until > self._clock()
+        ):
+            self._rate_limits.set_slow_start(
+                instance,
+                rate=rule.rate,
+                until=until if rule.is_limited else float("-inf"),
+            )
+
+
+def _start(registration):
+    """Return what tells one start of a server from another one."""
+    return registration.instance, registration.started_ms
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -23,6 +23,9 @@
 # which takes a second round trip.
 _REMOTE_PROBE_ROUND_TRIPS = 2.2
 _REMOTE_PROBE_MARGIN_S = 0.03
+# Timeout of the health check without which a server gets no request. The
+# caller of probe() does not wait for as long.
+_CHECK_TIMEOUT_S = 0.1
 # Timeout of the checks of servers that another one answers for, which no
 # request waits for.
 _MISDIRECTED_CHECK_TIMEOUT_S = 0.25
@@ -135,15 +138,18 @@
         used = sum(placement.expected_load(view, now) for view in views)
         return used / max(1, sum(view.slots for view in views))
 
-    def configure(self, *, health_path, registered):
+    def configure(
+        self, *, health_path, registered, slow_start=placement.NO_SLOW_START
+    ):
         """Update the set of servers; see ServerViews.configure().
 
         Args:
           health_path: path of their health check.
           registered: iterable of topology.KnownServer of the service.
+          slow_start: placement.SlowStartRule of the service.
         """
         self._health_path = health_path
-        self._views.configure(registered)
+        self._views.configure(registered, slow_start)
         self._misdirected.configure()
 
     def remote_with_fresh_reports(self):
@@ -179,9 +185,19 @@
                 _REMOTE_PROBE_MARGIN_S
                 + _REMOTE_PROBE_ROUND_TRIPS * max_round_trip
             )
-        self._probe(
-            [view.instance for view in self._views.latest(views)], timeout
-        )
+        now = self._clock()
+        unchecked, others = [], []
+        for view in self._views.latest(views):
+            is_unchecked = view.check_due <= now
+            (unchecked if is_unchecked else others).append(view.instance)
+        check = None
+        if unchecked:
+            check = gevent.spawn(
+                self._probe, unchecked, max(timeout, _CHECK_TIMEOUT_S)
+            )
+        self._probe(others, timeout)
+        if check is not None:
+            check.join(timeout=max(0.0, now + timeout - self._clock()))
 
     def grant(self, pick, service_time):
         """Count a request in flight at the chosen server.
@@ -344,12 +360,9 @@
             and result.instance_matches
             and self._views.get(instance) is not None
         ):
-            self._views.record_statements(
+            self._views.record_health(
                 self._views.registration(instance), result.metadata
             )
-            self._views.record_rate_limit(
-                instance, result.metadata, from_probe=True
-            )
         view = self._views.get(instance)
         if view is None:
             return
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -92,6 +92,12 @@
             {view.place.failure_domain for view in self.all if view.evacuated}
         )
 
+    @property
+    def cold_count(self):
+        """Number of servers that are in their slow start."""
+        now = self._clock()
+        return sum(view.slow_start_until > now for view in self.all)
+
     @property
     def limited_count(self):
         """Number of servers with a rate limit that this node knows."""
@@ -130,14 +136,16 @@
             if view.instance in self._views
         ]
 
-    def configure(self, registered):
+    def configure(self, registered, slow_start=placement.NO_SLOW_START):
         """Update the set of servers; draining ones are left out.
 
         A server that was restarted under the same instance gets a new view.
 
         Args:
           registered: iterable of topology.KnownServer of the service.
+          slow_start: placement.SlowStartRule of the service.
         """
+        self._limits.configure(slow_start)
         registrations, views = {}, {}
         for record in registered:
             registration = record.registration
@@ -151,20 +159,24 @@
                 view = _new_view.make_view(registration, place=self._place)
                 self._limits.forget([instance])
             statement = self._statements.get(_start(registration))
+            self._limits.register(record)
             views[instance] = dataclasses.replace(
-                view,
+                self._limits.apply_slow_start(view, registration),
                 slots=registration.slots,
                 leaving=statement.leaving,
                 paused_until=statement.paused_until,
                 evacuated=record.evacuated,
-                slow_start_until=record.learned_at + registration.slow_start,
             )
         self._limits.forget(self._views.keys() - views.keys())
+        self._limits.retain(registrations.values())
         self._registrations, self._views = registrations, views
         self._invalid_statements &= {
             _start(registration) for registration in registrations.values()
         }
-        self._group_by_locality()
+        if self._limits.limited:
+            self._apply_rate_limits()
+        else:
+            self._group_by_locality()
 
     def set_misdirected(self, instances):
         """Leave out the servers that others answer for, and no others.
@@ -215,9 +227,11 @@
 
     def record_sent(self, view):
         """Count a request that is sent to a server."""
+        registration = self._registrations[view.instance]
+        self._limits.record_sent(registration)
         view = dataclasses.replace(view, in_flight=view.in_flight + 1)
+        view = self._limits.apply_slow_start(view, registration)
         self._views[view.instance] = view
-        self._limits.record_sent(view.instance)
         if view.rate_limit is not None:
             self._apply_rate_limit(view)
 
@@ -273,6 +287,24 @@
                     self._apply_statement(registration)
         self._statements.retain_peers(statements_by_host)
 
+    def record_health(self, registration, metadata):
+        """Apply what a server's response to a health check says of it.
+
+        Args:
+          registration: topology.Registration of the server.
+          metadata: messages.ResponseMetadata of the response.
+        """
+        instance = registration.instance
+        self.record_statements(registration, metadata)
+        self.record_rate_limit(instance, metadata, from_probe=True)
+        self._limits.record_health(registration, metadata)
+        view = self._limits.apply_slow_start(
+            self._views[instance], registration
+        )
+        self._views[instance] = view
+        if instance in self._limits.limited:
+            self._apply_rate_limits()
+
     def record_rate_limit(self, instance, metadata, *, from_probe):
         """Apply what a response says about its server's limit.
 
--- a/wigeonrouter/node/messages.py
+++ b/wigeonrouter/node/messages.py
@@ -59,6 +59,8 @@
       leaving: whether the server states that it is about to end.
       pause: seconds for which the server asks for no further requests, None
         if it does not.
+      slow_start: seconds for which the server states that it is still cold, 0
+        if it does not, None if the statement cannot be used.
       invalid_statements: names of headers that cannot be used. They then say
         nothing.
       rate_limit_valid: false if the response names a limit that cannot be
@@ -76,6 +78,7 @@
     rate_limit_valid: bool = True
     leaving: bool = False
     pause: float | None = None
+    slow_start: float | None = 0.0
     invalid_statements: tuple[str, ...] = ()
 
     def may_be_from(self, instance):
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -22,6 +22,7 @@
       limited_servers: backend servers that name a rate limit.
       excluded_servers: dict from the reason why backend servers get no request
         at present to their number.
+      cold_servers: backend servers in their slow start.
       evacuated_domains: evacuated failure domains that have backend servers.
     """
 
@@ -30,6 +31,7 @@
     in_flight: int
     limited_servers: int = 0
     excluded_servers: dict = dataclasses.field(default_factory=dict)
+    cold_servers: int = 0
     evacuated_domains: int = 0
 
 
@@ -143,9 +145,14 @@
         ),
         (
             "limited_servers",
-            "Backend servers that name a rate limit",
+            "Backend servers that name a rate limit, or are cold with one",
             lambda gauges: gauges.limited_servers,
         ),
+        (
+            "cold_servers",
+            "Backend servers in their slow start",
+            lambda gauges: gauges.cold_servers,
+        ),
         (
             "evacuated_failure_domains",
             "Evacuated failure domains that have backend servers",
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -19,6 +19,7 @@
 from wigeonrouter.placement import _records
 from wigeonrouter.placement import _request_queue
 from wigeonrouter.placement import _server_links
+from wigeonrouter.placement import _slow_start
 from wigeonrouter.placement import _statements
 from wigeonrouter.placement import _stopping
 
@@ -37,6 +38,8 @@
 ServerLinks = _server_links.ServerLinks
 ServerStatements = _statements.ServerStatements
 ServerView = _records.ServerView
+SlowStartRule = _slow_start.SlowStartRule
+SlowStarts = _slow_start.SlowStarts
 Locality = _records.Locality
 Misdirections = _misdirections.Misdirections
 CallerTimeoutEstimate = _caller_timeout.CallerTimeoutEstimate
@@ -54,6 +57,8 @@
 is_late = _request_queue.is_late
 late_from = _request_queue.late_from
 latest_start = _stopping.latest_start
+make_slow_start_rule = _slow_start.make_slow_start_rule
+NO_SLOW_START = _slow_start.NO_SLOW_START
 NO_STOP = _stopping.NO_STOP
 plan_stop = _stopping.plan_stop
 is_nearly_full = _estimate.is_nearly_full
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -121,13 +121,17 @@
     )
 
 
-def find_usable(views, *, request, now):
+def find_usable(views, *, request, now, for_probe=False):
     """Return the views that may get a request and have a free slot.
 
     Ejected servers are included if too few others are available, but no
     others that are excluded.
+
+    Args:
+      for_probe: whether servers are included that only need a health response
+        before they may get a request.
     """
-    available, ejected = [], []
+    available, ejected, unchecked = [], [], []
     for view in views:
         if view.instance in request.excluded:
             continue
@@ -136,8 +140,13 @@
             available.append(view)
         elif exclusion is _exclusion.Exclusion.EJECTED:
             ejected.append(view)
-    allowed_count = len(available) + len(ejected)
-    if len(available) < _MIN_AVAILABLE_SHARE * allowed_count:
+        elif exclusion is _exclusion.Exclusion.UNCHECKED:
+            unchecked.append(view)
+    available_count = len(available) + len(unchecked)
+    allowed_count = available_count + len(ejected)
+    if for_probe:
+        available += unchecked
+    if available_count < _MIN_AVAILABLE_SHARE * allowed_count:
         available += ejected
     return [
         view
@@ -163,7 +172,7 @@
     """
     if len(views) <= MAX_COMPARED_SERVERS:
         return views
-    usable = find_usable(views, request=request, now=now)
+    usable = find_usable(views, request=request, now=now, for_probe=True)
     if len(usable) <= MAX_COMPARED_SERVERS:
         return usable
     return rng.sample(usable, MAX_COMPARED_SERVERS)
@@ -200,7 +209,7 @@
       whose load reports are fresh.
     """
     ranked = sorted(
-        find_usable(views, request=request, now=now),
+        find_usable(views, request=request, now=now, for_probe=True),
         key=lambda view: utility_of(
             view,
             request=request,
--- a/wigeonrouter/placement/_exclusion.py
+++ b/wigeonrouter/placement/_exclusion.py
@@ -13,13 +13,15 @@
     MISDIRECTED = "misdirected"
     PAUSED = "paused"
     LIMITED = "limited"
+    UNCHECKED = "unchecked"
     EJECTED = "ejected"
 
 
 def find_exclusion(view, now):
     """Return the Exclusion of a server, None if it may get a request.
 
-    Only EJECTED may be ignored, if too few other servers are available.
+    Only EJECTED may be ignored, if too few other servers are available, and
+    UNCHECKED for a health check.
 
     Args:
       view: ServerView.
@@ -35,6 +37,8 @@
         return Exclusion.PAUSED
     if view.rate_limit == 0.0 or view.next_send_at > now:
         return Exclusion.LIMITED
+    if view.check_due <= now:
+        return Exclusion.UNCHECKED
     if not _health.is_available(view, now):
         return Exclusion.EJECTED
     return None
--- a/wigeonrouter/placement/_rate_limits.py
+++ b/wigeonrouter/placement/_rate_limits.py
@@ -10,6 +10,9 @@
 A sender counts what it sent in sliding windows, retries included, and also
 what it sent before the limit was named. A new sender assumes that the one
 before it has used the limit.
+
+A cold server has a limit of the same kind, which its service names. It holds
+for each second, since the server may crash in a burst.
 """
 
 import collections
@@ -21,6 +24,8 @@
 _MIN_WINDOW_S = 4.0
 # Window that spreads the requests within the one above.
 _SHORT_WINDOW_S = 1.0
+# The same window for the limit of a cold server.
+_SLOW_START_WINDOW_S = 1.0
 # Smaller limits, also zero, count as this one: the end of a limit shows in a
 # response only.
 _MIN_LIMIT_PER_S = 0.1
@@ -46,6 +51,8 @@
         it no longer names one to them.
       peer_told_at: time at which a peer last said so.
       peer_changed_at: time at which a peer first said so.
+      cold_rate: limit while it is cold, requests per second.
+      cold_until: time until which it is cold.
       sent: times of this node's requests, oldest first.
     """
 
@@ -54,6 +61,8 @@
     peer_limit: float | None = None
     peer_told_at: float = -math.inf
     peer_changed_at: float = -math.inf
+    cold_rate: float = 0.0
+    cold_until: float = -math.inf
     sent: collections.deque = dataclasses.field(
         default_factory=collections.deque
     )
@@ -145,6 +154,18 @@
             if limit is not None:
                 self._limited.add(instance)
 
+    def set_slow_start(self, instance, *, rate, until):
+        """Limit the rate of a server while it is cold.
+
+        Args:
+          rate: requests per second of all nodes together.
+          until: time until which it is cold, monotonic seconds.
+        """
+        server = self._servers.setdefault(instance, _Server())
+        server.cold_rate = rate
+        server.cold_until = until
+        self._limited.add(instance)
+
     def forget(self, instances):
         """Forget servers that have left or restarted."""
         for instance in instances:
@@ -214,7 +235,9 @@
         if rate <= 0.0:
             return math.inf
         sent = self._servers[instance].sent
-        maximum = math.ceil(rate * _MIN_WINDOW_S)
+        stated = self._stated_limit(self._servers[instance], now)
+        min_window = _SLOW_START_WINDOW_S if stated is None else _MIN_WINDOW_S
+        maximum = math.ceil(rate * min_window)
         window = maximum / rate
         recent = sum(at > now - window for at in sent)
         return max(
@@ -229,6 +252,14 @@
         server = self._servers.get(instance)
         if server is None:
             return None
+        limit = self._stated_limit(server, now)
+        if now >= server.cold_until:
+            return limit
+        if limit is None:
+            return server.cold_rate
+        return min(limit, server.cold_rate)
+
+    def _stated_limit(self, server, now):
         if self._own_statement_holds(server, now):
             return server.limit
         return server.peer_limit if _knows_peer(server, now) else None
--- a/wigeonrouter/placement/_records.py
+++ b/wigeonrouter/placement/_records.py
@@ -47,6 +47,8 @@
       in_flight: requests of this node without a response so far.
       report: latest LoadReport, None before the first one.
       slow_start_until: end of its slow start.
+      check_due: time from which it gets no request before a health response,
+        since it may be cold again.
       failure_ratio: recent share of attempts that failed, from 0 to 1.
       failure_ratio_at: time at which `failure_ratio` was updated.
       consecutive_failures: failed attempts since the last success.
@@ -70,6 +72,7 @@
     in_flight: int = 0
     report: LoadReport | None = None
     slow_start_until: float = float("-inf")
+    check_due: float = float("inf")
     failure_ratio: float = 0.0
     failure_ratio_at: float = 0.0
     consecutive_failures: int = 0
--- a/wigeonrouter/platform/_http.py
+++ b/wigeonrouter/platform/_http.py
@@ -22,6 +22,7 @@
 _RATE_LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
 _PAUSE = b"retry-after"
+_SLOW_START = b"warmup-ms"
 _NOT_FORWARDED = http1.HOP_BY_HOP | {
     b"content-length",
     b"expect",
@@ -38,6 +39,8 @@
 # as a restart takes to be noticed by an operator.
 _MAX_PAUSE_S = 600.0
 _PAUSE_STATUS = 503
+# So is a longer slow start, in ms.
+_MAX_SLOW_START_MS = 600_000.0
 # Statuses that promise callers that a request has not run.
 _PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 _DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
@@ -91,11 +94,13 @@
         pause, pause_valid = None, True
         if not_executed and response.status == _PAUSE_STATUS:
             pause, pause_valid = _read_pause(response)
+        slow_start = _read_slow_start(response)
         invalid_statements = tuple(
             name.decode()
             for name, valid in (
                 (_LEAVING, leaving_valid),
                 (_PAUSE, pause_valid),
+                (_SLOW_START, slow_start is not None),
             )
             if not valid
         )
@@ -113,6 +118,7 @@
             rate_limit_valid=rate_limit_valid,
             leaving=leaving,
             pause=pause,
+            slow_start=slow_start,
             invalid_statements=invalid_statements,
         )
 
@@ -233,6 +239,19 @@
     return pause, True
 
 
+def _read_slow_start(response):
+    """Return the seconds for which a server states that it is cold.
+
+    0 if it does not, None if the statement is invalid. Of several values the
+    largest counts.
+    """
+    values = _values(response, _SLOW_START)
+    if not all(map(_DECIMAL.fullmatch, values)):
+        return None
+    left = max(map(float, values), default=0.0)
+    return left / 1000 if left <= _MAX_SLOW_START_MS else None
+
+
 def _read_rate_limit(response):
     """Return the smallest limit that a response names, and its validity.
 
--- a/wigeonrouter/platform/_http_test.py
+++ b/wigeonrouter/platform/_http_test.py
@@ -158,3 +158,31 @@
     )
     assert metadata.leaving == leaving
     assert metadata.invalid_statements == invalid
+
+
+@pytest.mark.parametrize(
+    ("values", "seconds"),
+    [
+        ([], 0.0),
+        ([b"0"], 0.0),
+        ([b"1500"], 1.5),
+        ([b"1500", b"200.5"], 1.5),
+        ([b"-1"], None),
+        ([b"soon"], None),
+        ([b""], None),
+        ([b"600001"], None),
+        ([b"200", b"nan"], None),
+    ],
+)
+def test_slow_start_that_a_server_states(values, seconds):
+    """Guards against a cold server that counts as warm, or is never used."""
+    metadata = _http.HttpCodec().read_response(
+        http1.HttpResponse(
+            status=200,
+            headers=tuple((b"warmup-ms", value) for value in values),
+            body=b"",
+        )
+    )
+    assert metadata.slow_start == seconds
+    invalid = ("warmup-ms",) if seconds is None else ()
+    assert metadata.invalid_statements == invalid
