Name only the own node in the directory while the roster is old

A node that is cut off from its hub went on to name the home that its last roster had, which may be gone. A follower now records when its hub was last heard of. After PEER_TIMEOUT_S its directory names itself only, if it is ready. Responses to pipelined requests were in order already, and what follows a response that closes the connection was not read; a test states it.

The whole suite was not run on this commit.

--- a/wigeonrouter/http1/_server_test.py
+++ b/wigeonrouter/http1/_server_test.py
@@ -76,18 +76,21 @@
         sock.close()
 
 
-def _receive_bodies(sock, count):
-    """Return the bodies of the responses until the server closes."""
+def _receive_some(sock):
+    """Return the next bytes, b"" at the end; other tasks run meanwhile."""
     sock.setblocking(False)
+    while True:
+        try:
+            return sock.recv(65536)
+        except BlockingIOError:
+            gevent.sleep(0.005)
 
-    def receive():
-        while True:
-            try:
-                return sock.recv(65536)
-            except BlockingIOError:
-                gevent.sleep(0.005)
 
-    reader = http1.ResponseReader(receive=receive, max_bytes=1 << 16)
+def _receive_bodies(sock, count):
+    """Return the bodies of the responses until the server closes."""
+    reader = http1.ResponseReader(
+        receive=lambda: _receive_some(sock), max_bytes=1 << 16
+    )
     with gevent.Timeout(WAIT_S):
         return [reader.read(b"GET").body for _ in range(count)]
 
@@ -124,6 +127,27 @@
     assert _receive_bodies(sock, 2) == [b"/1", b"/2"]
 
 
+def test_request_behind_the_end_of_its_connection_gets_no_response(
+    server, connect, handler
+):
+    """Guards against a promise for a pipelined request that was not read.
+
+    The second request closes the connection, so its response says so, and the
+    third one may be sent again.
+    """
+    sock = connect()
+    closing = REQUEST.replace(b"Host", b"Connection: close\r\nHost")
+    sock.sendall(REQUEST % 1 + closing % 2 + REQUEST % 3)
+    received = b""
+    with gevent.Timeout(WAIT_S):
+        while (data := _receive_some(sock)) != b"":
+            received += data
+    first, second = received.split(b"HTTP/1.1 ")[1:]
+    assert first.endswith(b"/1") and b"connection: close" not in first.lower()
+    assert second.endswith(b"/2") and b"connection: close" in second.lower()
+    assert handler.handled == [b"/1", b"/2"]
+
+
 def test_half_of_a_request_is_waited_for(server, connect):
     """Guards against closing on a request that is still arriving."""
     sock = connect()
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -17,6 +17,7 @@
 from wigeonrouter.node import _crash_monitor
 from wigeonrouter.node import _directory_handler
 from wigeonrouter.node import _forwarder
+from wigeonrouter.node import _hub
 from wigeonrouter.node import _link_monitor
 from wigeonrouter.node import _metrics
 from wigeonrouter.node import _node_servers
@@ -410,13 +411,16 @@
         if self._cluster_state.configuration is None:
             return ()
         services = self._cluster_state.routes.services_of(query.host)
-        home_nodes = topology.home_nodes(
+        entry_nodes = topology.entry_nodes(
             service=services[0] if services else "",
             peers=self._region_member.peers,
+            own_host=self._settings.host,
             count=_HOMES_PER_SERVICE,
+            roster_age=self._region_member.roster_age,
+            max_age=_hub.PEER_TIMEOUT_S,
         )
-        if home_nodes:
-            return tuple(home_node.caller_address for home_node in home_nodes)
+        if entry_nodes:
+            return tuple(peer.caller_address for peer in entry_nodes)
         return (self._settings.caller_address,) if self.ready else ()
 
     def _on_links_changed(self):
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -79,6 +79,8 @@
         # Dict from host to NodeState of the region's nodes.
         self._roster = {}
         self._peers = ()
+        # When the roster was last known to be current.
+        self._roster_confirmed_at = self._clock()
         self._history = topology.RegionHistory()
         self._state_changed = event.Event()
         self._leaving = False
@@ -138,6 +140,13 @@
         """Tuple of the region's topology.Peers, including this node."""
         return self._peers
 
+    @property
+    def roster_age(self):
+        """Seconds since the roster was known to be current, 0 on the hub."""
+        if self._hub is not None:
+            return 0.0
+        return self._clock() - self._roster_confirmed_at
+
     @property
     def position(self):
         """store.Position that this node has applied."""
@@ -412,6 +421,7 @@
         self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
     def _on_heartbeat(self, hub, store_reachable):
+        self._roster_confirmed_at = self._clock()
         if store_reachable:
             self._cluster_state.on_store_contact()
         else:
@@ -467,6 +477,7 @@
         return {self._settings.host: self._own_state()}
 
     def _on_roster(self, roster):
+        self._roster_confirmed_at = self._clock()
         self._roster = roster
         self._peers = _roster.to_peers(roster)
         self._history.update(self._peers, self._clock())
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -46,6 +46,7 @@
 
 catch_up_age = _freshness.catch_up_age
 candidate_order = _region.candidate_order
+entry_nodes = _region.entry_nodes
 decide_role = _region.decide_role
 forwarding_peers = _region.forwarding_peers
 home_nodes = _region.home_nodes
--- a/wigeonrouter/topology/_region.py
+++ b/wigeonrouter/topology/_region.py
@@ -230,6 +230,28 @@
     return tuple(ready[host] for host in order[:count])
 
 
+def entry_nodes(*, service, peers, own_host, count, roster_age, max_age):
+    """Return the nodes that the directory names for a service.
+
+    Load pattern: a node of the region is killed, or the node that is asked is
+    cut off from the others. What it knows of them is then outdated, while
+    callers go on to ask it.
+
+    Args:
+      service: name of the service.
+      peers: iterable of Peer of one region.
+      own_host: host of the node that is asked.
+      count: number of nodes to name.
+      roster_age: seconds since the peers were known to be current.
+      max_age: age above which only the own node is named.
+    Returns:
+      A tuple of Peer, empty if none is ready.
+    """
+    if roster_age > max_age:
+        peers = [peer for peer in peers if peer.host == own_host]
+    return home_nodes(service=service, peers=peers, count=count)
+
+
 def forwarding_peers(*, service, peers, own_host, count):
     """Return the peers that may take a request which this node cannot serve.
 
--- a/wigeonrouter/topology/_region_test.py
+++ b/wigeonrouter/topology/_region_test.py
@@ -210,3 +210,26 @@
             service=service, peers=peers, own_host="own", count=3
         )
         assert home.host in (first.host, "own")
+
+
+@pytest.mark.parametrize("ready", [True, False])
+@pytest.mark.parametrize("roster_age", [0.5, 1.5])
+def test_node_with_an_old_roster_names_at_most_itself(ready, roster_age):
+    """Guards against a directory that goes on to name nodes that are gone.
+
+    The node that is asked is cut off from its hub.
+    """
+    own = peer("own", capacity=400, ready=ready)
+    entries = topology.entry_nodes(
+        service="x",
+        peers=[own, peer("other", capacity=2000)],
+        own_host="own",
+        count=1,
+        roster_age=roster_age,
+        max_age=1.2,
+    )
+    named = [entry.host for entry in entries]
+    if roster_age < 1.2:
+        assert named == ["other"]
+    else:
+        assert named == (["own"] if ready else [])
