--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -49,6 +49,10 @@
 # Share of the memory for messages of callers and backend servers. A message
 # may exist several times for a moment, while it is parsed and rendered.
 _BUFFER_MEMORY_SHARE = 0.125
+# The directory names other nodes by a roster of at most this age. A change of
+# the hub takes up to 3 s. Naming only itself during that time would spread
+# callers over nodes that know no loads.
+_MAX_ROSTER_AGE_S = 4.0
 # Nodes of a region that serve the callers of one service (its homes).
 _HOMES_PER_SERVICE = 1
 
@@ -431,16 +435,19 @@
         if remote is not None:
             return remote
         services = self._cluster_state.routes.services_of(query.host)
-        home_nodes = topology.home_nodes(
+        entry_nodes = topology.entry_nodes(
             service=services[0] if services else "",
             peers=topology.entry_peers(
                 self._region_member.peers,
                 has_tenants=bool(self._cluster_state.configuration.tenants),
             ),
+            own_host=self._settings.host,
             count=_HOMES_PER_SERVICE,
+            roster_age=self._region_member.roster_age,
+            max_age=_MAX_ROSTER_AGE_S,
         )
-        if home_nodes:
-            return tuple(home_node.caller_address for home_node in home_nodes)
+        if entry_nodes:
+            return tuple(peer.caller_address for peer in entry_nodes)
         return (self._settings.caller_address,) if self.ready else ()
 
     def _on_links_changed(self):
