Grant quota tokens to nodes from their region's hub

A tenant's limit was not enforced. The hub of each region now keeps a ledger of granted tokens; nodes take one token for each request that they send, and order them ahead by demand. A new ledger starts from what nodes report. Sides of a partition without most nodes only grant the reserve.

--- a/wigeonrouter/node/_follower.py
+++ b/wigeonrouter/node/_follower.py
@@ -5,10 +5,12 @@
 """
 
 import dataclasses
+import functools
 import time
 import typing
 
 import gevent
+from gevent import lock
 
 from wigeonrouter.node import _channel
 from wigeonrouter.node import _hub
@@ -38,6 +40,8 @@
         reach the store.
       has_better_hub: returns whether this node should leave a hub that does
         not reach the store.
+      on_joined: called with the function that sends a PeerMessage to the hub.
+      on_quota_grant: called with each QuotaGrant.
     """
 
     own_state: typing.Callable
@@ -48,6 +52,8 @@
     on_successor: typing.Callable
     on_store_lost: typing.Callable
     has_better_hub: typing.Callable
+    on_joined: typing.Callable = lambda send: None
+    on_quota_grant: typing.Callable = lambda grant: None
 
 
 class Follower:
@@ -78,6 +84,8 @@
         self._state_changed = state_changed
         self._callbacks = callbacks
         self._clock = clock
+        # States and quota requests are sent by tasks of their own.
+        self._sending = lock.BoundedSemaphore(1)
 
     def run(self):
         """Follow the hub until it fails, leaves or loses the store.
@@ -96,6 +104,7 @@
         writer = None
         try:
             self._join(channel)
+            self._callbacks.on_joined(functools.partial(self._send, channel))
             writer = gevent.spawn(self._send_states, channel)
             return self._receive(channel)
         except _channel.ChannelClosed as error:
@@ -113,10 +122,19 @@
             era=position.era,
             accepts_roster_changes=True,
         )
-        channel.send(
-            node_pb2.PeerMessage(join=join),
-            timeout=_peer_requests.REQUEST_TIMEOUT_S,
-        )
+        with self._sending:
+            channel.send(
+                node_pb2.PeerMessage(join=join),
+                timeout=_peer_requests.REQUEST_TIMEOUT_S,
+            )
+
+    def _send(self, channel, message):
+        """Send a message; close the channel if the hub does not take it."""
+        try:
+            with self._sending:
+                channel.send(message, timeout=_peer_requests.REQUEST_TIMEOUT_S)
+        except _channel.ChannelClosed:
+            channel.close()
 
     def _receive(self, channel):
         """Apply the hub's messages; return the reason for leaving it.
@@ -144,6 +162,8 @@
                         self._callbacks.roster(), message.roster_change
                     )
                 )
+            elif kind == "quota_grant":
+                self._callbacks.on_quota_grant(message.quota_grant)
             elif kind == "role":
                 return "is not a hub"
             elif kind == "pulse":
@@ -175,13 +195,10 @@
             self._callbacks.on_confirmed(proof.age_ms / _MILLISECONDS)
 
     def _send_states(self, channel):
-        try:
-            while True:
-                self._state_changed.wait(timeout=_hub.HEARTBEAT_INTERVAL_S)
-                self._state_changed.clear()
-                channel.send(
-                    node_pb2.PeerMessage(state=self._callbacks.own_state()),
-                    timeout=_peer_requests.REQUEST_TIMEOUT_S,
-                )
-        except _channel.ChannelClosed:
-            channel.close()
+        while True:
+            self._state_changed.wait(timeout=_hub.HEARTBEAT_INTERVAL_S)
+            self._state_changed.clear()
+            self._send(
+                channel,
+                node_pb2.PeerMessage(state=self._callbacks.own_state()),
+            )
--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -23,6 +23,9 @@
 # A peer that sends no message for this time is considered dead.
 PEER_TIMEOUT_S = 1.2
 _SEND_TIMEOUT_S = 1.0
+# A node that sends nothing for this time may be on the other side of a
+# partition. A hub that has lost most nodes has to stop granting tokens soon.
+_SERVED_TIMEOUT_S = 0.8
 # A follower whose send queue exceeds this length is disconnected and has to
 # join again.
 _MAX_QUEUED_MESSAGES = 500
@@ -32,11 +35,12 @@
 
 
 class _Follower:
-    def __init__(self, *, join):
+    def __init__(self, *, join, now):
         self.state = join.state
         self.accepts_roster_changes = join.accepts_roster_changes
         self.send_queue = gevent_queue.Queue(maxsize=_MAX_QUEUED_MESSAGES)
         self.overflowed = False
+        self.heard_at = now
 
     def enqueue(self, message):
         try:
@@ -57,6 +61,7 @@
       expected_members: NodeStates that were known before this node became
         the hub; they stay in the roster for PEER_TIMEOUT_S so that they
         have time to join.
+      quota_hub: QuotaHub, None for a hub that grants no quota tokens.
     """
 
     def __init__(
@@ -67,12 +72,14 @@
         on_roster,
         copy_age=lambda: None,
         expected_members=(),
+        quota_hub=None,
         clock=time.monotonic,
     ):
         self._store_cache = store_cache
         self._own_state = own_state
         self._on_roster = on_roster
         self._copy_age = copy_age
+        self._quota_hub = quota_hub
         self._clock = clock
         self._followers = {}
         self._expected_members = {
@@ -87,6 +94,20 @@
         # The roster that all followers have, or that is in their send queues.
         self._sent_roster = self.roster()
 
+    @property
+    def served_hosts(self):
+        """Hosts of the nodes that were heard lately, this one included."""
+        heard_after = self._clock() - _SERVED_TIMEOUT_S
+        return [self._own_state().host] + [
+            host
+            for host, follower in self._followers.items()
+            if follower.heard_at >= heard_after
+        ]
+
+    def grant_quotas_from(self, quota_hub):
+        """Serve the quota requests of followers from now on."""
+        self._quota_hub = quota_hub
+
     def set_store_reachable(self, reachable):
         """Record whether the store is reachable and notify the followers."""
         if reachable != self._store_reachable:
@@ -126,9 +147,11 @@
           channel: Channel to the follower.
           join: the follower's Join message.
         """
-        follower = _Follower(join=join)
+        follower = _Follower(join=join, now=self._clock())
         host = join.state.host
         self._followers[host] = follower
+        if self._quota_hub is not None:
+            self._quota_hub.on_join(host)
         follower.enqueue(
             node_pb2.PeerMessage(
                 update=self._store_cache.update_since(
@@ -146,6 +169,9 @@
                     timeout=PEER_TIMEOUT_S,
                     max_bytes=_channel.MAX_SHORT_MESSAGE_BYTES,
                 )
+                follower.heard_at = self._clock()
+                if message.HasField("quota_request"):
+                    self._serve_quotas(host, follower, message)
                 if not message.HasField("state"):
                     continue
                 if message.state != follower.state:
@@ -157,6 +183,8 @@
             writer.kill()
             if self._followers.get(host) is follower:
                 del self._followers[host]
+                if self._quota_hub is not None:
+                    self._quota_hub.on_leave(host)
                 self._expected_members.pop(host, None)
                 self.broadcast_roster()
 
@@ -201,10 +229,29 @@
             self._heartbeat_due.wait(timeout=HEARTBEAT_INTERVAL_S)
             self._heartbeat_due.clear()
             self.send_heartbeat()
+            self._send_quota_totals()
             if expecting_members and self._clock() >= self._expected_until:
                 expecting_members = False
                 self.broadcast_roster()
 
+    def _serve_quotas(self, host, follower, message):
+        """Grant tokens, unless the follower has joined anew meanwhile."""
+        if self._quota_hub is None or self._followers[host] is not follower:
+            return
+        grant = self._quota_hub.serve_message(host, message.quota_request)
+        if grant is not None:
+            follower.enqueue(grant)
+
+    def _send_quota_totals(self):
+        """Let some followers know what they would report to the next hub."""
+        if self._quota_hub is None:
+            return
+        message = self._quota_hub.take_totals()
+        if message is None:
+            return
+        for host in self._quota_hub.totals_receivers():
+            self._followers[host].enqueue(message)
+
     def _send_roster(self):
         """Send what changed since the last time, the whole to old followers.
 
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -148,6 +148,7 @@
             codec=codec,
             splitter=topology.TrafficSplitter(rng=self._rng),
             request_log=request_log,
+            quotas=self._region_member.quotas.client,
         )
         directory_handler = _directory_handler.DirectoryHandler(
             codec=codec,
@@ -242,6 +243,11 @@
             gevent.spawn(self._supervise, "crashes", self._crash_monitor.run),
             gevent.spawn(self._supervise, "links", self._link_monitor.run),
             gevent.spawn(self._supervise, "housekeeping", self._housekeep),
+            gevent.spawn(
+                self._supervise,
+                "quotas",
+                self._region_member.quotas.client.run,
+            ),
         ]
         self._events.notice(
             "started",
@@ -435,6 +441,7 @@
             self._was_ready = True
             self._region_member.broadcast_state()
         self._balancers.configure()
+        self._region_member.quotas.client.configure()
         known = self._cluster_state.directory.known
         addresses = {
             instance: record.registration.address
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -10,6 +10,7 @@
 from wigeonrouter.node import _caller_timeouts
 from wigeonrouter.node import _forwarded_request
 from wigeonrouter.node import _grant
+from wigeonrouter.node import _quota_client
 from wigeonrouter.node import _request_context
 from wigeonrouter.node import _request_digest
 from wigeonrouter.node import messages
@@ -50,6 +51,7 @@
       codec: the adapter's HTTP codec.
       splitter: topology.TrafficSplitter, chooses the service of a route.
       request_log: RequestLog.
+      quotas: QuotaClient.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         codec,
         splitter,
         request_log,
+        quotas=_quota_client.NO_QUOTAS,
         clock=time.monotonic,
     ):
         self._cluster_state = cluster_state
@@ -73,6 +76,7 @@
         self._codec = codec
         self._splitter = splitter
         self._request_log = request_log
+        self._quotas = quotas
         self._clock = clock
         self._caller_timeouts = _caller_timeouts.CallerTimeouts(
             stored=lambda: cluster_state.caller_timeouts
@@ -134,6 +138,7 @@
             result = _internal_error(context, error)
         finally:
             self._in_progress.discard(context)
+            self._quotas.release(context)
         if isinstance(result, messages.Rejection):
             rejection = _end_rejected(result, context)
             return self._reject(
@@ -209,9 +214,14 @@
     def _run(self, context, balancer):
         while True:
             if self._forwarder.should_forward(context):
+                # The node that sends the request to a server needs a token.
+                self._quotas.release(context)
                 result = self._forward(context, balancer)
                 if result is not None:
                     return result
+            rejection = self._quotas.reserve(context)
+            if rejection is not None:
+                return rejection
             grant = self._acquire(context, balancer)
             if grant is None:
                 continue
@@ -254,9 +264,12 @@
         )
         if not isinstance(grant, _grant.Grant):
             return grant
-        rejection = self._crash_monitor.begin(context.digest)
-        if rejection is None:
-            return grant
+        rejection = None
+        confirmed = self._quotas.confirm(context)
+        if confirmed:
+            rejection = self._crash_monitor.begin(context.digest)
+            if rejection is None:
+                return grant
         balancer.release(
             grant,
             route=context.route,
@@ -280,6 +293,7 @@
         attempt = None
         outcome = placement.AttemptOutcome.CANCELLED
         context.hand_over(grant.registration.instance, started)
+        self._quotas.on_sent(context)
         try:
             attempt = self._sender.send(
                 request=context.request,
@@ -288,6 +302,7 @@
                 idempotent=context.route.idempotent,
                 response_deadline=context.pending.deadline,
                 may_repeat=lambda: self._may_repeat(context, balancer),
+                may_send=lambda: self._quotas.is_valid(context),
             )
             return attempt
         except Exception:
@@ -298,9 +313,9 @@
         finally:
             # First of all, since what follows may fail. Without an Attempt, it
             # was cancelled or failed unexpectedly.
-            context.take_back(
-                may_have_run=attempt is None or attempt.may_have_run
-            )
+            may_have_run = attempt is None or attempt.may_have_run
+            context.take_back(may_have_run=may_have_run)
+            self._quotas.on_attempt_end(context, may_have_run=may_have_run)
             if attempt is not None:
                 outcome = attempt.outcome
             latency = self._clock() - started
--- /dev/null
+++ b/wigeonrouter/node/_quota_hub.py
@@ -0,0 +1,222 @@
+"""The hub's side of quotas: grants the tokens of its region."""
+
+import collections
+
+from wigeonrouter import tenancy
+from wigeonrouter.node import _quota_messages
+from wigeonrouter.schema import node_pb2
+
+# A hub that did nothing for this time was suspended. Its followers may have
+# another hub by now.
+_SUSPENSION_S = 1.0
+# Time in which it notices that they have left.
+_RECOVERY_S = 1.5
+_EXPIRY_INTERVAL_S = 5.0
+# Followers that know the hub's own use of tokens, should it end.
+_TOTALS_RECEIVERS = 3
+# A side of a partition with more than this share of the nodes has the whole
+# share of the region.
+_MAJORITY = 0.5
+
+
+class QuotaHub:
+    """Serves the orders of this node and its followers while it is the hub.
+
+    Args:
+      tenants: function that returns a dict from name to topology.Tenant.
+      capacity: function from a topology.Tenant to how many of its tokens may
+        count at a time.
+      window: seconds over which requests are counted.
+      ledger_id: number that tells this ledger from others.
+      first_start: whether no request was sent before.
+      clock: function that returns seconds that also count while the machine
+        is suspended.
+    """
+
+    def __init__(
+        self,
+        *,
+        tenants,
+        capacity,
+        window,
+        ledger_id,
+        first_start,
+        clock,
+    ):
+        self._tenants = tenants
+        self._capacity = capacity
+        self._ledger_id = ledger_id
+        self._clock = clock
+        self._ledger = tenancy.RegionLedger(
+            window=window,
+            number=ledger_id,
+            now=clock(),
+            first_start=first_start,
+        )
+        # Tenants that were granted tokens for this node itself since the last
+        # totals. No other node has been told of these.
+        self._granted_locally = set()
+        # Dict from host to the sequence number of its last request.
+        self._sequences = {}
+        self._counts = collections.Counter()
+        self._last_active = clock()
+        self._suspended_until = float("-inf")
+        self._expire_at = clock() + _EXPIRY_INTERVAL_S
+
+    @property
+    def ledger_id(self):
+        """Number that tells this ledger from others."""
+        return self._ledger_id
+
+    @property
+    def counts(self):
+        """Tokens `granted`, `refused`, `spent` and `returned`."""
+        return self._counts
+
+    def on_join(self, host):
+        """Expect the first request of a follower that has joined."""
+        self._sequences[host] = 0
+
+    def totals_receivers(self):
+        """Return the hosts of the followers that get the totals.
+
+        Those that order tokens know more totals than others.
+        """
+        hosts = sorted(
+            self._sequences, key=lambda host: (-self._sequences[host], host)
+        )
+        return hosts[:_TOTALS_RECEIVERS]
+
+    def on_leave(self, host):
+        """Forget a follower."""
+        self._sequences.pop(host, None)
+
+    def serve_message(self, host, message):
+        """Return the PeerMessage with the grants for a QuotaRequest.
+
+        None if the request was received before.
+        """
+        last = self._sequences.get(host, 0)
+        if message.sequence <= last:
+            return None
+        self._sequences[host] = message.sequence
+        grants = self.serve(
+            _quota_messages.decode_orders(message), ledger=message.ledger
+        )
+        return node_pb2.PeerMessage(
+            quota_grant=_quota_messages.encode_grant(
+                sequence=message.sequence,
+                grants=grants,
+                ledger=self._ledger_id,
+            )
+        )
+
+    def serve(self, orders, *, ledger):
+        """Apply some orders.
+
+        Args:
+          orders: tuple of tenancy.TenantOrder.
+          ledger: number of the ledger that the node knew last.
+        Returns:
+          Tuple of tenancy.TenantGrant.
+        """
+        now = self._clock()
+        suspended = self.note_time(now)
+        tenants = self._tenants()
+        grants = []
+        for order in orders:
+            tenant = tenants.get(order.tenant)
+            if tenant is None:
+                continue
+            capacity = self._capacity(tenant)
+            self._learn(order, capacity, ledger, suspended, now)
+            grant = self._ledger.grant(
+                order.tenant,
+                wanted=order.wanted,
+                capacity=0 if suspended else capacity,
+                now=now,
+            )
+            self._counts["granted"] += grant.granted
+            self._counts["refused"] += order.wanted - grant.granted
+            grants.append(grant)
+        return tuple(grants)
+
+    def serve_local(self, orders, *, ledger):
+        """Apply the orders of this node itself; see serve()."""
+        grants = self.serve(orders, ledger=ledger)
+        self._granted_locally.update(
+            grant.tenant for grant in grants if grant.granted
+        )
+        return grants
+
+    def take_totals(self):
+        """Return the totals that only this node knows, None without any.
+
+        Returns:
+          PeerMessage for the nodes that report them to the next hub.
+        """
+        names, self._granted_locally = self._granted_locally, set()
+        if not names:
+            return None
+        now = self._clock()
+        grant = _quota_messages.encode_grant(
+            sequence=0,
+            grants=[
+                tenancy.TenantGrant(
+                    tenant=name,
+                    granted=0,
+                    total=self._ledger.total(name, now),
+                )
+                for name in sorted(names)
+            ],
+            ledger=self._ledger_id,
+        )
+        return node_pb2.PeerMessage(quota_grant=grant)
+
+    def resume(self):
+        """Go on after a time in which no tenant had a limit."""
+        self._last_active = self._clock()
+
+    def note_time(self, now):
+        """Return whether the hub was suspended a short time ago."""
+        if now - self._last_active > _SUSPENSION_S:
+            self._suspended_until = now + _RECOVERY_S
+        self._last_active = now
+        if now >= self._expire_at:
+            self._expire_at = now + _EXPIRY_INTERVAL_S
+            self._ledger.expire(now)
+        return now < self._suspended_until
+
+    def _learn(self, order, capacity, ledger, suspended, now):
+        if order.history is not None:
+            if ledger != self._ledger_id:
+                self._ledger.merge(
+                    order.tenant, order.history, capacity=capacity, now=now
+                )
+        elif not suspended:
+            # What was sent to a suspended hub may concern tokens that its
+            # ledger has no longer.
+            self._ledger.settle(
+                order.tenant,
+                spent=order.spent,
+                returned=order.returned,
+                now=now,
+            )
+            self._counts["spent"] += order.spent
+            self._counts["returned"] += order.returned
+
+
+def allowed_capacity(rules, tenant, fraction):
+    """Return how many tokens a part of the region may have in a window.
+
+    The minorities of a partition divide the reserve between them, so that
+    all parts together stay below the limit.
+
+    Args:
+      rules: tenancy.QuotaRules.
+      tenant: topology.Tenant.
+      fraction: share of the region's nodes in this part.
+    """
+    if fraction > _MAJORITY:
+        return rules.capacity(tenant)
+    return int(rules.reserve(tenant) * fraction)
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -18,6 +18,7 @@
 from wigeonrouter.node import _hub_search
 from wigeonrouter.node import _peer_requests
 from wigeonrouter.node import _peer_server
+from wigeonrouter.node import _region_quotas
 from wigeonrouter.node import _registrar
 from wigeonrouter.node import _roster
 from wigeonrouter.node import _store_cache
@@ -103,6 +104,14 @@
             clock=self._clock,
         )
         self._reaches_store = False
+        self._quotas = _region_quotas.RegionQuotas(
+            settings=settings,
+            cluster_state=cluster_state,
+            peers=lambda: self._peers,
+            events=events,
+            rng=rng,
+            clock=self._clock,
+        )
         self._hub_search = _hub_search.HubSearch(
             settings=settings,
             cluster_state=cluster_state,
@@ -148,6 +157,11 @@
         """Seconds for which the copy of the store may be outdated."""
         return self._freshness.age(self._clock())
 
+    @property
+    def quotas(self):
+        """RegionQuotas."""
+        return self._quotas
+
     @property
     def is_hub(self):
         """Whether this node is the hub of its region."""
@@ -185,6 +199,7 @@
     def reload(self, settings):
         """Apply changed topology.NodeSettings."""
         self._settings = settings
+        self._quotas.reload(settings)
         self.broadcast_state()
 
     def leave(self):
@@ -248,6 +263,8 @@
                 if host not in self._hub_search.avoided_hosts()
             ],
         )
+        hub = self._hub
+        hub.grant_quotas_from(self._quotas.start_hub(lambda: hub.served_hosts))
         self._hub_search.prefer("")
         self._replaced.clear()
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
@@ -274,7 +291,8 @@
                 )
             reader.kill()
             heartbeats.kill()
-            hub, self._hub = self._hub, None
+            self._quotas.leave()
+            self._hub = None
             hub.send_heartbeat(
                 leaving=True, successor=self._hub_search.successor
             )
@@ -389,6 +407,8 @@
                 on_successor=self._hub_search.prefer,
                 on_store_lost=lambda: self._on_hub_lost_store(hub),
                 has_better_hub=self._has_better_hub,
+                on_joined=self._quotas.client.join_remote,
+                on_quota_grant=self._quotas.client.on_grant,
             ),
         )
         reason = "failed"
@@ -406,6 +426,7 @@
         Args:
           reason: text for the log, "" if this node itself ends.
         """
+        self._quotas.leave()
         self._hub_search.avoid(hub)
         if reason:
             self._events.notice("hub-lost", hub=hub, reason=reason)
@@ -470,6 +491,7 @@
         self._roster = roster
         self._peers = _roster.to_peers(roster)
         self._history.update(self._peers, self._clock())
+        self._quotas.observe({peer.host: peer.ready for peer in self._peers})
 
     def _apply(self, items, scope):
         self._cluster_state.apply(self._feed.decode(items, scope=scope))
--- /dev/null
+++ b/wigeonrouter/node/_region_quotas.py
@@ -0,0 +1,157 @@
+"""The quotas of a region: connects a node's tokens to its hub's ledger."""
+
+import time
+
+from wigeonrouter import tenancy
+from wigeonrouter import topology
+from wigeonrouter.node import _quota_client
+from wigeonrouter.node import _quota_hub
+
+_MAX_LEDGER_ID = (1 << 32) - 1
+
+
+class RegionQuotas:
+    """Owns this node's QuotaClient, and its QuotaHub while it is the hub.
+
+    Args:
+      settings: topology.NodeSettings.
+      cluster_state: ClusterState.
+      peers: function that returns the region's topology.Peers.
+      events: events.EventLog.
+      rng: random.Random.
+      clock: function that returns monotonic seconds.
+      boot_clock: the same, that also counts while the machine is suspended.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings,
+        cluster_state,
+        peers,
+        events,
+        rng,
+        clock=time.monotonic,
+        boot_clock=_quota_client.boot_clock,
+    ):
+        self._settings = settings
+        self._cluster_state = cluster_state
+        self._peers = peers
+        self._events = events
+        self._rng = rng
+        self._clock = boot_clock
+        self._membership = tenancy.Membership()
+        self._hub = None
+        self._client = _quota_client.QuotaClient(
+            tenants=self._tenants,
+            window=settings.bounds.quota_window,
+            make_fallback=self._make_fallback,
+            events=events,
+            rng=rng,
+            clock=clock,
+            boot_clock=boot_clock,
+        )
+
+    @property
+    def client(self):
+        """QuotaClient of this node."""
+        return self._client
+
+    @property
+    def hub(self):
+        """QuotaHub of this node while it is the hub, else None."""
+        return self._hub
+
+    @property
+    def counts(self):
+        """Counter of this hub's tokens by what became of them."""
+        return self._hub.counts if self._hub is not None else {}
+
+    def reload(self, settings):
+        """Apply changed topology.NodeSettings."""
+        self._settings = settings
+
+    def observe(self, readiness):
+        """Record the present nodes, a dict from host to readiness."""
+        self._membership.observe(readiness, self._clock())
+
+    def start_hub(self, served_hosts):
+        """Return the QuotaHub of a new ledger, as this node is the hub.
+
+        Args:
+          served_hosts: function that returns the hosts of the nodes that are
+            connected to this hub, itself included.
+        """
+        if not self._settings.first_start:
+            self._membership.expect(
+                self._cluster_state.hosts(self._settings.place.region),
+                self._clock(),
+            )
+        self._hub = self._make_hub(
+            lambda tenant: _quota_hub.allowed_capacity(
+                self._rules(),
+                tenant,
+                self._membership.fraction(served_hosts()),
+            ),
+        )
+        self._client.join_local(self._hub)
+        if self._client.enabled:
+            self._events.notice("quota-ledger", ledger=self._hub.ledger_id)
+        return self._hub
+
+    def leave(self):
+        """Stop granting and ordering, as the node leaves its hub."""
+        self._hub = None
+        self._client.leave()
+
+    def _make_hub(self, capacity):
+        return _quota_hub.QuotaHub(
+            tenants=self._tenants,
+            capacity=capacity,
+            window=self._settings.bounds.quota_window,
+            ledger_id=self._rng.randint(1, _MAX_LEDGER_ID),
+            first_start=self._settings.first_start,
+            clock=self._clock,
+        )
+
+    def _make_fallback(self):
+        """Return a QuotaHub with this node's part of the region's quota.
+
+        The home nodes of the services, to which nearly all callers go, share
+        the region's quota. The others share the reserve.
+        """
+        return self._make_hub(self._fallback_capacity)
+
+    def _fallback_capacity(self, tenant):
+        peers = self._peers()
+        homes = self._home_hosts(peers)
+        rules = self._rules()
+        if self._settings.host in homes:
+            return rules.capacity(tenant) // len(homes)
+        return rules.reserve(tenant) // max(1, len(peers))
+
+    def _home_hosts(self, peers):
+        configuration = self._cluster_state.configuration
+        services = () if configuration is None else configuration.services
+        return {
+            home.host
+            for service in services
+            for home in topology.home_nodes(
+                service=service, peers=peers, count=1
+            )
+        }
+
+    def _tenants(self):
+        configuration = self._cluster_state.configuration
+        return {} if configuration is None else configuration.tenants
+
+    def _rules(self):
+        bounds = self._settings.bounds
+        region = self._settings.place.region
+        return tenancy.QuotaRules(
+            window=bounds.quota_window,
+            overage=bounds.quota_overage,
+            slack=bounds.quota_slack,
+            regions=tuple(sorted({region, *self._settings.regions.values()})),
+            region=region,
+        )
--- a/wigeonrouter/node/_request_context.py
+++ b/wigeonrouter/node/_request_context.py
@@ -4,6 +4,7 @@
 
 from wigeonrouter import http1
 from wigeonrouter import placement
+from wigeonrouter import tenancy
 from wigeonrouter import topology
 from wigeonrouter.node import _forwarded_request
 
@@ -21,6 +22,7 @@
         comes from its caller.
       forwarding_failed: whether no other node takes the request.
       tenant: the tenant whose API key the request has, None without one.
+      token: the tenancy.Token that it may be sent with, None without one.
       receiver: server instance or node that has the request now, "" if it is
         at none.
       handed_over: time when it was sent there.
@@ -38,6 +40,7 @@
     origin: _forwarded_request.Origin | None = None
     forwarding_failed: bool = False
     tenant: topology.Tenant | None = None
+    token: tenancy.Token | None = None
     receiver: str = ""
     handed_over: float = 0.0
 
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -91,6 +91,7 @@
         idempotent,
         response_deadline,
         may_repeat=None,
+        may_send=None,
     ):
         """Send a request to a server and wait for the response.
 
@@ -99,6 +100,8 @@
           may_repeat: function that returns whether the request may be sent
             again if abort_repeatable() ends this attempt; None if that does
             not end it.
+          may_send: function that returns whether the request may still be
+            sent, asked right before; None if it always may.
           others: see send_to().
         Returns:
           Attempt.
@@ -115,6 +118,7 @@
             idempotent=idempotent,
             response_deadline=response_deadline,
             may_repeat=may_repeat,
+            may_send=may_send,
             allow_close_delimited=True,
         )
 
@@ -128,6 +132,7 @@
         idempotent,
         response_deadline,
         may_repeat=None,
+        may_send=None,
         allow_close_delimited=False,
     ):
         """Send a request to an address and wait for the response.
@@ -143,7 +148,7 @@
           idempotent: whether the request may run more than once.
           response_deadline: time after which the response is useless,
             monotonic seconds.
-          may_repeat: see send().
+          may_repeat, may_send: see send().
           allow_close_delimited: whether the response may have no length and
             end with the connection. Those of nodes always have one.
         Returns:
@@ -175,7 +180,7 @@
             self._at_servers[connection] = may_repeat
         try:
             attempt = exchange.run(
-                request, request_id, render, response_deadline
+                request, request_id, render, response_deadline, may_send
             )
             return dataclasses.replace(
                 attempt,
@@ -208,7 +213,7 @@
         self.reusable = False
         self.stray_ids = []
 
-    def run(self, request, request_id, render, response_deadline):
+    def run(self, request, request_id, render, response_deadline, may_send):
         remaining = response_deadline - self._clock()
         if remaining <= 0:
             return Attempt(
@@ -216,6 +221,12 @@
                 may_have_run=False,
                 detail="deadline passed before the request was sent",
             )
+        if may_send is not None and not may_send():
+            return Attempt(
+                outcome=placement.AttemptOutcome.CANCELLED,
+                may_have_run=False,
+                detail="quota token expired before the request was sent",
+            )
         data = render(remaining)
         fresh = self._connection.fresh
         try:
--- /dev/null
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -0,0 +1,231 @@
+"""The tokens that a region's hub has granted to its nodes.
+
+Handles many small orders of a few nodes, for tenants whose request rates
+differ by orders of magnitude. A token counts from its grant until its request
+can no longer lie in a window. The end of a request shortens this time, since
+the request was sent before. The oldest token that is not known to be spent is
+taken for it: those that stay then count at least as long as they should.
+"""
+
+import collections
+import dataclasses
+
+from wigeonrouter.tenancy import _quota
+
+_BUCKET_S = 0.05
+# Share of its capacity that counts as used if no node knows what a previous
+# hub granted. Tenants usually use about so much of their limit.
+_UNKNOWN_USE = 0.6
+# Number that no ledger has.
+_NO_LEDGER = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Prior:
+    """What another ledger had granted, as far as it is not known better.
+
+    Attributes:
+      told: highest total that a node was told of that ledger.
+      reported: requests in that total that nodes have reported themselves.
+      until: when it no longer counts.
+    """
+
+    told: int = 0
+    reported: int = 0
+    until: float = 0.0
+
+    @property
+    def count(self):
+        return max(0, self.told - self.reported)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Account:
+    """Tokens of one tenant, as deques of [end of the bucket, count].
+
+    Attributes:
+      total: sum of both deques.
+      priors: dict from the number of an earlier ledger to its _Prior.
+    """
+
+    live: collections.deque
+    spent: collections.deque
+    total: int = 0
+    priors: dict = dataclasses.field(default_factory=dict)
+
+
+class RegionLedger:
+    """Grants the tokens of a region.
+
+    Args:
+      window: seconds over which requests are counted.
+      number: tells the ledger from others.
+      now: present time.
+      first_start: whether no request was sent before.
+    """
+
+    def __init__(self, *, window, number, now, first_start=False):
+        self._window = window
+        self._number = number
+        self._prior_until = now if first_start else now + window
+        self._accounts = {}
+
+    def total(self, tenant, now):
+        """Return how many tokens of a tenant count at present."""
+        account = self._accounts.get(tenant)
+        return 0 if account is None else self._count(account, now)
+
+    def grant(self, tenant, *, wanted, capacity, now):
+        """Grant as many of some tokens as the capacity allows.
+
+        Returns:
+          TenantGrant.
+        """
+        account = self._account(tenant, capacity, now)
+        total = self._count(account, now)
+        granted = min(wanted, max(0, capacity - total))
+        if granted:
+            _add(account.live, now, granted)
+            account.total += granted
+        return _quota.TenantGrant(
+            tenant=tenant,
+            granted=granted,
+            total=total + granted,
+            retry_after=(
+                0.0 if granted or not wanted else self._wait(account, now)
+            ),
+        )
+
+    def settle(self, tenant, *, spent, returned, now):
+        """Apply what has become of a node's unexpired tokens."""
+        account = self._accounts.get(tenant)
+        if account is None:
+            return
+        self._count(account, now)
+        account.total -= _take(account.live, returned)
+        moved = _take(account.live, spent)
+        if moved:
+            _add(account.spent, now, moved)
+
+    def merge(self, tenant, history, *, capacity, now):
+        """Add what a node knows of the time before this ledger.
+
+        Args:
+          history: TenantHistory.
+        """
+        account = self._account(tenant, capacity, now)
+        for age, count in sorted(history.sends, reverse=True):
+            if age < self._window and count:
+                _insert(account.spent, now - age, count)
+                account.total += count
+        if history.held:
+            _add(account.live, now, history.held)
+            account.total += history.held
+        self._learn_prior(account, history, now)
+
+    def _learn_prior(self, account, history, now):
+        """Count what nodes were told but do not report, as if sent now.
+
+        Requests after the statement may not be part of it.
+        """
+        if history.ledger == self._number:
+            return
+        knows = history.told and history.told_age < self._window
+        number = history.ledger if knows else _NO_LEDGER
+        prior = account.priors.get(number)
+        if prior is None:
+            if not knows:
+                return
+            account.priors.pop(_NO_LEDGER, None)
+            prior = account.priors[number] = _Prior()
+        prior.reported += sum(
+            count
+            for age, count in history.sends
+            if not knows or age >= history.told_age
+        )
+        if knows:
+            prior.told = max(prior.told, history.told)
+            prior.until = now + self._window
+
+    def expire(self, now):
+        """Forget the tenants without tokens that count."""
+        idle = [
+            tenant
+            for tenant, account in self._accounts.items()
+            if not self._count(account, now) and now >= self._prior_until
+        ]
+        for tenant in idle:
+            del self._accounts[tenant]
+
+    def _account(self, tenant, capacity, now):
+        account = self._accounts.get(tenant)
+        if account is None:
+            account = _Account(
+                live=collections.deque(), spent=collections.deque()
+            )
+            if now < self._prior_until:
+                account.priors[_NO_LEDGER] = _Prior(
+                    told=round(capacity * _UNKNOWN_USE),
+                    until=self._prior_until,
+                )
+            self._accounts[tenant] = account
+        return account
+
+    def _count(self, account, now):
+        """Drop what no longer counts; return how many tokens do."""
+        account.total -= _expire(
+            account.live, now - self._window - _quota.TOKEN_LIFETIME_S
+        )
+        account.total -= _expire(account.spent, now - self._window)
+        for number, prior in list(account.priors.items()):
+            if now >= prior.until:
+                del account.priors[number]
+        return account.total + sum(
+            prior.count for prior in account.priors.values()
+        )
+
+    def _wait(self, account, now):
+        """Return the seconds until the next token no longer counts."""
+        ends = []
+        if account.live:
+            ends.append(
+                account.live[0][0] + self._window + _quota.TOKEN_LIFETIME_S
+            )
+        if account.spent:
+            ends.append(account.spent[0][0] + self._window)
+        ends.extend(prior.until for prior in account.priors.values())
+        return max(_BUCKET_S, min(ends) - now) if ends else self._window
+
+
+def _add(buckets, now, count):
+    if buckets and now <= buckets[-1][0]:
+        buckets[-1][1] += count
+    else:
+        buckets.append([now + _BUCKET_S, count])
+
+
+def _insert(buckets, time, count):
+    """Add tokens of an earlier time, so that the order is kept."""
+    index = len(buckets)
+    while index and buckets[index - 1][0] > time:
+        index -= 1
+    buckets.insert(index, [time, count])
+
+
+def _take(buckets, count):
+    """Remove the oldest tokens; return how many there were to remove."""
+    taken = 0
+    while buckets and taken < count:
+        part = min(buckets[0][1], count - taken)
+        buckets[0][1] -= part
+        taken += part
+        if not buckets[0][1]:
+            buckets.popleft()
+    return taken
+
+
+def _expire(buckets, before):
+    expired = 0
+    while buckets and buckets[0][0] <= before:
+        expired += buckets.popleft()[1]
+    return expired
--- /dev/null
+++ b/wigeonrouter/tenancy/_membership.py
@@ -0,0 +1,47 @@
+"""Which part of its region a hub serves, so that no two hubs grant it all.
+
+Handles partitions between the nodes of a region. A node that was ready and
+disappears without notice may be dead or on the other side of a partition. It
+counts as partitioned for a while. One that announces that it stops does not.
+"""
+
+# A node that was not seen for this time is considered dead.
+_MEMORY_S = 30.0
+
+
+class Membership:
+    """Remembers the nodes of a region that were ready."""
+
+    def __init__(self):
+        # Dict from host to the time when it was last seen ready.
+        self._seen = {}
+        self._known = set()
+
+    def observe(self, readiness, now):
+        """Record the present nodes, a dict from host to readiness."""
+        self._known.update(readiness)
+        for host, ready in readiness.items():
+            if ready:
+                self._seen[host] = now
+            else:
+                self._seen.pop(host, None)
+        for host, seen in list(self._seen.items()):
+            if now - seen > _MEMORY_S:
+                del self._seen[host]
+
+    def expect(self, hosts, now):
+        """Record the registered nodes that were not heard of before.
+
+        A node that starts on its own side of a partition would otherwise
+        take those that it sees for the whole region.
+        """
+        for host in hosts:
+            if host not in self._known:
+                self._known.add(host)
+                self._seen[host] = now
+
+    def fraction(self, hosts):
+        """Return which share of the known nodes some hosts are."""
+        if not self._seen:
+            return 1.0
+        return sum(host in self._seen for host in hosts) / len(self._seen)
