Search for orders of faults that break a quota

Three causes were found by the search and are mended: a new hub combined a node's old report with a later total, a restarted node took those it saw for the whole region, and a hub granted a burst before it noticed that it had lost most nodes.

--- /dev/null
+++ b/wigeonrouter/node/_quota_search_test.py
@@ -0,0 +1,164 @@
+"""Tests of the quota rule for all nodes together, while parts fail.
+
+Each looks at every window of a simulation: what all nodes, connected or not,
+sent and had executed stays within the limit of each tenant.
+"""
+
+import random
+
+import pytest
+
+from wigeonrouter import topology
+from wigeonrouter.node import _quota_simulation
+
+_SEEDS = range(40)
+_FAULTS = ("kill", "kill hub", "freeze", "freeze hub", "split", "split hub")
+
+
+def _tenant(name, rate, burst):
+    return topology.Tenant(name=name, api_keys=(), rate=rate, burst=burst)
+
+
+STEADY = _tenant("steady", 40, 10)
+HEAVY = _tenant("heavy", 40, 10)
+SMALL = _tenant("small", 1, 0)
+_TENANTS = (STEADY, HEAVY, SMALL)
+# Requests per second: usual, at seven times the limit, and few.
+_DEMAND = {"steady": 25, "heavy": 280, "small": 0.6}
+
+
+def _world(seed=1, **changes):
+    return _quota_simulation.World(
+        **{
+            "seed": seed,
+            "tenants": _TENANTS,
+            "demand": dict(_DEMAND),
+            "delays": (0.0,),
+        }
+        | changes
+    )
+
+
+def _assert_rule(world):
+    for tenant in _TENANTS:
+        assert world.largest_excess(tenant) <= 0, tenant.name
+
+
+def _sent_per_second(world, tenant, start):
+    count = sum(time >= start for time in world.sent[tenant.name])
+    return count / (world.now - start)
+
+
+@pytest.mark.parametrize("regions", [("r1",), ("r1", "r2", "r3")])
+@pytest.mark.parametrize("homes", [1, 3])
+def test_limit_is_used_and_not_exceeded(regions, homes):
+    """Guards against utility that is lost below the limit.
+
+    The nodes differ in their part of the demand. One in ten requests is
+    rejected by its server and does not count.
+    """
+    world = _world(regions=regions, homes=homes)
+    world.run(10)
+    world.rejected.clear()
+    start = world.now
+    world.run(20)
+    _assert_rule(world)
+    assert _sent_per_second(world, HEAVY, start) >= 0.95 * HEAVY.rate
+    assert world.rejected["steady"] <= 0.02 * 25 * 20
+    assert world.rejected["small"] <= 2
+
+
+def _kill_hub(world):
+    world.kill(world.hub_of("r1"))
+
+
+def _pause_hub(world):
+    world.freeze(world.hub_of("r1"), 6.0)
+
+
+def _pause_hub_shortly(world):
+    world.freeze(world.hub_of("r1"), 1.1)
+
+
+def _suspend_node(world):
+    hub = world.hub_of("r1")
+    world.freeze(next(n for n in world.nodes if n is not hub), 4.0)
+
+
+def _partition_node(world):
+    hub = world.hub_of("r1")
+    world.split({next(n for n in world.nodes if n is not hub).host})
+
+
+def _partition_hub(world):
+    """Let two hubs grant at once."""
+    world.split({world.hub_of("r1").host})
+
+
+def _halve_region(world):
+    world.split({node.host for node in world.nodes[:2]})
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        _kill_hub,
+        _pause_hub,
+        _pause_hub_shortly,
+        _suspend_node,
+        _partition_node,
+        _partition_hub,
+        _halve_region,
+    ],
+)
+@pytest.mark.parametrize("seed", range(5))
+def test_limit_holds_through_a_fault_and_its_end(fault, seed):
+    """Guards against tokens that count twice, or no more, after a fault."""
+    world = _world(seed)
+    world.run(8)
+    fault(world)
+    world.run(7)
+    world.split(())
+    world.run(8)
+    world.rejected.clear()
+    world.run(8)
+    _assert_rule(world)
+    assert world.rejected["steady"] <= 0.02 * 25 * 8
+
+
+def test_other_regions_keep_to_their_shares_when_one_is_lost():
+    """Guards against a lost region whose share others take while it sends."""
+    world = _world(regions=("r1", "r2"))
+    world.run(8)
+    world.split({node.host for node in world.nodes if node.region == "r1"})
+    world.run(10)
+    _assert_rule(world)
+
+
+@pytest.mark.parametrize("seed", _SEEDS)
+def test_limit_holds_in_any_order_of_faults_and_messages(seed):
+    """Guards against requests beyond the limit in orders not thought of.
+
+    Messages are late, in half of the runs, or arrive twice; links, nodes
+    and hubs fail for a while, also several at once.
+    """
+    rng = random.Random(seed)
+    delays = (0.0, 0.0, 0.0, 0.02, 0.3) if seed % 2 else (0.0,)
+    world = _world(seed, delays=delays)
+    world.run(4)
+    for _ in range(10):
+        fault = rng.choice(_FAULTS)
+        node = rng.choice(world.nodes)
+        if "hub" in fault:
+            node = world.hub_of("r1") or node
+        if "kill" in fault:
+            world.kill(node)
+        elif "freeze" in fault:
+            world.freeze(node, rng.uniform(0.3, 8.0))
+        else:
+            world.split({node.host, rng.choice(world.nodes).host})
+        world.run(rng.uniform(0.2, 4.0))
+        if rng.random() < 0.5:
+            world.split(())
+    world.run(3)
+    _assert_rule(world)
--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -16,27 +16,63 @@
 # Share of its capacity that counts as used if no node knows what a previous
 # hub granted. Tenants usually use about so much of their limit.
 _UNKNOWN_USE = 0.6
+# The total of a tenant grows by at most this share of its capacity in each
+# interval, so that a new hub can bound what nobody was told of before the
+# previous hub noticed that it had lost most nodes.
+_GROWTH_SHARE = 0.12
+_GROWTH_INTERVAL_S = 0.4
+_UNSEEN_INTERVALS = 4
+_MIN_GROWTH = 8
 # Number that no ledger has.
 _NO_LEDGER = 0
 
 
+# Nodes state the age of requests up to this much too low.
+_AGE_ERROR_S = 0.25
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Prior:
     """What another ledger had granted, as far as it is not known better.
 
     Attributes:
-      told: highest total that a node was told of that ledger.
-      reported: requests in that total that nodes have reported themselves.
+      window: seconds over which requests are counted.
+      capacity: of the tenant.
+      statements: list of (time, total) that nodes were told of the ledger.
+      sends: list of (time, count) that nodes have reported themselves.
       until: when it no longer counts.
+      count: requests that are in a statement but in no report.
     """
 
-    told: int = 0
-    reported: int = 0
+    window: float
+    capacity: int
+    statements: list = dataclasses.field(default_factory=list)
+    sends: list = dataclasses.field(default_factory=list)
     until: float = 0.0
+    count: int = 0
+
+    def update(self):
+        """Set the count, after a change of the statements or sends."""
+        self.count = max(
+            [0]
+            + [
+                self._final(total) - self._reported(stated_at)
+                for stated_at, total in self.statements
+            ]
+        )
+
+    def _final(self, total):
+        """Return what a total may have grown to after the statement."""
+        growth = _UNSEEN_INTERVALS * _growth(self.capacity)
+        return max(total, min(self.capacity, total + growth))
 
-    @property
-    def count(self):
-        return max(0, self.told - self.reported)
+    def _reported(self, stated_at):
+        earliest = stated_at - self.window + _AGE_ERROR_S
+        return sum(
+            count
+            for sent_at, count in self.sends
+            if earliest <= sent_at <= stated_at
+        )
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -45,12 +81,16 @@
 
     Attributes:
       total: sum of both deques.
+      base: total at the beginning of the present interval.
+      base_until: end of the interval.
       priors: dict from the number of an earlier ledger to its _Prior.
     """
 
     live: collections.deque
     spent: collections.deque
     total: int = 0
+    base: int = 0
+    base_until: float = 0.0
     priors: dict = dataclasses.field(default_factory=dict)
 
 
@@ -83,7 +123,12 @@
         """
         account = self._account(tenant, capacity, now)
         total = self._count(account, now)
-        granted = min(wanted, max(0, capacity - total))
+        if now >= account.base_until:
+            account.base = total
+            account.base_until = now + _GROWTH_INTERVAL_S
+        account.base = min(account.base, total)
+        limit = min(capacity, account.base + _growth(capacity))
+        granted = min(wanted, max(0, limit - total))
         if granted:
             _add(account.live, now, granted)
             account.total += granted
@@ -121,9 +166,9 @@
         if history.held:
             _add(account.live, now, history.held)
             account.total += history.held
-        self._learn_prior(account, history, now)
+        self._learn_prior(account, history, capacity, now)
 
-    def _learn_prior(self, account, history, now):
+    def _learn_prior(self, account, history, capacity, now):
         """Count what nodes were told but do not report, as if sent now.
 
         Requests after the statement may not be part of it.
@@ -137,15 +182,14 @@
             if not knows:
                 return
             account.priors.pop(_NO_LEDGER, None)
-            prior = account.priors[number] = _Prior()
-        prior.reported += sum(
-            count
-            for age, count in history.sends
-            if not knows or age >= history.told_age
-        )
+            prior = account.priors[number] = _Prior(
+                window=self._window, capacity=capacity
+            )
+        prior.sends.extend((now - age, count) for age, count in history.sends)
         if knows:
-            prior.told = max(prior.told, history.told)
+            prior.statements.append((now - history.told_age, history.told))
             prior.until = now + self._window
+        prior.update()
 
     def expire(self, now):
         """Forget the tenants without tokens that count."""
@@ -164,9 +208,13 @@
                 live=collections.deque(), spent=collections.deque()
             )
             if now < self._prior_until:
+                unknown = round(capacity * _UNKNOWN_USE)
                 account.priors[_NO_LEDGER] = _Prior(
-                    told=round(capacity * _UNKNOWN_USE),
+                    window=self._window,
+                    capacity=capacity,
+                    statements=[(self._prior_until - self._window, unknown)],
                     until=self._prior_until,
+                    count=unknown,
                 )
             self._accounts[tenant] = account
         return account
@@ -229,3 +277,7 @@
     while buckets and buckets[0][0] <= before:
         expired += buckets.popleft()[1]
     return expired
+
+
+def _growth(capacity):
+    return max(_MIN_GROWTH, int(_GROWTH_SHARE * capacity))
--- a/wigeonrouter/tenancy/_wallet.py
+++ b/wigeonrouter/tenancy/_wallet.py
@@ -102,6 +102,11 @@
         self._changed = {}
         self._sweep = []
 
+    @property
+    def tenant_count(self):
+        """Number of tenants that are remembered."""
+        return len(self._purses)
+
     def on_arrival(self, tenant, now):
         """Count a request that needs a token."""
         purse = self._purse(tenant, now)
