Move parts of quotas between regions through the store

Each region had an equal share of a tenant's limit, so a tenant whose callers are in one region lost most of it. The hub of a region now writes what it lacks, and regions with spare capacity lower their own share, wait until their ledger keeps to it, and transfer the rest by one conditional write.

--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -37,6 +37,9 @@
         self._caller_timeouts = {}
         self._crash_history = placement.CrashHistory()
         self._stored_crashes = set()
+        self._quota_shares = None
+        # Dict from region to its QuotaDemandWritten.
+        self._quota_demands = {}
 
     @property
     def configuration(self):
@@ -68,6 +71,16 @@
         """Set of the core.Crashes that the store has."""
         return self._stored_crashes
 
+    @property
+    def quota_shares(self):
+        """topology.QuotaSharesWritten, None without an entry."""
+        return self._quota_shares
+
+    @property
+    def quota_demands(self):
+        """Tuple of the regions' topology.QuotaDemandWritten."""
+        return tuple(self._quota_demands.values())
+
     def wait_configured(self, timeout):
         """Wait for a configuration, for at most `timeout` seconds."""
         self._configured.wait(timeout=timeout)
@@ -134,6 +147,8 @@
         listed = scope is not topology.ContentScope.CHANGES
         if listed:
             self._registered_nodes = set()
+            self._quota_shares = None
+            self._quota_demands = {}
             self._replace_crashes(content.records, scope)
             self._replace_registrations(content.records, scope, now)
         else:
@@ -167,6 +182,10 @@
             self._caller_timeouts[record.route] = record.seconds
         elif isinstance(record, topology.CrashStored):
             self._apply_crash(record, now)
+        elif isinstance(record, topology.QuotaSharesWritten):
+            self._quota_shares = record
+        elif isinstance(record, topology.QuotaDemandWritten):
+            self._quota_demands[record.region] = record
         elif isinstance(record, topology.NodeRemoved):
             self._hosts.get(record.region, set()).discard(record.host)
             self._registered_nodes.discard((record.region, record.host))
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -248,6 +248,11 @@
                 "quotas",
                 self._region_member.quotas.client.run,
             ),
+            gevent.spawn(
+                self._supervise,
+                "quota-exchange",
+                self._region_member.quotas.run_exchange,
+            ),
         ]
         self._events.notice(
             "started",
--- a/wigeonrouter/node/_quota_hub.py
+++ b/wigeonrouter/node/_quota_hub.py
@@ -56,6 +56,9 @@
         # Tenants that were granted tokens for this node itself since the last
         # totals. No other node has been told of these.
         self._granted_locally = set()
+        # Dict from tenant to the most tokens that a node lacked in one order
+        # since take_missing().
+        self._missing = {}
         # Dict from host to the sequence number of its last request.
         self._sequences = {}
         self._counts = collections.Counter()
@@ -137,7 +140,7 @@
                 now=now,
             )
             self._counts["granted"] += grant.granted
-            self._counts["refused"] += order.wanted - grant.granted
+            self._note_refused(tenant.name, order.wanted - grant.granted)
             grants.append(grant)
         return tuple(grants)
 
@@ -173,6 +176,19 @@
         )
         return node_pb2.PeerMessage(quota_grant=grant)
 
+    def total(self, tenant):
+        """Return how many tokens of a tenant count at present."""
+        return self._ledger.total(tenant, self._clock())
+
+    def take_missing(self):
+        """Return what was refused since the last call.
+
+        Returns:
+          Dict from tenant to the most tokens of one order.
+        """
+        missing, self._missing = self._missing, {}
+        return missing
+
     def resume(self):
         """Go on after a time in which no tenant had a limit."""
         self._last_active = self._clock()
@@ -187,6 +203,11 @@
             self._ledger.expire(now)
         return now < self._suspended_until
 
+    def _note_refused(self, tenant, count):
+        if count:
+            self._counts["refused"] += count
+            self._missing[tenant] = max(count, self._missing.get(tenant, 0))
+
     def _learn(self, order, capacity, ledger, suspended, now):
         if order.history is not None:
             if ledger != self._ledger_id:
--- a/wigeonrouter/node/_quota_search_test.py
+++ b/wigeonrouter/node/_quota_search_test.py
@@ -135,12 +135,48 @@
     _assert_rule(world)
 
 
+@pytest.mark.parametrize("loss_ratio", [0.0, 0.2])
+@pytest.mark.parametrize("seed", range(4))
+def test_quota_follows_the_callers_to_another_region(seed, loss_ratio):
+    """Guards against callers that are rejected while the limit is unused.
+
+    Also after lost writes and replies of the store, no part counts twice.
+    """
+    world = _world(seed, regions=("r1", "r2", "r3"), nodes=3)
+    world.store.loss_ratio = loss_ratio
+    world.run(6)
+    for region in ("r1", "r2"):
+        world.callers = {"r1": 0.05, "r2": 0.05, "r3": 0.05, region: 0.9}
+        world.run(30)
+        world.rejected.clear()
+        world.run(8)
+        assert world.rejected["steady"] <= 0.06 * 25 * 8
+    _assert_rule(world)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_transfers_and_faults_together_keep_to_the_limit(seed):
+    """Guards against a share that counts twice when its hub is lost."""
+    rng = random.Random(seed)
+    regions = ("r1", "r2")
+    world = _world(seed, regions=regions, nodes=3)
+    world.store.loss_ratio = 0.2
+    for _ in range(8):
+        first = rng.random()
+        world.callers = {"r1": first, "r2": 1 - first}
+        hub = world.hub_of(rng.choice(regions)) or world.nodes[0]
+        rng.choice((world.kill, lambda node: world.freeze(node, 4.0)))(hub)
+        world.run(rng.uniform(2.0, 6.0))
+    _assert_rule(world)
+
+
 @pytest.mark.parametrize("seed", _SEEDS)
 def test_limit_holds_in_any_order_of_faults_and_messages(seed):
     """Guards against requests beyond the limit in orders not thought of.
 
     Messages are late, in half of the runs, or arrive twice; links, nodes
-    and hubs fail for a while, also several at once.
+    and hubs fail for a while, also several at once, and the demand of a
+    tenant begins and ends.
     """
     rng = random.Random(seed)
     delays = (0.0, 0.0, 0.0, 0.02, 0.3) if seed % 2 else (0.0,)
@@ -157,6 +193,7 @@
             world.freeze(node, rng.uniform(0.3, 8.0))
         else:
             world.split({node.host, rng.choice(world.nodes).host})
+        world.demand["heavy"] = rng.choice((0, 60, 280))
         world.run(rng.uniform(0.2, 4.0))
         if rng.random() < 0.5:
             world.split(())
--- a/wigeonrouter/node/_quota_simulation.py
+++ b/wigeonrouter/node/_quota_simulation.py
@@ -7,9 +7,9 @@
 import collections
 import dataclasses
 import random
-import types
 
 from wigeonrouter import core
+from wigeonrouter import store
 from wigeonrouter import topology
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _region_quotas
@@ -18,6 +18,8 @@
 _STEP_S = 0.02
 _TOKEN_WAIT_S = 0.1
 _SERVED_TIMEOUT_S = 0.8
+# Age of the nodes' copies of the store.
+_COPY_AGE_S = 0.2
 _FAILURE_DOMAIN = "{}-a"
 _PLACE_SETTINGS = {
     "caller_address": None,
@@ -57,6 +59,97 @@
         self.closed = False
 
 
+class Store:
+    """The store as far as quotas need it, with delays and lost replies.
+
+    Attributes:
+      loss_ratio: how many of the calls fail, before or after the write.
+    """
+
+    def __init__(self, *, world):
+        self._world = world
+        self._revision = 0
+        # Pairs of the time of a write and the records after it.
+        self._versions = [(0.0, None, {})]
+        self.loss_ratio = 0.0
+        self.transfers = 0
+
+    def view(self, node):
+        """Return the ClusterState of a node, whose copy is a little old."""
+        return _StoreView(store=self, node=node, world=self._world)
+
+    def read(self, time):
+        """Return the shares and demands that were written before a time."""
+        for written, shares, demands in reversed(self._versions):
+            if written <= time:
+                return shares, demands
+        return None, {}
+
+    def write_quota_demand(self, *, region, missing):
+        self._lose()
+        self._revision += 1
+        _, shares, demands = self._versions[-1]
+        record = topology.QuotaDemandWritten(
+            region=region, missing=missing, revision=self._revision
+        )
+        self._append(shares, demands | {region: record})
+        self._lose()
+
+    def write_quota_shares(self, *, parts, regions, revision):
+        self._lose()
+        _, shares, demands = self._versions[-1]
+        if (shares.revision if shares is not None else 0) != revision:
+            return False
+        self._revision += 1
+        self.transfers += 1
+        record = topology.QuotaSharesWritten(
+            parts=parts, revision=self._revision
+        )
+        self._append(record, demands)
+        self._lose()
+        return True
+
+    def _append(self, shares, demands):
+        self._versions.append((self._world.now, shares, demands))
+        del self._versions[:-50]
+
+    def _lose(self):
+        if self._world.rng.random() < self.loss_ratio:
+            raise store.StoreUnavailable("simulated loss")
+
+
+class _StoreView:
+    """The ClusterState of one node."""
+
+    def __init__(self, *, store, node, world):
+        self._store = store
+        self._node = node
+        self._world = world
+        self._seen_until = world.now
+
+    @property
+    def configuration(self):
+        return self._world.configuration
+
+    def hosts(self, region):
+        return [
+            node.host for node in self._world.nodes if node.region == region
+        ]
+
+    @property
+    def quota_shares(self):
+        return self._read()[0]
+
+    @property
+    def quota_demands(self):
+        return tuple(self._read()[1].values())
+
+    def _read(self):
+        if self._node.host not in self._world.partition:
+            self._seen_until = self._world.now - _COPY_AGE_S
+        return self._store.read(self._seen_until)
+
+
 class _Events:
     def notice(self, name, /, **fields):
         pass
@@ -70,6 +163,7 @@
         self.region = region
         self.host = host
         self.frozen_until = 0.0
+        self.exchange_at = 0.0
         self.dead_until = 0.0
         self.seek_at = 0.0
         self.connection = None
@@ -100,7 +194,8 @@
         )
         self.quotas = _region_quotas.RegionQuotas(
             settings=settings,
-            cluster_state=self.world.cluster_state,
+            cluster_state=self.world.store.view(self),
+            feed=self.world.store,
             peers=lambda: (),
             events=_Events(),
             rng=self.world.rng,
@@ -168,18 +263,16 @@
         self.bytes = 0
         # Pairs of hosts that do not reach each other.
         self.partition = frozenset()
-        self.cluster_state = types.SimpleNamespace(
-            configuration=topology.Configuration(
-                version=1,
-                routes=(),
-                services={},
-                limits=topology.CallerLimits(),
-                tenants={tenant.name: tenant for tenant in tenants},
-            ),
-            hosts=lambda region: [
-                node.host for node in self.nodes if node.region == region
-            ],
+        self.store = Store(world=self)
+        self.configuration = topology.Configuration(
+            version=1,
+            routes=(),
+            services={},
+            limits=topology.CallerLimits(),
+            tenants={tenant.name: tenant for tenant in tenants},
         )
+        # Share of each tenant's callers by region, equal by default.
+        self.callers = {}
         self.nodes = []
         for region in regions:
             for number in range(nodes):
@@ -250,6 +343,9 @@
         self._exchange(node)
         self._seek(node)
         node.quotas.observe(self._readiness(node))
+        if node.is_hub and self.now >= node.exchange_at:
+            node.exchange_at = self.now + 2.0
+            node.quotas.exchange()
         # Orders are sent at least every 0.1 s, or at once without a token.
         if self.rng.random() < 0.4:
             node.quotas.client.order()
@@ -312,9 +408,8 @@
     def _arrivals(self, node, tenant):
         home = int(node.host.rpartition("-")[2]) < self.homes
         share = 0.95 / self.homes if home else 0.01
-        expected = (
-            self.demand[tenant.name] * share * _STEP_S / len(self.regions)
-        )
+        callers = self.callers.get(node.region, 1 / len(self.regions))
+        expected = self.demand[tenant.name] * share * callers * _STEP_S
         count = int(expected)
         return count + (self.rng.random() < expected - count)
 
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -107,6 +107,7 @@
         self._quotas = _region_quotas.RegionQuotas(
             settings=settings,
             cluster_state=cluster_state,
+            feed=feed,
             peers=lambda: self._peers,
             events=events,
             rng=rng,
--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -2,11 +2,16 @@
 
 import time
 
+import gevent
+
 from wigeonrouter import tenancy
 from wigeonrouter import topology
 from wigeonrouter.node import _quota_client
+from wigeonrouter.node import _quota_exchange
 from wigeonrouter.node import _quota_hub
 
+# Demand and shares are written at most this often.
+_EXCHANGE_INTERVAL_S = 2.0
 _MAX_LEDGER_ID = (1 << 32) - 1
 
 
@@ -16,6 +21,7 @@
     Args:
       settings: topology.NodeSettings.
       cluster_state: ClusterState.
+      feed: the adapter's interface to the store.
       peers: function that returns the region's topology.Peers.
       events: events.EventLog.
       rng: random.Random.
@@ -28,6 +34,7 @@
         *,
         settings,
         cluster_state,
+        feed,
         peers,
         events,
         rng,
@@ -42,6 +49,13 @@
         self._clock = boot_clock
         self._membership = tenancy.Membership()
         self._hub = None
+        self._exchange = _quota_exchange.QuotaExchange(
+            rules=self._rules,
+            tenants=self._tenants,
+            cluster_state=cluster_state,
+            feed=feed,
+            events=events,
+        )
         self._client = _quota_client.QuotaClient(
             tenants=self._tenants,
             window=settings.bounds.quota_window,
@@ -87,6 +101,7 @@
                 self._cluster_state.hosts(self._settings.place.region),
                 self._clock(),
             )
+        self._exchange.restart()
         self._hub = self._make_hub(
             lambda tenant: _quota_hub.allowed_capacity(
                 self._rules(),
@@ -99,6 +114,17 @@
             self._events.notice("quota-ledger", ledger=self._hub.ledger_id)
         return self._hub
 
+    def run_exchange(self):
+        """Exchange quotas with other regions until killed."""
+        while True:
+            gevent.sleep(_EXCHANGE_INTERVAL_S)
+            self.exchange()
+
+    def exchange(self):
+        """Exchange quotas with other regions, if this node is the hub."""
+        if self._hub is not None and self._client.enabled:
+            self._exchange.step(self._hub)
+
     def leave(self):
         """Stop granting and ordering, as the node leaves its hub."""
         self._hub = None
@@ -154,4 +180,6 @@
             slack=bounds.quota_slack,
             regions=tuple(sorted({region, *self._settings.regions.values()})),
             region=region,
+            shares=self._exchange.shares,
+            lowered=self._exchange.lowered,
         )
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -6,6 +6,7 @@
 from wigeonrouter import store
 from wigeonrouter import topology
 from wigeonrouter.platform import _fields
+from wigeonrouter.platform import _quota_values
 from wigeonrouter.platform import _store_values
 
 # A single listing and a single watch cover the configuration, the
@@ -86,6 +87,29 @@
             [_store_values.encode_crash_key(crash) for crash in crashes]
         )
 
+    def write_quota_demand(self, *, region, missing):
+        """Store which quotas a region lacks, a dict from tenant to count."""
+        self._client.write(
+            _quota_values.DEMAND_PREFIX + region,
+            _quota_values.encode_demand(missing),
+        )
+
+    def write_quota_shares(self, *, parts, regions, revision):
+        """Store the regions' shares, unless they have changed.
+
+        Args:
+          parts: dict from tenant to a dict from region to its parts.
+          regions: tuple of all regions.
+          revision: revision of the entry that is replaced, 0 without one.
+        Returns:
+          Whether they were written.
+        """
+        return self._client.replace(
+            _quota_values.SHARES_KEY,
+            _quota_values.encode_shares(parts, regions),
+            revision=revision,
+        )
+
     def decode(self, items, *, scope):
         """Decode store items into a topology.StoreContent.
 
@@ -128,6 +152,10 @@
             return _decode_caller_timeout(item)
         if item.key.startswith(_store_values.CRASH_PREFIX):
             return _decode_crash(item)
+        if item.key == _quota_values.SHARES_KEY:
+            return _quota_values.decode_shares(item)
+        if item.key.startswith(_quota_values.DEMAND_PREFIX):
+            return _quota_values.decode_demand(item)
         return None
 
     def _decode_registration(self, item):
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -218,8 +218,20 @@
           StoreReplyLost: the key may have been or may still be written.
           StoreError: the key was not written.
         """
+        return self.replace(key, value, revision=0)
+
+    def replace(self, key, value, *, revision):
+        """Write a key unless it has changed.
+
+        Args:
+          key: the key.
+          value: bytes.
+          revision: revision of the key that is replaced, 0 if there is none.
+        Returns:
+          Whether the key was written; raises the errors of create().
+        """
         return self._transact(
-            expected=[{"key": key, "revision": 0}],
+            expected=[{"key": key, "revision": revision}],
             writes=[_write(key, value)],
         )
 
--- a/wigeonrouter/tenancy/__init__.py
+++ b/wigeonrouter/tenancy/__init__.py
@@ -3,14 +3,20 @@
 from wigeonrouter.tenancy import _ledger
 from wigeonrouter.tenancy import _membership
 from wigeonrouter.tenancy import _quota
+from wigeonrouter.tenancy import _region_shares
 from wigeonrouter.tenancy import _wallet
 
+Demand = _region_shares.Demand
 Membership = _membership.Membership
 QuotaRules = _quota.QuotaRules
 RegionLedger = _ledger.RegionLedger
+ShareKeeper = _region_shares.ShareKeeper
+Shares = _region_shares.Shares
 TenantGrant = _quota.TenantGrant
 TenantHistory = _quota.TenantHistory
 TenantOrder = _quota.TenantOrder
 Token = _wallet.Token
 Wallet = _wallet.Wallet
+PARTS = _region_shares.PARTS
+round_missing = _region_shares.round_missing
 TOKEN_LIFETIME_S = _quota.TOKEN_LIFETIME_S
--- a/wigeonrouter/tenancy/_quota.py
+++ b/wigeonrouter/tenancy/_quota.py
@@ -7,6 +7,8 @@
 import math
 import zlib
 
+from wigeonrouter.tenancy import _region_shares
+
 # A token that was not used this long after the node's request for it expires.
 TOKEN_LIFETIME_S = 1.5
 # Share of the overage and of the slack that hubs grant. The rest is left to
@@ -25,6 +27,9 @@
       slack: requests by which it may be exceeded besides.
       regions: sorted tuple of the regions that share the quota.
       region: the region whose share is asked for.
+      shares: _region_shares.Shares.
+      lowered: dict from tenant to the parts to which the region's share is
+        lowered.
     """
 
     window: float
@@ -32,6 +37,12 @@
     slack: float
     regions: tuple[str, ...]
     region: str
+    shares: _region_shares.Shares = _region_shares.Shares()
+    lowered: dict = dataclasses.field(default_factory=dict)
+
+    def whole(self, tenant):
+        """Return how many all regions together may send in a window."""
+        return self._granted(tenant)
 
     def capacity(self, tenant):
         """Return how many requests the region may send in a window."""
@@ -57,6 +68,14 @@
 
         The first of the regions that get one more differs by tenant.
         """
+        listed = self.shares.parts.get(tenant.name)
+        lowered = self.lowered.get(tenant.name)
+        if listed is not None or lowered is not None:
+            parts = self.shares.of(tenant.name, self.regions)
+            own = parts.get(self.region, 0)
+            if lowered is not None:
+                own = min(own, lowered)
+            return total * own // _region_shares.PARTS
         count = len(self.regions)
         offset = zlib.crc32(tenant.name.encode())
         index = (self.regions.index(self.region) + offset) % count
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -217,6 +217,31 @@
     removed: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class QuotaSharesWritten:
+    """The regions' shares of some tenants' quotas were written.
+
+    Attributes:
+      parts: dict from tenant to a dict from region to its parts.
+    """
+
+    parts: dict
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class QuotaDemandWritten:
+    """A region wrote which quotas it lacks.
+
+    Attributes:
+      missing: dict from tenant to requests in a window.
+    """
+
+    region: str
+    missing: dict
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NodeRemoved:
     """The registration of a node was removed."""
