Count quota tokens in metrics, and wait for a new hub's first grant

A request that had waited 60 ms for a hub was rejected as soon as one was found, before that had seen its order; the time now counts from the join.

--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -369,6 +369,8 @@
             unanswered_requests=self._node_servers.requests_in_progress,
             events=dict(self._events.counts),
             dropped=self._events.total_dropped,
+            quota_tokens=dict(self._region_member.quotas.counts),
+            quota_near_limit=self._region_member.quotas.near_limit,
         )
 
     def _housekeep(self):
--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -335,6 +335,7 @@
             min(context.pending.target_time, context.pending.deadline)
             - _SERVING_TIME_S,
         )
+        asked_at = self._boot_clock()
         with self._waiting(name):
             while True:
                 now = self._boot_clock()
@@ -343,8 +344,7 @@
                     return None
                 if self._wallet.is_refused(name, now):
                     return self._reject_over_quota(context, name, now)
-                waited = self._clock() - started
-                if waited >= _TOKEN_WAIT_S and self._hub_responds():
+                if self._hub_responds_since(asked_at, now):
                     return self._reject_over_quota(context, name, now)
                 if self._clock() >= latest:
                     return self._reject_without_hub()
@@ -365,16 +365,17 @@
             if not self._wallet.change_waiting(name, -1, now):
                 del self._changed[name]
 
-    def _hub_responds(self):
+    def _hub_responds_since(self, asked_at, now):
+        """Return whether a hub had time to grant a token, and responds."""
         link = self._link
         if link is None:
             return False
+        if now - max(asked_at, link.joined_at) < _TOKEN_WAIT_S:
+            return False
         if link.hub is not None:
             return True
-        oldest = min(link.sent.values(), default=None)
-        return link.responded and (
-            oldest is None or self._boot_clock() - oldest < _TOKEN_WAIT_S
-        )
+        oldest = min(link.sent.values(), default=now)
+        return link.responded and now - oldest < _TOKEN_WAIT_S
 
     def _reject_over_quota(self, context, name, now):
         self._rejected[name] += 1
--- a/wigeonrouter/node/_quota_hub.py
+++ b/wigeonrouter/node/_quota_hub.py
@@ -17,6 +17,8 @@
 # A side of a partition with more than this share of the nodes has the whole
 # share of the region.
 _MAJORITY = 0.5
+# Share of its capacity from which on a tenant is near its limit.
+_NEAR_LIMIT = 0.9
 
 
 class QuotaHub:
@@ -180,6 +182,16 @@
         """Return how many tokens of a tenant count at present."""
         return self._ledger.total(tenant, self._clock())
 
+    def count_near_limit(self):
+        """Return how many tenants have used most of their capacity."""
+        now = self._clock()
+        return sum(
+            self._ledger.total(tenant.name, now)
+            >= _NEAR_LIMIT * self._capacity(tenant)
+            for tenant in self._tenants().values()
+            if tenant.rate or tenant.burst
+        )
+
     def take_missing(self):
         """Return what was refused since the last call.
 
--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -81,6 +81,11 @@
         """Counter of this hub's tokens by what became of them."""
         return self._hub.counts if self._hub is not None else {}
 
+    @property
+    def near_limit(self):
+        """Number of tenants that have used most of the region's quota."""
+        return self._hub.count_near_limit() if self._hub is not None else 0
+
     def reload(self, settings):
         """Apply changed topology.NodeSettings."""
         self._settings = settings
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -51,6 +51,9 @@
         the start.
       connections_exhausted: those of them that were closed since they had
         carried too many requests that may be sent again.
+      quota_tokens: dict from what became of tokens that this node granted as
+        the hub of its region to their number.
+      quota_near_limit: tenants that have used most of the region's quota.
     """
 
     revision: int
@@ -65,6 +68,8 @@
     servers_reachable: bool = True
     connections_opened: int = 0
     connections_exhausted: int = 0
+    quota_tokens: dict = dataclasses.field(default_factory=dict)
+    quota_near_limit: int = 0
 
 
 class _Collector(registry.Collector):
@@ -124,6 +129,7 @@
     yield members
     yield from _collect_services(gauges.services)
     yield from _collect_connections(gauges)
+    yield from _collect_quotas(gauges)
     yield from _collect_events(gauges)
 
 
@@ -180,6 +186,22 @@
         )
 
 
+def _collect_quotas(gauges):
+    tokens = prometheus_core.CounterMetricFamily(
+        "wigeonrouter_quota_tokens",
+        "Quota tokens of the region's nodes, at its hub",
+        labels=("result",),
+    )
+    for result, count in sorted(gauges.quota_tokens.items()):
+        tokens.add_metric((result,), count)
+    yield tokens
+    yield prometheus_core.GaugeMetricFamily(
+        "wigeonrouter_quota_tenants_near_limit",
+        "Tenants that have used most of the region's quota, at its hub",
+        value=gauges.quota_near_limit,
+    )
+
+
 def _collect_events(gauges):
     events = prometheus_core.CounterMetricFamily(
         "wigeonrouter_events",
--- a/wigeonrouter/observability/_metrics_test.py
+++ b/wigeonrouter/observability/_metrics_test.py
@@ -97,6 +97,8 @@
             store_copy_age=1.5,
             connections_opened=9,
             connections_exhausted=2,
+            quota_tokens={"granted": 8},
+            quota_near_limit=5,
         ),
     ).decode()
     samples = {
@@ -111,6 +113,8 @@
     assert (
         samples["wigeonrouter_server_connections_exhausted_total", None] == 2
     )
+    assert samples["wigeonrouter_quota_tokens_total", None] == 8
+    assert samples["wigeonrouter_quota_tenants_near_limit", None] == 5
     assert samples["wigeonrouter_queue_length", None] == 2
     assert samples["wigeonrouter_limited_servers", None] == 3
     assert samples["wigeonrouter_in_flight", None] == 4
