--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -159,6 +159,7 @@
                 cluster_state=self._cluster_state,
                 is_outdated=self._are_keys_outdated,
             ),
+            quotas=self._region_member.quotas.client,
         )
         directory_handler = _directory_handler.DirectoryHandler(
             codec=codec,
@@ -253,6 +254,16 @@
             gevent.spawn(self._supervise, "crashes", self._crash_monitor.run),
             gevent.spawn(self._supervise, "links", self._link_monitor.run),
             gevent.spawn(self._supervise, "housekeeping", self._housekeep),
+            gevent.spawn(
+                self._supervise,
+                "quotas",
+                self._region_member.quotas.client.run,
+            ),
+            gevent.spawn(
+                self._supervise,
+                "quota-exchange",
+                self._region_member.quotas.run_exchange,
+            ),
         ]
         self._events.notice(
             "started",
@@ -371,6 +382,8 @@
             unanswered_requests=self._node_servers.requests_in_progress,
             events=dict(self._events.counts),
             dropped=self._events.total_dropped,
+            quota_tokens=dict(self._region_member.quotas.counts),
+            quota_near_limit=self._region_member.quotas.near_limit,
         )
 
     def _housekeep(self):
@@ -466,6 +479,7 @@
             self._was_ready = True
             self._region_member.broadcast_state()
         self._balancers.configure()
+        self._region_member.quotas.client.configure()
         known = self._cluster_state.directory.known
         addresses = {
             instance: record.registration.address
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -9,6 +9,7 @@
 from wigeonrouter.node import _authenticator
 from wigeonrouter.node import _forwarded_request
 from wigeonrouter.node import _grant
+from wigeonrouter.node import _quota_client
 from wigeonrouter.node import _request_router
 from wigeonrouter.node import messages
 
@@ -43,6 +44,7 @@
       request_log: RequestLog.
       authenticator: Authenticator, one without a limit on the age of the
         configuration by default.
+      quotas: QuotaClient.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         splitter,
         request_log,
         authenticator=None,
+        quotas=_quota_client.NO_QUOTAS,
         clock=time.monotonic,
     ):
         self._cluster_state = cluster_state
@@ -66,6 +69,7 @@
         self._forwarder = forwarder
         self._codec = codec
         self._request_log = request_log
+        self._quotas = quotas
         self._clock = clock
         self._authenticator = authenticator or _authenticator.Authenticator(
             cluster_state=cluster_state
@@ -142,6 +146,7 @@
             result = _internal_error(context, error)
         finally:
             self._in_progress.discard(context)
+            self._quotas.release(context)
         if isinstance(result, messages.Rejection):
             rejection = _end_rejected(result, context)
             return self._reject(
@@ -156,9 +161,14 @@
             if rejection is not None:
                 return rejection
             if self._forwarder.should_forward(context):
+                # The node that sends the request to a server needs a token.
+                self._quotas.release(context)
                 result = self._forward(context, balancer)
                 if result is not None:
                     return result
+            rejection = self._quotas.reserve(context)
+            if rejection is not None:
+                return rejection
             grant = self._acquire(context, balancer)
             if grant is None:
                 continue
@@ -203,11 +213,11 @@
         )
         if not isinstance(grant, _grant.Grant):
             return grant
-        rejection = self._authenticator.recheck(
-            context
-        ) or self._crash_monitor.begin(context.digest)
-        if rejection is None:
-            return grant
+        rejection = self._authenticator.recheck(context)
+        if rejection is None and self._quotas.confirm(context):
+            rejection = self._crash_monitor.begin(context.digest)
+            if rejection is None:
+                return grant
         balancer.release(
             grant,
             route=context.route,
@@ -231,6 +241,7 @@
         attempt = None
         outcome = placement.AttemptOutcome.CANCELLED
         context.hand_over(grant.registration.instance, started)
+        self._quotas.on_sent(context)
         try:
             attempt = self._sender.send(
                 request=context.request,
@@ -240,7 +251,7 @@
                 response_deadline=context.pending.deadline,
                 tenant=self._authenticator.name_for_server(context),
                 may_repeat=lambda: self._may_repeat(context, balancer),
-                may_send=lambda: not self._is_evacuated(grant),
+                may_send=lambda: self._may_send(context, grant),
             )
             return attempt
         except Exception:
@@ -251,9 +262,9 @@
         finally:
             # First of all, since what follows may fail. Without an Attempt, it
             # was cancelled or failed unexpectedly.
-            context.take_back(
-                may_have_run=attempt is None or attempt.may_have_run
-            )
+            may_have_run = attempt is None or attempt.may_have_run
+            context.take_back(may_have_run=may_have_run)
+            self._quotas.on_attempt_end(context, may_have_run=may_have_run)
             if attempt is not None:
                 outcome = attempt.outcome
             latency = self._clock() - started
@@ -299,9 +310,13 @@
             return None
         return _final_result(attempt)
 
-    def _is_evacuated(self, grant):
+    def _may_send(self, context, grant):
+        """Return whether a request may still be sent to the chosen server."""
         domain = grant.registration.place.failure_domain
-        return domain in self._cluster_state.evacuated
+        return (
+            domain not in self._cluster_state.evacuated
+            and self._quotas.is_valid(context)
+        )
 
     def _may_repeat(self, context, balancer):
         """Return whether a request that is at a server may be sent again."""
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -235,7 +235,7 @@
                 outcome=placement.AttemptOutcome.CANCELLED,
                 may_have_run=False,
                 withdrawn=True,
-                detail="server was evacuated before the request was sent",
+                detail="server was evacuated or the quota token expired",
             )
         data = render(remaining)
         fresh = self._connection.fresh
