Spread the retries of rejected callers over the time that they wait

Cause: callers wait for at most a third of the time that they have left. A Retry-After of up to 2 s brought callers with 1.5 s left back together, and callers of one tenant drew their times independently of each other.

Change: Retry-After is at most a third of the time left, spread over the upper half of the period where that is the bound. The callers of a tenant get times that divide the period evenly. Without tenants, times within the bound are drawn as before. The order in which callers return follows from the expected wait, which is shorter for higher ranks.

Tests: wigeonrouter/placement, node/_balancer_test.py and _admission_controller_test.py pass.

--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -44,6 +44,7 @@
         self._server_pool = server_pool
         self._queue = queue
         self._rng = rng
+        self._retry_spread = placement.RetrySpread(rng=rng)
         self._stop_schedule = stop_schedule
         self._clock = clock
         self._late_rate = placement.late_dispatch_rate()
@@ -271,7 +272,11 @@
     def _reject_overload(self, request, wait, service_time, now):
         return messages.Rejection(
             problem=core.problems.DEADLINE_TOO_SHORT,
-            retry_after=placement.retry_after(wait=wait, rng=self._rng),
+            retry_after=self._retry_spread.retry_after(
+                tenant=request.tenant,
+                wait=wait,
+                time_left=request.deadline - now,
+            ),
             detail=(
                 f"expected wait {wait * 1000:.0f} ms, service time"
                 f" {service_time * 1000:.0f} ms, time to deadline"
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -19,6 +19,7 @@
 from wigeonrouter.placement import _rate_limits
 from wigeonrouter.placement import _records
 from wigeonrouter.placement import _request_queue
+from wigeonrouter.placement import _retry_spread
 from wigeonrouter.placement import _server_links
 from wigeonrouter.placement import _statements
 from wigeonrouter.placement import _stopping
@@ -42,6 +43,7 @@
 Misdirections = _misdirections.Misdirections
 CallerTimeoutEstimate = _caller_timeout.CallerTimeoutEstimate
 RequestQueue = _request_queue.RequestQueue
+RetrySpread = _retry_spread.RetrySpread
 ServiceTimes = _estimate.ServiceTimes
 
 after_attempt = _health.after_attempt
@@ -75,6 +77,8 @@
 next_check_time = _admission.next_check_time
 probe_candidates = _choice.probe_candidates
 probe_count = _choice.probe_count
+MAX_RETRY_AFTER_S = _admission.MAX_RETRY_AFTER_S
+MIN_RETRY_AFTER_S = _admission.MIN_RETRY_AFTER_S
 retry_after = _admission.retry_after
 spare_throughput = _admission.spare_throughput
 late_dispatch_rate = _admission.late_dispatch_rate
