--- a/wigeonrouter/node/_balancer_test.py
+++ b/wigeonrouter/node/_balancer_test.py
@@ -191,6 +191,28 @@
     assert isinstance(patient.value, _grant.Grant)
 
 
+def test_tenants_take_turns_at_the_servers(
+    make_balancer, make_pending, acquire, occupy, route
+):
+    """Guards against a tenant that is not charged for the slots it gets.
+
+    Twenty requests of one tenant wait before three of another arrive.
+    """
+    balancer = make_balancer(servers=1)
+    grants = occupy(balancer)
+    many = [acquire(balancer, make_pending(tenant="many")) for _ in range(20)]
+    few = [acquire(balancer, make_pending(tenant="few")) for _ in range(3)]
+    gevent.sleep(0.05)
+    waiting = [*many, *few]
+    for _ in range(8):
+        _release(balancer, grants.pop(), route)
+        (task,) = gevent.wait(waiting, count=1, timeout=WAIT_S)
+        waiting.remove(task)
+        grants.append(task.value)
+    assert all(task.ready() for task in few)
+    assert balancer.overload_log.waiting == {(0, 1): 15}
+
+
 def test_servers_are_used_again_after_a_cut(
     make_balancer, make_pending, acquire, route
 ):
--- a/wigeonrouter/observability/_metrics_test.py
+++ b/wigeonrouter/observability/_metrics_test.py
@@ -90,6 +90,9 @@
                     queue_length=2,
                     in_flight=4,
                     limited_servers=3,
+                    waiting_by_rank={(0, 1): 5},
+                    not_served_by_rank={(2, 1): 6},
+                    starved=1,
                 ),
             ),
             unanswered_requests=1,
@@ -113,6 +116,9 @@
     )
     assert samples["wigeonrouter_queue_length", None] == 2
     assert samples["wigeonrouter_limited_servers", None] == 3
+    assert samples["wigeonrouter_waiting", None] == 5
+    assert samples["wigeonrouter_not_served_total", None] == 6
+    assert samples["wigeonrouter_starved_ranks", None] == 1
     assert samples["wigeonrouter_in_flight", None] == 4
     assert samples["wigeonrouter_requests_total", 'x"\n\\y'] == 3
     assert samples["wigeonrouter_latency_seconds_count", 'x"\n\\y'] == 3
