Send 100 Continue only behind the responses to earlier requests

A pipelined request with Expect: 100-continue is read while those before it run, so that its interim response could have come before their responses. wigeonrouter/http1 passes.

--- a/wigeonrouter/http1/_pipeline.py
+++ b/wigeonrouter/http1/_pipeline.py
@@ -107,6 +107,15 @@
             if self._read_task is None and not self._ahead:
                 self._connection.stop_watching()
 
+    def wait_for_responses(self):
+        """Wait until every request that has been read has its response.
+
+        Only for the task that reads, which may send something of its own then.
+        """
+        while self._connection.unanswered:
+            self._was_answered.clear()
+            self._was_answered.wait()
+
     def stop_reading(self):
         """Read nothing more; what has not been read counts as not received."""
         self._connection.stop_watching()
--- a/wigeonrouter/http1/_pipeline_test.py
+++ b/wigeonrouter/http1/_pipeline_test.py
@@ -31,7 +31,7 @@
     cancelled: list = dataclasses.field(default_factory=list)
 
     def body_limit(self, request):
-        return 0
+        return 10
 
     def may_overlap(self, request):
         return request.target.startswith(b"/read")
@@ -166,6 +166,21 @@
         assert sorted(handler.cancelled) == targets
 
 
+def test_interim_response_comes_behind_earlier_responses(connection):
+    """Guards against 100 Continue in front of another request's response."""
+    connection.sendall(
+        _render("/read-1", "/read-2-90")
+        + b"PUT /read-3 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+        b"Expect: 100-continue\r\n\r\n"
+    )
+    data = b""
+    while b"100 Continue\r\n\r\n" not in data:
+        data += connection.recv(65536)
+    assert data.endswith(b"/read-2-90HTTP/1.1 100 Continue\r\n\r\n")
+    connection.sendall(b"x")
+    assert _receive(connection, 1) == ["/read-3"]
+
+
 def test_unanswered_requests_are_bounded(connection, server, handler):
     """Guards against callers that take all memory with short requests."""
     targets = [f"/read-{n}-100" for n in range(3 * _pipeline.MAX_UNANSWERED)]
--- a/wigeonrouter/http1/_server.py
+++ b/wigeonrouter/http1/_server.py
@@ -204,11 +204,16 @@
         return False
 
     def _serve_requests(self, connection):
+        def send_continue():
+            # An interim response must not come before earlier responses.
+            pipeline.wait_for_responses()
+            connection.send(_CONTINUE)
+
         reader = _exchange_reader.ExchangeReader(
             connection=connection,
             reader=_request_reader.RequestReader(
                 body_limit=self._handler.body_limit,
-                send_continue=lambda: connection.send(_CONTINUE),
+                send_continue=send_continue,
             ),
             buffer_budget=self._buffer_budget,
             waiting=self._waiting,
