Do not print the values of the store and configurations

The repr of a store item and of a written configuration had the configuration's bytes, and so its API keys. No line prints them today; an exception that names such a record would.

pytest of platform/_tenants_test, _mixed_builds_test, _store_contents_test, store and topology passes; the whole suite was not run.

--- a/wigeonrouter/platform/_mixed_builds_test.py
+++ b/wigeonrouter/platform/_mixed_builds_test.py
@@ -5,8 +5,6 @@
 import pytest
 
 from wigeonrouter import core
-from wigeonrouter import topology
-from wigeonrouter.node import messages
 from wigeonrouter.platform import _emulated_links
 from wigeonrouter.platform import _partitioned_node_test
 from wigeonrouter.platform import _tenants_test
@@ -155,12 +153,3 @@
     state = node._cluster_state
     wait_until(lambda: state.is_registered("r1", settings.host))
     assert state.remote_key_checkers("r2") == {settings.host}
-
-
-def test_error_record_of_a_request_has_no_key():
-    """Guards against keys in an error that prints the request's metadata."""
-    metadata = messages.RequestMetadata(
-        request_id="r", remaining=None, api_key="k-1"
-    )
-    assert "k-1" not in repr(metadata)
-    assert "k-1" not in repr(topology.Tenant(name="a", api_keys=("k-1",)))
--- a/wigeonrouter/platform/_tenants_test.py
+++ b/wigeonrouter/platform/_tenants_test.py
@@ -6,7 +6,10 @@
 from gevent import socket
 import pytest
 
+from wigeonrouter import http1
+from wigeonrouter import store as store_api
 from wigeonrouter import topology
+from wigeonrouter.node import messages
 from wigeonrouter.platform import conftest
 from wigeonrouter.platform import testing
 
@@ -327,3 +330,25 @@
     seen += caplog.text + captured.out + captured.err
     assert KEY not in seen and "k-secret" not in seen
     assert "unknown-key" in seen
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        messages.RequestMetadata(request_id="", remaining=None, api_key=KEY),
+        topology.Tenant(name="acme", api_keys=(KEY,)),
+        http1.HttpRequest(
+            method=b"GET",
+            target=b"/",
+            headers=((b"key", KEY.encode()),),
+            body=b"",
+            keep_alive=True,
+        ),
+        store_api.Item(key="op/config", value=KEY.encode(), version=1),
+        topology.StoreMemory(configuration=KEY.encode()),
+    ],
+    ids=lambda record: type(record).__name__,
+)
+def test_record_does_not_print_its_key(record):
+    """Guards against keys in an error or log line that prints a record."""
+    assert KEY not in repr(record)
--- a/wigeonrouter/store/_interface.py
+++ b/wigeonrouter/store/_interface.py
@@ -28,11 +28,12 @@
 class Item:
     """A key with its value and version.
 
-    Each write changes the version; 0 stands for an absent key.
+    Each write changes the version; 0 stands for an absent key. The value may
+    have secrets of the platform, and is not printed.
     """
 
     key: str
-    value: bytes
+    value: bytes = dataclasses.field(repr=False)
     version: int
 
 
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -144,7 +144,7 @@
 
     configuration: Configuration
     revision: int
-    encoded: bytes = b""
+    encoded: bytes = dataclasses.field(default=b"", repr=False)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -278,7 +278,7 @@
       departures: tuple of Departure.
     """
 
-    configuration: bytes = b""
+    configuration: bytes = dataclasses.field(default=b"", repr=False)
     departures: tuple[Departure, ...] = ()
 
 
