Check servers in use for a slow start, and describe cold servers

A test with three nodes showed that a busy server is never probed, because the responses to its requests tell its load: it got 75 requests in a second while cold, where 19.4 were allowed. Servers of services that limit cold ones are now probed every 0.1 s while they are used.

The whole suite was not run on this commit.

--- a/wigeonrouter/node/_server_limits.py
+++ b/wigeonrouter/node/_server_limits.py
@@ -139,10 +139,18 @@
         key = _start(registration)
         cold_until = self._slow_starts.cold_until(key)
         check_due = self._slow_starts.check_due(key)
-        if (cold_until, check_due) == (view.slow_start_until, view.check_due):
+        health_due = self._slow_starts.health_due(key)
+        if (cold_until, check_due, health_due) == (
+            view.slow_start_until,
+            view.check_due,
+            view.health_due,
+        ):
             return view
         return dataclasses.replace(
-            view, slow_start_until=cold_until, check_due=check_due
+            view,
+            slow_start_until=cold_until,
+            check_due=check_due,
+            health_due=health_due,
         )
 
     def apply(self, view):
--- a/wigeonrouter/placement/_choice.py
+++ b/wigeonrouter/placement/_choice.py
@@ -206,7 +206,7 @@
       max_servers: largest number of servers to consider.
     Returns:
       A list of views: those with the highest expected utility, without servers
-      whose load reports are fresh.
+      whose load reports are fresh and that need no health check.
     """
     ranked = sorted(
         find_usable(views, request=request, now=now, for_probe=True),
@@ -222,7 +222,9 @@
     return [
         view
         for view in ranked[:max_servers]
-        if view.report is None or now - view.report.received > FRESH_REPORT_S
+        if view.report is None
+        or now - view.report.received > FRESH_REPORT_S
+        or view.health_due <= now
     ]
 
 
--- a/wigeonrouter/placement/_records.py
+++ b/wigeonrouter/placement/_records.py
@@ -49,6 +49,7 @@
       slow_start_until: end of its slow start.
       check_due: time from which it gets no request before a health response,
         since it may be cold again.
+      health_due: time from which it is probed whatever its report says.
       failure_ratio: recent share of attempts that failed, from 0 to 1.
       failure_ratio_at: time at which `failure_ratio` was updated.
       consecutive_failures: failed attempts since the last success.
@@ -73,6 +74,7 @@
     report: LoadReport | None = None
     slow_start_until: float = float("-inf")
     check_due: float = float("inf")
+    health_due: float = float("inf")
     failure_ratio: float = 0.0
     failure_ratio_at: float = 0.0
     consecutive_failures: int = 0
--- a/wigeonrouter/placement/_slow_start.py
+++ b/wigeonrouter/placement/_slow_start.py
@@ -16,6 +16,9 @@
 # Requests in a second that homes of other regions may add. Each of them sends
 # one in ten seconds at most.
 _REQUESTS_OF_OTHER_REGIONS = 2
+# A server in use is checked for a slow start at this interval. Its responses
+# to requests tell its load, but not whether it is cold.
+_HEALTH_INTERVAL_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,12 +74,14 @@
         back into service.
       stated_until: end of the slow start by its latest health response.
       active_at: time of the latest request or health response.
+      health_at: time of the latest health response.
     """
 
     registered_until: float = -math.inf
     returned_until: float = -math.inf
     stated_until: float = -math.inf
     active_at: float = -math.inf
+    health_at: float = -math.inf
 
 
 class SlowStarts:
@@ -127,7 +132,7 @@
             None if the statement cannot be used. It then counts as cold.
         """
         server = self._servers.setdefault(key, _Server())
-        server.active_at = now
+        server.active_at = server.health_at = now
         server.returned_until = -math.inf
         server.stated_until = -math.inf
         if not self._rule.is_limited:
@@ -152,6 +157,15 @@
             server.stated_until,
         )
 
+    def health_due(self, key):
+        """Return the time from which a server in use is checked again."""
+        if not self._rule.is_limited:
+            return math.inf
+        server = self._servers.get(key)
+        if server is None:
+            return -math.inf
+        return server.health_at + _HEALTH_INTERVAL_S
+
     def check_due(self, key):
         """Return the time from which a server has to show that it is warm.
 
--- a/wigeonrouter/platform/_emulated_backend.py
+++ b/wigeonrouter/platform/_emulated_backend.py
@@ -71,6 +71,8 @@
       extra_time: seconds that requests take longer, which no response tells.
       rate_limit: limit that its responses name, requests per second; None
         for no limit. The server does not enforce it.
+      cold_until: time until which its responses to health checks say that it
+        is cold, monotonic seconds.
       names_limit_in_probes: whether responses to health checks name it too.
       names_instance_in_probes: whether responses to health checks name the
         instance.
@@ -103,6 +105,7 @@
         self.slowdown = 1.0
         self.extra_time = 0.0
         self.rate_limit = None
+        self.cold_until = float("-inf")
         self.names_limit_in_probes = True
         self.names_instance_in_probes = True
         self.surplus = _surplus_responses.SurplusWriter()
@@ -294,6 +297,7 @@
                 ),
                 (b"server-load", load.encode()),
                 *self._limit_headers(request),
+                *self._cold_headers(request),
                 *([(b"server-leaving", b"1")] if self.leaving else ()),
             ),
             body=body,
@@ -304,6 +308,12 @@
             return ()
         return ((b"retry-after", str(self.pause).encode()),)
 
+    def _cold_headers(self, request):
+        left = self.cold_until - time.monotonic()
+        if request.target != b"/health" or left <= 0.0:
+            return ()
+        return ((b"warmup-ms", b"%d" % (left * 1000)),)
+
     def _limit_headers(self, request):
         if self.rate_limit is None or (
             request.target == b"/health" and not self.names_limit_in_probes
