Let requests leave a full failure domain or region

Within a region each request took the slot that promised most, so that two full failure domains swapped a third of their requests.

placement.SpillOver decides by the gain in expected utility against the cost of leaving. Where the own place still has a free slot, only a share of the requests may leave; it grows and shrinks gradually, with hysteresis and at most to what the free slots elsewhere can take. Where there is no free slot, they leave at once. None goes to a place whose slots other nodes need, and the last slots of servers in other regions are left to these. A request that has to queue looks for a remote server when it arrives, not only at the head.

It is on with WIGEONROUTER_SPILL_OVER=on, or by default where the setting contracts has places; otherwise requests are served as before. The share and the requests by locality are exported, and changes of the share are logged.

Tested: wigeonrouter/placement, node, observability, limits, topology, dispatch and platform/_settings_test.py: all pass.

--- a/wigeonrouter/limits/__init__.py
+++ b/wigeonrouter/limits/__init__.py
@@ -16,6 +16,7 @@
 can_meet_deadline = _admission.can_meet_deadline
 count_remote_slots = _spill_over.count_remote_slots
 expected_wait = _admission.expected_wait
+STOP_PRICE_RATIO = _spill_over.STOP_PRICE_RATIO
 remote_request_limit = _spill_over.remote_request_limit
 update_hold_time = _admission.update_hold_time
 next_concurrency_limit = _concurrency.next_concurrency_limit
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -12,6 +12,7 @@
 from wigeonrouter.node import _admission_controller
 from wigeonrouter.node import _home_balancers
 from wigeonrouter.node import _server_pool
+from wigeonrouter.node import _spill_over_choice
 
 # A request at the head of the queue looks for a server again after this share
 # of its service time, within the bounds below, because other nodes release
@@ -29,6 +30,7 @@
       budget: placement.RetryBudget.
       stop_schedule: function that returns the placement.StopSchedule of this
         node, NO_STOP while it is not stopping.
+      spill_over: placement.SpillOver, None if it is off.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         budget,
         rng,
         stop_schedule=lambda: placement.NO_STOP,
+        spill_over=None,
         clock=time.monotonic,
     ):
         self._server_pool = server_pool
@@ -65,6 +68,20 @@
             clock=clock,
         )
 
+        self._spill_over = None
+        if spill_over is not None:
+            self._spill_over = _spill_over_choice.SpillOverChoice(
+                spill_over=spill_over,
+                server_pool=server_pool,
+                functions=_spill_over_choice.ChoiceFunctions(
+                    choose=self._choose,
+                    choose_remote=self._choose_remote,
+                    utility_of_waiting=self._utility_of_waiting,
+                    arrival_rate=lambda: self._admission.arrival_rate,
+                ),
+                clock=clock,
+            )
+
     @property
     def budget(self):
         """placement.RetryBudget of the service."""
@@ -87,6 +104,16 @@
         """Number of this node's requests in flight at the servers."""
         return self._server_pool.in_flight
 
+    @property
+    def requests_by_locality(self):
+        """Dict from placement.Locality to the number of requests sent."""
+        return self._server_pool.requests_by_locality
+
+    @property
+    def spill_over_shares(self):
+        """See placement.SpillOver.shares; empty if it is off."""
+        return {} if self._spill_over is None else self._spill_over.shares
+
     @property
     def rate_limit_statements(self):
         """What servers said about their limits; see ServerViews."""
@@ -234,6 +261,16 @@
         now = self._clock()
         late = placement.is_late(request, service_time=service_time, now=now)
         was_at_head = False
+        if self._spill_over is not None and waiter not in self._queue.head(
+            now
+        ):
+            # Behind others, it gains most by leaving before it has waited.
+            grant = self._spill_over.try_leave(
+                request, service_time, placement.Pick(view=None)
+            )
+            if grant is not None:
+                self._admission.record_dispatch(request, route)
+                return grant
         while not should_leave():
             now = self._clock()
             at_head = waiter in self._queue.head(now)
@@ -281,22 +318,16 @@
         pick = self._probe_and_choose(
             request, service_time, max_probes, remote=False
         )
+        if self._spill_over is not None:
+            return self._spill_over.try_grant(request, service_time, pick)
         if pick.view is not None and not pick.should_wait:
             return self._server_pool.grant(pick, service_time)
         remote_pick = self._choose_remote(request, service_time)
         now = self._clock()
         if remote_pick.view is not None:
-            waiting_utility = placement.utility_of_waiting(
-                request=request,
-                service_time=service_time,
-                mean_slowdown=self._server_pool.service_times.mean_slowdown,
-                fast_slowdown=self._server_pool.service_times.fast_slowdown,
-                now=now,
-                ahead=self._queue.count_ahead(request, service_time, now) - 1,
-                slots=self._server_pool.usable_slots(service_time),
-            )
             if remote_pick.expected_utility > max(
-                pick.expected_utility, waiting_utility
+                pick.expected_utility,
+                self._utility_of_waiting(request, service_time, now),
             ):
                 return self._server_pool.grant(remote_pick, service_time)
         late = placement.is_late(request, service_time=service_time, now=now)
@@ -304,6 +335,29 @@
             return self._server_pool.grant(pick, service_time)
         return None
 
+    def _utility_of_waiting(self, request, service_time, now):
+        return placement.utility_of_waiting(
+            request=request,
+            service_time=service_time,
+            mean_slowdown=self._server_pool.service_times.mean_slowdown,
+            fast_slowdown=self._server_pool.service_times.fast_slowdown,
+            now=now,
+            ahead=self._queue.count_ahead(request, service_time, now) - 1,
+            slots=self._server_pool.usable_slots(service_time),
+        )
+
+    def _choose(self, views, request, service_time, *, utilization):
+        service_times = self._server_pool.service_times
+        return placement.choose(
+            views,
+            request=request,
+            service_time=service_time,
+            mean_slowdown=service_times.mean_slowdown,
+            now=self._clock(),
+            utilization=utilization,
+            fast_slowdown=service_times.fast_slowdown,
+        )
+
     def _choose_remote(self, request, service_time):
         """Choose a server in another region.
 
@@ -320,14 +374,11 @@
             return self._probe_and_choose(
                 request, service_time, _server_pool.REMOTE_PROBES, remote=True
             )
-        return placement.choose(
+        return self._choose(
             self._server_pool.remote_with_fresh_reports(request.home_regions),
-            request=request,
-            service_time=service_time,
-            mean_slowdown=self._server_pool.service_times.mean_slowdown,
-            now=self._clock(),
+            request,
+            service_time,
             utilization=1.0,
-            fast_slowdown=self._server_pool.service_times.fast_slowdown,
         )
 
     def _probe_and_choose(self, request, service_time, max_probes, *, remote):
@@ -356,14 +407,14 @@
         )
         if candidates:
             server_pool.probe(candidates, remote=remote)
-        return placement.choose(
-            server_pool.views.latest(sampled),
-            request=request,
-            service_time=service_time,
-            mean_slowdown=server_pool.service_times.mean_slowdown,
-            now=self._clock(),
-            utilization=self._local_utilization(),
-            fast_slowdown=server_pool.service_times.fast_slowdown,
+        latest = server_pool.views.latest(sampled)
+        utilization = self._local_utilization()
+        if remote or self._spill_over is None:
+            return self._choose(
+                latest, request, service_time, utilization=utilization
+            )
+        return self._spill_over.choose_local(
+            latest, request, service_time, utilization=utilization
         )
 
     def _on_servers_changed(self):
--- a/wigeonrouter/node/_balancer_registry.py
+++ b/wigeonrouter/node/_balancer_registry.py
@@ -11,6 +11,8 @@
 # Share of the retry budget that nodes use. The rest is a margin, because the
 # deployment may count requests at the edges of a window differently.
 _RETRY_BUDGET_SHARE = 0.9
+# Change of the share of requests that leave a place which is logged.
+_LOGGED_SHARE_CHANGE = 0.1
 
 
 class BalancerRegistry:
@@ -53,6 +55,8 @@
         self._events = events
         self._rng = rng
         self._balancers = {}
+        # Dict from service and placement.Locality to the logged share.
+        self._logged_shares = {}
 
     @property
     def rate_limits(self):
@@ -81,6 +85,8 @@
                 in_flight=balancer.in_flight,
                 limited_servers=balancer.limited_servers,
                 excluded_servers=balancer.excluded_servers,
+                spill_over_shares=_by_name(balancer.spill_over_shares),
+                requests_by_locality=_by_name(balancer.requests_by_locality),
             )
             for name, balancer in sorted(self._balancers.items())
         )
@@ -131,6 +137,24 @@
     def refresh_server_facts(self):
         """Apply what servers have said to other nodes."""
         self._apply_peer_facts(self._balancers.values())
+        self._log_spill_over()
+
+    def _log_spill_over(self):
+        """Log the shares of requests that may leave, if they changed much."""
+        for name, balancer in self._balancers.items():
+            for locality, share in balancer.spill_over_shares.items():
+                logged = self._logged_shares.get((name, locality), 0.0)
+                ended = share == 0.0 and logged > 0.0
+                if abs(share - logged) < _LOGGED_SHARE_CHANGE and not ended:
+                    continue
+                self._logged_shares[name, locality] = share
+                self._events.event(
+                    "spill-over",
+                    service=name,
+                    to=locality.name.lower(),
+                    share=round(share, 2),
+                    sent=_by_name(balancer.requests_by_locality),
+                )
 
     def _apply_peer_facts(self, balancers):
         peers = [
@@ -161,7 +185,17 @@
             ),
             rng=self._rng,
             stop_schedule=self._stop_schedule,
+            spill_over=(
+                placement.SpillOver(place=self._settings.place)
+                if self._settings.spill_over
+                else None
+            ),
         )
 
     def _retry_ratio(self):
         return self._settings.bounds.retry_ratio * _RETRY_BUDGET_SHARE
+
+
+def _by_name(values):
+    """Return a dict by the names of its localities."""
+    return {locality.name.lower(): value for locality, value in values.items()}
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -6,6 +6,7 @@
 probed in the background for as long as requests may need them.
 """
 
+import collections
 import dataclasses
 import time
 
@@ -86,6 +87,12 @@
         # Dict from the home regions of requests, None for all, to the time
         # until which their remote servers are polled.
         self._remote_polls = {}
+        self._requests_by_locality = collections.Counter()
+
+    @property
+    def requests_by_locality(self):
+        """Dict from placement.Locality to the number of requests sent."""
+        return self._requests_by_locality
 
     @property
     def views(self):
@@ -220,6 +227,7 @@
             ),
         )
         self._views.record_sent(view)
+        self._requests_by_locality[view.locality] += 1
         self._misdirected.on_sent(grant.registration)
         return grant
 
--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -22,6 +22,9 @@
       limited_servers: backend servers that name a rate limit.
       excluded_servers: dict from the reason why backend servers get no request
         at present to their number.
+      spill_over_shares: dict from locality to the share of the requests that
+        may go there, empty if spill-over is off.
+      requests_by_locality: dict from locality to the requests sent there.
     """
 
     service: str
@@ -29,6 +32,8 @@
     in_flight: int
     limited_servers: int = 0
     excluded_servers: dict = dataclasses.field(default_factory=dict)
+    spill_over_shares: dict = dataclasses.field(default_factory=dict)
+    requests_by_locality: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -160,6 +165,28 @@
         for reason, count in sorted(gauges.excluded_servers.items()):
             excluded.add_metric((gauges.service, reason), count)
     yield excluded
+    yield from _collect_localities(services)
+
+
+def _collect_localities(services):
+    labels = ("service", "locality")
+    shares = prometheus_core.GaugeMetricFamily(
+        "wigeonrouter_spill_over_share",
+        "Share of the requests that may leave for a locality",
+        labels=labels,
+    )
+    sent = prometheus_core.CounterMetricFamily(
+        "wigeonrouter_requests_sent",
+        "Requests sent to backend servers by locality",
+        labels=labels,
+    )
+    for gauges in services:
+        for locality, share in sorted(gauges.spill_over_shares.items()):
+            shares.add_metric((gauges.service, locality), share)
+        for locality, count in sorted(gauges.requests_by_locality.items()):
+            sent.add_metric((gauges.service, locality), count)
+    yield shares
+    yield sent
 
 
 def _collect_connections(gauges):
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -20,6 +20,7 @@
 from wigeonrouter.placement import _records
 from wigeonrouter.placement import _request_queue
 from wigeonrouter.placement import _server_links
+from wigeonrouter.placement import _spill_over
 from wigeonrouter.placement import _statements
 from wigeonrouter.placement import _stopping
 
@@ -36,6 +37,7 @@
 RetryBudget = _budget.RetryBudget
 Exclusion = _exclusion.Exclusion
 ServerLinks = _server_links.ServerLinks
+SpillOver = _spill_over.SpillOver
 ServerStatements = _statements.ServerStatements
 ServerView = _records.ServerView
 Locality = _records.Locality
--- a/wigeonrouter/platform/_settings.py
+++ b/wigeonrouter/platform/_settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file of a node, with lines of the form NAME=VALUE."""
 
+import os
 import pathlib
 
 from wigeonrouter import core
@@ -8,6 +9,10 @@
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "WIGEONROUTER_SETTINGS"
+# Environment variable that turns spill-over on or off. By default it is on if
+# the deployment asks for the contract below.
+SPILL_OVER_VARIABLE = "WIGEONROUTER_SPILL_OVER"
+_SPILL_OVER_CONTRACT = "places"
 # Used if the settings file does not limit the memory.
 _DEFAULT_MEMORY_MB = 256
 _MAX_MEMORY_MB = 1e9
@@ -82,6 +87,7 @@
     )
     if not (first.isdigit() and last.isdigit()):
         raise _fields.FieldError("internal_ports: not of the form FIRST,LAST")
+    contracts = frozenset(filter(None, values.get("contracts", "").split(",")))
     return topology.NodeSettings(
         name=_fields.get_string(values, "node"),
         place=core.Place(
@@ -111,13 +117,23 @@
         },
         heartbeat=_fields.get_duration(values, "heartbeat"),
         bounds=_read_bounds(values.get("bounds", "")),
-        contracts=frozenset(
-            filter(None, values.get("contracts", "").split(","))
-        ),
+        contracts=contracts,
         first_start=values.get("bootstrap") == "true",
+        spill_over=_read_spill_over(contracts),
     )
 
 
+def _read_spill_over(contracts):
+    text = os.environ.get(SPILL_OVER_VARIABLE) or "auto"
+    if text == "auto":
+        return _SPILL_OVER_CONTRACT in contracts
+    if text not in ("on", "off"):
+        raise _fields.FieldError(
+            f"{SPILL_OVER_VARIABLE}: {text} is not on, off or auto"
+        )
+    return text == "on"
+
+
 def _optional_address(values, name):
     value = values.get(name)
     return _fields.to_address(value) if value else None
--- a/wigeonrouter/platform/_settings_test.py
+++ b/wigeonrouter/platform/_settings_test.py
@@ -105,3 +105,31 @@
     assert settings_file.read() is None
     write_settings()
     assert settings_file.read() is None
+
+
+@pytest.mark.parametrize(
+    ("contracts", "variable", "expected"),
+    [
+        ("", None, False),
+        ("places,keys", None, True),
+        ("keys,places", "auto", True),
+        ("places", "off", False),
+        ("", "on", True),
+    ],
+)
+def test_spill_over_is_on_where_the_deployment_asks_for_it(
+    write_settings, monkeypatch, contracts, variable, expected
+):
+    """Guards against requests that leave their zone unasked."""
+    monkeypatch.delenv(_settings.SPILL_OVER_VARIABLE, raising=False)
+    if variable is not None:
+        monkeypatch.setenv(_settings.SPILL_OVER_VARIABLE, variable)
+    path = write_settings(f"{_LINES}contracts={contracts}\n")
+    assert _settings.load(path).spill_over is expected
+
+
+def test_invalid_spill_over_is_rejected(write_settings, monkeypatch):
+    """Guards against a misspelt value that counts as another one."""
+    monkeypatch.setenv(_settings.SPILL_OVER_VARIABLE, "yes")
+    with pytest.raises(_settings.SettingsError):
+        _settings.load(write_settings())
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -327,6 +327,8 @@
       regions: dict from failure domain to region.
       contracts: names of the terms that the deployment asks for.
       first_start: whether the whole system starts for the first time.
+      spill_over: whether requests may leave the failure domain and region
+        for a higher probability to meet their target latency.
       peer_ports: first and last port for traffic between nodes. Requests are
         passed on at the last one.
     """
@@ -348,3 +350,4 @@
     bounds: Bounds
     contracts: frozenset[str] = frozenset()
     first_start: bool = False
+    spill_over: bool = False
