--- a/wigeonrouter/observability/_exposition.py
+++ b/wigeonrouter/observability/_exposition.py
@@ -29,6 +29,9 @@
       not_served_by_rank: dict from a rank to the requests that got no server
         since the start.
       starved: pairs of rank and tenant that are served too rarely.
+      spill_over_shares: dict from locality to the share of the requests that
+        may go there, empty if spill-over is off.
+      requests_by_locality: dict from locality to the requests sent there.
     """
 
     service: str
@@ -41,6 +44,8 @@
     waiting_by_rank: dict = dataclasses.field(default_factory=dict)
     not_served_by_rank: dict = dataclasses.field(default_factory=dict)
     starved: int = 0
+    spill_over_shares: dict = dataclasses.field(default_factory=dict)
+    requests_by_locality: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -197,6 +202,7 @@
             excluded.add_metric((gauges.service, reason), count)
     yield excluded
     yield from _collect_ranks(services)
+    yield from _collect_localities(services)
 
 
 def _collect_ranks(services):
@@ -220,6 +226,27 @@
     yield not_served
 
 
+def _collect_localities(services):
+    labels = ("service", "locality")
+    shares = prometheus_core.GaugeMetricFamily(
+        "wigeonrouter_spill_over_share",
+        "Share of the requests that may leave for a locality",
+        labels=labels,
+    )
+    sent = prometheus_core.CounterMetricFamily(
+        "wigeonrouter_requests_sent",
+        "Requests sent to backend servers by locality",
+        labels=labels,
+    )
+    for gauges in services:
+        for locality, share in sorted(gauges.spill_over_shares.items()):
+            shares.add_metric((gauges.service, locality), share)
+        for locality, count in sorted(gauges.requests_by_locality.items()):
+            sent.add_metric((gauges.service, locality), count)
+    yield shares
+    yield sent
+
+
 def _collect_connections(gauges):
     for name, text, value in (
         (
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -23,6 +23,7 @@
 from wigeonrouter.placement import _retry_spread
 from wigeonrouter.placement import _server_links
 from wigeonrouter.placement import _slow_start
+from wigeonrouter.placement import _spill_over
 from wigeonrouter.placement import _statements
 from wigeonrouter.placement import _stopping
 
@@ -39,6 +40,7 @@
 RetryBudget = _budget.RetryBudget
 Exclusion = _exclusion.Exclusion
 ServerLinks = _server_links.ServerLinks
+SpillOver = _spill_over.SpillOver
 ServerStatements = _statements.ServerStatements
 ServerView = _records.ServerView
 SlowStartRule = _slow_start.SlowStartRule
