Ignore slots that are worse than waiting when requests leave

Where the own failure domain had free slots of slow servers only, requests waited for a faster one while the other failure domain had it, until their share allowed them to leave. Such slots now count as none, so that they leave at once.

Tested: wigeonrouter/placement, node and platform/_home_regions_test.py: all pass.

--- a/wigeonrouter/placement/_spill_over.py
+++ b/wigeonrouter/placement/_spill_over.py
@@ -254,7 +254,7 @@
         outer = choose(outside)
         leaves = self._boundaries[_records.Locality.REGION].may_leave(
             gain=gross_utility(outer) - gross_utility(inner),
-            has_free_slot=inner.view is not None,
+            has_free_slot=inner.view is not None and not inner.should_wait,
             demand=Demand(
                 arrival_rate=arrival_rate,
                 busy_time=busy_time,
