Take a server's place from its latest registration

A server whose registration named another failure domain, under the same instance and start, kept the place that it had at first. Requests with home regions could thus reach a server in another region. Its view is now made anew, as after a restart.

Tested: wigeonrouter/node, docs_test.py, and in platform the tests of home regions, server statements, odd entries and misdirected requests: all pass.

--- a/wigeonrouter/node/_home_balancers_test.py
+++ b/wigeonrouter/node/_home_balancers_test.py
@@ -256,3 +256,20 @@
     )
     remaining = placement.without_round_trip(pending, 0.04)
     assert (remaining.target_time, remaining.deadline) == (0.96, 1.96)
+
+
+def test_server_that_is_registered_elsewhere_is_at_home_no_longer(
+    make_homes_balancer, make_known_server, start
+):
+    """Guards against a server that counts to the region it was in first.
+
+    Its registration has changed, but not its instance and start.
+    """
+    balancer = make_homes_balancer(south=1)
+    assert _region_of(start(balancer, "south")) == "south"
+    moved = core.Place(region="east", failure_domain="east-a")
+    balancer.configure(
+        health_path="/health",
+        registered=[make_known_server("south-0", place=moved)],
+    )
+    assert _problem_of(start(balancer, "south")) is core.problems.NO_HOME
--- a/wigeonrouter/node/_server_views.py
+++ b/wigeonrouter/node/_server_views.py
@@ -127,7 +127,8 @@
     def configure(self, registered):
         """Update the set of servers; draining ones are left out.
 
-        A server that was restarted under the same instance gets a new view.
+        A server that was restarted under the same instance, or is registered
+        at another place, gets a new view.
 
         Args:
           registered: iterable of topology.KnownServer of the service.
@@ -141,7 +142,11 @@
             registrations[instance] = registration
             view = self._views.get(instance)
             previous = self._registrations.get(instance)
-            if view is None or previous.started_ms != registration.started_ms:
+            if (
+                view is None
+                or previous.started_ms != registration.started_ms
+                or previous.place != registration.place
+            ):
                 view = _new_view.make_view(registration, place=self._place)
                 self._rate_limits.forget([instance])
             statement = self._statements.get(_start(registration))
