Count a previous hub's use by the capacity of the whole region

A new hub bounded what nodes were told by the capacity that it had itself before most nodes had joined, so that almost nothing counted. The simulation now lets a request whose token has expired wait for another one, as the proxy does.

--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -10,7 +10,7 @@
 from wigeonrouter.node import _caller_timeouts
 from wigeonrouter.node import _forwarded_request
 from wigeonrouter.node import _grant
-from wigeonrouter.node import _quota_client
+from wigeonrouter.node import _no_quotas
 from wigeonrouter.node import _request_context
 from wigeonrouter.node import _request_digest
 from wigeonrouter.node import messages
@@ -65,7 +65,7 @@
         codec,
         splitter,
         request_log,
-        quotas=_quota_client.NO_QUOTAS,
+        quotas=_no_quotas.NO_QUOTAS,
         clock=time.monotonic,
     ):
         self._cluster_state = cluster_state
--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -241,8 +241,6 @@
             else:
                 # Deployments without tenants pay for no more than this.
                 self._order_due.wait()
-                if self._link is not None and self._link.hub is not None:
-                    self._link.hub.resume()
 
     def order(self):
         """Send the orders that are due."""
@@ -407,29 +405,5 @@
         return max(_MIN_RETRY_S, wait) * self._rng.uniform(1.0, 1.3)
 
 
-class NoQuotas:
-    """Stands for a QuotaClient where no tenant has a limit."""
-
-    def reserve(self, context):
-        """Let each request pass."""
-
-    def confirm(self, context):
-        """Return that the request may be sent."""
-        return True
-
-    is_valid = confirm
-
-    def on_sent(self, context):
-        """Record nothing."""
-
-    release = on_sent
-
-    def on_attempt_end(self, context, *, may_have_run):
-        """Record nothing."""
-
-
-NO_QUOTAS = NoQuotas()
-
-
 def _is_limited(tenant):
     return tenant.rate > 0 or tenant.burst > 0
--- a/wigeonrouter/node/_quota_client_test.py
+++ b/wigeonrouter/node/_quota_client_test.py
@@ -52,6 +52,7 @@
             **{
                 "tenants": lambda: _TENANTS,
                 "capacity": lambda tenant: capacity,
+                "share": lambda tenant: capacity,
                 "window": WINDOW_S,
                 "ledger_id": 7,
                 "first_start": True,
--- a/wigeonrouter/node/_quota_hub.py
+++ b/wigeonrouter/node/_quota_hub.py
@@ -28,6 +28,8 @@
       tenants: function that returns a dict from name to topology.Tenant.
       capacity: function from a topology.Tenant to how many of its tokens may
         count at a time.
+      share: function from a topology.Tenant to the same for the whole region,
+        which a previous hub may have granted.
       window: seconds over which requests are counted.
       ledger_id: number that tells this ledger from others.
       first_start: whether no request was sent before.
@@ -40,6 +42,7 @@
         *,
         tenants,
         capacity,
+        share,
         window,
         ledger_id,
         first_start,
@@ -47,6 +50,7 @@
     ):
         self._tenants = tenants
         self._capacity = capacity
+        self._share = share
         self._ledger_id = ledger_id
         self._clock = clock
         self._ledger = tenancy.RegionLedger(
@@ -133,12 +137,13 @@
             tenant = tenants.get(order.tenant)
             if tenant is None:
                 continue
-            capacity = self._capacity(tenant)
-            self._learn(order, capacity, ledger, suspended, now)
+            share = self._share(tenant)
+            self._learn(order, share, ledger, suspended, now)
             grant = self._ledger.grant(
                 order.tenant,
                 wanted=order.wanted,
-                capacity=0 if suspended else capacity,
+                capacity=0 if suspended else self._capacity(tenant),
+                share=share,
                 now=now,
             )
             self._counts["granted"] += grant.granted
@@ -157,13 +162,17 @@
     def take_totals(self):
         """Return the totals that only this node knows, None without any.
 
+        Called at least with each heartbeat, also without tenants. A gap in
+        these calls shows that the hub was suspended.
+
         Returns:
           PeerMessage for the nodes that report them to the next hub.
         """
+        now = self._clock()
+        self.note_time(now)
         names, self._granted_locally = self._granted_locally, set()
         if not names:
             return None
-        now = self._clock()
         grant = _quota_messages.encode_grant(
             sequence=0,
             grants=[
@@ -201,10 +210,6 @@
         missing, self._missing = self._missing, {}
         return missing
 
-    def resume(self):
-        """Go on after a time in which no tenant had a limit."""
-        self._last_active = self._clock()
-
     def note_time(self, now):
         """Return whether the hub was suspended a short time ago."""
         if now - self._last_active > _SUSPENSION_S:
--- a/wigeonrouter/node/_quota_simulation.py
+++ b/wigeonrouter/node/_quota_simulation.py
@@ -382,7 +382,10 @@
                 continue
             node.requests.remove(request)
             if not client.confirm(request):
-                self.rejected[request.tenant.name] += 1
+                # The proxy waits for another token and then for a server.
+                request.give_up_at = self.now + _TOKEN_WAIT_S
+                node.waiting.append(request)
+                client.order()
                 continue
             client.on_sent(request)
             ran = self.rng.random() < 0.9
--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -139,6 +139,7 @@
         return _quota_hub.QuotaHub(
             tenants=self._tenants,
             capacity=capacity,
+            share=lambda tenant: self._rules().capacity(tenant),
             window=self._settings.bounds.quota_window,
             ledger_id=self._rng.randint(1, _MAX_LEDGER_ID),
             first_start=self._settings.first_start,
--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -19,9 +19,9 @@
 # The total of a tenant grows by at most this share of its capacity in each
 # interval, so that a new hub can bound what nobody was told of before the
 # previous hub noticed that it had lost most nodes.
-_GROWTH_SHARE = 0.12
+_GROWTH_SHARE = 0.2
 _GROWTH_INTERVAL_S = 0.4
-_UNSEEN_INTERVALS = 4
+_UNSEEN_INTERVALS = 3
 _MIN_GROWTH = 8
 # Number that no ledger has.
 _NO_LEDGER = 0
@@ -115,13 +115,16 @@
         account = self._accounts.get(tenant)
         return 0 if account is None else self._count(account, now)
 
-    def grant(self, tenant, *, wanted, capacity, now):
+    def grant(self, tenant, *, wanted, capacity, now, share=None):
         """Grant as many of some tokens as the capacity allows.
 
+        Args:
+          capacity: how many tokens may count at a time.
+          share: the capacity of the whole region, if this is a part of it.
         Returns:
           TenantGrant.
         """
-        account = self._account(tenant, capacity, now)
+        account = self._account(tenant, share or capacity, now)
         total = self._count(account, now)
         if now >= account.base_until:
             account.base = total
@@ -132,13 +135,16 @@
         if granted:
             _add(account.live, now, granted)
             account.total += granted
+        retry_after = 0.0
+        if wanted and not granted:
+            retry_after = self._wait(account, now)
+            if total < capacity:
+                retry_after = min(retry_after, account.base_until - now)
         return _quota.TenantGrant(
             tenant=tenant,
             granted=granted,
             total=total + granted,
-            retry_after=(
-                0.0 if granted or not wanted else self._wait(account, now)
-            ),
+            retry_after=retry_after,
         )
 
     def settle(self, tenant, *, spent, returned, now):
@@ -157,6 +163,7 @@
 
         Args:
           history: TenantHistory.
+          capacity: of the whole region.
         """
         account = self._account(tenant, capacity, now)
         for age, count in sorted(history.sends, reverse=True):
--- a/wigeonrouter/tenancy/_ledger_test.py
+++ b/wigeonrouter/tenancy/_ledger_test.py
@@ -159,3 +159,31 @@
     now = _fill(ledger, 0.0)
     refusal = ledger.grant("acme", wanted=1, capacity=CAPACITY, now=now)
     assert _grant(ledger, 1, now + refusal.retry_after + 0.001) == 1
+
+
+def test_total_grows_by_a_bounded_step(ledger):
+    """Guards against a burst that no other node was told of in time."""
+    granted = _grant(ledger, CAPACITY, 0.0)
+    assert granted <= CAPACITY // 4
+    refusal = ledger.grant("acme", wanted=1, capacity=CAPACITY, now=0.1)
+    assert refusal.granted == 0
+    assert refusal.retry_after <= 0.4
+    assert _grant(ledger, CAPACITY, 0.1 + refusal.retry_after) > 0
+
+
+def test_new_ledger_counts_growth_after_the_last_statement(ledger):
+    """Guards against the burst of a hub that was partitioned."""
+    history = _history(told=20, told_age=0.2, ledger=3)
+    ledger.merge("acme", history, capacity=CAPACITY, now=2.0)
+    assert ledger.total("acme", 2.0) == 80
+
+
+def test_part_of_a_region_counts_what_the_whole_region_used():
+    """Guards against a new hub that takes its first few nodes for a limit.
+
+    It has less than the region's capacity until most nodes have joined, but
+    the previous hub had the whole.
+    """
+    ledger = tenancy.RegionLedger(window=WINDOW_S, number=NUMBER, now=0.0)
+    grant = ledger.grant("acme", wanted=9, capacity=3, share=CAPACITY, now=0.0)
+    assert (grant.granted, grant.total) == (0, 60)
