--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -137,6 +137,18 @@
         """Order through a function that sends a PeerMessage to the hub."""
         self._join(_Link(send=send, joined_at=self._boot_clock()))
 
+    def note_final_totals(self, totals):
+        """Keep what this node's ledger has granted in the end.
+
+        Args:
+          totals: dict from tenant to the tokens that count.
+        """
+        now = self._boot_clock()
+        for name, total in totals.items():
+            self._wallet.on_total(
+                name, total, now=now, ledger=self._ledger_id, final=True
+            )
+
     def leave(self):
         """Stop ordering, as the hub is lost. The tokens stay valid."""
         self._link = None
@@ -264,6 +276,8 @@
         orders = self._wallet.join(now)
         if orders:
             self._send(link, orders, now)
+        if link.hub is not None:
+            self._ledger_id = link.hub.ledger_id
         self._order_due.set()
 
     def _check_hub(self, link, now):
--- a/wigeonrouter/node/_quota_hub.py
+++ b/wigeonrouter/node/_quota_hub.py
@@ -187,6 +187,14 @@
         )
         return node_pb2.PeerMessage(quota_grant=grant)
 
+    def final_totals(self):
+        """Return a dict from tenant to its tokens, as the hub steps down.
+
+        It is empty after a suspension, in which another hub may have begun.
+        """
+        now = self._clock()
+        return {} if self.note_time(now) else self._ledger.totals(now)
+
     def total(self, tenant):
         """Return how many tokens of a tenant count at present."""
         return self._ledger.total(tenant, self._clock())
--- a/wigeonrouter/node/_quota_messages.py
+++ b/wigeonrouter/node/_quota_messages.py
@@ -75,6 +75,7 @@
                 told=history.told,
                 told_age_ms=math.ceil(history.told_age * _MILLISECONDS),
                 ledger=history.ledger,
+                final=history.final,
             )
         )
     return message
@@ -92,6 +93,7 @@
             told=order.history.told,
             told_age=order.history.told_age_ms / _MILLISECONDS,
             ledger=order.history.ledger,
+            final=order.history.final,
         )
     return tenancy.TenantOrder(
         tenant=order.tenant,
--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -132,7 +132,9 @@
 
     def leave(self):
         """Stop granting and ordering, as the node leaves its hub."""
-        self._hub = None
+        if self._hub is not None:
+            self._client.note_final_totals(self._hub.final_totals())
+            self._hub = None
         self._client.leave()
 
     def _make_hub(self, capacity):
--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -39,6 +39,7 @@
       window: seconds over which requests are counted.
       capacity: of the tenant.
       statements: list of (time, total) that nodes were told of the ledger.
+      final: whether the last one says what it has granted in the end.
       sends: list of (time, count) that nodes have reported themselves.
       until: when it no longer counts.
       count: requests that are in a statement but in no report.
@@ -48,6 +49,7 @@
     capacity: int
     statements: list = dataclasses.field(default_factory=list)
     sends: list = dataclasses.field(default_factory=list)
+    final: bool = False
     until: float = 0.0
     count: int = 0
 
@@ -63,6 +65,8 @@
 
     def _final(self, total):
         """Return what a total may have grown to after the statement."""
+        if self.final:
+            return total
         growth = _UNSEEN_INTERVALS * _growth(self.capacity)
         return max(total, min(self.capacity, total + growth))
 
@@ -147,6 +151,13 @@
             retry_after=retry_after,
         )
 
+    def totals(self, now):
+        """Return a dict from tenant to its tokens that count at present."""
+        return {
+            tenant: self._count(account, now)
+            for tenant, account in self._accounts.items()
+        }
+
     def settle(self, tenant, *, spent, returned, now):
         """Apply what has become of a node's unexpired tokens."""
         account = self._accounts.get(tenant)
@@ -194,7 +205,12 @@
             )
         prior.sends.extend((now - age, count) for age, count in history.sends)
         if knows:
-            prior.statements.append((now - history.told_age, history.told))
+            statement = (now - history.told_age, history.told)
+            if history.final:
+                prior.statements = [statement]
+                prior.final = True
+            elif not prior.final:
+                prior.statements.append(statement)
             prior.until = now + self._window
         prior.update()
 
--- a/wigeonrouter/tenancy/_ledger_test.py
+++ b/wigeonrouter/tenancy/_ledger_test.py
@@ -187,3 +187,12 @@
     ledger = tenancy.RegionLedger(window=WINDOW_S, number=NUMBER, now=0.0)
     grant = ledger.grant("acme", wanted=9, capacity=3, share=CAPACITY, now=0.0)
     assert (grant.granted, grant.total) == (0, 60)
+
+
+def test_final_total_of_a_hub_that_stepped_down_is_exact(ledger):
+    """Guards against tenants below their limit that lose requests then."""
+    early = _history(told=30, told_age=0.4, ledger=3)
+    final = _history(told=40, told_age=0.0, ledger=3, final=True)
+    for history in (early, final, early):
+        ledger.merge("acme", history, capacity=CAPACITY, now=2.0)
+    assert ledger.total("acme", 2.0) == 40
--- a/wigeonrouter/tenancy/_quota.py
+++ b/wigeonrouter/tenancy/_quota.py
@@ -92,6 +92,7 @@
       told: total of the region that the previous hub stated, 0 if unknown.
       told_age: age of that statement.
       ledger: number of the ledger that it is about.
+      final: whether the ledger granted nothing after that statement.
     """
 
     sends: tuple[tuple[float, int], ...]
@@ -99,6 +100,7 @@
     told: int
     told_age: float
     ledger: int = 0
+    final: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/tenancy/_wallet.py
+++ b/wigeonrouter/tenancy/_wallet.py
@@ -63,6 +63,7 @@
       sends: deque of [time, count] of requests that were sent.
       told, told_at: total of the region that the hub stated, and when.
       told_by: number of the ledger that it is about.
+      told_last: whether that ledger grants nothing more.
       refused_until: time before which the hub is not asked again.
       available_at: time before which the hub expects to have no token.
       ordered: tokens that the hub was asked for.
@@ -80,6 +81,7 @@
     told: int = 0
     told_at: float = -math.inf
     told_by: int = 0
+    told_last: bool = False
     refused_until: float = -math.inf
     available_at: float = -math.inf
     ordered: int = 0
@@ -206,7 +208,7 @@
         """
         purse = self._purse(grant.tenant, now)
         purse.ordered = 0
-        purse.told, purse.told_at, purse.told_by = grant.total, now, ledger
+        self._note_total(purse, grant.total, now, ledger, final=False)
         purse.available_at = now + grant.retry_after
         if grant.retry_after:
             purse.refused_until = now + min(grant.retry_after, _MAX_REFUSAL_S)
@@ -216,10 +218,14 @@
             purse.refused_until = -math.inf
         self._changed[grant.tenant] = None
 
-    def on_total(self, tenant, total, *, now, ledger):
-        """Record the region's total of a tenant, for the next hub."""
+    def on_total(self, tenant, total, *, now, ledger, final=False):
+        """Record the region's total of a tenant, for the next hub.
+
+        Args:
+          final: whether the ledger grants nothing more.
+        """
         purse = self._purse(tenant, now)
-        purse.told, purse.told_at, purse.told_by = total, now, ledger
+        self._note_total(purse, total, now, ledger, final=final)
 
     def discard(self, tenant, now):
         """Return all tokens, as the limit of a tenant was changed."""
@@ -249,6 +255,7 @@
                 told=purse.told,
                 told_age=min(now - purse.told_at, 10 * self._window),
                 ledger=purse.told_by,
+                final=purse.told_last,
             )
             purse.tokens.clear()
             purse.held = purse.spent = purse.returned = purse.ordered = 0
@@ -259,6 +266,10 @@
                 )
         return tuple(orders)
 
+    def _note_total(self, purse, total, now, ledger, *, final):
+        purse.told, purse.told_at, purse.told_by = total, now, ledger
+        purse.told_last = final
+
     def _order(self, tenant, purse, now):
         _drop_expired(purse, now)
         available = sum(count for _, count in purse.tokens)
