--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -9,7 +9,7 @@
 from wigeonrouter.node import _authenticator
 from wigeonrouter.node import _forwarded_request
 from wigeonrouter.node import _grant
-from wigeonrouter.node import _quota_client
+from wigeonrouter.node import _no_quotas
 from wigeonrouter.node import _request_router
 from wigeonrouter.node import messages
 
@@ -59,7 +59,7 @@
         splitter,
         request_log,
         authenticator=None,
-        quotas=_quota_client.NO_QUOTAS,
+        quotas=_no_quotas.NO_QUOTAS,
         clock=time.monotonic,
     ):
         self._cluster_state = cluster_state
--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -137,6 +137,18 @@
         """Order through a function that sends a PeerMessage to the hub."""
         self._join(_Link(send=send, joined_at=self._boot_clock()))
 
+    def note_final_totals(self, totals):
+        """Keep what this node's ledger has granted in the end.
+
+        Args:
+          totals: dict from tenant to the tokens that count.
+        """
+        now = self._boot_clock()
+        for name, total in totals.items():
+            self._wallet.on_total(
+                name, total, now=now, ledger=self._ledger_id, final=True
+            )
+
     def leave(self):
         """Stop ordering, as the hub is lost. The tokens stay valid."""
         self._link = None
@@ -241,8 +253,6 @@
             else:
                 # Deployments without tenants pay for no more than this.
                 self._order_due.wait()
-                if self._link is not None and self._link.hub is not None:
-                    self._link.hub.resume()
 
     def order(self):
         """Send the orders that are due."""
@@ -266,6 +276,8 @@
         orders = self._wallet.join(now)
         if orders:
             self._send(link, orders, now)
+        if link.hub is not None:
+            self._ledger_id = link.hub.ledger_id
         self._order_due.set()
 
     def _check_hub(self, link, now):
@@ -407,29 +419,5 @@
         return max(_MIN_RETRY_S, wait) * self._rng.uniform(1.0, 1.3)
 
 
-class NoQuotas:
-    """Stands for a QuotaClient where no tenant has a limit."""
-
-    def reserve(self, context):
-        """Let each request pass."""
-
-    def confirm(self, context):
-        """Return that the request may be sent."""
-        return True
-
-    is_valid = confirm
-
-    def on_sent(self, context):
-        """Record nothing."""
-
-    release = on_sent
-
-    def on_attempt_end(self, context, *, may_have_run):
-        """Record nothing."""
-
-
-NO_QUOTAS = NoQuotas()
-
-
 def _is_limited(tenant):
     return tenant.rate > 0 or tenant.burst > 0
--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -132,13 +132,16 @@
 
     def leave(self):
         """Stop granting and ordering, as the node leaves its hub."""
-        self._hub = None
+        if self._hub is not None:
+            self._client.note_final_totals(self._hub.final_totals())
+            self._hub = None
         self._client.leave()
 
     def _make_hub(self, capacity):
         return _quota_hub.QuotaHub(
             tenants=self._tenants,
             capacity=capacity,
+            share=lambda tenant: self._rules().capacity(tenant),
             window=self._settings.bounds.quota_window,
             ledger_id=self._rng.randint(1, _MAX_LEDGER_ID),
             first_start=self._settings.first_start,
--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -19,9 +19,9 @@
 # The total of a tenant grows by at most this share of its capacity in each
 # interval, so that a new hub can bound what nobody was told of before the
 # previous hub noticed that it had lost most nodes.
-_GROWTH_SHARE = 0.12
+_GROWTH_SHARE = 0.2
 _GROWTH_INTERVAL_S = 0.4
-_UNSEEN_INTERVALS = 4
+_UNSEEN_INTERVALS = 3
 _MIN_GROWTH = 8
 # Number that no ledger has.
 _NO_LEDGER = 0
@@ -39,6 +39,7 @@
       window: seconds over which requests are counted.
       capacity: of the tenant.
       statements: list of (time, total) that nodes were told of the ledger.
+      final: whether the last one says what it has granted in the end.
       sends: list of (time, count) that nodes have reported themselves.
       until: when it no longer counts.
       count: requests that are in a statement but in no report.
@@ -48,6 +49,7 @@
     capacity: int
     statements: list = dataclasses.field(default_factory=list)
     sends: list = dataclasses.field(default_factory=list)
+    final: bool = False
     until: float = 0.0
     count: int = 0
 
@@ -63,6 +65,8 @@
 
     def _final(self, total):
         """Return what a total may have grown to after the statement."""
+        if self.final:
+            return total
         growth = _UNSEEN_INTERVALS * _growth(self.capacity)
         return max(total, min(self.capacity, total + growth))
 
@@ -115,13 +119,16 @@
         account = self._accounts.get(tenant)
         return 0 if account is None else self._count(account, now)
 
-    def grant(self, tenant, *, wanted, capacity, now):
+    def grant(self, tenant, *, wanted, capacity, now, share=None):
         """Grant as many of some tokens as the capacity allows.
 
+        Args:
+          capacity: how many tokens may count at a time.
+          share: the capacity of the whole region, if this is a part of it.
         Returns:
           TenantGrant.
         """
-        account = self._account(tenant, capacity, now)
+        account = self._account(tenant, share or capacity, now)
         total = self._count(account, now)
         if now >= account.base_until:
             account.base = total
@@ -132,15 +139,25 @@
         if granted:
             _add(account.live, now, granted)
             account.total += granted
+        retry_after = 0.0
+        if wanted and not granted:
+            retry_after = self._wait(account, now)
+            if total < capacity:
+                retry_after = min(retry_after, account.base_until - now)
         return _quota.TenantGrant(
             tenant=tenant,
             granted=granted,
             total=total + granted,
-            retry_after=(
-                0.0 if granted or not wanted else self._wait(account, now)
-            ),
+            retry_after=retry_after,
         )
 
+    def totals(self, now):
+        """Return a dict from tenant to its tokens that count at present."""
+        return {
+            tenant: self._count(account, now)
+            for tenant, account in self._accounts.items()
+        }
+
     def settle(self, tenant, *, spent, returned, now):
         """Apply what has become of a node's unexpired tokens."""
         account = self._accounts.get(tenant)
@@ -157,6 +174,7 @@
 
         Args:
           history: TenantHistory.
+          capacity: of the whole region.
         """
         account = self._account(tenant, capacity, now)
         for age, count in sorted(history.sends, reverse=True):
@@ -187,7 +205,12 @@
             )
         prior.sends.extend((now - age, count) for age, count in history.sends)
         if knows:
-            prior.statements.append((now - history.told_age, history.told))
+            statement = (now - history.told_age, history.told)
+            if history.final:
+                prior.statements = [statement]
+                prior.final = True
+            elif not prior.final:
+                prior.statements.append(statement)
             prior.until = now + self._window
         prior.update()
 
--- a/wigeonrouter/tenancy/_quota.py
+++ b/wigeonrouter/tenancy/_quota.py
@@ -13,8 +13,8 @@
 TOKEN_LIFETIME_S = 1.5
 # Share of the overage and of the slack that hubs grant. The rest is left to
 # nodes that are partitioned from most of their region.
-_GRANTED_OVERAGE_SHARE = 0.5
-_GRANTED_SLACK_SHARE = 0.6
+_GRANTED_OVERAGE_SHARE = 0.8
+_GRANTED_SLACK_SHARE = 0.8
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -92,6 +92,7 @@
       told: total of the region that the previous hub stated, 0 if unknown.
       told_age: age of that statement.
       ledger: number of the ledger that it is about.
+      final: whether the ledger granted nothing after that statement.
     """
 
     sends: tuple[tuple[float, int], ...]
@@ -99,6 +100,7 @@
     told: int
     told_age: float
     ledger: int = 0
+    final: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/tenancy/_wallet.py
+++ b/wigeonrouter/tenancy/_wallet.py
@@ -19,6 +19,8 @@
 # Tokens beyond this multiple of the expected demand are returned.
 _SURPLUS_RATIO = 2.0
 _SEND_BUCKET_S = 0.25
+# Tokens are requested ahead again after this time in which the hub had some.
+_SCARCITY_MEMORY_S = 1.0
 # The hub's statement that it has no token is doubted after this time, since
 # other nodes may have returned some.
 _MAX_REFUSAL_S = 0.2
@@ -63,7 +65,9 @@
       sends: deque of [time, count] of requests that were sent.
       told, told_at: total of the region that the hub stated, and when.
       told_by: number of the ledger that it is about.
+      told_last: whether that ledger grants nothing more.
       refused_until: time before which the hub is not asked again.
+      scarce_at: when the hub last had no token.
       available_at: time before which the hub expects to have no token.
       ordered: tokens that the hub was asked for.
       ordered_at: when that was.
@@ -80,7 +84,9 @@
     told: int = 0
     told_at: float = -math.inf
     told_by: int = 0
+    told_last: bool = False
     refused_until: float = -math.inf
+    scarce_at: float = -math.inf
     available_at: float = -math.inf
     ordered: int = 0
     ordered_at: float = -math.inf
@@ -206,9 +212,10 @@
         """
         purse = self._purse(grant.tenant, now)
         purse.ordered = 0
-        purse.told, purse.told_at, purse.told_by = grant.total, now, ledger
+        self._note_total(purse, grant.total, now, ledger, final=False)
         purse.available_at = now + grant.retry_after
         if grant.retry_after:
+            purse.scarce_at = now
             purse.refused_until = now + min(grant.retry_after, _MAX_REFUSAL_S)
         expires = ordered_at + _quota.TOKEN_LIFETIME_S
         if grant.granted and expires > now:
@@ -216,10 +223,14 @@
             purse.refused_until = -math.inf
         self._changed[grant.tenant] = None
 
-    def on_total(self, tenant, total, *, now, ledger):
-        """Record the region's total of a tenant, for the next hub."""
+    def on_total(self, tenant, total, *, now, ledger, final=False):
+        """Record the region's total of a tenant, for the next hub.
+
+        Args:
+          final: whether the ledger grants nothing more.
+        """
         purse = self._purse(tenant, now)
-        purse.told, purse.told_at, purse.told_by = total, now, ledger
+        self._note_total(purse, total, now, ledger, final=final)
 
     def discard(self, tenant, now):
         """Return all tokens, as the limit of a tenant was changed."""
@@ -249,6 +260,7 @@
                 told=purse.told,
                 told_age=min(now - purse.told_at, 10 * self._window),
                 ledger=purse.told_by,
+                final=purse.told_last,
             )
             purse.tokens.clear()
             purse.held = purse.spent = purse.returned = purse.ordered = 0
@@ -259,10 +271,14 @@
                 )
         return tuple(orders)
 
+    def _note_total(self, purse, total, now, ledger, *, final):
+        purse.told, purse.told_at, purse.told_by = total, now, ledger
+        purse.told_last = final
+
     def _order(self, tenant, purse, now):
         _drop_expired(purse, now)
         available = sum(count for _, count in purse.tokens)
-        expected = purse.demand * _PREFETCH_S
+        expected = self._expected_demand(purse, now)
         goal = math.ceil(expected - 0.5) + purse.waiting
         wanted = 0
         if now >= purse.ordered_at + _ORDER_TIMEOUT_S:
@@ -282,6 +298,16 @@
             tenant=tenant, wanted=wanted, spent=spent, returned=returned
         )
 
+    def _expected_demand(self, purse, now):
+        """Return the requests to hold tokens for.
+
+        None while tokens are scarce: one that waits for a request here counts
+        against the limit, and another node has to reject a request for it.
+        """
+        if now - purse.scarce_at < _SCARCITY_MEMORY_S:
+            return 0.0
+        return purse.demand * _PREFETCH_S
+
     def _next_sweep(self):
         """Return some tenants, all in turn."""
         if not self._sweep:
