--- a/wigeonrouter/tenancy/_wallet.py
+++ b/wigeonrouter/tenancy/_wallet.py
@@ -19,8 +19,6 @@
 # Tokens beyond this multiple of the expected demand are returned.
 _SURPLUS_RATIO = 2.0
 _SEND_BUCKET_S = 0.25
-# Tokens are requested ahead again after this time in which the hub had some.
-_SCARCITY_MEMORY_S = 1.0
 # The hub's statement that it has no token is doubted after this time, since
 # other nodes may have returned some.
 _MAX_REFUSAL_S = 0.2
@@ -67,7 +65,6 @@
       told_by: number of the ledger that it is about.
       told_last: whether that ledger grants nothing more.
       refused_until: time before which the hub is not asked again.
-      scarce_at: when the hub last had no token.
       available_at: time before which the hub expects to have no token.
       ordered: tokens that the hub was asked for.
       ordered_at: when that was.
@@ -86,7 +83,6 @@
     told_by: int = 0
     told_last: bool = False
     refused_until: float = -math.inf
-    scarce_at: float = -math.inf
     available_at: float = -math.inf
     ordered: int = 0
     ordered_at: float = -math.inf
@@ -215,7 +211,6 @@
         self._note_total(purse, grant.total, now, ledger, final=False)
         purse.available_at = now + grant.retry_after
         if grant.retry_after:
-            purse.scarce_at = now
             purse.refused_until = now + min(grant.retry_after, _MAX_REFUSAL_S)
         expires = ordered_at + _quota.TOKEN_LIFETIME_S
         if grant.granted and expires > now:
@@ -278,7 +273,7 @@
     def _order(self, tenant, purse, now):
         _drop_expired(purse, now)
         available = sum(count for _, count in purse.tokens)
-        expected = self._expected_demand(purse, now)
+        expected = purse.demand * _PREFETCH_S
         goal = math.ceil(expected - 0.5) + purse.waiting
         wanted = 0
         if now >= purse.ordered_at + _ORDER_TIMEOUT_S:
@@ -298,16 +293,6 @@
             tenant=tenant, wanted=wanted, spent=spent, returned=returned
         )
 
-    def _expected_demand(self, purse, now):
-        """Return the requests to hold tokens for.
-
-        None while tokens are scarce: one that waits for a request here counts
-        against the limit, and another node has to reject a request for it.
-        """
-        if now - purse.scarce_at < _SCARCITY_MEMORY_S:
-            return 0.0
-        return purse.demand * _PREFETCH_S
-
     def _next_sweep(self):
         """Return some tenants, all in turn."""
         if not self._sweep:
