Poll servers of home regions only while few load reports are fresh

Cause: a node outside of a request's home regions probed six remote servers each 90 ms for as long as such requests arrived, although the responses to them have load reports.

Change: the polling starts while fewer than three servers have a fresh report and a free slot.

Tests: node/_home*, platform/_home_regions_test, 27 passed.

--- a/wigeonrouter/node/_home_servers.py
+++ b/wigeonrouter/node/_home_servers.py
@@ -12,6 +12,9 @@
 from wigeonrouter import placement
 from wigeonrouter.node import _server_capacity
 
+# Servers with a fresh report and a free slot that are enough to choose among.
+_ENOUGH_REPORTS = 3
+
 
 class HomeServerViews:
     """The ServerViews of the servers in some home regions.
@@ -128,28 +131,30 @@
     def probe(self, views, *, remote):
         """Probe servers, unless some reports are fresh enough.
 
-        A probe takes a whole round trip. While such requests arrive, a
-        background task keeps reports fresh, so that few of them wait for one.
+        A probe takes a whole round trip, and its bytes between regions are
+        billed. Responses to requests have load reports as well, so that the
+        background polling is only needed while too few of these arrive.
 
         Args:
           views: ServerViews to probe.
           remote: ignored, since all of the servers are remote.
         """
-        if not self._fresh_usable():
+        usable = self._count_fresh_usable()
+        if usable < _ENOUGH_REPORTS:
+            self._server_pool.remote_with_fresh_reports(self._home_regions)
+        if not usable:
             self._server_pool.probe(views, remote=True)
 
     def grant(self, pick, service_time):
         """Count a request in flight; see ServerPool.grant()."""
         return self._server_pool.grant(pick, service_time)
 
-    def _fresh_usable(self):
-        """Return whether a server with a fresh report has a free slot."""
+    def _count_fresh_usable(self):
+        """Return how many servers with fresh reports have a free slot."""
         now = self._clock()
-        return any(
+        return sum(
             placement.expected_load(view, now) + 0.5 <= view.slots
-            for view in self._server_pool.remote_with_fresh_reports(
-                self._home_regions
-            )
+            for view in self._server_pool.fresh_remote(self._home_regions)
         )
 
     def _preferred(self):
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -167,6 +167,14 @@
         )
         if self._remote_poll_task is None or self._remote_poll_task.ready():
             self._remote_poll_task = gevent.spawn(self._poll_remote)
+        return self.fresh_remote(home_regions)
+
+    def fresh_remote(self, home_regions=None):
+        """Return the remote views with fresh reports, without polling.
+
+        Args:
+          home_regions: regions of the servers, None for all.
+        """
         now = self._clock()
         return [
             view
