Wait for a response to the first quota order before the fallback

A node decided that its hub knows no quotas when no response had come and it had joined the hub over 1 s ago. A node without callers sends its first order long after it has joined, so each further round of orders before the first response made it use its own part of the region's quota, besides what the hub grants. The time now counts from the first order.

--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -47,6 +47,7 @@
       hub: QuotaHub of this node, or the fallback for a hub without quotas.
       sent: dict from sequence number to the time of each request.
       joined_at: when the node joined the hub.
+      first_sent_at: when it sent the hub the first request, None before.
       responded: whether the hub has responded.
     """
 
@@ -55,6 +56,7 @@
     sent: dict = dataclasses.field(default_factory=dict)
     sequence: int = 0
     joined_at: float = 0.0
+    first_sent_at: float | None = None
     responded: bool = False
 
 
@@ -287,7 +289,8 @@
                 del link.sent[sequence]
         if link.send is None or link.responded or link.hub is not None:
             return
-        if link.sequence and now - link.joined_at > _UNKNOWN_KIND_S:
+        first = link.first_sent_at
+        if first is not None and now - first > _UNKNOWN_KIND_S:
             self._events.notice("quota-hub-without-quotas")
             link.hub = self._make_fallback()
             self._rejoin(link, now)
@@ -300,6 +303,8 @@
             self._apply(grants, now)
             return
         link.sent[link.sequence] = now
+        if link.first_sent_at is None:
+            link.first_sent_at = now
         link.send(
             node_pb2.PeerMessage(
                 quota_request=_quota_messages.encode_request(
--- a/wigeonrouter/node/_quota_client_test.py
+++ b/wigeonrouter/node/_quota_client_test.py
@@ -170,6 +170,27 @@
     assert events.names.count("quota-hub-without-quotas") == 1
 
 
+def test_hub_may_be_slow_to_respond_to_the_first_order(
+    client, events, make_hub
+):
+    """Guards against an own part of the quota beside that of the hub.
+
+    A node without callers sends its first order long after it has joined.
+    """
+
+    def respond(message):
+        response = hub.serve_message("192.0.2.1", message.quota_request)
+        gevent.spawn_later(0.3, client.on_grant, response.quota_grant)
+
+    client.join_remote(respond)
+    gevent.sleep(1.2)
+    hub = make_hub(1)
+    results = [client.reserve(_request(time_to_target=0.8)) for _ in range(3)]
+    assert results[0] is None
+    assert None not in results[1:]
+    assert "quota-hub-without-quotas" not in events.names
+
+
 def test_suspended_node_does_not_send_with_an_old_token(
     client, make_hub, clock
 ):
