Give up the node's own part of a quota when its hub responds

A late response of a hub ended the fallback for hubs of earlier builds, but the node kept the tokens of its own part, and the hub did not learn what was sent with them. The node now joins the hub's ledger again: the tokens are given up and its sends are reported.

In the test, the node could send 2 requests with its own part besides those that the hub granted, and the hub counted 1 send less; now neither.

--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -160,11 +160,14 @@
         link = self._link
         if link is None or link.send is None:
             return
-        self._ledger_id = message.ledger
         link.responded = True
-        # A late response of a hub that was taken for one without quotas ends
-        # the fallback.
-        link.hub = None
+        if link.hub is not None:
+            # A late response of a hub that was taken for one without quotas
+            # ends the fallback. Its tokens are given up, and the hub learns
+            # what was sent with them.
+            link.hub = None
+            self._rejoin(link, self._boot_clock())
+        self._ledger_id = message.ledger
         grants = _quota_messages.decode_grants(message)
         if not message.sequence:
             now = self._boot_clock()
--- a/wigeonrouter/node/_quota_client_test.py
+++ b/wigeonrouter/node/_quota_client_test.py
@@ -191,6 +191,37 @@
     assert "quota-hub-without-quotas" not in events.names
 
 
+def test_late_response_gives_up_the_own_part(client, make_hub):
+    """Guards against tokens of the hub besides those of the own part.
+
+    The hub learns what was sent with the own part.
+    """
+    messages = []
+    client.join_remote(messages.append)
+    assert client.reserve(_request(time_to_target=0.2)) is not None
+    gevent.sleep(1.3)
+    request = _request()
+    assert client.reserve(request) is None
+    client.on_sent(request)
+    hub = make_hub(10, ledger_id=8)
+    hub.on_join("192.0.2.1")
+
+    def exchange():
+        pending, messages[:] = messages[:], []
+        for message in pending:
+            response = hub.serve_message("192.0.2.1", message.quota_request)
+            client.on_grant(response.quota_grant)
+
+    exchange()
+    exchange()
+    granted = hub.counts["granted"]
+    # The one that was sent counts as sent, and as one that may still be sent.
+    assert hub.total("acme") >= granted + 2
+    results = _reserve_all(client, granted + 1)
+    assert results[:granted] == [None] * granted
+    assert results[granted] is not None
+
+
 def test_suspended_node_does_not_send_with_an_old_token(
     client, make_hub, clock
 ):
