Check a request's key again right before the first byte is sent

The key was checked when a server was chosen. Making a connection takes up to 0.25 s after that, in which a configuration may remove the key or the route's tenant, or give the deployment its first tenants. In the last case the request went to the server with the caller's Key header, since what is sent depended on the configuration before. Such a request is now withdrawn, as after an evacuation, and chooses a server again.

Both cases of the test were sent before; now the request without a key gets 401 and that of a public route is sent without the header.

--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -242,6 +242,7 @@
         outcome = placement.AttemptOutcome.CANCELLED
         context.hand_over(grant.registration.instance, started)
         self._quotas.on_sent(context)
+        tenant = self._authenticator.name_for_server(context)
         try:
             attempt = self._sender.send(
                 request=context.request,
@@ -249,9 +250,9 @@
                 registration=grant.registration,
                 idempotent=context.route.idempotent,
                 response_deadline=context.pending.deadline,
-                tenant=self._authenticator.name_for_server(context),
+                tenant=tenant,
                 may_repeat=lambda: self._may_repeat(context, balancer),
-                may_send=lambda: self._may_send(context, grant),
+                may_send=lambda: self._may_send(context, grant, tenant),
             )
             return attempt
         except Exception:
@@ -310,12 +311,18 @@
             return None
         return _final_result(attempt)
 
-    def _may_send(self, context, grant):
-        """Return whether a request may still be sent to the chosen server."""
+    def _may_send(self, context, grant, tenant):
+        """Return whether a request may still be sent to the chosen server.
+
+        Args:
+          tenant: what name_for_server() returned when it was chosen.
+        """
         domain = grant.registration.place.failure_domain
         return (
             domain not in self._cluster_state.evacuated
             and self._quotas.is_valid(context)
+            and self._authenticator.recheck(context) is None
+            and self._authenticator.name_for_server(context) == tenant
         )
 
     def _may_repeat(self, context, balancer):
--- a/wigeonrouter/node/_proxy_test.py
+++ b/wigeonrouter/node/_proxy_test.py
@@ -51,7 +51,8 @@
     """What the parts around a Proxy do.
 
     Attributes:
-      attempts: what the sender returns or raises, in this order.
+      attempts: what the sender returns or raises, in this order, or a
+        function from the ClusterState and may_send() to it.
       fails: names of the parts that fail, "release", "crash-monitor", "log".
       cut: whether the node is cut off from the servers.
     """
@@ -59,13 +60,16 @@
     attempts: list
     fails: frozenset = frozenset()
     cut: bool = False
+    cluster_state: object = None
 
     def check(self, part):
         if part in self.fails:
             raise KeyError(part)
 
-    def next_attempt(self, *args, **options):
+    def next_attempt(self, *args, may_send=None, **options):
         result = self.attempts.pop(0)
+        if callable(result):
+            result = result(self.cluster_state, may_send)
         if isinstance(result, Exception):
             raise result
         return result
@@ -182,6 +186,7 @@
         self.remote_hosts = lambda region, home_regions: ("127.0.0.3",)
         self.routes = topology.RouteTable([route])
         self.caller_timeouts = {}
+        self.evacuated = frozenset()
 
 
 class _Log:
@@ -221,6 +226,7 @@
             max_attempts=max_attempts,
         )
         cluster_state = _ClusterState(route=route)
+        script.cluster_state = cluster_state
         log = _Log(script=script)
         request_log = _request_log.RequestLog(
             cluster_state=cluster_state,
@@ -340,3 +346,32 @@
         withdrawn=True,
     )
     assert handle(withdrawn, withdrawn, _RAN, max_attempts=1) == 200
+
+
+@pytest.mark.parametrize(("public", "status"), [(False, 401), (True, 200)])
+def test_configuration_may_change_while_a_connection_is_made(
+    handle, public, status
+):
+    """Guards against a removed key, or a key that is passed to a server.
+
+    The deployment gets tenants after a server was chosen. What would be sent
+    depends on the configuration before.
+    """
+
+    def connect(cluster_state, may_send):
+        configuration = cluster_state.configuration
+        (route,) = configuration.routes
+        cluster_state.configuration = dataclasses.replace(
+            configuration,
+            routes=(dataclasses.replace(route, public=public),),
+            tenants={"acme": topology.Tenant(name="acme", api_keys=("k",))},
+        )
+        if may_send():
+            return _LOST
+        return _sender.Attempt(
+            outcome=placement.AttemptOutcome.CANCELLED,
+            may_have_run=False,
+            withdrawn=True,
+        )
+
+    assert handle(connect, _RAN) == status
--- a/wigeonrouter/node/_sender.py
+++ b/wigeonrouter/node/_sender.py
@@ -235,7 +235,7 @@
                 outcome=placement.AttemptOutcome.CANCELLED,
                 may_have_run=False,
                 withdrawn=True,
-                detail="server was evacuated or the quota token expired",
+                detail="server evacuated, token expired or key changed",
             )
         data = render(remaining)
         fresh = self._connection.fresh
