Give public routes the tenant priority of the middle tenant

Requests without a tenant had tenant priority 0, the highest. Callers without a key thus went before all tenants with a lower priority. They now have the median of the tenants' priorities.

--- a/wigeonrouter/node/_authenticator.py
+++ b/wigeonrouter/node/_authenticator.py
@@ -1,6 +1,7 @@
 """Authenticates requests by the configuration in force."""
 
 import dataclasses
+import statistics
 
 from wigeonrouter import core
 from wigeonrouter import tenancy
@@ -20,11 +21,13 @@
 
     Attributes:
       public_routes: dict from the name of each route to whether it is public.
+      public_priority: see Authenticator.public_priority.
     """
 
     configuration: topology.Configuration
     keys: tenancy.KeyTable
     public_routes: dict[str, bool]
+    public_priority: int
 
 
 class Authenticator:
@@ -49,6 +52,15 @@
         configuration = self._cluster_state.configuration
         return configuration is not None and bool(configuration.tenants)
 
+    @property
+    def public_priority(self):
+        """Tenant priority of requests that have no tenant.
+
+        That of the middle tenant. Anyone may send such requests, so that they
+        must not go before those of all tenants.
+        """
+        return self._rules().public_priority if self.has_tenants else 0
+
     def authenticate(self, route, api_key):
         """Find the tenant of a request.
 
@@ -120,6 +132,10 @@
                 public_routes={
                     route.name: route.public for route in configuration.routes
                 },
+                public_priority=statistics.median_low(
+                    tenant.priority
+                    for tenant in configuration.tenants.values()
+                ),
             )
         return rules
 
--- a/wigeonrouter/node/_request_router.py
+++ b/wigeonrouter/node/_request_router.py
@@ -122,7 +122,11 @@
             target_time=target_time,
             deadline=arrived + min(remaining, route.timeout),
             tenant=tenant.name if tenant else "",
-            tenant_priority=tenant.priority if tenant else 0,
+            tenant_priority=(
+                tenant.priority
+                if tenant
+                else self._authenticator.public_priority
+            ),
             home_regions=placement.merge_home_regions(route, tenant),
         )
 
