Remember nodes that were present until they disappear

A hub compares the nodes that it serves with those that were ready in the last 30 s. Rosters are only observed when they change, so a node that had been present for longer without a change was forgotten at the moment at which it disappeared. Each side of a partition then took itself for the whole region and granted all of its quota. Nodes now count as seen until they are missing.

For the same reason, dead nodes were remembered until the next change, which kept the remaining ones to the reserve. They are now forgotten after 30 s.

Test: two of four nodes that disappear after 100 s without a change left a fraction of 1.0 to the others, now 0.5.

--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -111,7 +111,7 @@
             lambda tenant: _quota_hub.allowed_capacity(
                 self._rules(),
                 tenant,
-                self._membership.fraction(served_hosts()),
+                self._membership.fraction(served_hosts(), self._clock()),
             ),
         )
         self._client.join_local(self._hub)
