Do not take a suspended hub for one of an earlier build

A node used its own part of the quota 1 s after a first order without a response, but leaves a hub without heartbeats only after 1.2 s. A node that joined a hub just before it was suspended therefore used its own part, while the next hub granted the whole. The fallback now begins after 1.5 s.

By then the tokens of the first order have expired, so a late response brings none.

--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -25,7 +25,8 @@
 # Responses that come later have only tokens that have expired.
 _MAX_RESPONSE_AGE_S = tenancy.TOKEN_LIFETIME_S
 # A hub that has responded to no request for this time does not know quotas.
-_UNKNOWN_KIND_S = 1.0
+# The node leaves one that is suspended sooner, after PEER_TIMEOUT_S.
+_UNKNOWN_KIND_S = 1.5
 _NO_HUB_RETRY_S = 0.5
 _MIN_RETRY_S = 0.1
 _MAX_RETRY_S = 5.0
