Authenticate the requests of the quota tests by a key

The tests set the tenant themselves, since requests were not authenticated yet, by a method of the proxy that has moved.

--- a/wigeonrouter/platform/_quota_limit_test.py
+++ b/wigeonrouter/platform/_quota_limit_test.py
@@ -1,18 +1,15 @@
-"""Tests of a tenant's limit over the nodes of a region, on real connections.
-
-The tenant of each request is set by the test.
-"""
+"""Tests of a limit over the nodes of a region, on real connections."""
 
 import gevent
 import pytest
 
-from wigeonrouter.node import _proxy
 from wigeonrouter.platform import conftest
 
 callers_of = conftest.callers_of
 hubs = conftest.hubs
 start_ready = conftest.start_ready
 wait_until = conftest.wait_until
+_KEY = "key-1"
 _RATE = 40
 _WINDOW_S = 5
 _ROUNDS = 10
@@ -21,18 +18,9 @@
 
 
 @pytest.fixture
-def limited_region(store, backend, region, monkeypatch):
-    """Run a region whose requests belong to a tenant with a limit."""
-    route = _proxy.Proxy._route
-
-    def route_with_tenant(proxy, *args):
-        context = route(proxy, *args)
-        tenants = proxy._cluster_state.configuration.tenants
-        context.tenant = tenants.get("acme")
-        return context
-
-    monkeypatch.setattr(_proxy.Proxy, "_route", route_with_tenant)
-    tenant = {"api_keys": ["key-1"], "rate_per_s": _RATE}
+def limited_region(store, backend, region):
+    """Run a region with a tenant that has a limit."""
+    tenant = {"api_keys": [_KEY], "rate_per_s": _RATE}
     store.put("op/config", conftest.configuration(2, tenants={"acme": tenant}))
     backend("i-1", slots=16)
     wait_until(
@@ -48,7 +36,12 @@
 def _send_all(nodes, count):
     """Send requests to all nodes at once; return the responses."""
     tasks = [
-        gevent.spawn(caller.send, f"/read/{number}", request_id=f"r-{number}")
+        gevent.spawn(
+            caller.send,
+            f"/read/{number}",
+            request_id=f"r-{number}",
+            headers=[("Key", _KEY)],
+        )
         for caller in callers_of(nodes)
         for number in range(count)
     ]
