Look at other regions only where a request could gain there

Cause: a request looked for a remote server whenever its expected utility was below 0.95, which is so for most requests with a target of a few service times.

Change: the bound is the utility that a free and fast server in the closest region would give, less the cost of leaving.

Tests: placement/_spill*, node/_spill*, node/_balancer_test, 29 passed.

--- a/wigeonrouter/node/_spill_over_choice.py
+++ b/wigeonrouter/node/_spill_over_choice.py
@@ -76,7 +76,8 @@
           pick: placement.Pick of the own region.
         """
         now = self._clock()
-        if not self._spill_over.needs_remote(pick):
+        best_remote = self._best_remote(request, service_time, now)
+        if not self._spill_over.needs_remote(pick, best_remote=best_remote):
             self._spill_over.stay(now=now)
             if self._server_pool.utilization > _REMOTE_POLL_UTILIZATION:
                 self._server_pool.remote_with_fresh_reports()
@@ -129,5 +130,20 @@
             now=now,
         )
 
+    def _best_remote(self, request, service_time, now):
+        """Return the utility to expect of other regions, at best."""
+        round_trips = [
+            view.round_trip for view in self._server_pool.views.remote
+        ]
+        if not round_trips:
+            return 0.0
+        return placement.best_utility(
+            request=request,
+            service_time=service_time,
+            fast_slowdown=self._server_pool.service_times.fast_slowdown,
+            round_trip=min(round_trips),
+            now=now,
+        )
+
     def _busy_time(self, service_time):
         return service_time * self._server_pool.service_times.mean_slowdown
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -52,6 +52,7 @@
 RetrySpread = _retry_spread.RetrySpread
 ServiceTimes = _estimate.ServiceTimes
 
+best_utility = _spill_over.best_utility
 after_attempt = _health.after_attempt
 after_cut = _health.after_cut
 after_full_loss = _full_servers.after_full_loss
--- a/wigeonrouter/placement/_spill_over.py
+++ b/wigeonrouter/placement/_spill_over.py
@@ -170,6 +170,23 @@
     return pick.expected_utility + _choice.LOCALITY_COST[pick.view.locality]
 
 
+def best_utility(*, request, service_time, fast_slowdown, round_trip, now):
+    """Return the expected utility of a free and fast server elsewhere.
+
+    Args:
+      request: PendingRequest.
+      service_time: undisturbed service time in seconds.
+      fast_slowdown: slowdown of the fast servers.
+      round_trip: seconds to the closest of the servers and back.
+      now: seconds on the monotonic clock.
+    """
+    return _choice.response_utility(
+        seconds=round_trip + service_time * fast_slowdown,
+        request=request,
+        now=now,
+    )
+
+
 def find_spare(views, *, fresh, region, now):
     """Return the servers of other regions that may take over requests.
 
@@ -266,17 +283,21 @@
             return outer
         return inner
 
-    def needs_remote(self, pick):
+    def needs_remote(self, pick, *, best_remote):
         """Return whether a request may gain by leaving the region.
 
+        Only then are other regions looked at: their load reports are bytes
+        between regions.
+
         Args:
           pick: Pick of choose_local().
+          best_remote: best_utility() of other regions.
         """
         cost = LEAVING_COST[_records.Locality.REMOTE]
         return (
             pick.view is None
             or pick.should_wait
-            or gross_utility(pick) < 1.0 - cost
+            or gross_utility(pick) < best_remote - cost
         )
 
     def stay(self, *, now):
--- a/wigeonrouter/placement/_spill_over_replay.py
+++ b/wigeonrouter/placement/_spill_over_replay.py
@@ -247,7 +247,14 @@
                 return self._send(place, request, remote_pick)
         elif remote:
             spill_over = self._spill_over[place]
-            if not spill_over.needs_remote(pick):
+            best_remote = _spill_over.best_utility(
+                request=request,
+                service_time=_SERVICE_TIME_S,
+                fast_slowdown=1.0,
+                round_trip=self._load.round_trip,
+                now=self._now,
+            )
+            if not spill_over.needs_remote(pick, best_remote=best_remote):
                 spill_over.stay(now=self._now)
             else:
                 remote_pick = self._choose_remote(
