Poll remote servers in a module of its own

A request for polling and reading the fresh reports are separate methods; the callers that want both call both. Behaviour is unchanged.

--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -418,8 +418,10 @@
             return self._probe_and_choose(
                 request, service_time, _server_pool.REMOTE_PROBES, remote=True
             )
+        polling = self._server_pool.remote_polling
+        polling.request(request.home_regions)
         return self._choose(
-            self._server_pool.remote_with_fresh_reports(request.home_regions),
+            polling.fresh(request.home_regions),
             request,
             service_time,
             utilization=1.0,
--- a/wigeonrouter/node/_home_servers.py
+++ b/wigeonrouter/node/_home_servers.py
@@ -141,7 +141,7 @@
         """
         usable = self._count_fresh_usable()
         if usable < _ENOUGH_REPORTS:
-            self._server_pool.remote_with_fresh_reports(self._home_regions)
+            self._server_pool.remote_polling.request(self._home_regions)
         if not usable:
             self._server_pool.probe(views, remote=True)
 
@@ -154,7 +154,9 @@
         now = self._clock()
         return sum(
             placement.expected_load(view, now) + 0.5 <= view.slots
-            for view in self._server_pool.fresh_remote(self._home_regions)
+            for view in self._server_pool.remote_polling.fresh(
+                self._home_regions
+            )
         )
 
     def _preferred(self):
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -1,9 +1,7 @@
 """A node's view of the backend servers of one service.
 
 Probes servers for their load, counts this node's requests in flight and
-updates its estimates from the outcome of each attempt. A probe of another
-region takes a round trip of tens of milliseconds, so remote servers are
-probed in the background for as long as requests may need them.
+updates its estimates from the outcome of each attempt.
 """
 
 import collections
@@ -15,6 +13,7 @@
 from wigeonrouter import placement
 from wigeonrouter.node import _grant
 from wigeonrouter.node import _misdirected_servers
+from wigeonrouter.node import _remote_polling
 from wigeonrouter.node import _server_capacity
 from wigeonrouter.node import _server_views
 
@@ -31,13 +30,6 @@
 # Timeout of the checks of servers that another one answers for, which no
 # request waits for.
 _MISDIRECTED_CHECK_TIMEOUT_S = 0.25
-# While the own region has too few free slots, this many remote servers are
-# probed at this interval. Polling ends if no request needs it for a while.
-_POLLED_REMOTE_SERVERS = 6
-_REMOTE_POLL_INTERVAL_S = 0.05
-_REMOTE_POLL_DURATION_S = 0.3
-# Older load reports of remote servers are ignored.
-_REMOTE_REPORT_MAX_AGE_S = 0.2
 # A timeout before this multiple of the expected latency does not count as a
 # failure of the server: the request had too little time left.
 _EARLY_TIMEOUT_FACTOR = 2.0
@@ -74,7 +66,6 @@
         self._prober = prober
         self._events = events
         self._link_monitor = link_monitor
-        self._rng = rng
         self._clock = clock
         self._health_path = ""
         self._views = _server_views.ServerViews(
@@ -87,10 +78,9 @@
             clock=clock,
         )
         self._service_times = placement.ServiceTimes()
-        self._remote_poll_task = None
-        # Dict from the home regions of requests, None for all, to the time
-        # until which their remote servers are polled.
-        self._remote_polls = {}
+        self._remote_polling = _remote_polling.RemotePolling(
+            views=self._views, probe=self.probe, rng=rng, clock=clock
+        )
         self._requests_by_locality = collections.Counter()
 
     @property
@@ -103,6 +93,11 @@
         """ServerViews of the service."""
         return self._views
 
+    @property
+    def remote_polling(self):
+        """RemotePolling of the servers in other regions."""
+        return self._remote_polling
+
     @property
     def service_times(self):
         """placement.ServiceTimes of the service."""
@@ -154,37 +149,6 @@
         self._views.configure(registered, slow_start)
         self._misdirected.configure()
 
-    def remote_with_fresh_reports(self, home_regions=None):
-        """Return the remote views with fresh reports.
-
-        Starts or prolongs the background polling that keeps them fresh.
-
-        Args:
-          home_regions: regions of the servers, None for all.
-        """
-        self._remote_polls[home_regions] = (
-            self._clock() + _REMOTE_POLL_DURATION_S
-        )
-        if self._remote_poll_task is None or self._remote_poll_task.ready():
-            self._remote_poll_task = gevent.spawn(self._poll_remote)
-        return self.fresh_remote(home_regions)
-
-    def fresh_remote(self, home_regions=None):
-        """Return the remote views with fresh reports, without polling.
-
-        Args:
-          home_regions: regions of the servers, None for all.
-        """
-        now = self._clock()
-        return [
-            view
-            for view in placement.find_allowed(
-                self._views.remote, home_regions
-            )
-            if view.report is not None
-            and now - view.report.received < _REMOTE_REPORT_MAX_AGE_S
-        ]
-
     def probe(self, views, *, remote):
         """Probe servers for their load and wait for the results.
 
@@ -368,34 +332,6 @@
             return local
         return local + _server_capacity.without_paused(self._views.remote, now)
 
-    def _poll_remote(self):
-        """Probe random remote servers at intervals while they are needed."""
-        while views := self._polled_views():
-            chosen = self._rng.sample(
-                views, min(len(views), _POLLED_REMOTE_SERVERS)
-            )
-            self.probe(chosen, remote=True)
-            gevent.sleep(_REMOTE_POLL_INTERVAL_S)
-
-    def _polled_views(self):
-        """Return the remote servers that requests needed lately."""
-        now = self._clock()
-        self._remote_polls = {
-            home_regions: until
-            for home_regions, until in self._remote_polls.items()
-            if now < until
-        }
-        return [
-            view
-            for view in _server_capacity.without_paused(
-                self._views.remote, now
-            )
-            if any(
-                placement.allows_region(home_regions, view.place.region)
-                for home_regions in self._remote_polls
-            )
-        ]
-
     def _probe(self, instances, timeout):
         self._prober.probe(
             [
--- a/wigeonrouter/node/_spill_over_choice.py
+++ b/wigeonrouter/node/_spill_over_choice.py
@@ -79,7 +79,7 @@
         if not self._spill_over.needs_remote(pick):
             self._spill_over.stay(now=now)
             if self._server_pool.utilization > _REMOTE_POLL_UTILIZATION:
-                self._server_pool.remote_with_fresh_reports()
+                self._server_pool.remote_polling.request()
             return self._server_pool.grant(pick, service_time)
         grant = self.try_leave(request, service_time, pick)
         if grant is not None:
@@ -114,11 +114,11 @@
                 local_utility,
                 self._functions.utility_of_waiting(request, service_time, now),
             )
+        polling = self._server_pool.remote_polling
+        polling.request(request.home_regions)
         return self._spill_over.choose_remote(
             [*views.local, *views.remote],
-            fresh=self._server_pool.remote_with_fresh_reports(
-                request.home_regions
-            ),
+            fresh=polling.fresh(request.home_regions),
             choose=lambda candidates: self._functions.choose(
                 candidates, request, service_time, utilization=1.0
             ),
