--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -13,8 +13,7 @@
 from wigeonrouter.node import _grant
 from wigeonrouter.node import _home_balancers
 from wigeonrouter.node import _overload_log
-from wigeonrouter.node import _server_pool
-from wigeonrouter.node import _spill_over_choice
+from wigeonrouter.node import _server_choice
 
 # A request at the head of the queue looks for a server again after this share
 # of its service time, within the bounds below, because other nodes release
@@ -78,20 +77,14 @@
             stop_schedule=stop_schedule,
             clock=clock,
         )
-
-        self._spill_over = None
-        if spill_over is not None:
-            self._spill_over = _spill_over_choice.SpillOverChoice(
-                spill_over=spill_over,
-                server_pool=server_pool,
-                functions=_spill_over_choice.ChoiceFunctions(
-                    choose=self._choose,
-                    choose_remote=self._choose_remote,
-                    utility_of_waiting=self._utility_of_waiting,
-                    arrival_rate=lambda: self._admission.arrival_rate,
-                ),
-                clock=clock,
-            )
+        self._server_choice = _server_choice.ServerChoice(
+            server_pool=server_pool,
+            queue=self._queue,
+            arrival_rate=lambda: self._admission.arrival_rate,
+            spill_over=spill_over,
+            rng=rng,
+            clock=clock,
+        )
 
     @property
     def budget(self):
@@ -128,7 +121,7 @@
     @property
     def spill_over_shares(self):
         """See placement.SpillOver.shares; empty if it is off."""
-        return {} if self._spill_over is None else self._spill_over.shares
+        return self._server_choice.spill_over_shares
 
     @property
     def rate_limit_statements(self):
@@ -304,13 +297,9 @@
         now = self._clock()
         late = placement.is_late(request, service_time=service_time, now=now)
         was_at_head = False
-        if self._spill_over is not None and waiter not in self._queue.head(
-            now
-        ):
+        if waiter not in self._queue.head(now):
             # Behind others, it gains most by leaving before it has waited.
-            grant = self._spill_over.try_leave(
-                request, service_time, placement.Pick(view=None)
-            )
+            grant = self._server_choice.try_leave(request, service_time)
             if grant is not None:
                 self._admission.record_dispatch(request, route)
                 return grant
@@ -318,7 +307,7 @@
             now = self._clock()
             at_head = waiter in self._queue.head(now)
             if at_head:
-                grant = self._try_grant(request, service_time)
+                grant = self._server_choice.try_grant(request, service_time)
                 if grant is not None:
                     self._queue.dispatch(waiter)
                     self._admission.record_dispatch(request, route)
@@ -343,130 +332,6 @@
                 return rejection
         return None
 
-    def _local_utilization(self):
-        """Return the utilization of the slots, 1.0 if requests are queued.
-
-        Only queued requests that can still meet their target latency count.
-        """
-        if len(self._queue) - self._queue.count_late(self._clock()) > 1:
-            return 1.0
-        return self._server_pool.utilization
-
-    def _try_grant(self, request, service_time):
-        """Try once to choose a server, probing some of them.
-
-        Returns:
-          Grant, None if the request has to wait.
-        """
-        max_probes = placement.probe_count(self._admission.arrival_rate)
-        pick = self._probe_and_choose(
-            request, service_time, max_probes, remote=False
-        )
-        if self._spill_over is not None:
-            return self._spill_over.try_grant(request, service_time, pick)
-        if pick.view is not None and not pick.should_wait:
-            return self._server_pool.grant(pick, service_time)
-        remote_pick = self._choose_remote(request, service_time)
-        now = self._clock()
-        if remote_pick.view is not None:
-            if remote_pick.expected_utility > max(
-                pick.expected_utility,
-                self._utility_of_waiting(request, service_time, now),
-            ):
-                return self._server_pool.grant(remote_pick, service_time)
-        late = placement.is_late(request, service_time=service_time, now=now)
-        if pick.view is not None and late:
-            return self._server_pool.grant(pick, service_time)
-        return None
-
-    def _utility_of_waiting(self, request, service_time, now):
-        return placement.utility_of_waiting(
-            request=request,
-            service_time=service_time,
-            mean_slowdown=self._server_pool.service_times.mean_slowdown,
-            fast_slowdown=self._server_pool.service_times.fast_slowdown,
-            now=now,
-            ahead=self._queue.count_ahead(request, service_time, now) - 1,
-            slots=self._server_pool.usable_slots(service_time),
-        )
-
-    def _choose(self, views, request, service_time, *, utilization):
-        service_times = self._server_pool.service_times
-        return placement.choose(
-            views,
-            request=request,
-            service_time=service_time,
-            mean_slowdown=service_times.mean_slowdown,
-            now=self._clock(),
-            utilization=utilization,
-            fast_slowdown=service_times.fast_slowdown,
-        )
-
-    def _choose_remote(self, request, service_time):
-        """Choose a server in another region.
-
-        A remote probe takes tens of milliseconds, so a background task keeps
-        the reports fresh while the own region has too few free slots. Only
-        without any local server are remote ones probed for each request.
-        """
-        views = placement.find_allowed(
-            self._server_pool.views.remote, request.home_regions
-        )
-        if not views:
-            return placement.Pick(view=None)
-        if not self._server_pool.views.local:
-            return self._probe_and_choose(
-                request, service_time, _server_pool.REMOTE_PROBES, remote=True
-            )
-        polling = self._server_pool.remote_polling
-        polling.request(request.home_regions)
-        return self._choose(
-            polling.fresh(request.home_regions),
-            request,
-            service_time,
-            utilization=1.0,
-        )
-
-    def _probe_and_choose(self, request, service_time, max_probes, *, remote):
-        """Probe some servers, then choose among a sample of all of them.
-
-        Args:
-          remote: whether the servers are those of other regions.
-        Returns:
-          placement.Pick.
-        """
-        server_pool = self._server_pool
-        views = server_pool.views.remote if remote else server_pool.views.local
-        sampled = placement.sample_views(
-            placement.find_allowed(views, request.home_regions),
-            request=request,
-            now=self._clock(),
-            rng=self._rng,
-        )
-        candidates = placement.probe_candidates(
-            sampled,
-            request=request,
-            service_time=service_time,
-            mean_slowdown=server_pool.service_times.mean_slowdown,
-            now=self._clock(),
-            max_servers=max_probes,
-        )
-        if candidates:
-            server_pool.probe(candidates, remote=remote)
-        latest = server_pool.views.latest(sampled)
-        utilization = (
-            0.0
-            if self._queue.is_starved(request)
-            else self._local_utilization()
-        )
-        if remote or self._spill_over is None:
-            return self._choose(
-                latest, request, service_time, utilization=utilization
-            )
-        return self._spill_over.choose_local(
-            latest, request, service_time, utilization=utilization
-        )
-
     def _on_servers_changed(self):
         """Wake the requests that the set of servers may concern."""
         if self._server_pool.views.has_usable and not self._homes.used:
--- a/wigeonrouter/node/_server_pool.py
+++ b/wigeonrouter/node/_server_pool.py
@@ -17,8 +17,6 @@
 from wigeonrouter.node import _server_capacity
 from wigeonrouter.node import _server_views
 
-# Remote servers that are probed before a choice if no server is local.
-REMOTE_PROBES = 3
 _LOCAL_PROBE_TIMEOUT_S = 0.012
 # Timeout of a remote probe, in round trips. A probe may need a new connection,
 # which takes a second round trip.
