Reject requests without quota tokens in a module of their own

Making, counting and logging its rejections is the job of _quota_rejections.py now. Behaviour is unchanged.

--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -4,17 +4,15 @@
 the hub at once.
 """
 
-import collections
 import contextlib
 import dataclasses
 import time
 
 from gevent import event
 
-from wigeonrouter import core
 from wigeonrouter import tenancy
 from wigeonrouter.node import _quota_messages
-from wigeonrouter.node import messages
+from wigeonrouter.node import _quota_rejections
 from wigeonrouter.schema import node_pb2
 
 _ORDER_INTERVAL_S = 0.1
@@ -26,11 +24,6 @@
 _MAX_RESPONSE_AGE_S = tenancy.TOKEN_LIFETIME_S
 # A hub that has responded to no request for this time does not know quotas.
 _UNKNOWN_KIND_S = 1.0
-_NO_HUB_RETRY_S = 0.5
-_MIN_RETRY_S = 0.1
-_MAX_RETRY_S = 5.0
-# Rejections of one tenant are logged once in this time.
-_LOG_INTERVAL_S = 1.0
 
 
 def boot_clock():
@@ -86,7 +79,6 @@
         self._tenants = tenants
         self._make_fallback = make_fallback
         self._events = events
-        self._rng = rng
         self._clock = clock
         self._boot_clock = boot_clock
         self._wallet = tenancy.Wallet(window=window)
@@ -98,13 +90,14 @@
         self._order_due = event.Event()
         # Dict from tenant to the event that its waiting requests wait for.
         self._changed = {}
-        self._logged_at = {}
-        self._rejected = collections.Counter()
+        self._rejections = _quota_rejections.QuotaRejections(
+            events=events, rng=rng
+        )
 
     @property
     def rejected(self):
         """Counter of requests by tenant that were rejected."""
-        return self._rejected
+        return self._rejections.counts
 
     @property
     def enabled(self):
@@ -355,16 +348,21 @@
                 if context.token is not None:
                     return None
                 if self._wallet.is_refused(name, now):
-                    return self._reject_over_quota(context, name, now)
+                    return self._reject(context.tenant, now)
                 if self._hub_responds_since(asked_at, now):
-                    return self._reject_over_quota(context, name, now)
+                    return self._reject(context.tenant, now)
                 if self._clock() >= latest:
-                    return self._reject_without_hub()
+                    return self._rejections.reject_without_hub()
                 if self._wallet.needs_order(name, now):
                     self._order_due.set()
                 self._changed[name].clear()
                 self._changed[name].wait(timeout=_TOKEN_WAIT_S / 2)
 
+    def _reject(self, tenant, now):
+        return self._rejections.reject_over_quota(
+            tenant, wait=self._wallet.time_to_token(tenant.name, now), now=now
+        )
+
     @contextlib.contextmanager
     def _waiting(self, name):
         now = self._boot_clock()
@@ -389,35 +387,6 @@
         oldest = min(link.sent.values(), default=now)
         return link.responded and now - oldest < _TOKEN_WAIT_S
 
-    def _reject_over_quota(self, context, name, now):
-        self._rejected[name] += 1
-        if now - self._logged_at.get(name, -_LOG_INTERVAL_S) >= (
-            _LOG_INTERVAL_S
-        ):
-            self._logged_at[name] = now
-            self._events.notice(
-                "over-quota",
-                tenant=name,
-                limit=context.tenant.rate,
-                burst=context.tenant.burst,
-                rejected=self._rejected[name],
-            )
-        wait = self._wallet.time_to_token(name, now)
-        return messages.Rejection(
-            problem=core.problems.OVER_QUOTA,
-            retry_after=self._jitter(min(_MAX_RETRY_S, wait)),
-        )
-
-    def _reject_without_hub(self):
-        return messages.Rejection(
-            problem=core.problems.NO_SERVER,
-            retry_after=self._jitter(_NO_HUB_RETRY_S),
-            detail="no hub grants quota tokens",
-        )
-
-    def _jitter(self, wait):
-        return max(_MIN_RETRY_S, wait) * self._rng.uniform(1.0, 1.3)
-
 
 def _is_limited(tenant):
     return tenant.rate > 0 or tenant.burst > 0
