--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -40,6 +40,7 @@
       hub: QuotaHub of this node, or the fallback for a hub without quotas.
       sent: dict from sequence number to the time of each request.
       joined_at: when the node joined the hub.
+      first_sent_at: when it sent the hub the first request, None before.
       responded: whether the hub has responded.
     """
 
@@ -48,6 +49,7 @@
     sent: dict = dataclasses.field(default_factory=dict)
     sequence: int = 0
     joined_at: float = 0.0
+    first_sent_at: float | None = None
     responded: bool = False
 
 
@@ -151,11 +153,14 @@
         link = self._link
         if link is None or link.send is None:
             return
-        self._ledger_id = message.ledger
         link.responded = True
-        # A late response of a hub that was taken for one without quotas ends
-        # the fallback.
-        link.hub = None
+        if link.hub is not None:
+            # A late response of a hub that was taken for one without quotas
+            # ends the fallback. Its tokens are given up, and the hub learns
+            # what was sent with them.
+            link.hub = None
+            self._rejoin(link, self._boot_clock())
+        self._ledger_id = message.ledger
         grants = _quota_messages.decode_grants(message)
         if not message.sequence:
             now = self._boot_clock()
@@ -280,7 +285,8 @@
                 del link.sent[sequence]
         if link.send is None or link.responded or link.hub is not None:
             return
-        if link.sequence and now - link.joined_at > _QUOTA_SUPPORT_TIMEOUT_S:
+        first = link.first_sent_at
+        if first is not None and now - first > _QUOTA_SUPPORT_TIMEOUT_S:
             self._events.notice("quota-hub-without-quotas")
             link.hub = self._make_fallback()
             self._rejoin(link, now)
@@ -293,6 +299,8 @@
             self._apply(grants, now)
             return
         link.sent[link.sequence] = now
+        if link.first_sent_at is None:
+            link.first_sent_at = now
         link.send(
             node_pb2.PeerMessage(
                 quota_request=_quota_messages.encode_request(
--- a/wigeonrouter/node/_quota_client_test.py
+++ b/wigeonrouter/node/_quota_client_test.py
@@ -47,7 +47,7 @@
 def make_hub(clock):
     """Return a function that makes a QuotaHub with a capacity."""
 
-    def make(capacity, **changes):
+    def make(capacity, /, **changes):
         return _quota_hub.QuotaHub(
             **{
                 "tenants": lambda: _TENANTS,
@@ -170,6 +170,58 @@
     assert events.names.count("quota-hub-without-quotas") == 1
 
 
+def test_hub_may_be_slow_to_respond_to_the_first_order(
+    client, events, make_hub
+):
+    """Guards against an own part of the quota beside that of the hub.
+
+    A node without callers sends its first order long after it has joined.
+    """
+
+    def respond(message):
+        response = hub.serve_message("192.0.2.1", message.quota_request)
+        gevent.spawn_later(0.3, client.on_grant, response.quota_grant)
+
+    client.join_remote(respond)
+    gevent.sleep(1.2)
+    hub = make_hub(1)
+    results = [client.reserve(_request(time_to_target=0.8)) for _ in range(3)]
+    assert results[0] is None
+    assert None not in results[1:]
+    assert "quota-hub-without-quotas" not in events.names
+
+
+def test_late_response_gives_up_the_own_part(client, make_hub):
+    """Guards against tokens of the hub besides those of the own part.
+
+    The hub learns what was sent with the own part.
+    """
+    messages = []
+    client.join_remote(messages.append)
+    assert client.reserve(_request(time_to_target=0.2)) is not None
+    gevent.sleep(1.3)
+    request = _request()
+    assert client.reserve(request) is None
+    client.on_sent(request)
+    hub = make_hub(10, ledger_id=8)
+    hub.on_join("192.0.2.1")
+
+    def exchange():
+        pending, messages[:] = messages[:], []
+        for message in pending:
+            response = hub.serve_message("192.0.2.1", message.quota_request)
+            client.on_grant(response.quota_grant)
+
+    exchange()
+    exchange()
+    granted = hub.counts["granted"]
+    # The one that was sent counts as sent, and as one that may still be sent.
+    assert hub.total("acme") >= granted + 2
+    results = _reserve_all(client, granted + 1)
+    assert results[:granted] == [None] * granted
+    assert results[granted] is not None
+
+
 def test_suspended_node_does_not_send_with_an_old_token(
     client, make_hub, clock
 ):
@@ -234,6 +286,34 @@
     assert grant.granted == 4
 
 
+def test_only_tenants_with_tokens_are_near_their_limit(make_hub):
+    """Guards against a hub that stands still over thousands of tenants.
+
+    The capacity of a tenant depends on all nodes of the region.
+    """
+    asked = []
+
+    def capacity(tenant):
+        asked.append(tenant.name)
+        return 4
+
+    tenants = {
+        f"t{i}": topology.Tenant(name=f"t{i}", api_keys=(), rate=1.0, burst=0)
+        for i in range(100)
+    }
+    hub = make_hub(4, capacity=capacity, tenants=lambda: tenants)
+    hub.serve(
+        tuple(
+            tenancy.TenantOrder(tenant=name, wanted=wanted)
+            for name, wanted in (("t1", 4), ("t2", 1))
+        ),
+        ledger=7,
+    )
+    asked.clear()
+    assert hub.count_near_limit() == 1
+    assert sorted(asked) == ["t1", "t2"]
+
+
 @pytest.mark.parametrize("fraction", [0.2, 0.5, 0.51, 1.0])
 def test_parts_of_a_region_keep_to_the_limit_together(fraction):
     """Guards against two sides of a partition that both grant it all."""
