--- a/wigeonrouter/tenancy/_membership.py
+++ b/wigeonrouter/tenancy/_node_presence.py
@@ -11,7 +11,7 @@
 _EXPIRY_INTERVAL_S = 1.0
 
 
-class Membership:
+class NodePresence:
     """Remembers the nodes of a region that were ready."""
 
     def __init__(self):
