--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -12,7 +12,6 @@
 
 from wigeonrouter import store
 from wigeonrouter import topology
-from wigeonrouter.node import _copy_keeper
 from wigeonrouter.node import _follower
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _hub_search
@@ -21,10 +20,7 @@
 from wigeonrouter.node import _region_quotas
 from wigeonrouter.node import _registrar
 from wigeonrouter.node import _roster
-from wigeonrouter.node import _store_cache
-from wigeonrouter.node import _store_loader
-from wigeonrouter.node import _store_memory
-from wigeonrouter.node import _store_reader
+from wigeonrouter.node import _store_copy
 
 _HUB_WAIT_S = 0.1
 # After this number of waits for a better candidate that does not become the
@@ -70,11 +66,6 @@
         self._events = events
         self._rng = rng
         self._clock = clock or time.monotonic
-        self._store_cache = _store_cache.StoreCache(
-            apply=self._apply,
-            export_memory=self._export_memory,
-            import_memory=self._import_memory,
-        )
         self._role = topology.Role(kind=topology.RoleKind.UNDECIDED)
         self._hub = None
         # Dict from host to NodeState of the region's nodes.
@@ -90,17 +81,13 @@
         self._abandoned_hub = ""
         # Set when another hub is known that is better than this one.
         self._replaced = event.Event()
-        self._freshness = topology.CopyFreshness(now=self._clock())
-        self._copy_keeper = _copy_keeper.CopyKeeper(
-            freshness=self._freshness,
-            bounds=lambda: self._settings.bounds,
+        self._store_copy = _store_copy.StoreCopy(
+            settings=settings,
             feed=feed,
-            reader=self._make_reader(
-                on_store_contact=lambda: None,
-                on_store_outage=lambda error, failures: None,
-            ),
-            store_cache=self._store_cache,
+            cluster_state=cluster_state,
             role=lambda: self._role,
+            on_update=self._on_update_read,
+            on_read=self._on_copy_read,
             events=events,
             rng=rng,
             clock=self._clock,
@@ -120,25 +107,17 @@
             cluster_state=cluster_state,
             clock=self._clock,
         )
-        self._loader = _store_loader.StoreLoader(
-            settings=settings,
-            seeds=lambda: self._settings.seeds,
-            feed=feed,
-            store_cache=self._store_cache,
-            events=events,
-            rng=rng,
-        )
         self._registrar = _registrar.Registrar(
             settings=settings,
             feed=feed,
             cluster_state=cluster_state,
-            store_cache=self._store_cache,
+            store_cache=self._store_copy.cache,
             events=events,
             rng=rng,
         )
         self._server = _peer_server.PeerServer(
             settings=settings,
-            store_cache=self._store_cache,
+            store_cache=self._store_copy.cache,
             role=lambda: self._role,
             hub=lambda: self._hub,
             check_server=check_server,
@@ -160,12 +139,12 @@
     @property
     def position(self):
         """store.Position that this node has applied."""
-        return self._store_cache.position
+        return self._store_copy.position
 
     @property
     def copy_age(self):
         """Seconds for which the copy of the store may be outdated."""
-        return self._freshness.age(self._clock())
+        return self._store_copy.age
 
     @property
     def assured_copy_age(self):
@@ -174,8 +153,7 @@
         A node that starts while the store is down gets a copy of any age from
         its peers.
         """
-        proven_age = self._freshness.proven_age(self._clock())
-        if proven_age is None and not self._reaches_store:
+        if self._store_copy.proven_age is None and not self._reaches_store:
             return float("inf")
         return self.copy_age
 
@@ -221,6 +199,7 @@
     def reload(self, settings):
         """Apply changed topology.NodeSettings."""
         self._settings = settings
+        self._store_copy.reload(settings)
         self._quotas.reload(settings)
         self.broadcast_state()
 
@@ -245,11 +224,11 @@
 
     def keep_copy_current(self):
         """Keep the copy of the store current, until killed."""
-        self._copy_keeper.run()
+        self._store_copy.keep_current()
 
     def run(self):
         """Follow the store, directly or through a hub, until killed."""
-        if self._loader.load():
+        if self._store_copy.load():
             self._reaches_store = True
             self._cluster_state.on_store_contact()
         while True:
@@ -275,10 +254,10 @@
     def _run_as_hub(self):
         """Read the store and serve followers until another hub is better."""
         self._hub = _hub.Hub(
-            store_cache=self._store_cache,
+            store_cache=self._store_copy.cache,
             own_state=self._own_state,
             on_roster=self._on_roster,
-            copy_age=lambda: self._freshness.proven_age(self._clock()),
+            copy_age=lambda: self._store_copy.proven_age,
             expected_members=[
                 state
                 for host, state in self._roster.items()
@@ -293,7 +272,7 @@
         self._hub.broadcast_roster()
         heartbeats = gevent.spawn(self._hub.run_heartbeats)
         reader = gevent.spawn(
-            self._make_reader(
+            self._store_copy.make_reader(
                 on_store_contact=self._on_store_contact,
                 on_store_outage=self._on_store_outage,
             ).run
@@ -320,19 +299,6 @@
             )
             self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
-    def _make_reader(self, *, on_store_contact, on_store_outage):
-        return _store_reader.StoreReader(
-            store_cache=self._store_cache,
-            feed=self._feed,
-            events=self._events,
-            rng=self._rng,
-            on_update=self._on_update_read,
-            on_store_contact=on_store_contact,
-            on_confirmed=self._on_copy_read,
-            on_store_outage=on_store_outage,
-            listing_due=self._cluster_state.listing_due,
-        )
-
     def _should_step_down(self):
         order = self._hub_search.candidate_order()
         if order[0] == self._settings.host and self._reaches_store:
@@ -360,8 +326,8 @@
         if not self._reaches_store:
             self._events.notice(
                 "store-regained",
-                era=self._store_cache.position.era,
-                revision=self._store_cache.position.revision,
+                era=self._store_copy.position.era,
+                revision=self._store_copy.position.revision,
             )
         self._reaches_store = True
         self._cluster_state.on_store_contact()
@@ -372,7 +338,6 @@
             self._abandoned_hub = ""
 
     def _on_copy_read(self):
-        self._on_confirmed()
         if self._hub is not None:
             self._hub.announce_proof()
 
@@ -380,9 +345,6 @@
         if self._hub is not None:
             self._hub.broadcast_update(update)
 
-    def _on_confirmed(self, age=0.0):
-        self._freshness.confirm(self._clock() - age)
-
     def _on_hub_announced(self, role):
         """Step down if this node is a hub, and the other one is better."""
         if self._hub is None or role.kind is not topology.RoleKind.HUB:
@@ -416,7 +378,7 @@
         follower = _follower.Follower(
             hub=hub,
             port=self._port,
-            store_cache=self._store_cache,
+            store_cache=self._store_copy.cache,
             state_changed=self._state_changed,
             callbacks=_follower.FollowerCallbacks(
                 own_state=self._own_state,
@@ -425,7 +387,7 @@
                 on_heartbeat=lambda reachable: self._on_heartbeat(
                     hub, reachable
                 ),
-                on_confirmed=self._on_confirmed,
+                on_confirmed=self._store_copy.confirm,
                 on_successor=self._hub_search.prefer,
                 on_store_lost=lambda: self._on_hub_lost_store(hub),
                 has_better_hub=self._has_better_hub,
@@ -474,7 +436,7 @@
 
     def _can_reach_store(self):
         """Return whether this node reaches the store, if it is to check."""
-        if self._copy_keeper.reaches_store:
+        if self._store_copy.reaches_store:
             return True
         ready_hosts = {peer.host for peer in self._peers if peer.ready}
         checks_store = topology.should_check_store(
@@ -516,17 +478,3 @@
         self._peers = _roster.to_peers(roster)
         self._history.update(self._peers, self._clock())
         self._quotas.observe({peer.host: peer.ready for peer in self._peers})
-
-    def _apply(self, items, scope):
-        self._cluster_state.apply(self._feed.decode(items, scope=scope))
-
-    def _export_memory(self):
-        return _store_memory.encode(self._cluster_state.memory)
-
-    def _import_memory(self, message):
-        memory = _store_memory.decode(message)
-        self._cluster_state.recall_departures(memory.departures)
-        if memory.configuration:
-            self._cluster_state.recall_configuration(
-                self._feed.decode_configuration(memory.configuration)
-            )
