Move entries, timeouts and tasks out of the module of the node

It is to connect the components of a node, but also chose the entries of the directory, wrote caller timeouts and restarted tasks. _entry_choice.py, _caller_timeouts.py and _supervised_tasks.py do that now. Behaviour is unchanged.

--- a/wigeonrouter/node/_caller_timeouts.py
+++ b/wigeonrouter/node/_caller_timeouts.py
@@ -1,10 +1,15 @@
 """How long the callers of each route usually wait, as this node learns it."""
 
+import gevent
+
 from wigeonrouter import placement
+from wigeonrouter import store
 
 # An estimate is written to the store again when it differs from the stored one
 # by more than this share of it.
 _MIN_CHANGE_SHARE = 0.2
+# Mean interval between writes of changed caller timeouts to the store.
+_WRITE_INTERVAL_S = 5.0
 
 
 class CallerTimeouts:
@@ -47,6 +52,36 @@
         }
 
 
+class CallerTimeoutWriter:
+    """Writes changed caller timeouts to the store at random intervals.
+
+    Args:
+      changed: function that returns CallerTimeouts.changed().
+      feed: the adapter's interface to the store.
+      events: events.EventLog.
+      rng: random.Random, for the intervals.
+    """
+
+    def __init__(self, *, changed, feed, events, rng):
+        self._changed = changed
+        self._feed = feed
+        self._events = events
+        self._rng = rng
+
+    def run(self):
+        """Write until killed."""
+        while True:
+            gevent.sleep(_WRITE_INTERVAL_S * self._rng.uniform(0.5, 1.5))
+            for route, seconds in self._changed().items():
+                self._write(route, seconds)
+
+    def _write(self, route, seconds):
+        try:
+            self._feed.write_caller_timeout(route=route, seconds=seconds)
+        except store.StoreError as error:
+            self._events.notice("wait-not-kept", route=route, error=str(error))
+
+
 def _differs(learned, stored):
     if learned is None:
         return False
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -10,13 +10,14 @@
 from wigeonrouter import http1
 from wigeonrouter import observability
 from wigeonrouter import placement
-from wigeonrouter import store
 from wigeonrouter import topology
 from wigeonrouter.node import _authenticator
 from wigeonrouter.node import _balancer_registry
+from wigeonrouter.node import _caller_timeouts
 from wigeonrouter.node import _cluster_state
 from wigeonrouter.node import _crash_monitor
 from wigeonrouter.node import _directory_handler
+from wigeonrouter.node import _entry_choice
 from wigeonrouter.node import _forwarder
 from wigeonrouter.node import _link_monitor
 from wigeonrouter.node import _metrics
@@ -24,24 +25,15 @@
 from wigeonrouter.node import _prober
 from wigeonrouter.node import _proxy
 from wigeonrouter.node import _region_member
-from wigeonrouter.node import _remote_entries
 from wigeonrouter.node import _request_log
 from wigeonrouter.node import _roster
 from wigeonrouter.node import _sender
 from wigeonrouter.node import _server_witness
+from wigeonrouter.node import _supervised_tasks
 
 _HOUSEKEEPING_INTERVAL_S = 0.25
 # Idle connections to backend servers are closed after this time.
 _MAX_BACKEND_IDLE_S = 8.0
-# Mean interval between writes of changed caller timeouts to the store.
-_TIMEOUTS_WRITE_INTERVAL_S = 5.0
-# TTL of directory responses. All responses that list a stopping node have to
-# expire before it stops accepting requests, and until then it takes requests
-# that it may not finish, so a longer TTL would let more of them be cut off.
-_ENTRIES_TTL_S = 1.0
-# A directory request to a node that has just started waits this long for the
-# configuration.
-_STARTUP_WAIT_S = 0.4
 # Settings that a running node can change.
 _RELOADABLE_SETTINGS = frozenset(
     {"bounds", "capacity", "heartbeat", "memory_bytes", "regions", "seeds"}
@@ -49,12 +41,6 @@
 # Share of the memory for messages of callers and backend servers. A message
 # may exist several times for a moment, while it is parsed and rendered.
 _BUFFER_MEMORY_SHARE = 0.125
-# The directory names other nodes by a roster of at most this age. A change of
-# the hub takes up to 3 s. Naming only itself during that time would spread
-# callers over nodes that know no loads.
-_MAX_ROSTER_AGE_S = 4.0
-# Nodes of a region that serve the callers of one service (its homes).
-_HOMES_PER_SERVICE = 1
 
 
 class Node:
@@ -161,11 +147,17 @@
             ),
             quotas=self._region_member.quotas.client,
         )
+        self._entry_choice = _entry_choice.EntryChoice(
+            settings=lambda: self._settings,
+            cluster_state=self._cluster_state,
+            region_member=self._region_member,
+            is_ready=lambda: self.ready,
+        )
         directory_handler = _directory_handler.DirectoryHandler(
             codec=codec,
-            choose_entries=self._choose_entries,
+            choose_entries=self._entry_choice.choose,
             is_ready=lambda: self.ready,
-            ttl=self._entries_ttl,
+            ttl=self._entry_choice.ttl,
         )
         metrics_handler = _metrics.MetricsHandler(
             metrics=self._metrics, read_gauges=self._read_gauges
@@ -182,7 +174,13 @@
             metrics_handler=metrics_handler,
             buffer_budget=self._buffer_budget,
         )
-        self._tasks = []
+        self._timeout_writer = _caller_timeouts.CallerTimeoutWriter(
+            changed=self._proxy.changed_timeouts,
+            feed=feed,
+            events=events,
+            rng=self._rng,
+        )
+        self._tasks = _supervised_tasks.SupervisedTasks(events=events)
 
     @property
     def settings(self):
@@ -236,35 +234,19 @@
         """Start listening and following the store."""
         self._node_servers.start()
         self._region_member.start()
-        self._tasks = [
-            gevent.spawn(self._supervise, "region", self._region_member.run),
-            gevent.spawn(
-                self._supervise,
-                "register",
-                self._region_member.keep_registered,
-            ),
-            gevent.spawn(
-                self._supervise, "waits", self._store_caller_timeouts
-            ),
-            gevent.spawn(
-                self._supervise,
-                "copy",
-                self._region_member.keep_copy_current,
-            ),
-            gevent.spawn(self._supervise, "crashes", self._crash_monitor.run),
-            gevent.spawn(self._supervise, "links", self._link_monitor.run),
-            gevent.spawn(self._supervise, "housekeeping", self._housekeep),
-            gevent.spawn(
-                self._supervise,
-                "quotas",
-                self._region_member.quotas.client.run,
-            ),
-            gevent.spawn(
-                self._supervise,
-                "quota-exchange",
-                self._region_member.quotas.run_exchange,
-            ),
-        ]
+        quotas = self._region_member.quotas
+        for name, function in {
+            "region": self._region_member.run,
+            "register": self._region_member.keep_registered,
+            "waits": self._timeout_writer.run,
+            "copy": self._region_member.keep_copy_current,
+            "crashes": self._crash_monitor.run,
+            "links": self._link_monitor.run,
+            "housekeeping": self._housekeep,
+            "quotas": quotas.client.run,
+            "quota-exchange": quotas.run_exchange,
+        }.items():
+            self._tasks.start(name, function)
         self._events.notice(
             "started",
             node=self._settings.name,
@@ -288,7 +270,7 @@
             signalled=signalled,
             now=now,
             grace=self._settings.bounds.stop_grace,
-            entries_ttl=self._entries_ttl(),
+            entries_ttl=self._entry_choice.ttl(),
         )
         self._events.notice(
             "stopping",
@@ -311,11 +293,11 @@
             closed_unread=self._node_servers.callers.closed_unread,
             after_ms=round((time.monotonic() - schedule.began) * 1000),
         )
-        gevent.killall(self._tasks)
+        self._tasks.kill()
 
     def kill(self):
         """Stop at once, as if the process was killed."""
-        gevent.killall(self._tasks)
+        self._tasks.kill()
         self._region_member.kill()
         self._node_servers.kill()
 
@@ -341,26 +323,12 @@
             kept=plan.restart_required,
         )
 
-    def _supervise(self, name, function):
-        """Run a function forever; log its exceptions and restart it."""
-        while True:
-            try:
-                function()
-            except Exception as error:
-                self._report_failure(name, error)
-            gevent.sleep(_HOUSEKEEPING_INTERVAL_S)
-
     def _leave_region(self):
         """Leave the region; the requests in progress do not depend on it."""
         try:
             self._region_member.leave()
         except Exception as error:
-            self._report_failure("leave", error)
-
-    def _report_failure(self, task, error):
-        self._events.notice(
-            "task-failed", task=task, error=f"{type(error).__name__}: {error}"
-        )
+            self._tasks.report_failure("leave", error)
 
     def _read_gauges(self):
         ready = sum(peer.ready for peer in self._region_member.peers)
@@ -412,22 +380,6 @@
             self._published_facts = facts
             self._region_member.broadcast_state()
 
-    def _store_caller_timeouts(self):
-        """Write changed caller timeouts to the store at random intervals."""
-        while True:
-            gevent.sleep(
-                _TIMEOUTS_WRITE_INTERVAL_S * self._rng.uniform(0.5, 1.5)
-            )
-            for route, seconds in self._proxy.changed_timeouts().items():
-                try:
-                    self._feed.write_caller_timeout(
-                        route=route, seconds=seconds
-                    )
-                except store.StoreError as error:
-                    self._events.notice(
-                        "wait-not-kept", route=route, error=str(error)
-                    )
-
     def _are_keys_outdated(self):
         bounds = self._settings.bounds
         return (
@@ -435,34 +387,6 @@
             and self._region_member.assured_copy_age > bounds.revoke_apply
         )
 
-    def _entries_ttl(self):
-        return min(_ENTRIES_TTL_S, self._settings.bounds.max_entry_ttl)
-
-    def _choose_entries(self, query):
-        self._cluster_state.wait_configured(_STARTUP_WAIT_S)
-        if self._cluster_state.configuration is None:
-            return ()
-        remote = _remote_entries.choose(
-            query, settings=self._settings, cluster_state=self._cluster_state
-        )
-        if remote is not None:
-            return remote
-        services = self._cluster_state.routes.services_of(query.host)
-        entry_nodes = topology.entry_nodes(
-            service=services[0] if services else "",
-            peers=topology.entry_peers(
-                self._region_member.peers,
-                has_tenants=bool(self._cluster_state.configuration.tenants),
-            ),
-            own_host=self._settings.host,
-            count=_HOMES_PER_SERVICE,
-            roster_age=self._region_member.roster_age,
-            max_age=_MAX_ROSTER_AGE_S,
-        )
-        if entry_nodes:
-            return tuple(peer.caller_address for peer in entry_nodes)
-        return (self._settings.caller_address,) if self.ready else ()
-
     def _on_links_changed(self):
         """Apply that this node was cut off from all servers, or is back."""
         self._region_member.broadcast_state()
