--- a/wigeonrouter/node/_quota_search_test.py
+++ b/wigeonrouter/node/_quota_search_test.py
@@ -9,7 +9,7 @@
 import pytest
 
 from wigeonrouter import topology
-from wigeonrouter.node import _quota_simulation
+from wigeonrouter.node import testing
 
 _SEEDS = range(40)
 _FAULTS = ("kill", "kill hub", "freeze", "freeze hub", "split", "split hub")
@@ -28,7 +28,7 @@
 
 
 def _world(seed=1, **changes):
-    return _quota_simulation.World(
+    return testing.World(
         **{
             "seed": seed,
             "tenants": _TENANTS,
--- a/wigeonrouter/placement/_spill_over_test.py
+++ b/wigeonrouter/placement/_spill_over_test.py
@@ -4,7 +4,7 @@
 
 from wigeonrouter import placement
 from wigeonrouter.placement import _spill_over
-from wigeonrouter.placement import _spill_over_replay
+from wigeonrouter.placement import testing
 
 REMOTE = placement.Locality.REMOTE
 REGION = placement.Locality.REGION
@@ -18,11 +18,11 @@
     """Return a function that replays a load with spill-over off and on."""
 
     def run(*, locality, **load):
-        load = _spill_over_replay.Load(
+        load = testing.Load(
             locality=locality, round_trip=ROUND_TRIPS_S[locality], **load
         )
         return [
-            _spill_over_replay.Replay(load=load, spills_over=on).run()
+            testing.Replay(load=load, spills_over=on).run()
             for on in (False, True)
         ]
 
--- a/wigeonrouter/placement/_spill_over_replay.py
+++ b/wigeonrouter/placement/testing.py
@@ -1,4 +1,4 @@
-"""Replays the load of two places with one node each, without a network.
+"""Replays the load of two places with a node each, for tests of spill-over.
 
 Each node sends its requests to the servers of its place, and to those of the
 other one as `SpillOver` decides. Both know the other's requests at a server
