Rename what is unclear in the code of quotas

Cause: a wallet had purses, tenancy.Membership had nothing to do with the package membership, Token could be taken for an operator's token, and QuotaHub.note_time() was mainly called for its result.

Change: _Holding, NodePresence, QuotaToken and check_suspended(). _PriorLedger says of what it is the prior. The fields of a holding are named as those of TenantHistory. Tenant.is_limited stands for a condition that stood twice.

Tests: tenancy, node/_quota_client_test and node/_proxy_test pass.

--- a/wigeonrouter/node/_no_quotas.py
+++ b/wigeonrouter/node/_no_quotas.py
@@ -1,4 +1,4 @@
-"""Stands for the quotas of a node without tenants."""
+"""Null object for the QuotaClient of a proxy without quotas."""
 
 
 class NoQuotas:
--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -22,8 +22,8 @@
 _SERVING_TIME_S = 0.1
 # Responses that come later have only tokens that have expired.
 _MAX_RESPONSE_AGE_S = tenancy.TOKEN_LIFETIME_S
-# A hub that has responded to no request for this time does not know quotas.
-_UNKNOWN_KIND_S = 1.0
+# A hub that responds to no request for this time is of an earlier build.
+_QUOTA_SUPPORT_TIMEOUT_S = 1.0
 
 
 def boot_clock():
@@ -113,7 +113,7 @@
         limits = {
             tenant.name: (tenant.rate, tenant.burst)
             for tenant in tenants.values()
-            if _is_limited(tenant)
+            if tenant.is_limited
         }
         for name, limit in limits.items():
             before = self._limits.get(name)
@@ -191,7 +191,7 @@
         Returns:
           Whether the request may be sent.
         """
-        if not self._is_needed(context) or self._holds_token(context):
+        if not self._needs_token(context) or self._holds_token(context):
             return True
         name = context.tenant.name
         now = self._boot_clock()
@@ -205,7 +205,7 @@
 
         A token that has expired is replaced by another one if there is one.
         """
-        if not self._is_needed(context) or self._holds_token(context):
+        if not self._needs_token(context) or self._holds_token(context):
             return True
         context.token = self._wallet.take(
             context.tenant.name, self._boot_clock()
@@ -255,7 +255,7 @@
         now = self._boot_clock()
         self._check_hub(link, now)
         if link.hub is not None:
-            link.hub.note_time(now)
+            link.hub.check_suspended(now)
         orders = self._wallet.orders(now)
         if orders:
             self._send(link, orders, now)
@@ -280,7 +280,7 @@
                 del link.sent[sequence]
         if link.send is None or link.responded or link.hub is not None:
             return
-        if link.sequence and now - link.joined_at > _UNKNOWN_KIND_S:
+        if link.sequence and now - link.joined_at > _QUOTA_SUPPORT_TIMEOUT_S:
             self._events.notice("quota-hub-without-quotas")
             link.hub = self._make_fallback()
             self._rejoin(link, now)
@@ -319,7 +319,7 @@
         if changed is not None:
             changed.set()
 
-    def _is_needed(self, context):
+    def _needs_token(self, context):
         tenant = context.tenant
         return tenant is not None and tenant.name in self._limits
 
@@ -386,7 +386,3 @@
             return True
         oldest = min(link.sent.values(), default=now)
         return link.responded and now - oldest < _TOKEN_WAIT_S
-
-
-def _is_limited(tenant):
-    return tenant.rate > 0 or tenant.burst > 0
--- a/wigeonrouter/node/_quota_client_test.py
+++ b/wigeonrouter/node/_quota_client_test.py
@@ -228,7 +228,7 @@
     assert grant.granted == 0
     assert hub.counts["returned"] == 0
     clock.suspended += 0.9
-    hub.note_time(clock())
+    hub.check_suspended(clock())
     clock.suspended += 0.9
     (grant,) = hub.serve(orders, ledger=7)
     assert grant.granted == 4
--- a/wigeonrouter/node/_quota_hub.py
+++ b/wigeonrouter/node/_quota_hub.py
@@ -130,7 +130,7 @@
           Tuple of tenancy.TenantGrant.
         """
         now = self._clock()
-        suspended = self.note_time(now)
+        suspended = self.check_suspended(now)
         tenants = self._tenants()
         grants = []
         for order in orders:
@@ -169,7 +169,7 @@
           PeerMessage for the nodes that report them to the next hub.
         """
         now = self._clock()
-        self.note_time(now)
+        self.check_suspended(now)
         names, self._granted_locally = self._granted_locally, set()
         if not names:
             return None
@@ -193,7 +193,7 @@
         It is empty after a suspension, in which another hub may have begun.
         """
         now = self._clock()
-        return {} if self.note_time(now) else self._ledger.totals(now)
+        return {} if self.check_suspended(now) else self._ledger.totals(now)
 
     def total(self, tenant):
         """Return how many tokens of a tenant count at present."""
@@ -206,7 +206,7 @@
             self._ledger.total(tenant.name, now)
             >= _NEAR_LIMIT * self._capacity(tenant)
             for tenant in self._tenants().values()
-            if tenant.rate or tenant.burst
+            if tenant.is_limited
         )
 
     def take_missing(self):
@@ -218,8 +218,11 @@
         missing, self._missing = self._missing, {}
         return missing
 
-    def note_time(self, now):
-        """Return whether the hub was suspended a short time ago."""
+    def check_suspended(self, now):
+        """Return whether the hub was suspended a short time ago.
+
+        A long gap between two calls shows that it was.
+        """
         if now - self._last_active > _SUSPENSION_S:
             self._suspended_until = now + _RECOVERY_S
         self._last_active = now
--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -47,7 +47,7 @@
         self._events = events
         self._rng = rng
         self._clock = boot_clock
-        self._membership = tenancy.Membership()
+        self._node_presence = tenancy.NodePresence()
         self._hub = None
         self._exchange = _quota_exchange.QuotaExchange(
             rules=self._rules,
@@ -92,7 +92,7 @@
 
     def observe(self, readiness):
         """Record the present nodes, a dict from host to readiness."""
-        self._membership.observe(readiness, self._clock())
+        self._node_presence.observe(readiness, self._clock())
 
     def start_hub(self, served_hosts):
         """Return the QuotaHub of a new ledger, as this node is the hub.
@@ -102,7 +102,7 @@
             connected to this hub, itself included.
         """
         if not self._settings.first_start:
-            self._membership.expect(
+            self._node_presence.expect(
                 self._cluster_state.hosts(self._settings.place.region),
                 self._clock(),
             )
@@ -111,7 +111,7 @@
             lambda tenant: _quota_hub.allowed_capacity(
                 self._rules(),
                 tenant,
-                self._membership.fraction(served_hosts()),
+                self._node_presence.fraction(served_hosts()),
             ),
         )
         self._client.join_local(self._hub)
--- a/wigeonrouter/node/_request_context.py
+++ b/wigeonrouter/node/_request_context.py
@@ -23,7 +23,7 @@
       forwarding_failed: whether no other node takes the request.
       tenant: the tenant whose API key the request has, None without one.
       api_key: the caller's API key, "" without a usable one.
-      token: the tenancy.Token that it may be sent with, None without one.
+      token: the tenancy.QuotaToken that it may be sent with, None without one.
       receiver: server instance or node that has the request now, "" if it is
         at none.
       handed_over: time when it was sent there.
@@ -42,7 +42,7 @@
     forwarding_failed: bool = False
     tenant: topology.Tenant | None = None
     api_key: str = dataclasses.field(default="", repr=False)
-    token: tenancy.Token | None = None
+    token: tenancy.QuotaToken | None = None
     receiver: str = ""
     handed_over: float = 0.0
 
--- a/wigeonrouter/tenancy/__init__.py
+++ b/wigeonrouter/tenancy/__init__.py
@@ -2,14 +2,14 @@
 
 from wigeonrouter.tenancy import _keys
 from wigeonrouter.tenancy import _ledger
-from wigeonrouter.tenancy import _membership
+from wigeonrouter.tenancy import _node_presence
 from wigeonrouter.tenancy import _quota
 from wigeonrouter.tenancy import _region_shares
 from wigeonrouter.tenancy import _wallet
 
 Demand = _region_shares.Demand
 KeyTable = _keys.KeyTable
-Membership = _membership.Membership
+NodePresence = _node_presence.NodePresence
 QuotaRules = _quota.QuotaRules
 RegionLedger = _ledger.RegionLedger
 ShareKeeper = _region_shares.ShareKeeper
@@ -17,7 +17,7 @@
 TenantGrant = _quota.TenantGrant
 TenantHistory = _quota.TenantHistory
 TenantOrder = _quota.TenantOrder
-Token = _wallet.Token
+QuotaToken = _wallet.QuotaToken
 Wallet = _wallet.Wallet
 PARTS = _region_shares.PARTS
 round_missing = _region_shares.round_missing
--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -25,14 +25,12 @@
 _MIN_GROWTH = 8
 # Number that no ledger has.
 _NO_LEDGER = 0
-
-
 # Nodes state the age of requests up to this much too low.
 _AGE_ERROR_S = 0.25
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
-class _Prior:
+class _PriorLedger:
     """What another ledger had granted, as far as it is not known better.
 
     Attributes:
@@ -58,12 +56,12 @@
         self.count = max(
             [0]
             + [
-                self._final(total) - self._reported(stated_at)
+                self._highest_total(total) - self._reported(stated_at)
                 for stated_at, total in self.statements
             ]
         )
 
-    def _final(self, total):
+    def _highest_total(self, total):
         """Return what a total may have grown to after the statement."""
         if self.final:
             return total
@@ -87,7 +85,7 @@
       total: sum of both deques.
       base: total at the beginning of the present interval.
       base_until: end of the interval.
-      priors: dict from the number of an earlier ledger to its _Prior.
+      priors: dict from the number of an earlier ledger to its _PriorLedger.
     """
 
     live: collections.deque
@@ -200,7 +198,7 @@
             if not knows:
                 return
             account.priors.pop(_NO_LEDGER, None)
-            prior = account.priors[number] = _Prior(
+            prior = account.priors[number] = _PriorLedger(
                 window=self._window, capacity=capacity
             )
         prior.sends.extend((now - age, count) for age, count in history.sends)
@@ -232,7 +230,7 @@
             )
             if now < self._prior_until:
                 unknown = round(capacity * _UNKNOWN_USE)
-                account.priors[_NO_LEDGER] = _Prior(
+                account.priors[_NO_LEDGER] = _PriorLedger(
                     window=self._window,
                     capacity=capacity,
                     statements=[(self._prior_until - self._window, unknown)],
--- a/wigeonrouter/tenancy/_membership.py
+++ b/wigeonrouter/tenancy/_node_presence.py
@@ -9,7 +9,7 @@
 _MEMORY_S = 30.0
 
 
-class Membership:
+class NodePresence:
     """Remembers the nodes of a region that were ready."""
 
     def __init__(self):
--- a/wigeonrouter/tenancy/_wallet.py
+++ b/wigeonrouter/tenancy/_wallet.py
@@ -24,7 +24,7 @@
 _MAX_REFUSAL_S = 0.2
 # An order without a response for this time may be repeated.
 _ORDER_TIMEOUT_S = 0.5
-# Purses that a round of orders looks at although nothing happened to them.
+# Tenants that a round of orders looks at although nothing happened to them.
 _SWEEP_COUNT = 64
 # The hub is told what became of a token until this time after its expiry. The
 # token counts for longer there, so that it is not taken for another one.
@@ -34,7 +34,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Token:
+class QuotaToken:
     """The right to send one request of a tenant once, until it expires.
 
     Attributes:
@@ -51,8 +51,8 @@
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
-class _Purse:
-    """Tokens of one tenant.
+class _Holding:
+    """The tokens of one tenant, and what is known of its demand.
 
     Attributes:
       tokens: deque of [expiry, count], the oldest first.
@@ -62,8 +62,8 @@
       spent, returned: tokens of which the hub is to be told.
       sends: deque of [time, count] of requests that were sent.
       told, told_at: total of the region that the hub stated, and when.
-      told_by: number of the ledger that it is about.
-      told_last: whether that ledger grants nothing more.
+      told_ledger: number of the ledger that it is about.
+      told_final: whether that ledger grants nothing more.
       refused_until: time before which the hub is not asked again.
       available_at: time before which the hub expects to have no token.
       ordered: tokens that the hub was asked for.
@@ -80,8 +80,8 @@
     returned: int = 0
     told: int = 0
     told_at: float = -math.inf
-    told_by: int = 0
-    told_last: bool = False
+    told_ledger: int = 0
+    told_final: bool = False
     refused_until: float = -math.inf
     available_at: float = -math.inf
     ordered: int = 0
@@ -97,7 +97,7 @@
 
     def __init__(self, *, window):
         self._window = window
-        self._purses = {}
+        self._holdings = {}
         self._epoch = 0
         # Tenants to which something happened since the last orders, as keys
         # of a dict, which keeps their order.
@@ -107,41 +107,41 @@
     @property
     def tenant_count(self):
         """Number of tenants that are remembered."""
-        return len(self._purses)
+        return len(self._holdings)
 
     def on_arrival(self, tenant, now):
         """Count a request that needs a token."""
-        purse = self._purse(tenant, now)
-        self._decay(purse, now)
-        purse.demand += 1 / _DEMAND_MEMORY_S
+        holding = self._holding(tenant, now)
+        self._decay(holding, now)
+        holding.demand += 1 / _DEMAND_MEMORY_S
         self._changed[tenant] = None
 
     def take(self, tenant, now):
-        """Return a Token for a request, None if there is none."""
-        purse = self._purse(tenant, now)
-        _drop_expired(purse, now)
-        if not purse.tokens:
+        """Return a QuotaToken for a request, None if there is none."""
+        holding = self._holding(tenant, now)
+        _drop_expired(holding, now)
+        if not holding.tokens:
             return None
-        expires = purse.tokens[0][0]
-        _remove(purse.tokens, 1)
-        purse.held += 1
-        return Token(tenant=tenant, expires=expires, epoch=self._epoch)
+        expires = holding.tokens[0][0]
+        _remove(holding.tokens, 1)
+        holding.held += 1
+        return QuotaToken(tenant=tenant, expires=expires, epoch=self._epoch)
 
     def give_back(self, token, now):
         """Take back a token whose request was not executed."""
         if token.epoch != self._epoch:
             return
-        purse = self._purses[token.tenant]
-        purse.held -= 1
+        holding = self._holdings[token.tenant]
+        holding.held -= 1
         if token.is_valid(now):
-            purse.tokens.appendleft([token.expires, 1])
+            holding.tokens.appendleft([token.expires, 1])
         else:
-            purse.returned += _count_reportable(token.expires, 1, now)
+            holding.returned += _count_reportable(token.expires, 1, now)
         self._changed[token.tenant] = None
 
     def on_sent(self, token, now):
         """Record that the request of a token is about to be sent."""
-        sends = self._purse(token.tenant, now).sends
+        sends = self._holding(token.tenant, now).sends
         if sends and now < sends[-1][0] + _SEND_BUCKET_S:
             sends[-1][1] += 1
         else:
@@ -151,9 +151,9 @@
         """Record the end of a request that may have been executed."""
         if token.epoch != self._epoch:
             return
-        purse = self._purses[token.tenant]
-        purse.held -= 1
-        purse.spent += _count_reportable(token.expires, 1, now)
+        holding = self._holdings[token.tenant]
+        holding.held -= 1
+        holding.spent += _count_reportable(token.expires, 1, now)
         self._changed[token.tenant] = None
 
     def change_waiting(self, tenant, change, now):
@@ -162,25 +162,25 @@
         Returns:
           The number of requests that wait.
         """
-        purse = self._purse(tenant, now)
-        purse.waiting += change
+        holding = self._holding(tenant, now)
+        holding.waiting += change
         self._changed[tenant] = None
-        return purse.waiting
+        return holding.waiting
 
     def is_refused(self, tenant, now):
         """Return whether the hub has stated that it has no token."""
-        purse = self._purses.get(tenant)
-        return purse is not None and now < purse.refused_until
+        holding = self._holdings.get(tenant)
+        return holding is not None and now < holding.refused_until
 
     def time_to_token(self, tenant, now):
         """Return the seconds until the hub may have a token."""
-        purse = self._purses.get(tenant)
-        return 0.0 if purse is None else max(0.0, purse.available_at - now)
+        holding = self._holdings.get(tenant)
+        return 0.0 if holding is None else max(0.0, holding.available_at - now)
 
     def needs_order(self, tenant, now):
         """Return whether a request without a token needs an order now."""
-        purse = self._purse(tenant, now)
-        return not purse.ordered and now >= purse.refused_until
+        holding = self._holding(tenant, now)
+        return not holding.ordered and now >= holding.refused_until
 
     def orders(self, now):
         """Return the TenantOrders to send now, and count them as sent."""
@@ -188,15 +188,15 @@
         changed.update(dict.fromkeys(self._next_sweep()))
         orders = []
         for tenant in changed:
-            purse = self._purses.get(tenant)
-            if purse is None:
+            holding = self._holdings.get(tenant)
+            if holding is None:
                 continue
-            self._decay(purse, now)
-            order = self._order(tenant, purse, now)
+            self._decay(holding, now)
+            order = self._order(tenant, holding, now)
             if order is not None:
                 orders.append(order)
-            elif self._is_idle(purse, now):
-                del self._purses[tenant]
+            elif self._is_idle(holding, now):
+                del self._holdings[tenant]
         return tuple(orders)
 
     def on_grant(self, grant, *, ordered_at, now, ledger=0):
@@ -206,16 +206,18 @@
           ordered_at: time when the order was sent.
           ledger: number of the ledger that has granted them.
         """
-        purse = self._purse(grant.tenant, now)
-        purse.ordered = 0
-        self._note_total(purse, grant.total, now, ledger, final=False)
-        purse.available_at = now + grant.retry_after
+        holding = self._holding(grant.tenant, now)
+        holding.ordered = 0
+        self._note_total(holding, grant.total, now, ledger, final=False)
+        holding.available_at = now + grant.retry_after
         if grant.retry_after:
-            purse.refused_until = now + min(grant.retry_after, _MAX_REFUSAL_S)
+            holding.refused_until = now + min(
+                grant.retry_after, _MAX_REFUSAL_S
+            )
         expires = ordered_at + _quota.TOKEN_LIFETIME_S
         if grant.granted and expires > now:
-            purse.tokens.append([expires, grant.granted])
-            purse.refused_until = -math.inf
+            holding.tokens.append([expires, grant.granted])
+            holding.refused_until = -math.inf
         self._changed[grant.tenant] = None
 
     def on_total(self, tenant, total, *, now, ledger, final=False):
@@ -224,18 +226,18 @@
         Args:
           final: whether the ledger grants nothing more.
         """
-        purse = self._purse(tenant, now)
-        self._note_total(purse, total, now, ledger, final=final)
+        holding = self._holding(tenant, now)
+        self._note_total(holding, total, now, ledger, final=final)
 
     def discard(self, tenant, now):
         """Return all tokens, as the limit of a tenant was changed."""
-        purse = self._purses.get(tenant)
-        if purse is not None:
-            _drop_expired(purse, now)
-            purse.returned += sum(count for _, count in purse.tokens)
-            purse.tokens.clear()
+        holding = self._holdings.get(tenant)
+        if holding is not None:
+            _drop_expired(holding, now)
+            holding.returned += sum(count for _, count in holding.tokens)
+            holding.tokens.clear()
             self._changed[tenant] = None
-            purse.refused_until = -math.inf
+            holding.refused_until = -math.inf
 
     def join(self, now):
         """Begin with the ledger of a new hub.
@@ -248,47 +250,49 @@
         """
         self._epoch += 1
         orders = []
-        for tenant, purse in self._purses.items():
+        for tenant, holding in self._holdings.items():
             history = _quota.TenantHistory(
-                sends=self._sends_by_age(purse, now),
-                held=purse.held,
-                told=purse.told,
-                told_age=min(now - purse.told_at, 10 * self._window),
-                ledger=purse.told_by,
-                final=purse.told_last,
+                sends=self._sends_by_age(holding, now),
+                held=holding.held,
+                told=holding.told,
+                told_age=min(now - holding.told_at, 10 * self._window),
+                ledger=holding.told_ledger,
+                final=holding.told_final,
             )
-            purse.tokens.clear()
-            purse.held = purse.spent = purse.returned = purse.ordered = 0
-            purse.refused_until = -math.inf
+            holding.tokens.clear()
+            holding.held = holding.spent = holding.returned = (
+                holding.ordered
+            ) = 0
+            holding.refused_until = -math.inf
             if history.sends or history.held or history.told:
                 orders.append(
                     _quota.TenantOrder(tenant=tenant, history=history)
                 )
         return tuple(orders)
 
-    def _note_total(self, purse, total, now, ledger, *, final):
-        purse.told, purse.told_at, purse.told_by = total, now, ledger
-        purse.told_last = final
+    def _note_total(self, holding, total, now, ledger, *, final):
+        holding.told, holding.told_at, holding.told_ledger = total, now, ledger
+        holding.told_final = final
 
-    def _order(self, tenant, purse, now):
-        _drop_expired(purse, now)
-        available = sum(count for _, count in purse.tokens)
-        expected = purse.demand * _PREFETCH_S
-        goal = math.ceil(expected - 0.5) + purse.waiting
+    def _order(self, tenant, holding, now):
+        _drop_expired(holding, now)
+        available = sum(count for _, count in holding.tokens)
+        expected = holding.demand * _PREFETCH_S
+        goal = math.ceil(expected - 0.5) + holding.waiting
         wanted = 0
-        if now >= purse.ordered_at + _ORDER_TIMEOUT_S:
-            purse.ordered = 0
-        if not purse.ordered and now >= purse.refused_until:
+        if now >= holding.ordered_at + _ORDER_TIMEOUT_S:
+            holding.ordered = 0
+        if not holding.ordered and now >= holding.refused_until:
             wanted = max(0, goal - available)
-        returned, purse.returned = purse.returned, 0
-        if available > math.ceil(_SURPLUS_RATIO * expected) + purse.waiting:
-            returned += self._return(purse, available - goal, now)
-        spent, purse.spent = purse.spent, 0
+        returned, holding.returned = holding.returned, 0
+        if available > math.ceil(_SURPLUS_RATIO * expected) + holding.waiting:
+            returned += self._return(holding, available - goal, now)
+        spent, holding.spent = holding.spent, 0
         if not (wanted or returned or spent):
             return None
         if wanted:
-            purse.ordered = wanted
-            purse.ordered_at = now
+            holding.ordered = wanted
+            holding.ordered_at = now
         return _quota.TenantOrder(
             tenant=tenant, wanted=wanted, spent=spent, returned=returned
         )
@@ -296,58 +300,63 @@
     def _next_sweep(self):
         """Return some tenants, all in turn."""
         if not self._sweep:
-            self._sweep = list(self._purses)
+            self._sweep = list(self._holdings)
         part = self._sweep[-_SWEEP_COUNT:]
         del self._sweep[-_SWEEP_COUNT:]
         return part
 
-    def _return(self, purse, count, now):
+    def _return(self, holding, count, now):
         """Remove up to `count` of the tokens that last longest."""
         returned = 0
-        while purse.tokens and returned < count:
-            expires, held = purse.tokens[-1]
+        while holding.tokens and returned < count:
+            expires, held = holding.tokens[-1]
             if expires - now < _MIN_RETURN_LIFE_S:
                 break
             part = min(held, count - returned)
-            purse.tokens[-1][1] -= part
+            holding.tokens[-1][1] -= part
             returned += part
             if part == held:
-                purse.tokens.pop()
+                holding.tokens.pop()
         return returned
 
-    def _sends_by_age(self, purse, now):
+    def _sends_by_age(self, holding, now):
         """Return the requests of the last window, by their least age."""
         return tuple(
             (max(0.0, now - sent - _SEND_BUCKET_S), count)
-            for sent, count in purse.sends
+            for sent, count in holding.sends
             if now - sent < self._window + _SEND_BUCKET_S
         )
 
-    def _is_idle(self, purse, now):
+    def _is_idle(self, holding, now):
         return (
-            not (purse.held or purse.waiting or purse.tokens or purse.ordered)
-            and purse.demand < 0.01
-            and not self._sends_by_age(purse, now)
-            and now - purse.told_at > self._window
+            not (
+                holding.held
+                or holding.waiting
+                or holding.tokens
+                or holding.ordered
+            )
+            and holding.demand < 0.01
+            and not self._sends_by_age(holding, now)
+            and now - holding.told_at > self._window
         )
 
-    def _decay(self, purse, now):
-        elapsed = now - purse.measured
-        purse.demand *= math.exp(-elapsed / _DEMAND_MEMORY_S)
-        purse.measured = now
+    def _decay(self, holding, now):
+        elapsed = now - holding.measured
+        holding.demand *= math.exp(-elapsed / _DEMAND_MEMORY_S)
+        holding.measured = now
         limit = now - self._window - _SEND_BUCKET_S
-        while purse.sends and purse.sends[0][0] < limit:
-            purse.sends.popleft()
+        while holding.sends and holding.sends[0][0] < limit:
+            holding.sends.popleft()
 
-    def _purse(self, tenant, now):
-        purse = self._purses.get(tenant)
-        if purse is None:
-            purse = self._purses[tenant] = _Purse(
+    def _holding(self, tenant, now):
+        holding = self._holdings.get(tenant)
+        if holding is None:
+            holding = self._holdings[tenant] = _Holding(
                 tokens=collections.deque(),
                 sends=collections.deque(),
                 measured=now,
             )
-        return purse
+        return holding
 
 
 def _remove(tokens, count):
@@ -356,11 +365,11 @@
         tokens.popleft()
 
 
-def _drop_expired(purse, now):
+def _drop_expired(holding, now):
     """Drop tokens that have expired; the hub is to free their capacity."""
-    while purse.tokens and purse.tokens[0][0] <= now:
-        expires, count = purse.tokens.popleft()
-        purse.returned += _count_reportable(expires, count, now)
+    while holding.tokens and holding.tokens[0][0] <= now:
+        expires, count = holding.tokens.popleft()
+        holding.returned += _count_reportable(expires, count, now)
 
 
 def _count_reportable(expires, count, now):
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -90,6 +90,11 @@
     burst: float = 0.0
     home_regions: frozenset[str] = frozenset()
 
+    @property
+    def is_limited(self):
+        """Whether its requests need quota tokens."""
+        return self.rate > 0 or self.burst > 0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceSettings:
