Name the throttle of spill-over for what it does

Cause: Boundary in placement/_spill_over.py decides which share of the requests leaves a place; its name said where.

Change: SpillOverThrottle, and the doc comment of the rank.

Tests: placement/_spill_over_test and node/_spill_over_choice_test, 22 passed.

--- a/wigeonrouter/placement/_request_queue.py
+++ b/wigeonrouter/placement/_request_queue.py
@@ -49,7 +49,7 @@
 
 
 def _rank(request):
-    """Return the rank of a request, lowest first."""
+    """Return the rank of a request; the smallest one is the highest."""
     return (request.tenant_priority, request.priority)
 
 
--- a/wigeonrouter/placement/_spill_over.py
+++ b/wigeonrouter/placement/_spill_over.py
@@ -74,8 +74,8 @@
 NO_DEMAND = Demand(arrival_rate=0.0, busy_time=0.0, free_slots=0.0)
 
 
-class Boundary:
-    """The share of a service's requests that may leave a place.
+class SpillOverThrottle:
+    """Limits the share of a service's requests that leaves a place.
 
     Args:
       cost: cost of leaving, as utility.
@@ -219,8 +219,8 @@
 
     def __init__(self, *, place):
         self._place = place
-        self._boundaries = {
-            locality: Boundary(cost=cost)
+        self._throttles = {
+            locality: SpillOverThrottle(cost=cost)
             for locality, cost in LEAVING_COST.items()
         }
 
@@ -228,8 +228,8 @@
     def shares(self):
         """Dict from Locality to the share of requests that may go there."""
         return {
-            locality: boundary.share
-            for locality, boundary in self._boundaries.items()
+            locality: throttle.share
+            for locality, throttle in self._throttles.items()
         }
 
     def choose_local(self, views, *, choose, arrival_rate, busy_time, now):
@@ -252,7 +252,7 @@
         if inside and is_taken(outside, now):
             return inner
         outer = choose(outside)
-        leaves = self._boundaries[_records.Locality.REGION].may_leave(
+        leaves = self._throttles[_records.Locality.REGION].may_leave(
             gain=gross_utility(outer) - gross_utility(inner),
             has_free_slot=inner.view is not None and not inner.should_wait,
             demand=Demand(
@@ -281,7 +281,7 @@
 
     def stay(self, *, now):
         """Record that a request gains nothing by leaving the region."""
-        self._boundaries[_records.Locality.REMOTE].may_leave(
+        self._throttles[_records.Locality.REMOTE].may_leave(
             gain=0.0, has_free_slot=True, demand=NO_DEMAND, now=now
         )
 
@@ -314,7 +314,7 @@
             views, fresh=fresh, region=self._place.region, now=now
         )
         pick = choose(spare)
-        leaves = self._boundaries[_records.Locality.REMOTE].may_leave(
+        leaves = self._throttles[_records.Locality.REMOTE].may_leave(
             gain=gross_utility(pick) - local_utility,
             has_free_slot=has_free_slot,
             demand=Demand(
--- a/wigeonrouter/placement/_spill_over_test.py
+++ b/wigeonrouter/placement/_spill_over_test.py
@@ -99,7 +99,7 @@
 
 def test_share_follows_the_gain_gradually_and_with_hysteresis():
     """Guards against a share that flaps, or moves all requests together."""
-    boundary = _spill_over.Boundary(cost=0.05)
+    throttle = _spill_over.SpillOverThrottle(cost=0.05)
     demand = _spill_over.Demand(
         arrival_rate=100.0, busy_time=0.1, free_slots=6.0
     )
@@ -107,7 +107,7 @@
     def run(gain, start, seconds):
         left = 0
         for step in range(int(seconds * 100)):
-            left += boundary.may_leave(
+            left += throttle.may_leave(
                 gain=gain,
                 has_free_slot=True,
                 demand=demand,
@@ -117,20 +117,20 @@
 
     assert run(0.3, 0.0, 0.5) < 25
     assert run(0.3, 0.5, 4.5) > 100
-    assert boundary.share == pytest.approx(0.6)  # 6 slots of 10 needed
+    assert throttle.share == pytest.approx(0.6)  # 6 slots of 10 needed
     assert run(0.04, 5.0, 3.0) == 0
-    assert boundary.share == pytest.approx(0.6)
+    assert throttle.share == pytest.approx(0.6)
     assert run(0.0, 8.0, 5.0) == 0
-    assert boundary.share == 0.0
+    assert throttle.share == 0.0
 
 
 def test_nothing_leaves_without_a_free_slot_elsewhere():
     """Guards against requests that are sent to servers that reject them."""
-    boundary = _spill_over.Boundary(cost=0.05)
+    throttle = _spill_over.SpillOverThrottle(cost=0.05)
     full = _spill_over.Demand(
         arrival_rate=100.0, busy_time=0.1, free_slots=0.4
     )
     for has_free_slot in (False, True):
-        assert not boundary.may_leave(
+        assert not throttle.may_leave(
             gain=0.9, has_free_slot=has_free_slot, demand=full, now=1.0
         )
