--- a/wigeonrouter/node/_authenticator.py
+++ b/wigeonrouter/node/_authenticator.py
@@ -47,7 +47,7 @@
     def has_tenants(self):
         """Whether the configuration in force has tenants."""
         configuration = self._cluster_state.configuration
-        return configuration is not None and bool(configuration.tenants)
+        return configuration is not None and configuration.has_tenants
 
     def authenticate(self, route, api_key):
         """Find the tenant of a request.
--- a/wigeonrouter/node/_forwarder.py
+++ b/wigeonrouter/node/_forwarder.py
@@ -130,7 +130,7 @@
 
     @property
     def _has_tenants(self):
-        return bool(self._cluster_state.configuration.tenants)
+        return self._cluster_state.configuration.has_tenants
 
     def _make_origin(self, context, remaining):
         return _forwarded_request.Origin(
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -138,6 +138,11 @@
     limits: CallerLimits
     tenants: dict[str, Tenant] = dataclasses.field(default_factory=dict)
 
+    @property
+    def has_tenants(self):
+        """Whether requests need an API key, but for public routes."""
+        return bool(self.tenants)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigurationWritten:
