Let the simulation of quotas use the intervals of the product

Cause: node/testing.py repeated the timeout after which a hub does not count a follower and the interval of the exchange of quotas, so a change of either would have left the simulation behind.

Change: it takes both from _hub.py and _region_quotas.py. The values are equal.

--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -25,7 +25,7 @@
 _SEND_TIMEOUT_S = 1.0
 # A node that sends nothing for this time may be on the other side of a
 # partition. A hub that has lost most nodes has to stop granting tokens soon.
-_SERVED_TIMEOUT_S = 0.8
+SERVED_TIMEOUT_S = 0.8
 # A follower whose send queue exceeds this length is disconnected and has to
 # join again.
 _MAX_QUEUED_MESSAGES = 500
@@ -97,7 +97,7 @@
     @property
     def served_hosts(self):
         """Hosts of the nodes that were heard lately, this one included."""
-        heard_after = self._clock() - _SERVED_TIMEOUT_S
+        heard_after = self._clock() - SERVED_TIMEOUT_S
         return [self._own_state().host] + [
             host
             for host, follower in self._followers.items()
--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -11,7 +11,7 @@
 from wigeonrouter.node import _quota_hub
 
 # Demand and shares are written at most this often.
-_EXCHANGE_INTERVAL_S = 2.0
+EXCHANGE_INTERVAL_S = 2.0
 _MAX_LEDGER_ID = (1 << 32) - 1
 
 
@@ -122,7 +122,7 @@
     def run_exchange(self):
         """Exchange quotas with other regions until killed."""
         while True:
-            gevent.sleep(_EXCHANGE_INTERVAL_S)
+            gevent.sleep(EXCHANGE_INTERVAL_S)
             self.exchange()
 
     def exchange(self):
--- a/wigeonrouter/node/testing.py
+++ b/wigeonrouter/node/testing.py
@@ -17,7 +17,6 @@
 
 _STEP_S = 0.02
 _TOKEN_WAIT_S = 0.1
-_SERVED_TIMEOUT_S = 0.8
 # Age of the nodes' copies of the store.
 _COPY_AGE_S = 0.2
 _FAILURE_DOMAIN = "{}-a"
@@ -211,7 +210,7 @@
         return now >= self.frozen_until and now >= self.dead_until
 
     def served_hosts(self):
-        heard_after = self.world.now - _SERVED_TIMEOUT_S
+        heard_after = self.world.now - _hub.SERVED_TIMEOUT_S
         return [self.host] + [
             host
             for host, connection in self.followers.items()
@@ -344,7 +343,7 @@
         self._seek(node)
         node.quotas.observe(self._readiness(node))
         if node.is_hub and self.now >= node.exchange_at:
-            node.exchange_at = self.now + 2.0
+            node.exchange_at = self.now + _region_quotas.EXCHANGE_INTERVAL_S
             node.quotas.exchange()
         # Orders are sent at least every 0.1 s, or at once without a token.
         if self.rng.random() < 0.4:
