--- a/wigeonrouter/node/_authenticator.py
+++ b/wigeonrouter/node/_authenticator.py
@@ -50,7 +50,7 @@
     def has_tenants(self):
         """Whether the configuration in force has tenants."""
         configuration = self._cluster_state.configuration
-        return configuration is not None and bool(configuration.tenants)
+        return configuration is not None and configuration.has_tenants
 
     @property
     def public_priority(self):
