Render tenants, public routes and slow starts in test configurations

The soak test is to write configurations with these parts, and to send requests with a key and to evacuate failure domains. Documents without them are rendered as before.

--- a/wigeonrouter/platform/testing.py
+++ b/wigeonrouter/platform/testing.py
@@ -50,6 +50,11 @@
     return f"{_store_values.SERVER_PREFIX}{instance}"
 
 
+def evacuation_key(domain):
+    """Return the store key of the evacuation of a failure domain."""
+    return f"{_store_values.EVACUATION_PREFIX}{domain}"
+
+
 def make_feed(regions):
     """Return a StoreFeed without a store, which only decodes items."""
     return _feed.StoreFeed(client=None, regions=regions)
@@ -82,12 +87,10 @@
             route.name: _render_route(route) for route in configuration.routes
         },
         "services": {
-            service.name: {
-                "health_path": service.health_path,
-                "max_conns": service.max_connections,
-            }
+            service.name: _render_service(service)
             for service in configuration.services.values()
         },
+        **_render_tenants(configuration.tenants),
         "limits": {
             "max_header_bytes": configuration.limits.max_header_bytes,
             "max_body_bytes": configuration.limits.max_body_bytes,
@@ -101,6 +104,34 @@
     }
 
 
+def _render_service(service):
+    document = {
+        "health_path": service.health_path,
+        "max_conns": service.max_connections,
+    }
+    if service.slow_start > 0.0:
+        document["warmup"] = _fields.format_duration(service.slow_start)
+        document["warmup_per_s"] = service.slow_start_rate
+    return document
+
+
+def _render_tenants(tenants):
+    if not tenants:
+        return {}
+    return {
+        "tenants": {
+            tenant.name: {
+                "api_keys": list(tenant.api_keys),
+                "priority": tenant.priority,
+                "rate_per_s": tenant.rate,
+                "burst": tenant.burst,
+                "allowed_regions": sorted(tenant.home_regions),
+            }
+            for tenant in tenants.values()
+        }
+    }
+
+
 def _render_route(route):
     document = {
         "host": route.host,
@@ -111,6 +142,8 @@
         "priority": route.priority,
         "max_attempts": route.max_attempts,
     }
+    if route.public:
+        document["public"] = True
     if len(route.shares) == 1:
         document["service"] = route.shares[0].service
     else:
@@ -151,7 +184,9 @@
     return "".join(f"{name}={value}\n" for name, value in values.items())
 
 
-def render_request(*, method, target, host, request_id, remaining, body=b""):
+def render_request(
+    *, method, target, host, request_id, remaining, body=b"", header_lines=()
+):
     """Return the bytes of a caller's request; `remaining` in seconds."""
     lines = (
         f"{method} {target} HTTP/1.1",
@@ -159,6 +194,7 @@
         f"Request-Id: {request_id}",
         f"Deadline-Ms: {round(remaining * 1000)}",
         f"Content-Length: {len(body)}",
+        *header_lines,
     )
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
