Soak-test keys, quotas, evacuations and cold servers

The soak test covered none of these parts between real processes. Callers of three tenants now send keys, also an unknown one and a tenant far above its limit at times; failure domains are evacuated; servers that start are cold and have a rate limit. All of this is drawn apart from the plan of faults, and the sizes of earlier regressions leave it out, so that earlier seeds keep their plan. Requests with an unknown key and of the tenant above its limit are left out of the recovery check, since they are to be rejected.

A caller that is killed closes its connection.

--- a/wigeonrouter/soak/_callers.py
+++ b/wigeonrouter/soak/_callers.py
@@ -1,5 +1,6 @@
 """Callers that look up entries, keep connections and record outcomes."""
 
+import dataclasses
 import itertools
 import time
 
@@ -73,6 +74,19 @@
         return self._sock.recv(_RECEIVE_BYTES)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Credentials:
+    """What the requests of a caller say about its tenant.
+
+    Attributes:
+      tenant: name of the tenant that holds the key, UNKNOWN_TENANT for none.
+      header_lines: lines of the request head.
+    """
+
+    tenant: str
+    header_lines: tuple[str, ...] = dataclasses.field(repr=False)
+
+
 class Sender:
     """Sends requests and records their outcomes.
 
@@ -81,6 +95,7 @@
       observations: Observations.
       prefix: start of the ids of its requests, unique for each Sender.
       patience: timeout of its requests in seconds.
+      credentials: Credentials, None to send no key.
     """
 
     def __init__(
@@ -91,7 +106,9 @@
         rng,
         prefix="r",
         patience=CALLER_TIMEOUT_S,
+        credentials=None,
     ):
+        self._credentials = credentials
         self._prefix = prefix
         self._patience = patience
         self._routes = routes
@@ -142,6 +159,9 @@
             request_id=request_id,
             remaining=self._patience,
             body=b"" if route.idempotent else b"x" * 300,
+            header_lines=(
+                self._credentials.header_lines if self._credentials else ()
+            ),
         )
         sent = time.monotonic()
         response, end = None, _records.End.LEFT
@@ -171,6 +191,7 @@
                 timeout=route.timeout,
                 end=end,
                 reply=response,
+                tenant=self._credentials and self._credentials.tenant,
             )
         )
 
@@ -212,20 +233,40 @@
     def run(self):
         """Send requests until the greenlet is killed."""
         connection = None
-        while True:
-            gevent.sleep(self._rng.expovariate(1 / _MEAN_REQUEST_INTERVAL_S))
-            self._refresh_entries()
-            if connection is not None and self._should_reconnect(connection):
-                connection.close()
-                connection = None
-            if connection is None:
-                connection = self._connect()
-            if connection is None:
-                gevent.sleep(_RECONNECT_DELAY_S)
-                continue
-            if not self._send(connection):
+        try:
+            while True:
+                gevent.sleep(
+                    self._rng.expovariate(1 / _MEAN_REQUEST_INTERVAL_S)
+                )
+                connection = self._use(connection)
+        finally:
+            if connection is not None:
                 connection.close()
-                connection = None
+
+    def _use(self, connection):
+        """Send a request on a connection, or on a new one.
+
+        Returns:
+          The connection that the next request may use, None for a new one.
+        """
+        self._refresh_entries()
+        if connection is not None and self._should_reconnect(connection):
+            connection.close()
+            connection = None
+        if connection is None:
+            connection = self._connect()
+        if connection is None:
+            gevent.sleep(_RECONNECT_DELAY_S)
+            return None
+        try:
+            usable = self._send(connection)
+        except BaseException:
+            connection.close()
+            raise
+        if usable:
+            return connection
+        connection.close()
+        return None
 
     def _send(self, connection):
         disconnect_after = None
--- a/wigeonrouter/soak/_check_registry.py
+++ b/wigeonrouter/soak/_check_registry.py
@@ -51,6 +51,22 @@
     )
 
 
+def find_busiest_window(times, length):
+    """Return the largest number of times in a window, and the window's end.
+
+    Args:
+      times: sorted list of seconds.
+      length: seconds of the window.
+    """
+    busiest = (0, 0.0)
+    first = 0
+    for index, end in enumerate(times):
+        while times[first] <= end - length:
+            first += 1
+        busiest = max(busiest, (index + 1 - first, end))
+    return busiest
+
+
 def violation(invariant, detail):
     """Return a Violation.
 
--- a/wigeonrouter/soak/_checks.py
+++ b/wigeonrouter/soak/_checks.py
@@ -319,6 +319,7 @@
         request
         for request in observations.requests
         if request.sent > observations.faults_over_at + RECOVERY_TIME_S
+        and request.tenant not in observations.refused_tenants
         and request.end is not _records.End.LEFT
     ]
     served = sum(r.reply is not None and r.reply.status == 200 for r in sent)
--- a/wigeonrouter/soak/_checks_test.py
+++ b/wigeonrouter/soak/_checks_test.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from wigeonrouter import topology
 from wigeonrouter.platform import testing
 from wigeonrouter.soak import _records
 from wigeonrouter.soak import checks
@@ -487,3 +488,155 @@
     """Guards against blaming the node for a server that was stopped."""
     stopped_observations.removed_at["i-1"] = 12.4
     assert EARLY_END not in violated_invariants(stopped_observations)
+
+
+def make_keyed_request(tenant, **changes):
+    """Return a request of a tenant, by default with a rejection."""
+    changes.setdefault("reply", make_response(status=401, body=b""))
+    return make_request(request_id="k1", tenant=tenant, **changes)
+
+
+@pytest.mark.parametrize(
+    ("tenant", "execution", "invariant"),
+    [
+        ("acme", {"has_key": True, "tenants": ("acme",)}, "no key at servers"),
+        ("acme", {"tenants": ("cove",)}, "tenant of the caller's key"),
+        ("acme", {"tenants": ()}, "tenant of the caller's key"),
+        ("acme", {"tenants": ("acme", "x")}, "tenant of the caller's key"),
+        (None, {"tenants": ("acme",)}, "tenant of the caller's key"),
+        (_records.UNKNOWN_TENANT, {}, "unknown key not executed"),
+    ],
+)
+def test_wrong_identity_at_a_server_is_detected(
+    observations, tenant, execution, invariant
+):
+    """Guards against keys and tenants that the checks do not compare."""
+    observations.requests.append(
+        make_keyed_request(tenant, reply=None, end=End.BROKEN)
+    )
+    observations.executions.append(
+        make_execution(request_id="k1", **execution)
+    )
+    assert invariant in violated_invariants(observations)
+
+
+@pytest.mark.parametrize(
+    ("status", "disturbed", "violated"),
+    [
+        (401, False, False),
+        (503, False, True),
+        (503, True, False),
+        (429, False, True),
+        (429, True, True),
+        (200, True, True),
+    ],
+)
+def test_responses_to_unknown_keys_are_checked(
+    observations, status, disturbed, violated
+):
+    """Guards against an unknown key that gets another response than 401."""
+    observations.requests.append(
+        make_keyed_request(
+            _records.UNKNOWN_TENANT, reply=make_response(status=status)
+        )
+    )
+    if disturbed:
+        observations.fault_periods.append(
+            _records.FaultPeriod(name="node-1", began=9.0, ended=9.5)
+        )
+    found = violated_invariants(observations)
+    assert ("unknown key rejected with 401" in found) == violated
+
+
+@pytest.mark.parametrize(
+    ("count", "interval", "violated"),
+    [(42, 0.1, False), (43, 0.1, True), (43, 0.5, False)],
+)
+def test_exceeded_quota_is_detected(observations, count, interval, violated):
+    """Guards against a limit that nodes keep each for itself only.
+
+    The limit allows (2 x 5 + 10) x 1.1 + 20 = 42 requests in 5 s. A fault of
+    all nodes is no excuse.
+    """
+    observations.tenants["acme"] = topology.Tenant(
+        name="acme", api_keys=(), rate=2.0, burst=10.0
+    )
+    observations.fault_periods.append(
+        _records.FaultPeriod(name="", began=0.0, ended=100.0)
+    )
+    for number in range(count):
+        observations.requests.append(
+            make_request(
+                request_id=f"q{number}",
+                node=f"node-{number % 4}",
+                tenant="acme",
+            )
+        )
+        observations.executions.append(
+            make_execution(
+                request_id=f"q{number}", started=10.0 + number * interval
+            )
+        )
+    assert ("quota" in violated_invariants(observations)) == violated
+
+
+@pytest.mark.parametrize(
+    ("at", "changes", "fault", "violated"),
+    [
+        (14.0, {}, "", True),
+        (12.4, {}, "", False),
+        (16.1, {}, "", False),
+        (14.0, {"domain": "zb"}, "", False),
+        (14.0, {"misdirected": True}, "", False),
+        (14.0, {"service": "gamma"}, "", False),
+        (14.0, {}, "node-1", False),
+        (14.0, {}, "node-2", True),
+    ],
+)
+def test_request_to_an_evacuated_server_is_detected(
+    observations, at, changes, fault, violated
+):
+    """Guards against an evacuation that a node has not applied in time."""
+    observations.evacuations.append(
+        _records.Evacuation(domain="za", acknowledged=10.0, ended=16.0)
+    )
+    arrival = dataclasses.replace(make_arrival(at, "r1"), domain="za")
+    observations.arrivals.append(dataclasses.replace(arrival, **changes))
+    if fault:
+        observations.fault_periods.append(
+            _records.FaultPeriod(name=fault, began=9.0, ended=9.5)
+        )
+    assert ("evacuation" in violated_invariants(observations)) == violated
+
+
+@pytest.mark.parametrize(
+    ("count", "interval", "fault", "violated"),
+    [
+        (10, 0.05, "", False),
+        (11, 0.05, "", True),
+        (20, 0.2, "", False),
+        (11, 0.05, "node-1", True),
+        (11, 0.05, "i-1", False),
+    ],
+)
+def test_overloaded_cold_server_is_detected(
+    observations, count, interval, fault, violated
+):
+    """Guards against nodes that each use the whole rate of a cold server.
+
+    The limit allows 4 x 1.5 + 4 = 10 requests in a second.
+    """
+    observations.cold_periods.append(
+        _records.ColdPeriod(
+            instance="i-1", per_second=4.0, began=10.0, ended=15.0
+        )
+    )
+    observations.arrivals.extend(
+        make_arrival(10.0 + number * interval, f"c{number}")
+        for number in range(count)
+    )
+    if fault:
+        observations.fault_periods.append(
+            _records.FaultPeriod(name=fault, began=9.0, ended=11.0)
+        )
+    assert ("cold server" in violated_invariants(observations)) == violated
--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -7,10 +7,9 @@
 
 from wigeonrouter import core
 from wigeonrouter import topology
-from wigeonrouter.bench import _ports
 from wigeonrouter.platform import _emulator
 from wigeonrouter.platform import testing
-from wigeonrouter.soak import _fault_proxy
+from wigeonrouter.soak import _backends
 from wigeonrouter.soak import _records
 
 HOST = "shop.example"
@@ -35,58 +34,6 @@
 _DRAIN_DURATION_S = 4.0
 
 
-class Backend:
-    """Owns one backend server and the fault proxy in front of it.
-
-    Attributes:
-      instance: instance id, unique for each start of a server.
-      service: name of the service.
-      domain: failure domain.
-      sequence: sequence number of the last registration.
-      draining: whether the server is registered as draining.
-      removed: whether the server was stopped for good.
-    """
-
-    def __init__(self, *, instance, service, domain, port=0):
-        self.instance = instance
-        self.service = service
-        self.domain = domain
-        self.server = _emulator.EmulatedBackend(
-            instance=instance,
-            service=service,
-            zone=domain,
-            service_time=_SERVICE_TIMES_S[service],
-        )
-        # The port may be used again by another server. It is below the range
-        # of outgoing connections, so none of these takes it in between.
-        self.proxy = _fault_proxy.FaultProxy(
-            listen=("127.0.0.1", port or _ports.free_ports(1)[0]),
-            target=("127.0.0.1", self.server.port),
-        )
-        self.sequence = 0
-        self.draining = False
-        self.removed = False
-
-    @property
-    def name(self):
-        """Instance id; names the server in a FaultPeriod."""
-        return self.instance
-
-    def registration(self):
-        """Return a registration with the next sequence number."""
-        self.sequence += 1
-        return self.server.registration(
-            state="draining" if self.draining else "ready",
-            sequence=self.sequence,
-            address=f"127.0.0.1:{self.proxy.port}",
-        )
-
-    def stop(self):
-        """Stop the server and close all connections to it."""
-        self.proxy.stop()
-        self.server.stop()
-
-
 class Environment:
     """Owns the store and the backend servers, and acts as the operator.
 
@@ -96,11 +43,31 @@
       fleet: Fleet, None until it is set by the caller.
       sender: Sender, None until it is set by the caller.
       observations: Observations.
+      evacuated: set of the failure domains that are evacuated.
+
+    Args:
+      tenants: dict from name to topology.Tenant. With any, routes are public
+        except for those in tenant_routes.
+      slow_start: topology.ServiceSettings with the slow start of the services
+        that never stand still, None for no slow start.
     """
 
     def __init__(
-        self, *, servers_per_domain, observations, rng, has_pooled_callers
+        self,
+        *,
+        servers_per_domain,
+        observations,
+        rng,
+        has_pooled_callers,
+        tenants=None,
+        tenant_routes=(),
+        slow_start=None,
     ):
+        self.evacuated = set()
+        self._tenants = dict(tenants or {})
+        self._tenant_routes = tenant_routes
+        self._slow_start = slow_start
+        observations.tenants = self._tenants
         self.store = _emulator.EmulatedStore()
         self.observations = observations
         self.rng = rng
@@ -147,9 +114,9 @@
     def routes(self):
         """Return the tuple of routes that callers use."""
         return (
-            _route("read", True, self._read_service),
-            _route("hold", False, SERVICES[0]),
-            _route("pay", False, SERVICES[1]),
+            make_route("read", True, self._read_service),
+            make_route("hold", False, SERVICES[0]),
+            make_route("pay", False, SERVICES[1]),
         )
 
     def pooled_routes(self):
@@ -158,7 +125,7 @@
             return ()
         return tuple(
             dataclasses.replace(
-                _route(name, idempotent, POOLED_SERVICE),
+                make_route(name, idempotent, POOLED_SERVICE),
                 timeout=_POOLED_ROUTE_TIMEOUT_S,
                 target_latency=_POOLED_TARGET_LATENCY_S,
             )
@@ -172,12 +139,15 @@
           port: port of its address, 0 for any free one.
         """
         self._last_instance_number += 1
-        backend = Backend(
+        backend = _backends.Backend(
             instance=f"i-{self._last_instance_number:03d}",
             service=service,
             domain=domain,
             port=port,
+            service_time=_SERVICE_TIMES_S[service],
+            slow_start=self._service_settings(service).slow_start,
         )
+        self._record_slow_start(backend)
         self.backends.append(backend)
         self.register(backend)
         return backend
@@ -263,9 +233,25 @@
             if backend.removed and key in self.store.keys():
                 self.store.remove(key)
 
-    def write_configuration_again(self):
-        """Write the latest configuration, which the store may have lost."""
+    def write_operator_entries_again(self):
+        """Write the operator's entries, which the store may have lost."""
         self.store.put(testing.CONFIGURATION_KEY, self._configuration)
+        for domain in DOMAINS:
+            key = testing.evacuation_key(domain)
+            if domain in self.evacuated:
+                self.store.put(key, {})
+            elif key in self.store.keys():
+                self.store.remove(key)
+
+    def evacuate(self, domain):
+        """Demand that no request is sent to servers of a failure domain."""
+        self.evacuated.add(domain)
+        self.store.put(testing.evacuation_key(domain), {})
+
+    def take_back(self, domain):
+        """End the evacuation of a failure domain."""
+        self.evacuated.discard(domain)
+        self.store.remove(testing.evacuation_key(domain))
 
     def change_configuration(self):
         """Write a new version of the configuration.
@@ -294,13 +280,13 @@
     def _stop(self, backend):
         backend.removed = True
         self.observations.removed_at[backend.instance] = time.monotonic()
-        self._record_backend(backend)
+        backend.record(self.observations)
         backend.stop()
 
     def collect_observations(self):
         """Record what the running backend servers observed."""
         for backend in self.running:
-            self._record_backend(backend)
+            backend.record(self.observations)
 
     def stop(self):
         """Stop all backend servers and the store."""
@@ -308,55 +294,28 @@
             backend.stop()
         self.store.stop()
 
-    def _record_backend(self, backend):
-        observations, server = self.observations, backend.server
-        observations.executions.extend(
-            _records.Execution(
-                request_id=execution.request_id,
-                instance=backend.instance,
-                service=backend.service,
-                target=execution.target,
-                started=execution.started,
-            )
-            for execution in server.runs
-        )
-        observations.arrivals.extend(
-            _records.Arrival(
-                at=at,
-                request_id=request_id,
-                instance=backend.instance,
-                service=backend.service,
-                misdirected=(at, request_id) in server.misdirected,
-            )
-            for at, request_id in server.arrivals
-        )
-        observations.cancelled.update(
-            (request_id, backend.instance) for request_id in server.cancelled
-        )
-        observations.surplus_responses.update(
-            moment.name for moment, _ in server.surplus.written
-        )
-        for request_id, at in server.ended.items():
-            observations.execution_ended_at[request_id, backend.instance] = at
-
     def _write_configuration(self):
         self._last_version += self.rng.randrange(1, 4)
         name = f"v{self._last_version}"
-        self._probe_routes.append(_route(name, True, "alpha"))
+        self._probe_routes.append(make_route(name, True, "alpha"))
+        routes = (
+            *self.routes(),
+            *self.pooled_routes(),
+            *self._probe_routes,
+        )
+        if self._tenants:
+            routes = tuple(
+                dataclasses.replace(route, public=True) for route in routes
+            )
         configuration = topology.Configuration(
             version=self._last_version,
-            routes=(
-                *self.routes(),
-                *self.pooled_routes(),
-                *self._probe_routes,
-            ),
+            routes=(*routes, *self._tenant_routes),
             services={
-                service: topology.ServiceSettings(
-                    name=service, health_path="/health", max_connections=200
-                )
+                service: self._service_settings(service)
                 for service in self._services
             },
             limits=topology.CallerLimits(),
+            tenants=self._tenants,
         )
         for route in configuration.routes:
             self.observations.record_route(route)
@@ -364,6 +323,30 @@
         self.store.put(testing.CONFIGURATION_KEY, self._configuration)
         self._acknowledged_at = time.monotonic()
 
+    def _service_settings(self, service):
+        settings = topology.ServiceSettings(
+            name=service, health_path="/health", max_connections=200
+        )
+        if self._slow_start is None or service == POOLED_SERVICE:
+            return settings
+        return dataclasses.replace(
+            settings,
+            slow_start=self._slow_start.slow_start,
+            slow_start_rate=self._slow_start.slow_start_rate,
+        )
+
+    def _record_slow_start(self, backend):
+        settings = self._service_settings(backend.service)
+        if settings.slow_start > 0.0:
+            self.observations.cold_periods.append(
+                _records.ColdPeriod(
+                    instance=backend.instance,
+                    per_second=settings.slow_start_rate,
+                    began=backend.server.cold_until - settings.slow_start,
+                    ended=backend.server.cold_until,
+                )
+            )
+
     def _probe(self, node, version, route, acknowledged):
         sent = time.monotonic()
         incarnation = node.incarnation
@@ -387,7 +370,8 @@
         )
 
 
-def _route(name, idempotent, service):
+def make_route(name, idempotent, service):
+    """Return a topology.Route to one service."""
     return topology.Route(
         name=name,
         host=HOST,
--- a/wigeonrouter/soak/_fleet.py
+++ b/wigeonrouter/soak/_fleet.py
@@ -30,6 +30,12 @@
     "retry_budget_ratio": f"{checks.RETRY_RATIO}",
     "budget_window": f"{checks.RETRY_WINDOW_S:.0f}s",
     "ttl_max": "5s",
+    "quota_window": f"{checks.QUOTA_WINDOW_S:.0f}s",
+    "quota_overage": f"{checks.QUOTA_OVERAGE}",
+    "quota_slack": f"{checks.QUOTA_SLACK_COUNT}",
+    "warmup_overage": f"{checks.SLOW_START_OVERAGE}",
+    "warmup_slack": f"{checks.SLOW_START_SLACK_COUNT}",
+    "evacuate": f"{checks.EVACUATION_BOUND_S * 1000:.0f}ms",
 }
 
 
--- a/wigeonrouter/soak/_records.py
+++ b/wigeonrouter/soak/_records.py
@@ -7,6 +7,9 @@
 import dataclasses
 import enum
 
+# Stands for the tenant of a key that no tenant holds.
+UNKNOWN_TENANT = ""
+
 
 class End(enum.Enum):
     """How a request ended for its caller."""
@@ -31,6 +34,8 @@
       patience: timeout of the caller in seconds.
       timeout: timeout of the route in seconds, set by the operator.
       reply: CallerResponse, None if no complete response arrived.
+      tenant: name of the tenant whose key was sent, UNKNOWN_TENANT for a key
+        that no tenant holds, None without a key.
     """
 
     request_id: str
@@ -44,17 +49,25 @@
     timeout: float
     end: End
     reply: object = None
+    tenant: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Execution:
-    """A request that a backend server started to execute."""
+    """A request that a backend server started to execute.
+
+    Attributes:
+      tenants: values of its headers that name a tenant.
+      has_key: whether it had the caller's API key.
+    """
 
     request_id: str
     instance: str
     service: str
     target: str
     started: float
+    tenants: tuple[str, ...] = ()
+    has_key: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,12 +77,14 @@
     Attributes:
       misdirected: whether it was meant for another instance, which had the
         address before.
+      domain: failure domain of the server.
     """
 
     at: float
     request_id: str
     instance: str
     service: str
+    domain: str = ""
     misdirected: bool = False
 
 
@@ -103,6 +118,34 @@
     ended: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ColdPeriod:
+    """A period in which a backend server was cold.
+
+    Attributes:
+      per_second: requests per second that it bears from all nodes.
+    """
+
+    instance: str
+    per_second: float
+    began: float
+    ended: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Evacuation:
+    """The evacuation of a failure domain.
+
+    Attributes:
+      acknowledged: time at which the store accepted it.
+      ended: time at which the operator began to remove it.
+    """
+
+    domain: str
+    acknowledged: float
+    ended: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Drain:
     """The drain of a backend server.
@@ -207,6 +250,8 @@
         stopped that backend server.
       surplus_responses: Counter of the surplus responses that backend servers
         wrote, by the name of their SurplusMoment.
+      tenants: dict from name to topology.Tenant of the configuration.
+      refused_tenants: names of the tenants that are not expected to be served.
       faults_over_at: time at which all injected faults had ended.
     """
 
@@ -218,6 +263,10 @@
     removed_at: dict = dataclasses.field(default_factory=dict)
     limit_periods: list = dataclasses.field(default_factory=list)
     pause_periods: list = dataclasses.field(default_factory=list)
+    cold_periods: list = dataclasses.field(default_factory=list)
+    evacuations: list = dataclasses.field(default_factory=list)
+    tenants: dict = dataclasses.field(default_factory=dict)
+    refused_tenants: set = dataclasses.field(default_factory=set)
     surplus_responses: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/wigeonrouter/soak/_restores.py
+++ b/wigeonrouter/soak/_restores.py
@@ -30,6 +30,6 @@
             environment.store.restore(copy)
             environment.store.refusing = False
             gevent.sleep(rng.uniform(0, _REWRITE_S))
-            environment.write_configuration_again()
+            environment.write_operator_entries_again()
             environment.restore_registrations()
         gevent.spawn_later(_COPY_LAPSE_S, environment.remove_lapsed)
--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -10,7 +10,9 @@
 
 from wigeonrouter import core
 from wigeonrouter.soak import _callers
+from wigeonrouter.soak import _cold_servers
 from wigeonrouter.soak import _environment
+from wigeonrouter.soak import _evacuations
 from wigeonrouter.soak import _faults
 from wigeonrouter.soak import _fleet
 from wigeonrouter.soak import _limits
@@ -20,6 +22,7 @@
 from wigeonrouter.soak import _restores
 from wigeonrouter.soak import _standstills
 from wigeonrouter.soak import _surplus
+from wigeonrouter.soak import _tenants
 from wigeonrouter.soak import checks
 
 _STARTUP_S = 3.0
@@ -56,6 +59,10 @@
         domain; runs with many nodes use more.
       pause: mean interval between two series of faults, in seconds.
       restores: whether the store is restored from older copies.
+      tenants: whether callers with API keys send requests beside the others.
+      evacuations: whether failure domains are evacuated.
+      cold_servers: whether servers that start are cold, and more of them
+        start.
       pooled_callers: number of callers that keep a connection open. With any,
         their servers stand still at times and all nodes are rolled.
     """
@@ -66,6 +73,9 @@
     seconds: float = 15.0
     pause: float = 1.2
     restores: bool = False
+    tenants: bool = False
+    evacuations: bool = False
+    cold_servers: bool = False
     pooled_callers: int = 0
 
 
@@ -155,6 +165,9 @@
         observations=observations,
         rng=random.Random(seed),
         has_pooled_callers=size.pooled_callers > 0,
+        tenants=_tenants.TENANTS if size.tenants else None,
+        tenant_routes=_tenants.ROUTES if size.tenants else (),
+        slow_start=_cold_servers.SLOW_START if size.cold_servers else None,
     )
     environment.sender = _callers.Sender(
         routes=environment.routes,
@@ -170,6 +183,10 @@
         tasks += _pooled_callers.start(
             environment, size.pooled_callers, random.Random(f"pools {seed}")
         )
+        if size.tenants:
+            tasks += _tenants.start_callers(
+                environment, random.Random(f"tenants {seed}")
+            )
         tasks.append(gevent.spawn(environment.probe_configuration))
         limits_rng = random.Random(f"limits {seed}")
         with (
@@ -191,15 +208,35 @@
                 environment,
                 random.Random(f"surplus {seed}"),
             ),
+            _in_background_if(
+                size.evacuations,
+                _evacuations.evacuate_domains,
+                environment,
+                random.Random(f"evacuations {seed}"),
+            ),
+            _in_background_if(
+                size.cold_servers,
+                _cold_servers.start_servers,
+                environment,
+                random.Random(f"cold servers {seed}"),
+            ),
             _restoring_store(environment, seed, size),
         ):
             _inject_faults(environment, make_plan(seed, size))
         observations.faults_over_at = time.monotonic()
-        with _in_background(
-            _limits.name_limits,
-            environment,
-            limits_rng,
-            _limits.SHARES_IN_RECOVERY,
+        with (
+            _in_background(
+                _limits.name_limits,
+                environment,
+                limits_rng,
+                _limits.SHARES_IN_RECOVERY,
+            ),
+            _in_background_if(
+                size.evacuations,
+                _evacuations.evacuate_in_recovery,
+                environment,
+                random.Random(f"evacuation in recovery {seed}"),
+            ),
         ):
             gevent.sleep(_RECOVERY_OBSERVATION_S)
     finally:
@@ -226,6 +263,13 @@
         task.kill()
 
 
+def _in_background_if(condition, function, *arguments):
+    """Do the same if the condition holds, and else nothing."""
+    if not condition:
+        return contextlib.nullcontext()
+    return _in_background(function, *arguments)
+
+
 @contextlib.contextmanager
 def _restoring_store(environment, seed, size):
     """Restore the store in the body of the with statement, if wanted."""
@@ -239,7 +283,7 @@
     finally:
         task.kill()
         environment.store.refusing = False
-        environment.write_configuration_again()
+        environment.write_operator_entries_again()
         environment.restore_registrations()
         environment.remove_lapsed()
 
--- a/wigeonrouter/soak/main.py
+++ b/wigeonrouter/soak/main.py
@@ -55,6 +55,9 @@
         callers=callers,
         seconds=seconds,
         restores=True,
+        tenants=True,
+        evacuations=True,
+        cold_servers=True,
         pooled_callers=pooled_callers,
     )
     cases = [(seed, size) for seed in range(first, first + count)]
