--- a/wigeonrouter/soak/_run.py
+++ b/wigeonrouter/soak/_run.py
@@ -235,7 +235,6 @@
                 size.evacuations,
                 _evacuations.evacuate_in_recovery,
                 environment,
-                random.Random(f"evacuation in recovery {seed}"),
             ),
         ):
             gevent.sleep(_RECOVERY_OBSERVATION_S)
