Age the usual use that a new quota ledger assumes

Change: the assumed use is that of an even rate before the start, so that it counts less as it leaves the window, and it does not grow.

Tests: tenancy, node/_quota_search_test, _quota_client_test, 171 passed.

--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import math
 
 from wigeonrouter.tenancy import _quota
 
@@ -41,6 +42,8 @@
       sends: list of (time, count) that nodes have reported themselves.
       until: when it no longer counts.
       count: requests that are in a statement but in no report.
+      assumed: whether the statement is not of a ledger, but stands for usual
+        use at an even rate.
     """
 
     window: float
@@ -50,6 +53,13 @@
     final: bool = False
     until: float = 0.0
     count: int = 0
+    assumed: bool = False
+
+    def remaining(self, now):
+        """Return how many of the requests still count."""
+        if not self.assumed:
+            return self.count
+        return math.ceil(self.count * (self.until - now) / self.window)
 
     def update(self):
         """Set the count, after a change of the statements or sends."""
@@ -63,6 +73,8 @@
 
     def _highest_total(self, total):
         """Return what a total may have grown to after the statement."""
+        if self.assumed:
+            return total
         if self.final:
             return total
         growth = _UNSEEN_INTERVALS * _growth(self.capacity)
@@ -236,6 +248,7 @@
                     statements=[(self._prior_until - self._window, unknown)],
                     until=self._prior_until,
                     count=unknown,
+                    assumed=True,
                 )
             self._accounts[tenant] = account
         return account
@@ -250,7 +263,7 @@
             if now >= prior.until:
                 del account.priors[number]
         return account.total + sum(
-            prior.count for prior in account.priors.values()
+            prior.remaining(now) for prior in account.priors.values()
         )
 
     def _wait(self, account, now):
