Preview decisions on requests without carrying them out

Cause: what a node would do with a request can only be learned by sending it, as the decisions count arrivals, consume trials, advance the random generator and the spill-over shares, and probe servers.

Change: Balancer.preview() takes the same decision on copies of what it changes, with a queue that is only read and a pool that sends and grants nothing. Quota states and balancers of unused services can be read too.

--- a/wigeonrouter/node/_admission_controller.py
+++ b/wigeonrouter/node/_admission_controller.py
@@ -5,6 +5,7 @@
 that becomes known.
 """
 
+import copy
 import time
 
 from wigeonrouter import core
@@ -60,6 +61,22 @@
         """Requests per second that arrived at this node."""
         return self._arrivals.per_second(self._clock())
 
+    def preview(self, queue):
+        """Return a copy that decides alike and on which calls have no effect.
+
+        Args:
+          queue: placement.QueuePreview of the service.
+        """
+        copied = copy.copy(self)
+        copied._queue = queue
+        copied._rng = copy.copy(self._rng)
+        copied._retry_spread = copy.deepcopy(self._retry_spread)
+        copied._late_rate = copy.deepcopy(self._late_rate)
+        copied._trials = copy.deepcopy(self._trials)
+        copied._arrivals = copy.deepcopy(self._arrivals)
+        copied._on_time_arrivals = copy.deepcopy(self._on_time_arrivals)
+        return copied
+
     def check_arrival(self, request, route):
         """Count a request that arrives and decide whether it may wait.
 
--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -4,12 +4,14 @@
 the admitted requests by priority.
 """
 
+import copy
 import time
 
 from gevent import event
 
 from wigeonrouter import placement
 from wigeonrouter.node import _admission_controller
+from wigeonrouter.node import _balancer_preview
 from wigeonrouter.node import _grant
 from wigeonrouter.node import _home_balancers
 from wigeonrouter.node import _overload_log
@@ -84,12 +86,7 @@
             self._spill_over = _spill_over_choice.SpillOverChoice(
                 spill_over=spill_over,
                 server_pool=server_pool,
-                functions=_spill_over_choice.ChoiceFunctions(
-                    choose=self._choose,
-                    choose_remote=self._choose_remote,
-                    utility_of_waiting=self._utility_of_waiting,
-                    arrival_rate=lambda: self._admission.arrival_rate,
-                ),
+                functions=self._choice_functions(),
                 clock=clock,
             )
 
@@ -165,6 +162,17 @@
         """Number of servers that name a rate limit, as far as is known."""
         return self._server_pool.views.limited_count
 
+    def preview(self, request, route):
+        """Return the _balancer_preview.Decision on a request, if it came now.
+
+        Changes nothing: the decision is taken on copies of what it changes.
+        """
+        if request.home_regions is None:
+            return self._preview_any(request, route)
+        return self._homes.preview(
+            request, route, preview_local=self._preview_any
+        )
+
     def configure(self, *, health_path, registered, **options):
         """Update the set of servers; see ServerPool.configure()."""
         self._server_pool.configure(
@@ -291,6 +299,40 @@
         if self._server_pool.views.refresh_rate_limits(peer_limits):
             self._on_servers_changed()
 
+    def _preview_any(self, request, route):
+        """Return the Decision on a request that may use the pool."""
+        copied = copy.copy(self)
+        copied._rng = copy.copy(self._rng)
+        copied._server_pool = _balancer_preview.PoolPreview(self._server_pool)
+        copied._queue = placement.QueuePreview(self._queue)
+        copied._admission = self._admission.preview(copied._queue)
+        if self._spill_over is not None:
+            copied._spill_over = self._spill_over.preview(
+                server_pool=copied._server_pool,
+                functions=copied._choice_functions(),
+            )
+        return _balancer_preview.decide(
+            _balancer_preview.Parts(
+                server_pool=copied._server_pool,
+                queue=copied._queue,
+                admission=copied._admission,
+                spill_over=copied._spill_over,
+                try_grant=copied._try_grant,
+                utility_of_waiting=copied._utility_of_waiting,
+                now=self._clock(),
+            ),
+            request,
+            route,
+        )
+
+    def _choice_functions(self):
+        return _spill_over_choice.ChoiceFunctions(
+            choose=self._choose,
+            choose_remote=self._choose_remote,
+            utility_of_waiting=self._utility_of_waiting,
+            arrival_rate=lambda: self._admission.arrival_rate,
+        )
+
     def _wait_for_grant(self, waiter, request, route, should_leave):
         """Wait in the queue; return what acquire() returns.
 
--- a/wigeonrouter/node/_balancer_registry.py
+++ b/wigeonrouter/node/_balancer_registry.py
@@ -124,12 +124,29 @@
         for record in self._cluster_state.servers:
             by_service[record.registration.service].append(record)
         for name, balancer in self._balancers.items():
-            service = configuration.services.get(name)
-            balancer.configure(
-                health_path=service.health_path if service else "/",
-                registered=by_service.get(name, ()),
-                slow_start=self._slow_start_rule(service),
-            )
+            self._configure(balancer, name, by_service.get(name, ()))
+
+    def preview(self, service):
+        """Return the Balancer of a service without keeping a new one."""
+        balancer = self._balancers.get(service)
+        if balancer is None:
+            balancer = self._make(service)
+            registered = [
+                record
+                for record in self._cluster_state.servers
+                if record.registration.service == service
+            ]
+            self._configure(balancer, service, registered)
+            self._apply_peer_facts([balancer])
+        return balancer
+
+    def _configure(self, balancer, name, registered):
+        service = self._cluster_state.configuration.services.get(name)
+        balancer.configure(
+            health_path=service.health_path if service else "/",
+            registered=registered,
+            slow_start=self._slow_start_rule(service),
+        )
 
     def recheck_queues(self):
         """Check all queued requests again."""
--- a/wigeonrouter/node/_home_balancers.py
+++ b/wigeonrouter/node/_home_balancers.py
@@ -6,11 +6,13 @@
 local servers, and be held up by them.
 """
 
+import copy
 import dataclasses
 import time
 
 from wigeonrouter import core
 from wigeonrouter import placement
+from wigeonrouter.node import _balancer_preview
 from wigeonrouter.node import _home_servers
 from wigeonrouter.node import messages
 
@@ -47,6 +49,27 @@
         """Tuple of the Balancers of these requests."""
         return tuple(self._balancers.values())
 
+    def preview(self, request, route, *, preview_local):
+        """Return the _balancer_preview.Decision on a request.
+
+        Args:
+          request, route: see acquire().
+          preview_local: Balancer.preview() for the local servers.
+        """
+        copied = copy.copy(self)
+        copied._rng = copy.copy(self._rng)
+        copied._balancers = dict(self._balancers)
+        rejection = copied.check(request)
+        if rejection is not None:
+            return _balancer_preview.Decision(rejection=rejection)
+        if self._may_use_local(request):
+            return preview_local(request, route)
+        balancer, remaining = copied._find_remote(request)
+        decision = balancer.preview(remaining, route)
+        return dataclasses.replace(
+            decision, rejection=_name_no_home(decision.rejection)
+        )
+
     def check(self, request):
         """Return the Rejection of a request that no server may execute.
 
@@ -108,15 +131,16 @@
 
         if uses_local:
             return acquire_local(request, route, should_leave_queue)
+        balancer, remaining = self._find_remote(request)
+        return balancer.acquire_any(remaining, route, should_leave_queue)
+
+    def _find_remote(self, request):
+        """Return the Balancer and the request with the time left for it."""
         balancer = self._get(request.home_regions)
         remaining = placement.without_round_trip(
             request, balancer.server_pool.round_trip
         )
-        return balancer.acquire_any(
-            dataclasses.replace(remaining, home_regions=None),
-            route,
-            should_leave_queue,
-        )
+        return balancer, dataclasses.replace(remaining, home_regions=None)
 
     def _may_use_local(self, request):
         return bool(
--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -58,6 +58,28 @@
     responded: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class QuotaState:
+    """What a node knows of a tenant's quota.
+
+    Attributes:
+      rate, burst: the limit of all nodes together.
+      tokens: valid tokens that this node holds for new requests.
+      refused: whether the hub has stated lately that it has none.
+      region_total: tokens of the region in the window, None if unknown.
+      has_hub: whether this node has a hub to ask for tokens.
+      retry_after: least Retry-After of a rejection, seconds.
+    """
+
+    rate: float
+    burst: float
+    tokens: int
+    refused: bool
+    region_total: int | None
+    has_hub: bool
+    retry_after: float
+
+
 class QuotaClient:
     """Takes, orders and returns the tokens of this node.
 
@@ -111,6 +133,28 @@
         """Whether any tenant has a limit."""
         return bool(self._limits)
 
+    def preview(self, tenant):
+        """Return the QuotaState of a topology.Tenant; None without limit.
+
+        Takes and orders no token.
+        """
+        if tenant is None or tenant.name not in self._limits:
+            return None
+        now = self._boot_clock()
+        name = tenant.name
+        return QuotaState(
+            rate=tenant.rate,
+            burst=tenant.burst,
+            tokens=self._wallet.count_valid(name, now),
+            refused=self._wallet.is_refused(name, now),
+            region_total=self._wallet.region_total(name),
+            has_hub=self._link is not None,
+            retry_after=max(
+                _MIN_RETRY_S,
+                min(_MAX_RETRY_S, self._wallet.time_to_token(name, now)),
+            ),
+        )
+
     def configure(self):
         """Apply the limits of a changed configuration."""
         tenants = self._tenants()
--- a/wigeonrouter/node/_spill_over_choice.py
+++ b/wigeonrouter/node/_spill_over_choice.py
@@ -4,6 +4,7 @@
 the background as soon as the own region is well used.
 """
 
+import copy
 import dataclasses
 import time
 import typing
@@ -57,6 +58,15 @@
         """See placement.SpillOver.shares."""
         return self._spill_over.shares
 
+    def preview(self, *, server_pool, functions):
+        """Return a copy for a Balancer's preview; see Balancer.preview()."""
+        return SpillOverChoice(
+            spill_over=copy.deepcopy(self._spill_over),
+            server_pool=server_pool,
+            functions=functions,
+            clock=self._clock,
+        )
+
     def choose_local(self, views, request, service_time, *, utilization):
         """Return the placement.Pick of a server in the own region."""
         return self._spill_over.choose_local(
--- a/wigeonrouter/placement/__init__.py
+++ b/wigeonrouter/placement/__init__.py
@@ -48,6 +48,7 @@
 Locality = _records.Locality
 Misdirections = _misdirections.Misdirections
 CallerTimeoutEstimate = _caller_timeout.CallerTimeoutEstimate
+QueuePreview = _request_queue.QueuePreview
 RequestQueue = _request_queue.RequestQueue
 RetrySpread = _retry_spread.RetrySpread
 ServiceTimes = _estimate.ServiceTimes
--- a/wigeonrouter/placement/_request_queue.py
+++ b/wigeonrouter/placement/_request_queue.py
@@ -230,6 +230,10 @@
         self._move_late(now)
         return len(self._late)
 
+    def estimate_late(self, now):
+        """Return count_late() without reordering the queue."""
+        return len(self._late) + self._turning_late.bisect_key_left((now,))
+
     def count_by_rank(self):
         """Return a dict from each rank to the number of its requests.
 
@@ -242,6 +246,13 @@
     def count_ahead(self, request, service_time, now):
         """Return how many queued requests would be served before a new one."""
         self._move_late(now)
+        return self.estimate_ahead(request, service_time, now)
+
+    def estimate_ahead(self, request, service_time, now):
+        """Return count_ahead() without reordering the queue.
+
+        Requests that have become late since the last change count as before.
+        """
         if is_late(request, service_time=service_time, now=now):
             return len(self._on_time) + self._late.count_ahead(
                 request, (request.deadline, math.inf)
@@ -308,6 +319,51 @@
             queued.late = True
 
 
+class QueuePreview:
+    """A RequestQueue as a new request finds it. Changes nothing.
+
+    Args:
+      queue: RequestQueue.
+    """
+
+    def __init__(self, queue):
+        self._queue = queue
+        self._joined = None
+
+    def __len__(self):
+        return len(self._queue) + (self._joined is not None)
+
+    def join(self, request, service_time):
+        """Count a PendingRequest as queued."""
+        self._joined = (request, service_time)
+
+    def is_behind(self, request, service_time, now):
+        """Return whether a new request is not at the head of the queue."""
+        ahead = self._queue.estimate_ahead(request, service_time, now)
+        return ahead >= HEAD_SIZE and not self.may_go_first(request)
+
+    def count_late(self, now):
+        """See RequestQueue.count_late()."""
+        late = self._queue.estimate_late(now)
+        if self._joined is not None:
+            request, service_time = self._joined
+            late += is_late(request, service_time=service_time, now=now)
+        return late
+
+    def count_ahead(self, request, service_time, now):
+        """See RequestQueue.count_ahead(), which counts a queued request."""
+        ahead = self._queue.estimate_ahead(request, service_time, now)
+        return ahead + (self._joined is not None)
+
+    def is_starved(self, request):
+        """See RequestQueue.is_starved()."""
+        return self._queue.is_starved(request)
+
+    def may_go_first(self, request):
+        """See RequestQueue.may_go_first()."""
+        return self._queue.may_go_first(request)
+
+
 def _class_of(request):
     """Return the class of a request for the starvation guard."""
     return (_rank(request), request.tenant)
--- a/wigeonrouter/tenancy/_wallet.py
+++ b/wigeonrouter/tenancy/_wallet.py
@@ -167,6 +167,20 @@
         self._changed[tenant] = None
         return purse.waiting
 
+    def count_valid(self, tenant, now):
+        """Return the number of tokens that take() may still return."""
+        purse = self._purses.get(tenant)
+        if purse is None:
+            return 0
+        return sum(count for expires, count in purse.tokens if expires > now)
+
+    def region_total(self, tenant):
+        """Return the region's total that was told last, None if none was."""
+        purse = self._purses.get(tenant)
+        if purse is None or purse.told_at == -math.inf:
+            return None
+        return purse.told
+
     def is_refused(self, tenant, now):
         """Return whether the hub has stated that it has no token."""
         purse = self._purses.get(tenant)
