Explain where a request would go now

Cause: an operator who asks why requests of a tenant or route go where they go has to combine metrics, configuration and logs of a node.

It names the route, tenant, quota, queue, servers by failure domain and the choice. API keys are neither accepted nor printed.

--- a/wigeonrouter/cli/_explain_test.py
+++ b/wigeonrouter/cli/_explain_test.py
@@ -247,3 +247,19 @@
     )
     assert "not to a health check" in run("one", log).output
     assert run("none", log).exit_code == 1
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["--node", "127.0.0.1:1", "--host", "shop.example"],
+        ["--node", "127.0.0.1:1", "--host", "h", "--path", "/", "id-1"],
+        ["id-1", "--tenant", "acme"],
+        [],
+        ["--node", "127.0.0.1:1", "--key", "k-1"],
+    ],
+)
+def test_explain_rejects_arguments_that_do_not_fit(arguments):
+    """Guards against a request id that is taken for a node's, and keys."""
+    result = testing.CliRunner().invoke(cli.main, ["explain", *arguments])
+    assert result.exit_code == 2
--- a/wigeonrouter/cli/main.py
+++ b/wigeonrouter/cli/main.py
@@ -14,6 +14,7 @@
 from wigeonrouter import settings as settings_api
 from wigeonrouter.cli import _client
 from wigeonrouter.cli import _explain
+from wigeonrouter.cli import _node_explanation
 from wigeonrouter.cli import _output
 from wigeonrouter.schema import settings_pb2
 
@@ -385,10 +386,26 @@
 
 
 @main.command()
-@click.argument("request_id")
+@click.argument("request_id", required=False)
 @click.argument("log", type=click.File(errors="replace"), default="-")
-def explain(request_id, log):
-    """Tell what happened to a request, from the LOG of a node (or stdin)."""
+@click.option("--node", type=_Servers(), help="control address of a node")
+@click.option("--host", help="with --node: host of the request")
+@click.option("--path", help="with --node: path of the request")
+@click.option("--tenant", help="with --node: name of its tenant, not a key")
+@click.option("--json", "as_json", is_flag=True, help="with --node: as JSON")
+@click.pass_obj
+def explain(state, request_id, log, node, host, path, tenant, as_json):
+    """Tell what happened to a request, from the LOG of a node (or stdin).
+
+    With --node, tell instead where a request would go now. It is not sent.
+    """
+    if node is not None:
+        if request_id is not None or host is None or path is None:
+            raise click.UsageError("--node takes --host and --path only")
+        _explain_at_node(state, node, as_json, host, path, tenant)
+        return
+    if request_id is None or host or path or tenant or as_json:
+        raise click.UsageError("give REQUEST_ID, or --node, --host and --path")
     search_result = _explain.search(log, request_id)
     if not search_result.events:
         click.echo(
@@ -402,5 +419,17 @@
         click.echo(text)
 
 
+def _explain_at_node(state, node, as_json, host, path, tenant):
+    # Nodes take no tokens of operators.
+    client = _client.Client(
+        servers=node, token="", timeout=state.client.timeout
+    )
+    node_state = _State(client=client, as_json=as_json or state.as_json)
+    node_state.finish(
+        client.read("/explain", host=host, path=path, tenant=tenant),
+        _node_explanation.render,
+    )
+
+
 if __name__ == "__main__":
     main()
--- a/wigeonrouter/node/_forwarder.py
+++ b/wigeonrouter/node/_forwarder.py
@@ -83,7 +83,9 @@
           HttpResponse of the other node, messages.Rejection, or None if no
           node takes the request, which this one has to handle then.
         """
-        for address in self._addresses(context):
+        for address in self.addresses(
+            context.service, context.pending.home_regions
+        ):
             attempt = self._send(context, address)
             if attempt.response is not None:
                 if _forwarded_request.is_declined(attempt.response):
@@ -142,14 +144,18 @@
             time_to_deadline=remaining,
         )
 
-    def _addresses(self, context):
-        """Return the addresses that a request is sent to, best first.
+    def addresses(self, service, home_regions):
+        """Return the addresses that a request is passed on to, best first.
 
         The body of a request with home regions stays in these and in its
         caller's region, which is the own one.
+
+        Args:
+          service: name of the service.
+          home_regions: frozenset of regions, None if all may serve it.
         """
         peers = topology.forwarding_peers(
-            service=context.service,
+            service=service,
             peers=self._peers(),
             own_host=self._host,
             count=_REGION_PEERS,
@@ -163,8 +169,8 @@
         if self._has_tenants:
             remote_hosts = self._cluster_state.remote_key_checkers
         hosts = topology.remote_forwarding_hosts(
-            service=context.service,
-            hosts=remote_hosts(self._region, context.pending.home_regions),
+            service=service,
+            hosts=remote_hosts(self._region, home_regions),
             count=_REMOTE_PEERS,
         )
         return [core.Address(host=host, port=self._port) for host in hosts]
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -17,6 +17,7 @@
 from wigeonrouter.node import _cluster_state
 from wigeonrouter.node import _crash_monitor
 from wigeonrouter.node import _directory_handler
+from wigeonrouter.node import _explainer
 from wigeonrouter.node import _forwarder
 from wigeonrouter.node import _link_monitor
 from wigeonrouter.node import _metrics
@@ -138,27 +139,29 @@
             metrics=_metrics.RequestMetrics(metrics=self._metrics),
             stop_schedule=lambda: self._stop_schedule,
         )
+        authenticator = _authenticator.Authenticator(
+            cluster_state=self._cluster_state,
+            is_outdated=self._are_keys_outdated,
+        )
+        forwarder = _forwarder.Forwarder(
+            settings=settings,
+            sender=self._sender,
+            link_monitor=self._link_monitor,
+            cluster_state=self._cluster_state,
+            peers=lambda: self._region_member.peers,
+            request_log=request_log,
+            codec=codec,
+        )
         self._proxy = _proxy.Proxy(
             cluster_state=self._cluster_state,
             balancer_for=self._balancers.get,
             sender=self._sender,
             crash_monitor=self._crash_monitor,
-            forwarder=_forwarder.Forwarder(
-                settings=settings,
-                sender=self._sender,
-                link_monitor=self._link_monitor,
-                cluster_state=self._cluster_state,
-                peers=lambda: self._region_member.peers,
-                request_log=request_log,
-                codec=codec,
-            ),
+            forwarder=forwarder,
             codec=codec,
             splitter=topology.TrafficSplitter(rng=self._rng),
             request_log=request_log,
-            authenticator=_authenticator.Authenticator(
-                cluster_state=self._cluster_state,
-                is_outdated=self._are_keys_outdated,
-            ),
+            authenticator=authenticator,
             quotas=self._region_member.quotas.client,
         )
         directory_handler = _directory_handler.DirectoryHandler(
@@ -167,8 +170,23 @@
             is_ready=lambda: self.ready,
             ttl=self._entries_ttl,
         )
-        metrics_handler = _metrics.MetricsHandler(
-            metrics=self._metrics, read_gauges=self._read_gauges
+        explainer = _explainer.Explainer(
+            node=settings.name,
+            cluster_state=self._cluster_state,
+            router=self._proxy.router,
+            authenticator=authenticator,
+            balancers=self._balancers,
+            forwarder=forwarder,
+            is_cut=lambda: self._link_monitor.cut,
+            quotas=self._region_member.quotas.client,
+        )
+        control_handler = _explainer.ControlHandler(
+            handlers={
+                _explainer.PATH: _explainer.ExplainHandler(explainer=explainer)
+            },
+            default=_metrics.MetricsHandler(
+                metrics=self._metrics, read_gauges=self._read_gauges
+            ),
         )
         self._node_servers = _node_servers.NodeServers(
             settings=settings,
@@ -179,7 +197,7 @@
                 codec=codec,
             ),
             directory_handler=directory_handler,
-            metrics_handler=metrics_handler,
+            control_handler=control_handler,
             buffer_budget=self._buffer_budget,
         )
         self._tasks = []
--- a/wigeonrouter/node/_node_servers.py
+++ b/wigeonrouter/node/_node_servers.py
@@ -20,7 +20,7 @@
       proxy: Proxy, which handles callers' requests.
       forwarded_handler: handler of the requests that other nodes pass on.
       directory_handler: handler of directory queries and readiness checks.
-      metrics_handler: handler of the control address.
+      control_handler: handler of the control address.
       buffer_budget: http1.BufferBudget of requests and their responses.
     """
 
@@ -31,7 +31,7 @@
         proxy,
         forwarded_handler,
         directory_handler,
-        metrics_handler,
+        control_handler,
         buffer_budget,
     ):
         limits = placement.connection_limits(
@@ -71,7 +71,7 @@
                     directory_handler,
                     limits.auxiliary,
                 ),
-                (settings.control_address, metrics_handler, limits.auxiliary),
+                (settings.control_address, control_handler, limits.auxiliary),
             )
             if address is not None
         ]
--- a/wigeonrouter/node/_proxy.py
+++ b/wigeonrouter/node/_proxy.py
@@ -82,6 +82,11 @@
         # The RequestContexts of requests that are being handled.
         self._in_progress = set()
 
+    @property
+    def router(self):
+        """RequestRouter of the requests."""
+        return self._router
+
     def log_unfinished(self):
         """Log each request that is cut off, as the process ends."""
         for context in self._in_progress:
--- a/wigeonrouter/node/_request_router.py
+++ b/wigeonrouter/node/_request_router.py
@@ -45,9 +45,23 @@
 
     def find_route(self, request):
         """Return the topology.Route of a request, None without one."""
-        host, path = _host_and_path(request)
+        return self.find_route_of(*_host_and_path(request))
+
+    def find_route_of(self, host, path):
+        """Return the topology.Route of a host and a decoded path, or None."""
         return self._cluster_state.routes.find(host=host.lower(), path=path)
 
+    def assume(self, route, tenant, arrived):
+        """Return the PendingRequest of a caller with the route's timeout.
+
+        Args:
+          route: topology.Route.
+          tenant: topology.Tenant, None without one.
+          arrived: monotonic seconds.
+        """
+        target_time = arrived + route.target_latency - _RESPONSE_TRANSIT_S
+        return _pending(route, tenant, arrived, target_time, route.timeout)
+
     def route(self, request, request_metadata, arrived, origin):
         """Return the RequestContext of a request, or messages.Rejection.
 
@@ -115,22 +129,31 @@
             target_time = (
                 arrived + route.target_latency - elapsed - _RESPONSE_TRANSIT_S
             )
-        return placement.PendingRequest(
-            priority=route.priority,
-            idempotent=route.idempotent,
-            arrived=arrived,
-            target_time=target_time,
-            deadline=arrived + min(remaining, route.timeout),
-            tenant=tenant.name if tenant else "",
-            tenant_priority=tenant.priority if tenant else 0,
-            home_regions=placement.merge_home_regions(route, tenant),
-        )
+        return _pending(route, tenant, arrived, target_time, remaining)
+
+
+def _pending(route, tenant, arrived, target_time, remaining):
+    """Return the PendingRequest whose caller waits `remaining` seconds."""
+    return placement.PendingRequest(
+        priority=route.priority,
+        idempotent=route.idempotent,
+        arrived=arrived,
+        target_time=target_time,
+        deadline=arrived + min(remaining, route.timeout),
+        tenant=tenant.name if tenant else "",
+        tenant_priority=tenant.priority if tenant else 0,
+        home_regions=placement.merge_home_regions(route, tenant),
+    )
+
+
+def decode_path(target):
+    """Return the path of a request target without percent-encoding."""
+    path = target.partition("?")[0]
+    return parse.unquote(path, "latin-1") if "%" in path else path
 
 
 def _host_and_path(request):
     """Return what the route of a request depends on."""
-    path = request.target.decode("latin-1").partition("?")[0]
-    if "%" in path:
-        path = parse.unquote(path, "latin-1")
+    path = decode_path(request.target.decode("latin-1"))
     host = request.header(b"host").decode("latin-1").partition(":")[0]
     return host, path
