Compare the whole state of a node in the test of explain

Cause: the test listed modules whose state it compares, so that state in a new module of node/ would not be compared.

Change: it compares all objects of node/, limits/, placement/ and tenancy/ that the balancers, the router and the quota client refer to.

--- a/wigeonrouter/node/_balancer_preview_test.py
+++ b/wigeonrouter/node/_balancer_preview_test.py
@@ -9,8 +9,6 @@
 from wigeonrouter.node import _grant
 from wigeonrouter.node import messages
 
-_SERVERS_OF_A_SAMPLE = 60
-
 
 def pending(*, deadline=40.0, **changes):
     now = time.monotonic()
@@ -31,7 +29,7 @@
 
     There are more servers than are compared, so that the choice is random.
     """
-    balancer = make_balancer(servers=_SERVERS_OF_A_SAMPLE)
+    balancer = make_balancer(servers=60)
     for _ in range(5):
         request = pending()
         previews = [balancer.preview(request, route) for _ in range(2)]
--- a/wigeonrouter/node/_explainer_test.py
+++ b/wigeonrouter/node/_explainer_test.py
@@ -101,14 +101,9 @@
 
 def test_quota_without_tokens_says_when_to_retry(explain):
     """Guards against a tenant over its limit that seems to be served."""
+    limit = {"rate": 5.0, "burst": 0.0, "region_total": 25}
     state = _quota_client.QuotaState(
-        rate=5.0,
-        burst=0.0,
-        tokens=0,
-        refused=True,
-        region_total=25,
-        has_hub=True,
-        retry_after=0.8,
+        **limit, tokens=0, refused=True, has_hub=True, retry_after=0.8
     )
     explanation = explain(quota=state)("acme")
     assert explanation.quota.region_total == 25
--- a/wigeonrouter/platform/_explain_test.py
+++ b/wigeonrouter/platform/_explain_test.py
@@ -14,18 +14,10 @@
 from wigeonrouter.platform import conftest
 
 _STATE_PACKAGES = (
+    "wigeonrouter.limits",
+    "wigeonrouter.node",
     "wigeonrouter.placement",
     "wigeonrouter.tenancy",
-    "wigeonrouter.limits",
-    "wigeonrouter.node._balancer",
-    "wigeonrouter.node._admission_controller",
-    "wigeonrouter.node._home_balancers",
-    "wigeonrouter.node._server_pool",
-    "wigeonrouter.node._server_views",
-    "wigeonrouter.node._spill_over_choice",
-    "wigeonrouter.node._quota_client",
-    "wigeonrouter.node._request_router",
-    "wigeonrouter.node._caller_timeouts",
 )
 
 
