--- a/wigeonrouter/node/_balancer_preview.py
+++ b/wigeonrouter/node/_balancer_preview.py
@@ -2,7 +2,6 @@
 
 import copy
 import dataclasses
-import typing
 
 from wigeonrouter import placement
 from wigeonrouter.node import messages
@@ -34,6 +33,24 @@
     utility_of_waiting: float = 0.0
 
 
+class RemotePollingPreview:
+    """A RemotePolling that polls no server.
+
+    Args:
+      remote_polling: RemotePolling, which is only read.
+    """
+
+    def __init__(self, remote_polling):
+        self._remote_polling = remote_polling
+
+    def request(self, home_regions=None):
+        """Start no polling."""
+
+    def fresh(self, home_regions=None):
+        """Return the remote views with fresh reports."""
+        return self._remote_polling.fresh(home_regions)
+
+
 class PoolPreview:
     """A ServerPool that sends no probe and grants no slot.
 
@@ -55,6 +72,11 @@
         """placement.ServiceTimes of the service."""
         return self._service_times
 
+    @property
+    def remote_polling(self):
+        """RemotePollingPreview of the servers in other regions."""
+        return RemotePollingPreview(self._server_pool.remote_polling)
+
     @property
     def unprobed(self):
         """Number of servers that a decision would have probed."""
@@ -64,10 +86,6 @@
         """Note the ServerViews to probe."""
         self._unprobed.update(view.instance for view in views)
 
-    def remote_with_fresh_reports(self, home_regions=None):
-        """Return the remote views with fresh reports, without polling."""
-        return self._server_pool.fresh_remote(home_regions)
-
     def grant(self, pick, service_time):
         """Return the placement.Pick in place of a Grant."""
         return pick
@@ -81,20 +99,14 @@
       server_pool: PoolPreview.
       queue: placement.QueuePreview.
       admission: AdmissionController.
-      spill_over: SpillOverChoice, None if it is off.
-      try_grant: function from a request and its service time to a
-        placement.Pick, None if the request has to wait.
-      utility_of_waiting: function from a request, its service time and the
-        present time to a utility.
+      server_choice: ServerChoice, whose grants are placement.Picks.
       now: seconds on the monotonic clock.
     """
 
     server_pool: PoolPreview
     queue: placement.QueuePreview
     admission: object
-    spill_over: object
-    try_grant: typing.Callable
-    utility_of_waiting: typing.Callable
+    server_choice: object
     now: float
 
 
@@ -114,16 +126,14 @@
         return Decision(rejection=rejection, ahead=ahead)
     behind = parts.queue.is_behind(request, service_time, parts.now)
     parts.queue.join(request, service_time)
-    utility_of_waiting = parts.utility_of_waiting(
+    utility_of_waiting = parts.server_choice.utility_of_waiting(
         request, service_time, parts.now
     )
     pick = None
     if not behind:
-        pick = parts.try_grant(request, service_time)
-    elif parts.spill_over is not None:
-        pick = parts.spill_over.try_leave(
-            request, service_time, placement.Pick(view=None)
-        )
+        pick = parts.server_choice.try_grant(request, service_time)
+    else:
+        pick = parts.server_choice.try_leave(request, service_time)
     return Decision(
         pick=pick,
         ahead=ahead,
--- a/wigeonrouter/node/_request_router.py
+++ b/wigeonrouter/node/_request_router.py
@@ -60,7 +60,9 @@
           arrived: monotonic seconds.
         """
         target_time = arrived + route.target_latency - _RESPONSE_TRANSIT_S
-        return _pending(route, tenant, arrived, target_time, route.timeout)
+        return self._pending(
+            route, tenant, arrived, target_time, route.timeout
+        )
 
     def route(self, request, request_metadata, arrived, origin):
         """Return the RequestContext of a request, or messages.Rejection.
@@ -129,21 +131,24 @@
             target_time = (
                 arrived + route.target_latency - elapsed - _RESPONSE_TRANSIT_S
             )
-        return _pending(route, tenant, arrived, target_time, remaining)
-
-
-def _pending(route, tenant, arrived, target_time, remaining):
-    """Return the PendingRequest whose caller waits `remaining` seconds."""
-    return placement.PendingRequest(
-        priority=route.priority,
-        idempotent=route.idempotent,
-        arrived=arrived,
-        target_time=target_time,
-        deadline=arrived + min(remaining, route.timeout),
-        tenant=tenant.name if tenant else "",
-        tenant_priority=tenant.priority if tenant else 0,
-        home_regions=placement.merge_home_regions(route, tenant),
-    )
+        return self._pending(route, tenant, arrived, target_time, remaining)
+
+    def _pending(self, route, tenant, arrived, target_time, remaining):
+        """Return the PendingRequest whose caller waits `remaining` seconds."""
+        return placement.PendingRequest(
+            priority=route.priority,
+            idempotent=route.idempotent,
+            arrived=arrived,
+            target_time=target_time,
+            deadline=arrived + min(remaining, route.timeout),
+            tenant=tenant.name if tenant else "",
+            tenant_priority=(
+                tenant.priority
+                if tenant
+                else self._authenticator.public_priority
+            ),
+            home_regions=placement.merge_home_regions(route, tenant),
+        )
 
 
 def decode_path(target):
--- a/wigeonrouter/placement/_spill_over.py
+++ b/wigeonrouter/placement/_spill_over.py
@@ -74,8 +74,8 @@
 NO_DEMAND = Demand(arrival_rate=0.0, busy_time=0.0, free_slots=0.0)
 
 
-class Boundary:
-    """The share of a service's requests that may leave a place.
+class SpillOverThrottle:
+    """Limits the share of a service's requests that leaves a place.
 
     Args:
       cost: cost of leaving, as utility.
@@ -170,6 +170,23 @@
     return pick.expected_utility + _choice.LOCALITY_COST[pick.view.locality]
 
 
+def best_utility(*, request, service_time, fast_slowdown, round_trip, now):
+    """Return the expected utility of a free and fast server elsewhere.
+
+    Args:
+      request: PendingRequest.
+      service_time: undisturbed service time in seconds.
+      fast_slowdown: slowdown of the fast servers.
+      round_trip: seconds to the closest of the servers and back.
+      now: seconds on the monotonic clock.
+    """
+    return _choice.response_utility(
+        seconds=round_trip + service_time * fast_slowdown,
+        request=request,
+        now=now,
+    )
+
+
 def find_spare(views, *, fresh, region, now):
     """Return the servers of other regions that may take over requests.
 
@@ -219,8 +236,8 @@
 
     def __init__(self, *, place):
         self._place = place
-        self._boundaries = {
-            locality: Boundary(cost=cost)
+        self._throttles = {
+            locality: SpillOverThrottle(cost=cost)
             for locality, cost in LEAVING_COST.items()
         }
 
@@ -228,8 +245,8 @@
     def shares(self):
         """Dict from Locality to the share of requests that may go there."""
         return {
-            locality: boundary.share
-            for locality, boundary in self._boundaries.items()
+            locality: throttle.share
+            for locality, throttle in self._throttles.items()
         }
 
     def choose_local(self, views, *, choose, arrival_rate, busy_time, now):
@@ -252,7 +269,7 @@
         if inside and is_taken(outside, now):
             return inner
         outer = choose(outside)
-        leaves = self._boundaries[_records.Locality.REGION].may_leave(
+        leaves = self._throttles[_records.Locality.REGION].may_leave(
             gain=gross_utility(outer) - gross_utility(inner),
             has_free_slot=inner.view is not None and not inner.should_wait,
             demand=Demand(
@@ -266,22 +283,26 @@
             return outer
         return inner
 
-    def needs_remote(self, pick):
+    def needs_remote(self, pick, *, best_remote):
         """Return whether a request may gain by leaving the region.
 
+        Only then are other regions looked at: their load reports are bytes
+        between regions.
+
         Args:
           pick: Pick of choose_local().
+          best_remote: best_utility() of other regions.
         """
         cost = LEAVING_COST[_records.Locality.REMOTE]
         return (
             pick.view is None
             or pick.should_wait
-            or gross_utility(pick) < 1.0 - cost
+            or gross_utility(pick) < best_remote - cost
         )
 
     def stay(self, *, now):
         """Record that a request gains nothing by leaving the region."""
-        self._boundaries[_records.Locality.REMOTE].may_leave(
+        self._throttles[_records.Locality.REMOTE].may_leave(
             gain=0.0, has_free_slot=True, demand=NO_DEMAND, now=now
         )
 
@@ -314,7 +335,7 @@
             views, fresh=fresh, region=self._place.region, now=now
         )
         pick = choose(spare)
-        leaves = self._boundaries[_records.Locality.REMOTE].may_leave(
+        leaves = self._throttles[_records.Locality.REMOTE].may_leave(
             gain=gross_utility(pick) - local_utility,
             has_free_slot=has_free_slot,
             demand=Demand(
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -90,6 +90,11 @@
     burst: float = 0.0
     home_regions: frozenset[str] = frozenset()
 
+    @property
+    def is_limited(self):
+        """Whether its requests need quota tokens."""
+        return self.rate > 0 or self.burst > 0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceSettings:
@@ -133,6 +138,11 @@
     limits: CallerLimits
     tenants: dict[str, Tenant] = dataclasses.field(default_factory=dict)
 
+    @property
+    def has_tenants(self):
+        """Whether requests need an API key, but for public routes."""
+        return bool(self.tenants)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigurationWritten:
