--- a/wigeonrouter/node/_spill_over_choice_test.py
+++ b/wigeonrouter/node/_spill_over_choice_test.py
@@ -58,9 +58,9 @@
     return make
 
 
-def _start(balancer, route, home_regions=None):
+def _pending(home_regions=None):
     now = time.monotonic()
-    pending = placement.PendingRequest(
+    return placement.PendingRequest(
         priority=1,
         idempotent=True,
         arrived=now,
@@ -68,7 +68,10 @@
         deadline=now + 3.0,
         home_regions=home_regions,
     )
-    return gevent.spawn(balancer.acquire, pending, route)
+
+
+def _start(balancer, route, home_regions=None):
+    return gevent.spawn(balancer.acquire, _pending(home_regions), route)
 
 
 def _regions(tasks):
@@ -99,3 +102,20 @@
     assert regions and set(regions) == {"south"}
     sent = balancer.requests_by_locality
     assert sent[placement.Locality.REMOTE] == len(regions)
+
+
+def test_previewed_spill_over_starts_no_polling(make_spilling_balancer, route):
+    """Guards against an explanation that probes the servers of others."""
+    balancer = make_spilling_balancer(north=3, south=40)
+    tasks = [_start(balancer, route) for _ in range(6)]
+    assert _regions(tasks) == ["north"] * 6
+    # The polling that these requests have started ends after 0.3 s.
+    gevent.sleep(0.5)
+    polling = balancer.server_pool.remote_polling
+    task, shares = polling._task, dict(balancer.spill_over_shares)
+    assert balancer.preview(_pending(), route).pick is None
+    gevent.sleep(0.1)
+    assert polling._task is task
+    assert polling._polled_until == {}
+    assert balancer.spill_over_shares == shares
+    assert balancer.queue_length == 0
