--- a/wigeonrouter/node/_balancer.py
+++ b/wigeonrouter/node/_balancer.py
@@ -10,6 +10,7 @@
 
 from wigeonrouter import placement
 from wigeonrouter.node import _admission_controller
+from wigeonrouter.node import _balancer_preview
 from wigeonrouter.node import _grant
 from wigeonrouter.node import _home_balancers
 from wigeonrouter.node import _overload_log
@@ -158,6 +159,17 @@
         """Number of servers that name a rate limit, as far as is known."""
         return self._server_pool.views.limited_count
 
+    def preview(self, request, route):
+        """Return the _balancer_preview.Decision on a request, if it came now.
+
+        Changes nothing: the decision is taken on copies of what it changes.
+        """
+        if request.home_regions is None:
+            return self._preview_any(request, route)
+        return self._homes.preview(
+            request, route, preview_local=self._preview_any
+        )
+
     def configure(self, *, health_path, registered, **options):
         """Update the set of servers; see ServerPool.configure()."""
         self._server_pool.configure(
@@ -284,6 +296,27 @@
         if self._server_pool.views.refresh_rate_limits(peer_limits):
             self._on_servers_changed()
 
+    def _preview_any(self, request, route):
+        """Return the Decision on a request that may use the pool."""
+        server_pool = _balancer_preview.PoolPreview(self._server_pool)
+        queue = placement.QueuePreview(self._queue)
+        admission = self._admission.preview(queue)
+        return _balancer_preview.decide(
+            _balancer_preview.Parts(
+                server_pool=server_pool,
+                queue=queue,
+                admission=admission,
+                server_choice=self._server_choice.preview(
+                    server_pool=server_pool,
+                    queue=queue,
+                    arrival_rate=lambda: admission.arrival_rate,
+                ),
+                now=self._clock(),
+            ),
+            request,
+            route,
+        )
+
     def _wait_for_grant(self, waiter, request, route, should_leave):
         """Wait in the queue; return what acquire() returns.
 
--- a/wigeonrouter/node/_quota_rejections.py
+++ b/wigeonrouter/node/_quota_rejections.py
@@ -12,6 +12,15 @@
 _LOG_INTERVAL_S = 1.0
 
 
+def least_retry_after(wait):
+    """Return the Retry-After of a request over quota, without its jitter.
+
+    Args:
+      wait: seconds until the tenant gets a token.
+    """
+    return max(_MIN_RETRY_S, min(_MAX_RETRY_S, wait))
+
+
 class QuotaRejections:
     """Makes the Rejections of a QuotaClient.
 
@@ -54,7 +63,7 @@
             )
         return messages.Rejection(
             problem=core.problems.OVER_QUOTA,
-            retry_after=self._jitter(min(_MAX_RETRY_S, wait)),
+            retry_after=self._jitter(least_retry_after(wait)),
         )
 
     def reject_without_hub(self):
--- a/wigeonrouter/node/_server_choice.py
+++ b/wigeonrouter/node/_server_choice.py
@@ -4,6 +4,7 @@
 probed for their load.
 """
 
+import copy
 import time
 
 from wigeonrouter import placement
@@ -44,12 +45,7 @@
             self._spill_over = _spill_over_choice.SpillOverChoice(
                 spill_over=spill_over,
                 server_pool=server_pool,
-                functions=_spill_over_choice.ChoiceFunctions(
-                    choose=self._choose,
-                    choose_remote=self._choose_remote,
-                    utility_of_waiting=self._utility_of_waiting,
-                    arrival_rate=arrival_rate,
-                ),
+                functions=self._choice_functions(),
                 clock=clock,
             )
 
@@ -58,6 +54,26 @@
         """See placement.SpillOver.shares; empty if it is off."""
         return {} if self._spill_over is None else self._spill_over.shares
 
+    def preview(self, *, server_pool, queue, arrival_rate):
+        """Return a copy that chooses alike and on which calls have no effect.
+
+        Args:
+          server_pool: _balancer_preview.PoolPreview of the service.
+          queue: placement.QueuePreview of the service.
+          arrival_rate: function that returns the requests per second.
+        """
+        copied = copy.copy(self)
+        copied._server_pool = server_pool
+        copied._queue = queue
+        copied._arrival_rate = arrival_rate
+        copied._rng = copy.copy(self._rng)
+        if self._spill_over is not None:
+            copied._spill_over = self._spill_over.preview(
+                server_pool=server_pool,
+                functions=copied._choice_functions(),
+            )
+        return copied
+
     def try_leave(self, request, service_time):
         """Try once to choose a server elsewhere for a queued request.
 
@@ -89,7 +105,7 @@
         if remote_pick.view is not None:
             if remote_pick.expected_utility > max(
                 pick.expected_utility,
-                self._utility_of_waiting(request, service_time, now),
+                self.utility_of_waiting(request, service_time, now),
             ):
                 return self._server_pool.grant(remote_pick, service_time)
         late = placement.is_late(request, service_time=service_time, now=now)
@@ -97,16 +113,11 @@
             return self._server_pool.grant(pick, service_time)
         return None
 
-    def _local_utilization(self):
-        """Return the utilization of the slots, 1.0 if requests are queued.
+    def utility_of_waiting(self, request, service_time, now):
+        """Return the expected utility of waiting in the queue.
 
-        Only queued requests that can still meet their target latency count.
+        The request is in the queue itself.
         """
-        if len(self._queue) - self._queue.count_late(self._clock()) > 1:
-            return 1.0
-        return self._server_pool.utilization
-
-    def _utility_of_waiting(self, request, service_time, now):
         return placement.utility_of_waiting(
             request=request,
             service_time=service_time,
@@ -117,6 +128,23 @@
             slots=self._server_pool.usable_slots(service_time),
         )
 
+    def _choice_functions(self):
+        return _spill_over_choice.ChoiceFunctions(
+            choose=self._choose,
+            choose_remote=self._choose_remote,
+            utility_of_waiting=self.utility_of_waiting,
+            arrival_rate=self._arrival_rate,
+        )
+
+    def _local_utilization(self):
+        """Return the utilization of the slots, 1.0 if requests are queued.
+
+        Only queued requests that can still meet their target latency count.
+        """
+        if len(self._queue) - self._queue.count_late(self._clock()) > 1:
+            return 1.0
+        return self._server_pool.utilization
+
     def _choose(self, views, request, service_time, *, utilization):
         service_times = self._server_pool.service_times
         return placement.choose(
--- a/wigeonrouter/tenancy/_wallet.py
+++ b/wigeonrouter/tenancy/_wallet.py
@@ -167,6 +167,20 @@
         self._changed[tenant] = None
         return holding.waiting
 
+    def count_valid(self, tenant, now):
+        """Return the number of tokens that take() may still return."""
+        holding = self._holdings.get(tenant)
+        if holding is None:
+            return 0
+        return sum(count for expires, count in holding.tokens if expires > now)
+
+    def region_total(self, tenant):
+        """Return the region's total that was told last, None if none was."""
+        holding = self._holdings.get(tenant)
+        if holding is None or holding.told_at == -math.inf:
+            return None
+        return holding.told
+
     def is_refused(self, tenant, now):
         """Return whether the hub has stated that it has no token."""
         holding = self._holdings.get(tenant)
