Turn spill-over off by default

Change: the default of WIGEONROUTER_SPILL_OVER is off; auto and on remain. The test expects the new default; the case of the contract now names auto.

--- a/wigeonrouter/platform/_settings.py
+++ b/wigeonrouter/platform/_settings.py
@@ -9,8 +9,8 @@
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "WIGEONROUTER_SETTINGS"
-# Environment variable that turns spill-over on or off. By default it is on if
-# the deployment asks for the contract below.
+# Environment variable that turns spill-over on or off; off by default. With
+# `auto` it is on if the deployment asks for the contract below.
 SPILL_OVER_VARIABLE = "WIGEONROUTER_SPILL_OVER"
 _SPILL_OVER_CONTRACT = "places"
 # Used if the settings file does not limit the memory.
@@ -124,7 +124,7 @@
 
 
 def _read_spill_over(contracts):
-    text = os.environ.get(SPILL_OVER_VARIABLE) or "auto"
+    text = os.environ.get(SPILL_OVER_VARIABLE) or "off"
     if text == "auto":
         return _SPILL_OVER_CONTRACT in contracts
     if text not in ("on", "off"):
