Take a quota token in one place, and drop two repeated branches

QuotaClient.take() with again=True and confirm() did the same; take() now counts the arrival and calls confirm(). Two branches of a ledger's total returned the same, and a preview set a result that both of its branches set again. Behaviour is as before.

Tests: tenancy, node/_quota_client_test, _quota_search_test, _balancer_preview_test, _explainer_test, _proxy_test, 200 passed, and the linters; the whole suite was not run on this commit.

--- a/wigeonrouter/node/_balancer_preview.py
+++ b/wigeonrouter/node/_balancer_preview.py
@@ -129,11 +129,10 @@
     utility_of_waiting = parts.server_choice.utility_of_waiting(
         request, service_time, parts.now
     )
-    pick = None
-    if not behind:
-        pick = parts.server_choice.try_grant(request, service_time)
-    else:
+    if behind:
         pick = parts.server_choice.try_leave(request, service_time)
+    else:
+        pick = parts.server_choice.try_grant(request, service_time)
     return Decision(
         pick=pick,
         ahead=ahead,
--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -232,25 +232,18 @@
             return None
         return self._wait(context, context.tenant.name)
 
-    def take(self, context, *, again=False):
-        """Take a token for a request, if it needs one.
+    def take(self, context):
+        """Take a token for a request that has arrived, if it needs one.
 
-        Args:
-          again: whether the request was counted before.
         Returns:
           Whether the request may be sent.
         """
-        if not self._needs_token(context) or self._holds_token(context):
-            return True
-        name = context.tenant.name
-        now = self._boot_clock()
-        if not again:
-            self._wallet.on_arrival(name, now)
-        context.token = self._wallet.take(name, now)
-        return context.token is not None
+        if self._needs_token(context) and not self._holds_token(context):
+            self._wallet.on_arrival(context.tenant.name, self._boot_clock())
+        return self.confirm(context)
 
     def confirm(self, context):
-        """Return whether a request may be sent now.
+        """Return whether a request that was counted may be sent now.
 
         A token that has expired is replaced by another one if there is one.
         """
--- a/wigeonrouter/node/testing.py
+++ b/wigeonrouter/node/testing.py
@@ -370,7 +370,7 @@
                 client.on_attempt_end(request, may_have_run=ran)
                 client.release(request)
         for request in list(node.waiting):
-            if client.take(request, again=True):
+            if client.confirm(request):
                 node.waiting.remove(request)
                 node.requests.append(request)
             elif self.now >= request.give_up_at:
--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -73,9 +73,7 @@
 
     def _highest_total(self, total):
         """Return what a total may have grown to after the statement."""
-        if self.assumed:
-            return total
-        if self.final:
+        if self.assumed or self.final:
             return total
         growth = _UNSEEN_INTERVALS * _growth(self.capacity)
         return max(total, min(self.capacity, total + growth))
