--- a/review/support2.py
+++ b/review/support2.py
@@ -21,7 +21,6 @@
 
 import gevent
 from gevent import socket
-from gevent import subprocess
 
 from wigeonrouter import http1
 from wigeonrouter.platform import _emulator
@@ -94,7 +93,8 @@
     def __init__(self, deployment, name, ip, zone, region):
         self.name, self.ip, self.zone, self.region = name, ip, zone, region
         self._deployment = deployment
-        self._process = None
+        # Process that has not been waited for, 0 without one.
+        self._pid = 0
         self._task = None
         self._ending = False
         self.started_at = 0.0
@@ -106,8 +106,8 @@
         self._task = gevent.spawn(self._supervise)
 
     def send_signal(self, number):
-        if self._process is not None and self._process.poll() is None:
-            self._process.send_signal(number)
+        if self._pid:
+            os.kill(self._pid, number)
 
     def end(self):
         self._ending = True
@@ -127,25 +127,38 @@
             self.write_settings()
             self.started_at = time.monotonic()
             self.starts += 1
-            with open(self.log, "ab") as log:
-                self._process = subprocess.Popen(
-                    self._deployment.command,
-                    cwd=ROOT,
-                    env=self._deployment.environment(self),
-                    stdin=subprocess.DEVNULL,
-                    stdout=log,
-                    stderr=subprocess.STDOUT,
-                )
+            self._pid = self._spawn()
             self._deployment.record.write(
-                f"start {self.name} process {self._process.pid}"
-            )
-            self._process.wait()
-            self._deployment.record.write(
-                f"end {self.name} code {self._process.returncode}"
+                f"start {self.name} process {self._pid}"
             )
+            while not (ended := os.waitpid(self._pid, os.WNOHANG))[0]:
+                gevent.sleep(0.02)
+            self._pid = 0
+            code = os.waitstatus_to_exitcode(ended[1])
+            self._deployment.record.write(f"end {self.name} code {code}")
             gevent.sleep(RESTART_DELAY_S)
 
 
+    def _spawn(self):
+        """Start the process and return its id.
+
+        Not by a fork, whose copy of this process could run its greenlets.
+        """
+        command = self._deployment.command
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        return os.posix_spawnp(
+            command[0],
+            command,
+            self._deployment.environment(self),
+            file_actions=[
+                (os.POSIX_SPAWN_OPEN, 0, os.devnull, os.O_RDONLY, 0),
+                (os.POSIX_SPAWN_OPEN, 1, str(self.log), flags, 0o644),
+                (os.POSIX_SPAWN_DUP2, 1, 2),
+            ],
+            setsigdef=[signal.SIGPIPE],
+        )
+
+
 class Deployment:
     """Nodes, store, servers, and what was sent and run.
 
@@ -467,6 +480,8 @@
 
 def run_case(folder, function):
     """Call a function of a Record, and exit with the code of the case."""
+    # The nodes are started at the root of the repository.
+    os.chdir(ROOT)
     if not (ROOT / "target/deps").is_dir():
         print("build first")
         sys.exit(2)
