Log the position with which a follower joins, and what it gets

After a drill of the store an added node went on with the former configuration. The log did not tell whether it had joined with a position that its items do not have, whether its hub had the old items, or whether it had rejected newer ones.

--- a/wigeonrouter/node/_follower.py
+++ b/wigeonrouter/node/_follower.py
@@ -42,6 +42,7 @@
         not reach the store.
       on_joined: called with the function that sends a PeerMessage to the hub.
       on_quota_grant: called with each QuotaGrant.
+      notice: logs an event by its name and fields.
     """
 
     own_state: typing.Callable
@@ -54,6 +55,7 @@
     has_better_hub: typing.Callable
     on_joined: typing.Callable = lambda send: None
     on_quota_grant: typing.Callable = lambda grant: None
+    notice: typing.Callable = lambda name, **fields: None
 
 
 class Follower:
@@ -127,6 +129,34 @@
                 node_pb2.PeerMessage(join=join),
                 timeout=_peer_requests.REQUEST_TIMEOUT_S,
             )
+        self._callbacks.notice(
+            "hub-joined",
+            hub=self._hub,
+            era=position.era,
+            revision=position.revision,
+            confirmed=self._store_cache.confirmed,
+        )
+
+    def _apply_update(self, update):
+        """Apply an Update of the hub, and log one that has all keys.
+
+        Raises:
+          RestoreMissed: it has changes of a later era than the copy.
+        """
+        self._store_cache.apply_update(update)
+        if not update.whole:
+            return
+        items, keys = _store_cache.decode_update(update)
+        position = self._store_cache.position
+        self._callbacks.notice(
+            "hub-copy-applied",
+            hub=self._hub,
+            items=len(items),
+            keys=len(keys),
+            era=position.era,
+            revision=position.revision,
+            confirmed=self._store_cache.confirmed,
+        )
 
     def _send(self, channel, message):
         """Send a message; close the channel if the hub does not take it."""
@@ -151,7 +181,7 @@
             kind = message.WhichOneof("body")
             if kind == "update":
                 try:
-                    self._store_cache.apply_update(message.update)
+                    self._apply_update(message.update)
                 except _store_cache.RestoreMissed:
                     return "missed a restore of the store"
             elif kind == "roster":
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -393,6 +393,7 @@
                 has_better_hub=self._has_better_hub,
                 on_joined=self._quotas.client.join_remote,
                 on_quota_grant=self._quotas.client.on_grant,
+                notice=self._events.notice,
             ),
         )
         reason = "failed"
--- a/wigeonrouter/node/_store_loader.py
+++ b/wigeonrouter/node/_store_loader.py
@@ -55,15 +55,16 @@
         except store.StoreError as error:
             self._events.notice("store-lost", error=str(error))
             return False
+        self._store_cache.replace_all(
+            listing.items, listing.position, stale=True
+        )
         self._events.notice(
             "store-listed",
             era=listing.position.era,
             revision=listing.position.revision,
             newest=max((item.version for item in listing.items), default=0),
             items=len(listing.items),
-        )
-        self._store_cache.replace_all(
-            listing.items, listing.position, stale=True
+            confirmed=self._store_cache.confirmed,
         )
         return self._store_cache.filled
 
@@ -86,5 +87,6 @@
             host=host,
             era=self._store_cache.position.era,
             revision=self._store_cache.position.revision,
+            confirmed=self._store_cache.confirmed,
         )
         return self._store_cache.filled
