Send all items to nodes whose copy may be from before a restore

Callers of a node that was added right after a drill of the store were sent to the former service for as long as no further version was written (CONFIG).

Cause: items of a stale listing may be from before the restore while the answer names the era after it. That was known only within the node. The position with which it joined its hub claimed the revision of the old items in the new era, so the hub left out the changes that seemed known, and the copy counted as confirmed after that.

Change: an unconfirmed copy has the position 'revision 0 of the era', so that hubs of all builds send all items. Its own items are never merged, an update says whether the items of its sender are confirmed, confirmed items are not replaced by unconfirmed ones, and a heartbeat makes no unconfirmed copy current. The same was found in copies of peers and of hubs that are unconfirmed themselves.

--- a/wigeonrouter/node/_copy_proof_test.py
+++ b/wigeonrouter/node/_copy_proof_test.py
@@ -33,7 +33,7 @@
     seconds that were confirmed to it.
     """
 
-    def run(*pulses):
+    def run(*pulses, era=1, stale=False):
         messages = [node_pb2.PeerMessage(pulse=pulse) for pulse in pulses]
         messages.append(
             node_pb2.PeerMessage(pulse=node_pb2.Pulse(leaving=True))
@@ -44,7 +44,8 @@
             lambda **_: _ScriptedChannel(messages),
         )
         cache = _store_cache.StoreCache(apply=lambda *_: None)
-        cache.replace_all((), store_api.Position(era=1, revision=7))
+        position = store_api.Position(era=era, revision=7)
+        cache.replace_all((), position, stale=stale)
         ages = []
         _follower.Follower(
             hub="192.0.2.1",
@@ -96,3 +97,13 @@
         node_pb2.Pulse(store_answers=True), node_pb2.Pulse(store_answers=False)
     )
     assert ages == [0.0]
+
+
+@pytest.mark.parametrize("hub_era", [1, 2])
+def test_unconfirmed_copy_has_no_age(follow, hub_era):
+    """Guards against a stale listing that a hub's heartbeat makes current.
+
+    The listing names the era after a restore, and may be from before it.
+    """
+    pulse = _pulse(revision=5, age_ms=100, era=hub_era)
+    assert follow(pulse, era=2, stale=True) == []
--- a/wigeonrouter/node/_follower.py
+++ b/wigeonrouter/node/_follower.py
@@ -214,6 +214,8 @@
 
     def _take_proof(self, pulse):
         """Record how old the hub's copy is, if this node has all of it."""
+        if not self._store_cache.confirmed:
+            return
         if not pulse.HasField("proof"):
             # A hub of an earlier build.
             if pulse.store_answers:
--- a/wigeonrouter/node/_store_cache.py
+++ b/wigeonrouter/node/_store_cache.py
@@ -25,6 +25,11 @@
     It is filled from the store on the hub and from Update messages on the
     followers.
 
+    Items of a stale listing may be from before a restore of the store, while
+    the answer names the era that followed. Such a copy is not confirmed: its
+    position is revision 0 of that era, so that nothing is taken to be known
+    of the era, here or by a node that is told the position.
+
     Args:
       apply: called with (items, topology.ContentScope) after each change.
       export_memory: function that returns the StoreMemory message of what a
@@ -45,26 +50,23 @@
         self._import_memory = import_memory
         self._items = {}
         self._position = store.Position()
+        self._filled = False
         self._confirmed = True
 
     @property
     def position(self):
-        """store.Position of the items."""
+        """store.Position of the items, revision 0 if they are unconfirmed."""
         return self._position
 
     @property
     def filled(self):
         """Whether anything was read from the store."""
-        return self._position.revision > 0
+        return self._filled
 
     @property
     def confirmed(self):
-        """Whether the items are those of the store at the position.
-
-        Items of a stale listing may be from before a restore of the store,
-        while the position is already that of the era that followed.
-        """
-        return self._confirmed or self._position.era <= _FIRST_ERA
+        """Whether the items are those of the store at the position."""
+        return self._confirmed
 
     def replace_all(self, items, position, *, stale=False):
         """Replace all items by a complete listing.
@@ -76,10 +78,22 @@
           position: store.Position.
           stale: whether the listing may be seconds old.
         """
-        if position < self._position:
+        confirmed = not stale or position.era <= _FIRST_ERA
+        self._replace(items, position, confirmed=confirmed)
+
+    def _replace(self, items, position, *, confirmed):
+        """Replace all items, unless those of the cache are as good.
+
+        Unconfirmed items never replace confirmed ones.
+        """
+        if not confirmed:
+            position = dataclasses.replace(position, revision=0)
+        outdated = position < self._position
+        if outdated or (self._filled and self._confirmed and not confirmed):
             return
-        self._confirmed = not stale
-        restored = self.filled and position.era > self._position.era
+        restored = self._filled and position.era > self._position.era
+        self._filled = self._filled or not confirmed or position.revision > 0
+        self._confirmed = confirmed
         self._items = {item.key: item for item in items}
         self._position = position
         scope = topology.ContentScope.COMPLETE
@@ -95,12 +109,13 @@
         leaves nothing in the cache to compare with.
 
         Raises:
-          RestoreMissed: the changes belong to a later era than the cache.
+          RestoreMissed: the changes belong to a later era than the cache, or
+            it may have the items of an earlier era.
         """
-        if position.era > self._position.era:
-            raise RestoreMissed()
         if position.era < self._position.era:
             return
+        if position.era > self._position.era or not self._confirmed:
+            raise RestoreMissed()
         known_revision = self._position.revision
         fresh = {}
         for item in items:
@@ -124,7 +139,9 @@
 
         It has the newer items and all keys, so that the receiver also drops
         removed keys. It has all items if those of the receiver may be from
-        before a restore of the store.
+        before a restore of the store: unconfirmed ones have revision 0, and
+        nodes of earlier builds state more than they know, at least as long as
+        there is a memory of the restore.
         """
         memory = self._export_memory()
         comparable = position.era == self._position.era and memory is None
@@ -138,6 +155,7 @@
             keys=self._items,
             position=self._position,
             complete=True,
+            confirmed=self._confirmed,
             memory=memory,
         )
 
@@ -161,7 +179,7 @@
         if update.HasField("memory"):
             self._import_memory(update.memory)
         merged = {}
-        if position.era == self._position.era:
+        if position.era == self._position.era and self._confirmed:
             merged = {
                 key: item for key, item in self._items.items() if key in keys
             }
@@ -170,14 +188,16 @@
             listed = merged.get(item.key)
             if listed is None or listed.version < item.version:
                 merged[item.key] = item
-        self.replace_all(merged.values(), position)
+        self._replace(
+            merged.values(), position, confirmed=not update.unconfirmed
+        )
 
     def _items_newer_than(self, position):
         """Return the items that the store has changed after a position.
 
         The later pages of a listing have such items.
         """
-        if position.era != self._position.era or not self.confirmed:
+        if position.era != self._position.era or not self._confirmed:
             return ()
         return tuple(
             item
@@ -191,13 +211,16 @@
     return store.Position(era=message.era, revision=message.revision)
 
 
-def encode_update(*, items, position, complete=False, keys=(), memory=None):
+def encode_update(
+    *, items, position, complete=False, confirmed=True, keys=(), memory=None
+):
     """Encode store items as an Update message.
 
     Args:
       items: store.Items; a removed one has no value.
       position: store.Position that they belong to.
       complete: whether `keys` lists all keys of the store.
+      confirmed: whether the items are surely of the position's era.
       keys: keys of the store.
       memory: StoreMemory message, None for none.
     """
@@ -223,6 +246,7 @@
         revision=position.revision,
         era=position.era,
         memory=memory,
+        unconfirmed=not confirmed,
     )
 
 
--- a/wigeonrouter/node/_store_cache_test.py
+++ b/wigeonrouter/node/_store_cache_test.py
@@ -1,5 +1,7 @@
 """Tests of the copy of the store that followers keep."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -108,42 +110,224 @@
     assert not applied
 
 
-@hypothesis.given(
-    changes=strategies.lists(
-        strategies.tuples(strategies.integers(0, 3), strategies.booleans()),
-        min_size=1,
-        max_size=20,
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _StoreState:
+    """Contents of the store at a position."""
+
+    position: store.Position
+    items: dict
+
+
+class _DrilledStore:
+    """A store that is written, and restored from earlier states of its own.
+
+    Attributes:
+      shown: all _StoreStates that it ever had, the latest last.
+      changes: list of the changes of the present era since its restore.
+    """
+
+    def __init__(self):
+        self.shown = [_StoreState(position=_position(1), items={})]
+        self.changes = []
+
+    @property
+    def state(self):
+        return self.shown[-1]
+
+    def write(self, key, exists):
+        """Write a value that no other write has, or remove the key."""
+        revision = self.state.position.revision + 1
+        value = b"%d" % len(self.shown) if exists else None
+        change = _item(f"servers/i-{key}", revision, value)
+        items = dict(self.state.items)
+        items.pop(change.key, None)
+        if exists:
+            items[change.key] = change
+        self.changes.append(change)
+        self._show(
+            dataclasses.replace(self.state.position, revision=revision), items
+        )
+
+    def restore(self, age, rewritten):
+        """Go back by some states to a new era, and write some keys again."""
+        copy = self.shown[max(0, len(self.shown) - 1 - age)]
+        revision = copy.position.revision
+        era = self.state.position.era + 1
+        self.changes = []
+        self._show(_position(revision, era), copy.items)
+        for key in rewritten:
+            self.write(key, True)
+
+    def states_since(self, position):
+        """Return the states of the era at the position and after it."""
+        return [
+            state
+            for state in self.shown
+            if state.position.era == position.era
+            and state.position.revision >= position.revision
+        ]
+
+    def _show(self, position, items):
+        self.shown.append(_StoreState(position=position, items=items))
+
+
+class _DrilledRegion:
+    """Caches of nodes that list a store, read its changes and follow others.
+
+    A node that follows gets what its hub has read from then on.
+    """
+
+    def __init__(self):
+        self.store = _DrilledStore()
+        self.caches = [_make_cache() for _ in range(3)]
+        self.hubs = {}
+
+    def start(self, node, age):
+        """Start a node with a stale listing; it names the present position."""
+        self.leave(node)
+        state = self.store.state
+        listed = self.store.shown[max(0, len(self.store.shown) - 1 - age)]
+        newest = max((i.version for i in listed.items.values()), default=1)
+        cache = self.caches[node] = _make_cache()
+        if newest > state.position.revision:
+            cache.replace_all(state.items.values(), state.position)
+            return
+        cache.replace_all(
+            listed.items.values(),
+            dataclasses.replace(state.position, revision=newest),
+            stale=True,
+        )
+
+    def leave(self, node):
+        """Stop following, and lose the own followers."""
+        self.hubs = {
+            follower: hub
+            for follower, hub in self.hubs.items()
+            if node not in (follower, hub)
+        }
+
+    def join(self, node, hub):
+        """Let a node follow another one, which may lag behind."""
+        if node == hub:
+            return
+        self.leave(node)
+        self.hubs[node] = hub
+        self._send(
+            node, self.caches[hub].update_since(self.caches[node].position)
+        )
+
+    def read(self, node):
+        """Read what the store has changed, or list it, as a hub."""
+        self.hubs.pop(node, None)
+        cache, state = self.caches[node], self.store.state
+        known = cache.position
+        if not cache.confirmed or known.era != state.position.era:
+            cache.replace_all(state.items.values(), state.position)
+            self._broadcast(node, cache.update_since(known))
+            return
+        changes = [
+            change
+            for change in self.store.changes
+            if change.version > known.revision
+        ]
+        cache.apply_changes(changes, state.position)
+        if changes:
+            self._broadcast(
+                node,
+                _store_cache.encode_update(
+                    items=changes, position=state.position
+                ),
+            )
+
+    def _broadcast(self, hub, update):
+        for follower, followed in list(self.hubs.items()):
+            if followed == hub:
+                self._send(follower, update)
+
+    def _send(self, node, update):
+        try:
+            self.caches[node].apply_update(update)
+        except _store_cache.RestoreMissed:
+            del self.hubs[node]
+
+
+def _cached_items(cache):
+    items, _ = _store_cache.decode_update(cache.update_since(store.Position()))
+    return {item.key: item for item in items}
+
+
+def _check_copy(drilled_store, cache):
+    """Check that a copy has no item that the store does not have.
+
+    It is the store's state at the copy's position, and may have later changes
+    too: a removal leaves nothing by which a stale listing shows its age.
+    """
+    if not (cache.filled and cache.confirmed):
+        return
+    states = drilled_store.states_since(cache.position)
+    items = _cached_items(cache)
+    for item in items.values():
+        assert any(state.items.get(item.key) == item for state in states)
+    for key in states[0].items.keys() - items.keys():
+        assert any(key not in state.items for state in states)
+
+
+_NODES = strategies.integers(0, 2)
+_KEYS = strategies.integers(0, 3)
+_AGES = strategies.integers(0, 6)
+_STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just("write"), _KEYS, strategies.booleans()
+        ),
+        strategies.tuples(
+            strategies.just("restore"),
+            _AGES,
+            strategies.lists(_KEYS, max_size=4),
+        ),
+        strategies.tuples(strategies.just("start"), _NODES, _AGES),
+        strategies.tuples(strategies.just("read"), _NODES),
+        strategies.tuples(strategies.just("join"), _NODES, _NODES),
     ),
-    data=strategies.data(),
+    min_size=8,
+    max_size=30,
 )
-def test_any_order_of_hubs_gives_the_state_of_the_newest(changes, data):
+
+
+@hypothesis.settings(max_examples=300)
+@hypothesis.given(steps=_STEPS, hub=_NODES)
+def test_any_order_of_hubs_gives_the_state_of_the_newest(steps, hub):
     """Guards against a change that is undone by an older one, or missed.
 
-    A follower gets all changes up to some revision from one hub, and then
-    those from an older revision on from another.
+    For any order of writes, restores, stale and fresh listings and hubs, no
+    copy that counts as confirmed has what the store has given up. At the end
+    all nodes follow one hub that reads on.
     """
-    history = [
-        _item(f"servers/i-{key}", version, b"{}" if exists else None)
-        for version, (key, exists) in enumerate(changes, start=1)
-    ]
-    follower = _make_cache()
-    hub = _make_cache()
-    for cache in (follower, hub):
-        cache.replace_all([], _position(0))
-    seen = data.draw(strategies.integers(0, len(history)))
-    behind = data.draw(strategies.integers(0, seen))
-    for cache, count in ((follower, seen), (hub, behind)):
-        for item in history[:count]:
-            cache.apply_update(_update(item, revision=item.version))
-    follower.apply_update(hub.update_since(follower.position))
-    for item in history[behind:]:
-        hub.apply_changes([item], _position(item.version))
-        follower.apply_update(_update(item, revision=item.version))
-    newest = hub.update_since(store.Position())
-    assert follower.position == hub.position
-    assert _store_cache.decode_update(
-        follower.update_since(store.Position())
-    ) == _store_cache.decode_update(newest)
+    region = _DrilledRegion()
+    for node in range(3):
+        region.start(node, 0)
+    actions = {
+        "write": region.store.write,
+        "restore": region.store.restore,
+        "start": region.start,
+        "read": region.read,
+        "join": region.join,
+    }
+    for name, *arguments in steps:
+        actions[name](*arguments)
+        for cache in region.caches:
+            _check_copy(region.store, cache)
+    for node in range(3):
+        region.join(node, hub)
+    region.read(hub)
+    region.store.write(0, True)
+    region.read(hub)
+    for node, cache in enumerate(region.caches):
+        if node != hub and node not in region.hubs:
+            region.join(node, hub)
+        assert cache.confirmed
+        assert cache.position == region.store.state.position
+        assert _cached_items(cache) == region.store.state.items
 
 
 def test_listing_of_a_later_era_replaces_newer_revisions(cache, applied):
--- a/wigeonrouter/platform/_restored_store_test.py
+++ b/wigeonrouter/platform/_restored_store_test.py
@@ -105,6 +105,36 @@
     )
 
 
+def test_node_that_starts_with_items_from_before_a_restore_follows_a_change(
+    store, backend, region, make_settings, start_node
+):
+    """Guards against a node that keeps a configuration which the store lost.
+
+    Its listing is stale and from before the restore, while the answer names
+    the era and a revision after it. The new configuration has a revision that
+    the listing has passed.
+    """
+    start_ready(backend, region[0], "i-1")
+    copy = store.copy()
+    _write(store, _LOST_WRITES)
+    store.old_reads = True
+    gevent.sleep(0.5)
+    store.restore(copy)
+    store.put("op/config", _configuration_with_route(2))
+    _write(store, 2 * _LOST_WRITES)
+    wait_until(lambda: _statuses(region, "/new/a") == {200}, timeout=3)
+    started = start_node(
+        make_settings(
+            "node-4", "127.0.0.14", peer_ports=region[0].settings.peer_ports
+        ),
+        servers=1,
+    )
+    wait_until(
+        lambda: _statuses([started], "/new/a") == {200},
+        timeout=_CONFIG_APPLY_S,
+    )
+
+
 def test_server_that_left_does_not_come_back_with_the_copy(
     store, backend, region, make_settings, start_node
 ):
