Log what a quota ledger takes as used without being told

After the loss of all nodes that knew a tenant's use, the log did not tell whether the next ledger knew nothing and guessed, was told too little, or granted beyond its capacity.

--- a/wigeonrouter/node/_quota_client_test.py
+++ b/wigeonrouter/node/_quota_client_test.py
@@ -45,7 +45,7 @@
 
 
 @pytest.fixture
-def make_hub(clock):
+def make_hub(clock, events):
     """Return a function that makes a QuotaHub with a capacity."""
 
     def make(capacity, /, **changes):
@@ -57,6 +57,7 @@
                 "window": WINDOW_S,
                 "ledger_id": 7,
                 "first_start": True,
+                "events": events,
                 "clock": clock,
             }
             | changes
--- a/wigeonrouter/node/_quota_hub.py
+++ b/wigeonrouter/node/_quota_hub.py
@@ -33,6 +33,7 @@
       window: seconds over which requests are counted.
       ledger_id: number that tells this ledger from others.
       first_start: whether no request was sent before.
+      events: events.EventLog.
       clock: function that returns seconds that also count while the machine
         is suspended.
     """
@@ -46,12 +47,14 @@
         window,
         ledger_id,
         first_start,
+        events,
         clock,
     ):
         self._tenants = tenants
         self._capacity = capacity
         self._share = share
         self._ledger_id = ledger_id
+        self._events = events
         self._clock = clock
         self._ledger = tenancy.RegionLedger(
             window=window,
@@ -62,6 +65,8 @@
         # Tenants that were granted tokens for this node itself since the last
         # totals. No other node has been told of these.
         self._granted_locally = set()
+        # Tenants of whose earlier use nothing was known.
+        self._unknown = set()
         # Dict from tenant to the most tokens that a node lacked in one order
         # since take_missing().
         self._missing = {}
@@ -146,6 +151,7 @@
                 share=share,
                 now=now,
             )
+            self._note_assumed(tenant.name, share, now)
             self._counts["granted"] += grant.granted
             self._note_refused(tenant.name, order.wanted - grant.granted)
             grants.append(grant)
@@ -230,6 +236,19 @@
             self._ledger.expire(now)
         return now < self._suspended_until
 
+    def _note_assumed(self, tenant, capacity, now):
+        """Log what counts as used although no node has told of it."""
+        assumed = self._ledger.assumed(tenant, now)
+        if assumed and tenant not in self._unknown:
+            self._unknown.add(tenant)
+            self._events.notice(
+                "quota-assumed",
+                ledger=self._ledger_id,
+                tenant=tenant,
+                tokens=assumed,
+                capacity=capacity,
+            )
+
     def _note_refused(self, tenant, count):
         if count:
             self._counts["refused"] += count
--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -145,6 +145,7 @@
             window=self._settings.bounds.quota_window,
             ledger_id=self._rng.randint(1, _MAX_LEDGER_ID),
             first_start=self._settings.first_start,
+            events=self._events,
             clock=self._clock,
         )
 
--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -127,6 +127,12 @@
         account = self._accounts.get(tenant)
         return 0 if account is None else self._count(account, now)
 
+    def assumed(self, tenant, now):
+        """Return how many tokens count of which no node has told."""
+        account = self._accounts.get(tenant)
+        prior = account and account.priors.get(_NO_LEDGER)
+        return 0 if prior is None else prior.remaining(now)
+
     def grant(self, tenant, *, wanted, capacity, now, share=None):
         """Grant as many of some tokens as the capacity allows.
 
