Bound in the store how fast a region's hub grants quota

Cause: what was granted was known to processes only. A new ledger that no node told anything took 0.6 of the capacity as used, whatever was granted, and let that fade although all of it may have been granted just before.

Change: a ledger keeps to a bound of each tenant on what it grants within any time, and raises it in the store before it uses it. A ledger that is told nothing takes as granted what the stored bound allowed. The entry names the ledger that granted last, so that a report about another one does not replace the assumption, and tells the first start from a restart.

A test of a ledger expects 75 in place of 60 tokens as used, as the default bound allows them. The fixture of a new system now says that it starts for the first time, as the platform does.

--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -43,6 +43,8 @@
         self._quota_shares = None
         # Dict from region to its QuotaDemandWritten.
         self._quota_demands = {}
+        # Dict from region to its QuotaLevelsWritten.
+        self._quota_levels = {}
 
     @property
     def configuration(self):
@@ -97,6 +99,10 @@
         """Tuple of the regions' topology.QuotaDemandWritten."""
         return tuple(self._quota_demands.values())
 
+    def quota_levels(self, region):
+        """Return a region's topology.QuotaLevelsWritten, None without one."""
+        return self._quota_levels.get(region)
+
     def wait_configured(self, timeout):
         """Wait for a configuration, for at most `timeout` seconds."""
         self._configured.wait(timeout=timeout)
@@ -176,6 +182,7 @@
             self._registered_nodes = set()
             self._quota_shares = None
             self._quota_demands = {}
+            self._quota_levels = {}
             self._replace_crashes(content.records, scope)
             self._replace_registrations(content.records, scope, now)
             self._replace_evacuations(content.records, now)
@@ -220,6 +227,8 @@
             self._quota_shares = record
         elif isinstance(record, topology.QuotaDemandWritten):
             self._quota_demands[record.region] = record
+        elif isinstance(record, topology.QuotaLevelsWritten):
+            self._quota_levels[record.region] = record
         elif isinstance(record, topology.NodeRemoved):
             self._hosts.get(record.region, set()).discard(record.host)
             self._registered_nodes.discard((record.region, record.host))
--- a/wigeonrouter/node/_hub.py
+++ b/wigeonrouter/node/_hub.py
@@ -236,7 +236,10 @@
 
     def _serve_quotas(self, host, follower, message):
         """Grant tokens, unless the follower has joined anew meanwhile."""
-        if self._quota_hub is None or self._followers[host] is not follower:
+        if self._quota_hub is None:
+            return
+        self._quota_hub.wait_until_it_answers()
+        if self._followers.get(host) is not follower:
             return
         grant = self._quota_hub.serve_message(host, message.quota_request)
         if grant is not None:
--- a/wigeonrouter/node/_node.py
+++ b/wigeonrouter/node/_node.py
@@ -263,6 +263,7 @@
             "housekeeping": self._housekeep,
             "quotas": quotas.client.run,
             "quota-exchange": quotas.run_exchange,
+            "quota-levels": quotas.run_levels,
         }.items():
             self._tasks.start(name, function)
         self._events.notice(
@@ -421,7 +422,7 @@
             self._was_ready = True
             self._region_member.broadcast_state()
         self._balancers.configure()
-        self._region_member.quotas.client.configure()
+        self._region_member.quotas.configure()
         known = self._cluster_state.directory.known
         addresses = {
             instance: record.registration.address
--- a/wigeonrouter/node/_quota_client.py
+++ b/wigeonrouter/node/_quota_client.py
@@ -284,6 +284,7 @@
             self._order_due.wait(timeout=_ORDER_INTERVAL_S)
             self._order_due.clear()
             if self._limits:
+                self._wait_for_local_hub()
                 self.order()
             else:
                 # Deployments without tenants pay for no more than this.
@@ -302,6 +303,10 @@
         if orders:
             self._send(link, orders, now)
 
+    def _wait_for_local_hub(self):
+        if self._link is not None and self._link.hub is not None:
+            self._link.hub.wait_until_it_answers()
+
     def _join(self, link):
         now = self._boot_clock()
         self._link = link
@@ -428,6 +433,6 @@
         if now - max(asked_at, link.joined_at) < _TOKEN_WAIT_S:
             return False
         if link.hub is not None:
-            return True
+            return link.hub.answers
         oldest = min(link.sent.values(), default=now)
         return link.responded and now - oldest < _TOKEN_WAIT_S
--- a/wigeonrouter/node/_quota_client_test.py
+++ b/wigeonrouter/node/_quota_client_test.py
@@ -1,5 +1,6 @@
 """Tests of what a request meets that needs a quota token."""
 
+import dataclasses
 import random
 import time
 import types
@@ -13,6 +14,7 @@
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _quota_client
 from wigeonrouter.node import _quota_hub
+from wigeonrouter.node import _quota_levels
 from wigeonrouter.node import _quota_messages
 from wigeonrouter.node import conftest
 
@@ -22,6 +24,13 @@
 WINDOW_S = 5.0
 
 
+class _NoEarlierUse(_quota_levels.FallbackLevels):
+    """Levels of the first ledger of all."""
+
+    def levels(self, tenant, quota):
+        return dataclasses.replace(super().levels(tenant, quota), prior=0)
+
+
 class _Clock:
     """Clock of gevent's time, to which a suspension can be added."""
 
@@ -54,9 +63,10 @@
                 "tenants": lambda: _TENANTS,
                 "capacity": lambda tenant: capacity,
                 "share": lambda tenant: capacity,
+                "quota": lambda tenant: capacity,
+                "levels": _NoEarlierUse(),
                 "window": WINDOW_S,
                 "ledger_id": 7,
-                "first_start": True,
                 "events": events,
                 "clock": clock,
             }
--- a/wigeonrouter/node/_quota_hub.py
+++ b/wigeonrouter/node/_quota_hub.py
@@ -12,6 +12,11 @@
 # Time in which it notices that they have left.
 _RECOVERY_S = 1.5
 _EXPIRY_INTERVAL_S = 5.0
+# Orders wait at most so long for the levels that the store has.
+_LEVELS_WAIT_S = 0.1
+# A ledger that knows no tokens of a tenant after this time has granted none
+# that count, nor have earlier ones.
+_IDLE_S = 10.0
 # Followers that know the hub's own use of tokens, should it end.
 _TOTALS_RECEIVERS = 3
 # A side of a partition with more than this share of the nodes has the whole
@@ -30,9 +35,11 @@
         count at a time.
       share: function from a topology.Tenant to the same for the whole region,
         which a previous hub may have granted.
+      quota: function from a topology.Tenant to the tokens in a window to
+        which the bounds of grants are proportional.
+      levels: QuotaLevels or FallbackLevels.
       window: seconds over which requests are counted.
       ledger_id: number that tells this ledger from others.
-      first_start: whether no request was sent before.
       events: events.EventLog.
       clock: function that returns seconds that also count while the machine
         is suspended.
@@ -44,15 +51,18 @@
         tenants,
         capacity,
         share,
+        quota,
+        levels,
         window,
         ledger_id,
-        first_start,
         events,
         clock,
     ):
         self._tenants = tenants
         self._capacity = capacity
         self._share = share
+        self._quota = quota
+        self._levels = levels
         self._ledger_id = ledger_id
         self._events = events
         self._clock = clock
@@ -60,8 +70,8 @@
             window=window,
             number=ledger_id,
             now=clock(),
-            first_start=first_start,
         )
+        self._began_at = clock()
         # Tenants that were granted tokens for this node itself since the last
         # totals. No other node has been told of these.
         self._granted_locally = set()
@@ -84,9 +94,21 @@
 
     @property
     def counts(self):
-        """Tokens `granted`, `refused`, `spent` and `returned`."""
+        """Tokens `granted`, `refused`, `bounded`, `spent` and `returned`."""
         return self._counts
 
+    @property
+    def answers(self):
+        """Whether orders are answered, which waits for the stored levels."""
+        waited = self._clock() - self._began_at
+        return self._levels.known or waited >= _LEVELS_WAIT_S
+
+    def wait_until_it_answers(self):
+        """Wait until orders are answered, a short time after the start."""
+        waited = self._clock() - self._began_at
+        if not self._levels.known and waited < _LEVELS_WAIT_S:
+            self._levels.wait_known(_LEVELS_WAIT_S - waited)
+
     def on_join(self, host):
         """Expect the first request of a follower that has joined."""
         self._sequences[host] = 0
@@ -143,17 +165,23 @@
             if tenant is None:
                 continue
             share = self._share(tenant)
-            self._learn(order, share, ledger, suspended, now)
+            levels = self._levels.levels(tenant.name, self._quota(tenant))
+            self._learn(order, share, levels, ledger, suspended, now)
             grant = self._ledger.grant(
                 order.tenant,
                 wanted=order.wanted,
                 capacity=0 if suspended else self._capacity(tenant),
                 share=share,
                 now=now,
+                levels=levels,
             )
+            self._want_level(tenant.name, now)
             self._note_assumed(tenant.name, share, now)
             self._counts["granted"] += grant.granted
-            self._note_refused(tenant.name, order.wanted - grant.granted)
+            self._counts["bounded"] += grant.bounded
+            self._note_refused(
+                tenant.name, order.wanted - grant.granted - grant.bounded
+            )
             grants.append(grant)
         return tuple(grants)
 
@@ -233,7 +261,7 @@
         self._last_active = now
         if now >= self._expire_at:
             self._expire_at = now + _EXPIRY_INTERVAL_S
-            self._ledger.expire(now)
+            self._sweep(now)
         return now < self._suspended_until
 
     def _note_assumed(self, tenant, capacity, now):
@@ -254,11 +282,26 @@
             self._counts["refused"] += count
             self._missing[tenant] = max(count, self._missing.get(tenant, 0))
 
-    def _learn(self, order, capacity, ledger, suspended, now):
+    def _want_level(self, tenant, now):
+        self._levels.want(tenant, self._ledger.wanted_level(tenant, now))
+
+    def _sweep(self, now):
+        """Forget idle tenants, and lower the levels that they had."""
+        self._ledger.expire(now)
+        for tenant in self._ledger.tenants:
+            self._want_level(tenant, now)
+        if now - self._began_at >= _IDLE_S:
+            self._levels.release_unused(self._ledger.tenants)
+
+    def _learn(self, order, capacity, levels, ledger, suspended, now):
         if order.history is not None:
             if ledger != self._ledger_id:
                 self._ledger.merge(
-                    order.tenant, order.history, capacity=capacity, now=now
+                    order.tenant,
+                    order.history,
+                    capacity=capacity,
+                    now=now,
+                    levels=levels,
                 )
         elif not suspended:
             # What was sent to a suspended hub may concern tokens that its
@@ -273,6 +316,11 @@
             self._counts["returned"] += order.returned
 
 
+def is_majority(fraction):
+    """Return whether a part of a region has the region's whole share."""
+    return fraction > _MAJORITY
+
+
 def allowed_capacity(rules, tenant, fraction):
     """Return how many tokens a part of the region may have in a window.
 
@@ -284,6 +332,6 @@
       tenant: topology.Tenant.
       fraction: share of the region's nodes in this part.
     """
-    if fraction > _MAJORITY:
+    if is_majority(fraction):
         return rules.capacity(tenant)
     return int(rules.reserve(tenant) * fraction)
--- a/wigeonrouter/node/_quota_search_test.py
+++ b/wigeonrouter/node/_quota_search_test.py
@@ -13,6 +13,7 @@
 
 _SEEDS = range(40)
 _FAULTS = ("kill", "kill hub", "freeze", "freeze hub", "split", "split hub")
+_FAULTS_OF_ALL = ("kill all", "stop in turn")
 
 
 def _tenant(name, rate, burst):
@@ -126,6 +127,72 @@
     assert world.rejected["steady"] <= 0.02 * 25 * 8
 
 
+def _kill_all(world):
+    for node in world.nodes:
+        world.kill(node, seconds=0.5)
+
+
+def _stop_in_turn(world):
+    """Stop all nodes, the hubs last, before the first one is back."""
+    for node in sorted(world.nodes, key=lambda node: node.is_hub):
+        world.stop(node)
+        world.run(0.6)
+
+
+@pytest.mark.parametrize("end_all", [_kill_all, _stop_in_turn])
+@pytest.mark.parametrize("regions", [("r1",), ("r1", "r2", "r3")])
+@pytest.mark.parametrize("rush", [0.5, 2.5, 8.0])
+def test_limit_holds_after_all_nodes_that_knew_have_ended(
+    end_all, regions, rush
+):
+    """Guards against a quota that is granted again by the next ledger.
+
+    A tenant has been idle, sends several times its limit, and then no node
+    is left that knows what was granted.
+    """
+    world = _world(regions=regions, nodes=3)
+    world.demand["heavy"] = 0
+    world.run(12)
+    world.demand["heavy"] = 280
+    world.run(rush)
+    end_all(world)
+    world.run(8)
+    _assert_rule(world)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_limit_holds_when_the_last_node_has_granted_alone(seed):
+    """Guards against a rolling stop whose last hub hands over to nobody.
+
+    A tenant begins to send when only that node is left.
+    """
+    world = _world(seed, nodes=3)
+    world.demand["heavy"] = 0
+    world.run(12)
+    *first, last = sorted(world.nodes, key=lambda node: node.is_hub)
+    for node in first:
+        world.stop(node)
+        world.run(1.0)
+    world.callers = {"r1": 3.0}
+    world.demand["heavy"] = 280
+    world.run(0.3)
+    world.stop(last)
+    world.run(10)
+    _assert_rule(world)
+
+
+def test_even_demand_is_served_after_all_nodes_have_ended():
+    """Guards against tenants that are refused for a window after a loss."""
+    world = _world(nodes=3)
+    world.run(20)
+    _kill_all(world)
+    world.run(1.0)
+    world.rejected.clear()
+    world.run(10)
+    _assert_rule(world)
+    assert world.rejected["steady"] <= 0.1 * 25 * 10
+
+
 def test_other_regions_keep_to_their_shares_when_one_is_lost():
     """Guards against a lost region whose share others take while it sends."""
     world = _world(regions=("r1", "r2"))
@@ -175,19 +242,23 @@
     """Guards against requests beyond the limit in orders not thought of.
 
     Messages are late, in half of the runs, or arrive twice; links, nodes
-    and hubs fail for a while, also several at once, and the demand of a
-    tenant begins and ends.
+    and hubs fail for a while, also several at once, all nodes are killed or
+    stop in turn, and the demand of a tenant begins and ends.
     """
     rng = random.Random(seed)
     delays = (0.0, 0.0, 0.0, 0.02, 0.3) if seed % 2 else (0.0,)
     world = _world(seed, delays=delays)
     world.run(4)
     for _ in range(10):
-        fault = rng.choice(_FAULTS)
+        fault = rng.choice(_FAULTS + _FAULTS_OF_ALL)
         node = rng.choice(world.nodes)
         if "hub" in fault:
             node = world.hub_of("r1") or node
-        if "kill" in fault:
+        if fault == "kill all":
+            _kill_all(world)
+        elif fault == "stop in turn":
+            _stop_in_turn(world)
+        elif "kill" in fault:
             world.kill(node)
         elif "freeze" in fault:
             world.freeze(node, rng.uniform(0.3, 8.0))
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -98,6 +98,7 @@
             cluster_state=cluster_state,
             feed=feed,
             peers=lambda: self._peers,
+            store_era=lambda: self._store_copy.position.era,
             events=events,
             rng=rng,
             clock=self._clock,
@@ -275,6 +276,7 @@
             self._store_copy.make_reader(
                 on_store_contact=self._on_store_contact,
                 on_store_outage=self._on_store_outage,
+                on_confirmed=self._quotas.on_store_read,
             ).run
         )
         try:
--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -9,9 +9,11 @@
 from wigeonrouter.node import _quota_client
 from wigeonrouter.node import _quota_exchange
 from wigeonrouter.node import _quota_hub
+from wigeonrouter.node import _quota_levels
 
 # Demand and shares are written at most this often.
 EXCHANGE_INTERVAL_S = 2.0
+_LEVELS_RETRY_S = 0.1
 _MAX_LEDGER_ID = (1 << 32) - 1
 
 
@@ -23,6 +25,8 @@
       cluster_state: ClusterState.
       feed: the adapter's interface to the store.
       peers: function that returns the region's topology.Peers.
+      store_era: function that returns the era of this node's copy of the
+        store.
       events: events.EventLog.
       rng: random.Random.
       clock: function that returns monotonic seconds.
@@ -36,6 +40,7 @@
         cluster_state,
         feed,
         peers,
+        store_era,
         events,
         rng,
         clock=time.monotonic,
@@ -49,6 +54,7 @@
         self._clock = boot_clock
         self._node_presence = tenancy.NodePresence()
         self._hub = None
+        self._served_hosts = lambda: ()
         self._exchange = _quota_exchange.QuotaExchange(
             rules=self._rules,
             tenants=self._tenants,
@@ -56,6 +62,14 @@
             feed=feed,
             events=events,
         )
+        self._levels = _quota_levels.QuotaLevels(
+            region=settings.place.region,
+            cluster_state=cluster_state,
+            store_era=store_era,
+            feed=feed,
+            events=events,
+            clock=boot_clock,
+        )
         self._client = _quota_client.QuotaClient(
             tenants=self._tenants,
             window=settings.bounds.quota_window,
@@ -90,6 +104,12 @@
         """Apply changed topology.NodeSettings."""
         self._settings = settings
 
+    def configure(self):
+        """Apply the limits of a changed configuration."""
+        self._client.configure()
+        if self._hub is not None and self._client.enabled:
+            self._levels.check()
+
     def observe(self, readiness):
         """Record the present nodes, a dict from host to readiness."""
         self._node_presence.observe(readiness, self._clock())
@@ -107,12 +127,16 @@
                 self._clock(),
             )
         self._exchange.restart()
+        self._served_hosts = served_hosts
         self._hub = self._make_hub(
             lambda tenant: _quota_hub.allowed_capacity(
-                self._rules(),
-                tenant,
-                self._node_presence.fraction(served_hosts(), self._clock()),
+                self._rules(), tenant, self._served_fraction()
             ),
+            self._levels,
+        )
+        self._levels.start(
+            ledger=self._hub.ledger_id,
+            first_start=self._settings.first_start,
         )
         self._client.join_local(self._hub)
         if self._client.enabled:
@@ -130,6 +154,25 @@
         if self._hub is not None and self._client.enabled:
             self._exchange.step(self._hub)
 
+    def on_store_read(self):
+        """Record that this node has read the store as the hub."""
+        self._levels.on_read()
+
+    def run_levels(self):
+        """Store the levels of grant bounds until killed."""
+        while True:
+            self._levels.wait_due()
+            while not self.write_levels():
+                gevent.sleep(_LEVELS_RETRY_S)
+
+    def write_levels(self):
+        """Store the levels that are due; return whether none is left."""
+        if self._hub is None or not self._client.enabled:
+            return True
+        if not _quota_hub.is_majority(self._served_fraction()):
+            return True
+        return self._levels.write()
+
     def leave(self):
         """Stop granting and ordering, as the node leaves its hub."""
         if self._hub is not None:
@@ -137,14 +180,21 @@
             self._hub = None
         self._client.leave()
 
-    def _make_hub(self, capacity):
+    def _served_fraction(self):
+        """Return which share of the region's nodes this hub serves."""
+        return self._node_presence.fraction(
+            self._served_hosts(), self._clock()
+        )
+
+    def _make_hub(self, capacity, levels):
         return _quota_hub.QuotaHub(
             tenants=self._tenants,
             capacity=capacity,
             share=lambda tenant: self._rules().capacity(tenant),
+            quota=lambda tenant: self._rules().equal_share(tenant),
+            levels=levels,
             window=self._settings.bounds.quota_window,
             ledger_id=self._rng.randint(1, _MAX_LEDGER_ID),
-            first_start=self._settings.first_start,
             events=self._events,
             clock=self._clock,
         )
@@ -155,7 +205,9 @@
         The home nodes of the services, to which nearly all callers go, share
         the region's quota. The others share the reserve.
         """
-        return self._make_hub(self._fallback_capacity)
+        return self._make_hub(
+            self._fallback_capacity, _quota_levels.FallbackLevels()
+        )
 
     def _fallback_capacity(self, tenant):
         peers = self._peers()
--- a/wigeonrouter/node/_store_copy.py
+++ b/wigeonrouter/node/_store_copy.py
@@ -114,8 +114,19 @@
         """Apply changed topology.NodeSettings."""
         self._settings = settings
 
-    def make_reader(self, *, on_store_contact, on_store_outage):
+    def make_reader(
+        self,
+        *,
+        on_store_contact,
+        on_store_outage,
+        on_confirmed=lambda: None,
+    ):
         """Return a StoreReader of the copy; see there."""
+
+        def confirm():
+            self._on_confirmed()
+            on_confirmed()
+
         return _store_reader.StoreReader(
             store_cache=self._cache,
             feed=self._feed,
@@ -123,7 +134,7 @@
             rng=self._rng,
             on_update=self._on_update,
             on_store_contact=on_store_contact,
-            on_confirmed=self._on_confirmed,
+            on_confirmed=confirm,
             on_store_outage=on_store_outage,
             listing_due=self._cluster_state.listing_due,
         )
--- a/wigeonrouter/node/_store_reader.py
+++ b/wigeonrouter/node/_store_reader.py
@@ -59,12 +59,15 @@
     def run(self):
         """Watch the store until the task is killed.
 
-        Failed calls are retried with an exponential backoff.
+        The first read does not wait for a change, so that the copy is soon
+        known to be current. Failed calls are retried with an exponential
+        backoff.
         """
         failures = 0
+        wait = _NO_WAIT_S
         while True:
             try:
-                changed = self._read_once(wait=_WATCH_TIMEOUT_S)
+                changed = self._read_once(wait=wait)
             except store.StoreError as error:
                 failures += 1
                 self._on_store_outage(error, failures)
@@ -75,6 +78,7 @@
                 gevent.sleep(backoff * self._rng.uniform(0.7, 1.3))
                 continue
             failures = 0
+            wait = _WATCH_TIMEOUT_S
             if changed:
                 gevent.sleep(_BATCH_DELAY_S)
 
--- a/wigeonrouter/node/testing.py
+++ b/wigeonrouter/node/testing.py
@@ -17,6 +17,8 @@
 
 _STEP_S = 0.02
 _TOKEN_WAIT_S = 0.1
+# From the signal to stop until the end of a process.
+_STOP_S = 4.2
 # Age of the nodes' copies of the store.
 _COPY_AGE_S = 0.2
 _FAILURE_DOMAIN = "{}-a"
@@ -70,6 +72,8 @@
         self._revision = 0
         # Pairs of the time of a write and the records after it.
         self._versions = [(0.0, None, {})]
+        # Pairs of the time of a write and a dict from region to its levels.
+        self._levels = [(0.0, {})]
         self.loss_ratio = 0.0
         self.transfers = 0
 
@@ -84,6 +88,31 @@
                 return shares, demands
         return None, {}
 
+    def read_levels(self, region, time):
+        """Return the levels of a region that were written before a time."""
+        for written, levels in reversed(self._levels):
+            if written <= time:
+                return levels.get(region)
+        return None
+
+    def write_quota_levels(self, *, region, levels):
+        self._lose()
+        written = self._levels[-1][1]
+        known = written[region].revision if region in written else 0
+        if known != levels.revision:
+            return None
+        self._revision += 1
+        record = topology.QuotaLevelsWritten(
+            region=region,
+            ledger=levels.ledger,
+            general=levels.general,
+            levels=levels.levels,
+            revision=self._revision,
+        )
+        self._levels.append((self._world.now, written | {region: record}))
+        self._lose()
+        return self._revision
+
     def write_quota_demand(self, *, region, missing):
         self._lose()
         self._revision += 1
@@ -143,6 +172,10 @@
     def quota_demands(self):
         return tuple(self._read()[1].values())
 
+    def quota_levels(self, region):
+        self._read()
+        return self._store.read_levels(region, self._seen_until)
+
     def _read(self):
         if self._node.host not in self._world.partition:
             self._seen_until = self._world.now - _COPY_AGE_S
@@ -164,9 +197,11 @@
         self.frozen_until = 0.0
         self.exchange_at = 0.0
         self.dead_until = 0.0
+        self.stops_at = None
         self.seek_at = 0.0
         self.connection = None
         self.is_hub = False
+        self.hub_since = 0.0
         self.waiting = []
         self.requests = []
         self.running = []
@@ -196,6 +231,7 @@
             cluster_state=self.world.store.view(self),
             feed=self.world.store,
             peers=lambda: (),
+            store_era=lambda: 1,
             events=_Events(),
             rng=self.world.rng,
             clock=lambda: self.world.now,
@@ -301,9 +337,17 @@
         node.waiting, node.requests, node.running = [], [], []
         node.followers, node.connection = {}, None
         node.is_hub = False
+        node.stops_at = None
         node.dead_until = node.seek_at = self.now + seconds
         node.start()
 
+    def stop(self, node):
+        """Let a node stop in order; another process starts after its end."""
+        if node.stops_at is None and node.active:
+            node.stops_at = self.now + _STOP_S
+            if node.is_hub:
+                self._step_down(node)
+
     def freeze(self, node, seconds):
         """Suspend a node's machine."""
         node.frozen_until = self.now + seconds
@@ -339,9 +383,14 @@
         return (one.host in self.partition) == (other.host in self.partition)
 
     def _run_node(self, node):
+        if node.stops_at is not None and self.now >= node.stops_at:
+            self.kill(node, seconds=0.5)
+            return
         self._exchange(node)
         self._seek(node)
         node.quotas.observe(self._readiness(node))
+        if node.is_hub:
+            self._write_levels(node)
         if node.is_hub and self.now >= node.exchange_at:
             node.exchange_at = self.now + _region_quotas.EXCHANGE_INTERVAL_S
             node.quotas.exchange()
@@ -352,15 +401,31 @@
             node.quotas.client.order()
         self._serve(node)
 
+    def _write_levels(self, node):
+        """Let a hub write its levels, once it has read the store."""
+        if node.host in self.partition:
+            return
+        if self.now - node.hub_since > _COPY_AGE_S:
+            node.quotas.on_store_read()
+        node.quotas.write_levels()
+
     def _readiness(self, node):
         if node.is_hub:
-            node.readiness = dict.fromkeys(node.served_hosts(), True)
+            node.readiness = self._announced(node.served_hosts())
         elif node.connection is not None:
             hub = node.connection.hub
             if self._connected(node, hub) and hub.active:
-                node.readiness = dict.fromkeys(hub.served_hosts(), True)
+                node.readiness = self._announced(hub.served_hosts())
         return node.readiness
 
+    def _announced(self, hosts):
+        """Return whether some hosts are ready; those that stop say no."""
+        return {
+            node.host: node.stops_at is None
+            for node in self.nodes
+            if node.host in hosts
+        }
+
     def _serve(self, node):
         client = node.quotas.client
         for attempt in list(node.running):
@@ -424,6 +489,7 @@
             and other is not node
             and other.is_hub
             and other.active
+            and other.stops_at is None
             and self._connected(node, other)
         ]
         if node.is_hub:
@@ -436,6 +502,7 @@
             self._join(node, hubs[0])
         elif self.rng.random() < 0.05:
             node.is_hub = True
+            node.hub_since = self.now
             node.quotas.start_hub(node.served_hosts)
 
     def _step_down(self, node):
--- a/wigeonrouter/platform/_feed.py
+++ b/wigeonrouter/platform/_feed.py
@@ -109,11 +109,28 @@
         Returns:
           Whether they were written.
         """
-        return self._client.replace(
+        written = self._client.replace(
             _quota_values.SHARES_KEY,
             _quota_values.encode_shares(parts, regions),
             revision=revision,
         )
+        return written is not None
+
+    def write_quota_levels(self, *, region, levels):
+        """Store the levels of a region's grant bounds.
+
+        Args:
+          levels: tenancy.StoredLevels; its revision is that of the entry that
+            is replaced, 0 without one.
+        Returns:
+          The revision of the entry, None if it was not written since it has
+          changed.
+        """
+        return self._client.replace(
+            _quota_values.LEVELS_PREFIX + region,
+            _quota_values.encode_levels(levels),
+            revision=levels.revision,
+        )
 
     def decode(self, items, *, scope):
         """Decode store items into a topology.StoreContent.
@@ -161,6 +178,8 @@
             return _quota_values.decode_shares(item)
         if item.key.startswith(_quota_values.DEMAND_PREFIX):
             return _quota_values.decode_demand(item)
+        if item.key.startswith(_quota_values.LEVELS_PREFIX):
+            return _quota_values.decode_levels(item)
         return None
 
     def _decode_registration(self, item):
--- a/wigeonrouter/platform/_quota_limit_test.py
+++ b/wigeonrouter/platform/_quota_limit_test.py
@@ -1,5 +1,7 @@
 """Tests of a limit over the nodes of a region, on real connections."""
 
+import dataclasses
+
 import gevent
 import pytest
 
@@ -76,3 +78,27 @@
         responses = _send_all(others, 4)
         executed += sum(response.status == 200 for response in responses)
     assert executed <= _REGION_LIMIT
+
+
+def test_limit_holds_when_all_nodes_are_killed(limited_region, start_node):
+    """Guards against nodes that grant the whole limit again after a restart.
+
+    Nothing but the store is left of what the nodes knew.
+    """
+    executed = 0
+    for _ in range(_ROUNDS):
+        responses = _send_all(limited_region, 4)
+        executed += sum(response.status == 200 for response in responses)
+        gevent.sleep(0.1)
+    for node in limited_region:
+        node.kill()
+    started = [
+        start_node(dataclasses.replace(node.settings, first_start=False))
+        for node in limited_region
+    ]
+    wait_until(lambda: len(hubs(started)) == 1)
+    for _ in range(_ROUNDS):
+        responses = _send_all(started, 4)
+        executed += sum(response.status == 200 for response in responses)
+        gevent.sleep(0.1)
+    assert executed <= _REGION_LIMIT
--- a/wigeonrouter/platform/_quota_values.py
+++ b/wigeonrouter/platform/_quota_values.py
@@ -13,6 +13,8 @@
 SHARES_KEY = f"{_PREFIX}shares"
 # Each region writes what it lacks under this prefix.
 DEMAND_PREFIX = f"{_PREFIX}demand/"
+# The levels of each region's grant bounds are under this prefix.
+LEVELS_PREFIX = f"{_PREFIX}levels/"
 
 
 def encode_shares(parts, regions):
@@ -63,6 +65,49 @@
     )
 
 
+def encode_levels(stored):
+    """Return the value of a region's tenancy.StoredLevels."""
+    return _encode(
+        {
+            "ledger": stored.ledger,
+            "general": stored.general,
+            "tenants": stored.levels,
+        }
+    )
+
+
+def decode_levels(item):
+    """Return the topology.QuotaLevelsWritten of a store.Item.
+
+    A value that cannot be read stands for grants without a bound.
+    """
+    region = item.key.removeprefix(LEVELS_PREFIX)
+    try:
+        ledger, general, levels = _read_levels(item.value)
+    except (ValueError, TypeError, AttributeError, KeyError):
+        ledger, general, levels = 0, tenancy.UNLIMITED_LEVEL, {}
+    return topology.QuotaLevelsWritten(
+        region=region,
+        ledger=ledger,
+        general=general,
+        levels=levels,
+        revision=item.version,
+    )
+
+
+def _read_levels(value):
+    """Return the ledger, the general level and the tenants' levels."""
+    if value is None:
+        return 0, 0, {}
+    document = json.loads(value)
+    levels = {
+        tenant: _read_count(level)
+        for tenant, level in document["tenants"].items()
+    }
+    ledger = _read_count(document["ledger"])
+    return ledger, _read_count(document["general"]), levels
+
+
 def _read_parts(regions, counts):
     parts = dict(
         zip(regions, [_read_count(count) for count in counts], strict=True)
--- a/wigeonrouter/platform/_quota_values_test.py
+++ b/wigeonrouter/platform/_quota_values_test.py
@@ -3,6 +3,7 @@
 import pytest
 
 from wigeonrouter import store
+from wigeonrouter import tenancy
 from wigeonrouter import topology
 from wigeonrouter.platform import _feed
 from wigeonrouter.platform import _quota_values
@@ -62,3 +63,30 @@
 def test_other_keys_below_the_prefix_are_ignored():
     """Guards against entries of later builds that stop this one."""
     assert _decode("wigeonrouter/quota/other", b"x") == ()
+
+
+def test_levels_come_back_as_written():
+    """Guards against a hub that grants what the next one does not know of."""
+    levels = tenancy.StoredLevels(
+        revision=9, ledger=7, general=125, levels={"acme": 400}
+    )
+    value = _quota_values.encode_levels(levels)
+    (record,) = _decode("wigeonrouter/quota/levels/north", value)
+    assert (record.region, record.revision) == ("north", 4)
+    assert (record.ledger, record.general) == (7, 125)
+    assert record.levels == {"acme": 400}
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"[1]", b"{}", b'{"tenants":{"a":-1}}']
+)
+def test_levels_that_cannot_be_read_allow_any_grant(value):
+    """Guards against a quota that is granted again after a loss of all."""
+    (record,) = _decode("wigeonrouter/quota/levels/north", value)
+    assert record.general == tenancy.UNLIMITED_LEVEL
+
+
+def test_removed_levels_are_no_entry():
+    """Guards against levels that count after the entry was removed."""
+    (record,) = _decode("wigeonrouter/quota/levels/north", None)
+    assert record.general == 0
--- a/wigeonrouter/platform/_store.py
+++ b/wigeonrouter/platform/_store.py
@@ -213,7 +213,7 @@
           key: the key.
           value: bytes.
         Returns:
-          Whether the key was written; False if it exists.
+          The key's revision, None if it exists and was not written.
         Raises:
           StoreReplyLost: the key may have been or may still be written.
           StoreError: the key was not written.
@@ -228,7 +228,8 @@
           value: bytes.
           revision: revision of the key that is replaced, 0 if there is none.
         Returns:
-          Whether the key was written; raises the errors of create().
+          The key's new revision, None if it was not written; raises the errors
+          of create().
         """
         return self._transact(
             expected=[{"key": key, "revision": revision}],
@@ -278,7 +279,11 @@
         return _written(reply, "lease")
 
     def _transact(self, *, expected=(), writes=(), remove=()):
-        """Execute a transaction; return whether the expectations were met."""
+        """Execute a transaction.
+
+        Returns:
+          The store's revision, None if the expectations were not met.
+        """
         body = json.dumps(
             {
                 "expected_rev": list(expected),
@@ -288,9 +293,8 @@
         )
         reply = self._post(_TRANSACTION_PATH, body)
         if expected and reply.status == _CONDITION_FAILED_STATUS:
-            return False
-        _written(reply, "revision")
-        return True
+            return None
+        return _written(reply, "revision")
 
     def close(self):
         """Close the idle connections."""
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -273,10 +273,17 @@
 
 @pytest.fixture
 def region(make_settings, start_node, free_port):
-    """Run three nodes of a region and wait for one hub and two followers."""
+    """Run three nodes of a region and wait for one hub and two followers.
+
+    The whole system starts for the first time.
+    """
     port = free_port()
     nodes = [
-        start_node(make_settings(f"node-{host}", host, peer_ports=(port, 0)))
+        start_node(
+            make_settings(
+                f"node-{host}", host, peer_ports=(port, 0), first_start=True
+            )
+        )
         for host in _HOSTS
     ]
     wait_until(lambda: len(hubs(nodes)) == 1 and followers(nodes) == 2)
--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -11,80 +11,17 @@
 import dataclasses
 import math
 
+from wigeonrouter.tenancy import _grant_bounds
+from wigeonrouter.tenancy import _prior_use
 from wigeonrouter.tenancy import _quota
 
 _BUCKET_S = 0.05
-# Share of its capacity that counts as used if no node knows what a previous
-# hub granted. Tenants usually use about so much of their limit.
-_UNKNOWN_USE = 0.6
-# The total of a tenant grows by at most this share of its capacity in each
-# interval, so that a new hub can bound what nobody was told of before the
-# previous hub noticed that it had lost most nodes.
-_GROWTH_SHARE = 0.2
-_GROWTH_INTERVAL_S = 0.4
-_UNSEEN_INTERVALS = 3
-_MIN_GROWTH = 8
-# Number that no ledger has.
-_NO_LEDGER = 0
-# Nodes state the age of requests up to this much too low.
-_AGE_ERROR_S = 0.25
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _PriorLedger:
-    """What another ledger had granted, as far as it is not known better.
-
-    Attributes:
-      window: seconds over which requests are counted.
-      capacity: of the tenant.
-      statements: list of (time, total) that nodes were told of the ledger.
-      final: whether the last one says what it has granted in the end.
-      sends: list of (time, count) that nodes have reported themselves.
-      until: when it no longer counts.
-      count: requests that are in a statement but in no report.
-      assumed: whether the statement is not of a ledger, but stands for usual
-        use at an even rate.
-    """
-
-    window: float
-    capacity: int
-    statements: list = dataclasses.field(default_factory=list)
-    sends: list = dataclasses.field(default_factory=list)
-    final: bool = False
-    until: float = 0.0
-    count: int = 0
-    assumed: bool = False
-
-    def remaining(self, now):
-        """Return how many of the requests still count."""
-        if not self.assumed:
-            return self.count
-        return math.ceil(self.count * (self.until - now) / self.window)
-
-    def update(self):
-        """Set the count, after a change of the statements or sends."""
-        self.count = max(
-            [0]
-            + [
-                self._highest_total(total) - self._reported(stated_at)
-                for stated_at, total in self.statements
-            ]
-        )
-
-    def _highest_total(self, total):
-        """Return what a total may have grown to after the statement."""
-        if self.assumed or self.final:
-            return total
-        growth = _UNSEEN_INTERVALS * _growth(self.capacity)
-        return max(total, min(self.capacity, total + growth))
-
-    def _reported(self, stated_at):
-        earliest = stated_at - self.window + _AGE_ERROR_S
-        return sum(
-            count
-            for sent_at, count in self.sends
-            if earliest <= sent_at <= stated_at
-        )
+_UNKNOWN = _grant_bounds.GrantLevels(
+    quota=0.0,
+    level=_grant_bounds.UNLIMITED_LEVEL,
+    prior=None,
+    prior_ledger=_quota.ANY_LEDGER,
+)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -95,15 +32,29 @@
       total: sum of both deques.
       base: total at the beginning of the present interval.
       base_until: end of the interval.
-      priors: dict from the number of an earlier ledger to its _PriorLedger.
+      assumed: AssumedUse of earlier ledgers, None if nodes have told of it.
+      reported: dict from the number of an earlier ledger to its ReportedUse.
+      grants: BoundedGrants.
     """
 
     live: collections.deque
     spent: collections.deque
+    grants: _grant_bounds.BoundedGrants
     total: int = 0
     base: int = 0
     base_until: float = 0.0
-    priors: dict = dataclasses.field(default_factory=dict)
+    assumed: _prior_use.AssumedUse | None = None
+    reported: dict = dataclasses.field(default_factory=dict)
+
+    def prior(self, now):
+        """Return how many requests of earlier ledgers count beside those.
+
+        What is assumed includes what is reported.
+        """
+        reported = sum(use.remaining(now) for use in self.reported.values())
+        if self.assumed is None:
+            return reported
+        return max(reported, self.assumed.remaining(now))
 
 
 class RegionLedger:
@@ -118,7 +69,10 @@
 
     def __init__(self, *, window, number, now, first_start=False):
         self._window = window
+        # A token counts for so long if nothing more is heard of it.
+        self._counted_s = window + _quota.TOKEN_LIFETIME_S
         self._number = number
+        self._began_at = now
         self._prior_until = now if first_start else now + window
         self._accounts = {}
 
@@ -130,31 +84,41 @@
     def assumed(self, tenant, now):
         """Return how many tokens count of which no node has told."""
         account = self._accounts.get(tenant)
-        prior = account and account.priors.get(_NO_LEDGER)
-        return 0 if prior is None else prior.remaining(now)
+        if account is None or account.assumed is None:
+            return 0
+        return account.assumed.remaining(now)
 
-    def grant(self, tenant, *, wanted, capacity, now, share=None):
-        """Grant as many of some tokens as the capacity allows.
+    def wanted_level(self, tenant, now):
+        """Return the level of the tenant's bound that its demand needs."""
+        return self._accounts[tenant].grants.wanted_level(now)
+
+    def grant(
+        self, tenant, *, wanted, capacity, now, share=None, levels=_UNKNOWN
+    ):
+        """Grant as many of some tokens as the capacity and bound allow.
 
         Args:
           capacity: how many tokens may count at a time.
           share: the capacity of the whole region, if this is a part of it.
+          levels: GrantLevels.
         Returns:
           TenantGrant.
         """
-        account = self._account(tenant, share or capacity, now)
+        account = self._account(tenant, share or capacity, levels, now)
         total = self._count(account, now)
         if now >= account.base_until:
             account.base = total
-            account.base_until = now + _GROWTH_INTERVAL_S
+            account.base_until = now + _prior_use.GROWTH_INTERVAL_S
         account.base = min(account.base, total)
-        limit = min(capacity, account.base + _growth(capacity))
-        granted = min(wanted, max(0, limit - total))
+        limit = min(capacity, account.base + _prior_use.growth(capacity))
+        free = min(wanted, max(0, limit - total))
+        granted = account.grants.allow(free, now)
         if granted:
             _add(account.live, now, granted)
             account.total += granted
+            account.grants.take(granted, now)
         retry_after = 0.0
-        if wanted and not granted:
+        if wanted and not free:
             retry_after = self._wait(account, now)
             if total < capacity:
                 retry_after = min(retry_after, account.base_until - now)
@@ -163,6 +127,7 @@
             granted=granted,
             total=total + granted,
             retry_after=retry_after,
+            bounded=free - granted,
         )
 
     def totals(self, now):
@@ -178,19 +143,22 @@
         if account is None:
             return
         self._count(account, now)
-        account.total -= _take(account.live, returned)
+        unused = _take(account.live, returned)
+        account.total -= unused
+        account.grants.take(-unused, now)
         moved = _take(account.live, spent)
         if moved:
             _add(account.spent, now, moved)
 
-    def merge(self, tenant, history, *, capacity, now):
+    def merge(self, tenant, history, *, capacity, now, levels=_UNKNOWN):
         """Add what a node knows of the time before this ledger.
 
         Args:
           history: TenantHistory.
           capacity: of the whole region.
+          levels: GrantLevels.
         """
-        account = self._account(tenant, capacity, now)
+        account = self._account(tenant, capacity, levels, now)
         for age, count in sorted(history.sends, reverse=True):
             if age < self._window and count:
                 _insert(account.spent, now - age, count)
@@ -199,6 +167,7 @@
             _add(account.live, now, history.held)
             account.total += history.held
         self._learn_prior(account, history, capacity, now)
+        _compare_with_reports(account, levels)
 
     def _learn_prior(self, account, history, capacity, now):
         """Count what nodes were told but do not report, as if sent now.
@@ -207,82 +176,107 @@
         """
         if history.ledger == self._number:
             return
-        knows = history.told and history.told_age < self._window
-        number = history.ledger if knows else _NO_LEDGER
-        prior = account.priors.get(number)
-        if prior is None:
-            if not knows:
-                return
-            account.priors.pop(_NO_LEDGER, None)
-            prior = account.priors[number] = _PriorLedger(
+        sends = [(now - age, count) for age, count in history.sends]
+        if account.assumed is not None:
+            account.assumed.sends.extend(sends)
+        if not history.told or history.told_age >= self._window:
+            return
+        use = account.reported.get(history.ledger)
+        if use is None:
+            use = account.reported[history.ledger] = _prior_use.ReportedUse(
                 window=self._window, capacity=capacity
             )
-        prior.sends.extend((now - age, count) for age, count in history.sends)
-        if knows:
-            statement = (now - history.told_age, history.told)
-            if history.final:
-                prior.statements = [statement]
-                prior.final = True
-            elif not prior.final:
-                prior.statements.append(statement)
-            prior.until = now + self._window
-        prior.update()
+        use.sends.extend(sends)
+        statement = (now - history.told_age, history.told)
+        if history.final:
+            use.statements = [statement]
+            use.final = True
+        elif not use.final:
+            use.statements.append(statement)
+        use.until = now + self._window
+        use.update()
+
+    @property
+    def tenants(self):
+        """The tenants with tokens that may count."""
+        return self._accounts.keys()
 
     def expire(self, now):
         """Forget the tenants without tokens that count."""
         idle = [
             tenant
             for tenant, account in self._accounts.items()
-            if not self._count(account, now) and now >= self._prior_until
+            if not self._count(account, now)
+            and now >= self._prior_until
+            and account.grants.is_unused(now)
         ]
         for tenant in idle:
             del self._accounts[tenant]
 
-    def _account(self, tenant, capacity, now):
+    def _account(self, tenant, capacity, levels, now):
         account = self._accounts.get(tenant)
         if account is None:
-            account = _Account(
-                live=collections.deque(), spent=collections.deque()
-            )
+            account = self._accounts[tenant] = self._open(levels)
             if now < self._prior_until:
-                unknown = round(capacity * _UNKNOWN_USE)
-                account.priors[_NO_LEDGER] = _PriorLedger(
+                account.assumed = _prior_use.AssumedUse(
                     window=self._window,
                     capacity=capacity,
-                    statements=[(self._prior_until - self._window, unknown)],
                     until=self._prior_until,
-                    count=unknown,
-                    assumed=True,
                 )
-            self._accounts[tenant] = account
+        account.grants.apply(levels, now)
+        assumed = account.assumed
+        if assumed and assumed.bound is None and levels.prior is not None:
+            assumed.bound = _grant_bounds.make_bound(
+                quota=levels.quota,
+                level=levels.prior,
+                seconds=self._counted_s,
+            )
+        _compare_with_reports(account, levels)
         return account
 
+    def _open(self, levels):
+        since = self._began_at
+        if levels.prior == _grant_bounds.NO_LEVEL:
+            since = -math.inf
+        return _Account(
+            live=collections.deque(),
+            spent=collections.deque(),
+            grants=_grant_bounds.BoundedGrants(
+                seconds=self._counted_s, since=since
+            ),
+        )
+
     def _count(self, account, now):
         """Drop what no longer counts; return how many tokens do."""
-        account.total -= _expire(
-            account.live, now - self._window - _quota.TOKEN_LIFETIME_S
-        )
+        account.total -= _expire(account.live, now - self._counted_s)
         account.total -= _expire(account.spent, now - self._window)
-        for number, prior in list(account.priors.items()):
-            if now >= prior.until:
-                del account.priors[number]
-        return account.total + sum(
-            prior.remaining(now) for prior in account.priors.values()
-        )
+        for number, use in list(account.reported.items()):
+            if now >= use.until:
+                del account.reported[number]
+        return account.total + account.prior(now)
 
     def _wait(self, account, now):
         """Return the seconds until the next token no longer counts."""
         ends = []
         if account.live:
-            ends.append(
-                account.live[0][0] + self._window + _quota.TOKEN_LIFETIME_S
-            )
+            ends.append(account.live[0][0] + self._counted_s)
         if account.spent:
             ends.append(account.spent[0][0] + self._window)
-        ends.extend(prior.until for prior in account.priors.values())
+        ends.extend(use.until for use in account.reported.values())
+        if account.assumed is not None and account.assumed.remaining(now):
+            ends.append(now + account.assumed.time_to_token(now))
         return max(_BUCKET_S, min(ends) - now) if ends else self._window
 
 
+def _compare_with_reports(account, levels):
+    """Assume nothing if nodes have told of the ledger that granted last."""
+    ledger = levels.prior_ledger
+    if ledger in account.reported or (
+        ledger == _quota.ANY_LEDGER and account.reported
+    ):
+        account.assumed = None
+
+
 def _add(buckets, now, count):
     if buckets and now <= buckets[-1][0]:
         buckets[-1][1] += count
@@ -315,7 +309,3 @@
     while buckets and buckets[0][0] <= before:
         expired += buckets.popleft()[1]
     return expired
-
-
-def _growth(capacity):
-    return max(_MIN_GROWTH, int(_GROWTH_SHARE * capacity))
--- a/wigeonrouter/tenancy/_ledger_test.py
+++ b/wigeonrouter/tenancy/_ledger_test.py
@@ -123,6 +123,46 @@
     assert _grant(ledger, 1, 2.0 + WINDOW_S + 0.1) == 1
 
 
+def _levels(**changes):
+    return tenancy.GrantLevels(
+        **{"quota": CAPACITY, "level": 100, "prior": 100, "prior_ledger": 3}
+        | changes
+    )
+
+
+@pytest.mark.parametrize(
+    ("reported", "expected"), [(3, 0), (4, 75)], ids=["last", "other"]
+)
+def test_only_reports_of_the_last_ledger_tell_what_was_granted(
+    reported, expected
+):
+    """Guards against a minority's report that stands for the whole region."""
+    ledger = tenancy.RegionLedger(window=WINDOW_S, number=NUMBER, now=0.0)
+    history = _history(told=1, told_age=0.1, ledger=reported, final=True)
+    ledger.merge("acme", history, capacity=CAPACITY, now=0.0, levels=_levels())
+    assert ledger.assumed("acme", 0.0) == expected
+    assert ledger.total("acme", 0.0) == max(1, expected)
+
+
+def test_assumed_use_fades_as_its_bound_allows():
+    """Guards against tenants of even demand that are refused for a window."""
+    ledger = tenancy.RegionLedger(window=WINDOW_S, number=NUMBER, now=0.0)
+    ledger.grant(
+        "acme", wanted=0, capacity=CAPACITY, now=0.0, levels=_levels()
+    )
+    assert ledger.assumed("acme", 0.0) == 75
+    assert 25 <= ledger.assumed("acme", WINDOW_S - 0.01) <= 30
+    assert ledger.assumed("acme", WINDOW_S) == 0
+
+
+def test_assumed_use_includes_what_nodes_report_of_it():
+    """Guards against requests that count as sent and as assumed."""
+    ledger = tenancy.RegionLedger(window=WINDOW_S, number=NUMBER, now=0.0)
+    history = _history(sends=((1.0, 30),))
+    ledger.merge("acme", history, capacity=CAPACITY, now=0.0, levels=_levels())
+    assert ledger.total("acme", 0.0) == 75
+
+
 def test_reports_are_not_counted_twice(ledger):
     """Guards against requests that the total of a lost hub has as well."""
     history = _history(
@@ -185,8 +225,15 @@
     the previous hub had the whole.
     """
     ledger = tenancy.RegionLedger(window=WINDOW_S, number=NUMBER, now=0.0)
-    grant = ledger.grant("acme", wanted=9, capacity=3, share=CAPACITY, now=0.0)
-    assert (grant.granted, grant.total) == (0, 60)
+    grant = ledger.grant(
+        "acme",
+        wanted=9,
+        capacity=3,
+        share=CAPACITY,
+        now=0.0,
+        levels=_levels(),
+    )
+    assert (grant.granted, grant.total) == (0, 75)
 
 
 def test_final_total_of_a_hub_that_stepped_down_is_exact(ledger):
--- a/wigeonrouter/tenancy/_quota.py
+++ b/wigeonrouter/tenancy/_quota.py
@@ -11,6 +11,9 @@
 
 # A token that was not used this long after the node's request for it expires.
 TOKEN_LIFETIME_S = 1.5
+# Numbers that no ledger has.
+NO_LEDGER = 0
+ANY_LEDGER = -1
 # Share of the overage and of the slack that hubs grant. The rest is left to
 # nodes that are partitioned from most of their region.
 _GRANTED_OVERAGE_SHARE = 0.8
@@ -54,6 +57,13 @@
         bound = math.floor(limit * (1 + self.overage) + self.slack)
         return self._share(tenant, bound - self._granted(tenant))
 
+    def equal_share(self, tenant):
+        """Return what a region may send if all have equal shares.
+
+        It does not change while the regions exchange parts of the quota.
+        """
+        return self._granted(tenant) / len(self.regions)
+
     def _granted(self, tenant):
         return math.floor(
             self._limit(tenant) * (1 + self.overage * _GRANTED_OVERAGE_SHARE)
@@ -129,9 +139,11 @@
       granted: number of tokens.
       total: tokens of the region that count at present.
       retry_after: time until the ledger may have a token, 0 if it has one.
+      bounded: tokens that are not granted until a higher level is stored.
     """
 
     tenant: str
     granted: int
     total: int
     retry_after: float = 0.0
+    bounded: int = 0
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -26,6 +26,7 @@
 NodeWritten = _records.NodeWritten
 Peer = _region.Peer
 QuotaDemandWritten = _records.QuotaDemandWritten
+QuotaLevelsWritten = _records.QuotaLevelsWritten
 QuotaSharesWritten = _records.QuotaSharesWritten
 Registration = _records.Registration
 RegistrationRemoved = _records.RegistrationRemoved
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -258,6 +258,23 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class QuotaLevelsWritten:
+    """The hub of a region wrote the levels of its tenants' grant bounds.
+
+    Attributes:
+      ledger: number of the ledger that has written them, 0 if unknown.
+      general: level of the tenants that are not listed, 0 without an entry.
+      levels: dict from tenant to its level.
+    """
+
+    region: str
+    ledger: int
+    general: int
+    levels: dict
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NodeRemoved:
     """The registration of a node was removed."""
