Log whether a configuration requires API keys

A node that took a configuration without customers logged 0 tenants, which does not tell whether requests need keys.

--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -344,6 +344,7 @@
             revision=record.revision,
             routes=len(new.routes),
             tenants=len(new.tenants),
+            keys_required=new.has_tenants,
         )
 
     def _apply_registration(self, record, now, listed):
