Require keys whenever the configuration has a table of tenants

Cause: the parser made the same value of a table without rows and of none, and a table without rows turned authentication off.

Change: whether requests need keys is a state that the parser sets, and each configuration names it. A node without a configuration authenticates no request.

--- a/wigeonrouter/bench/_node_parts.py
+++ b/wigeonrouter/bench/_node_parts.py
@@ -181,6 +181,7 @@
             for name in names
         },
         limits=topology.CallerLimits(),
+        authentication=topology.Authentication.OPEN,
     )
 
 
--- a/wigeonrouter/node/_authenticator.py
+++ b/wigeonrouter/node/_authenticator.py
@@ -33,7 +33,8 @@
 class Authenticator:
     """Finds the tenants of requests.
 
-    A deployment without tenants needs no keys, and no request has a tenant.
+    Without a configuration no request is authenticated. With one of which the
+    operator uses no tenants, requests need no keys and have no tenant.
 
     Args:
       cluster_state: ClusterState, which has the configuration in force.
@@ -47,10 +48,10 @@
         self._latest_rules = None
 
     @property
-    def has_tenants(self):
-        """Whether the configuration in force has tenants."""
+    def keys_required(self):
+        """Whether requests need API keys, also while that is unknown."""
         configuration = self._cluster_state.configuration
-        return configuration is not None and configuration.has_tenants
+        return configuration is None or configuration.keys_required
 
     @property
     def public_priority(self):
@@ -59,7 +60,9 @@
         That of the middle tenant. Anyone may send such requests, so that they
         must not go before those of all tenants.
         """
-        return self._rules().public_priority if self.has_tenants else 0
+        if self._cluster_state.configuration is None:
+            return 0
+        return self._rules().public_priority
 
     def authenticate(self, route, api_key):
         """Find the tenant of a request.
@@ -71,7 +74,11 @@
           topology.Tenant, None if the request needs none, or
           messages.Rejection.
         """
-        if not self.has_tenants:
+        if self._cluster_state.configuration is None:
+            return messages.Rejection(
+                problem=core.problems.NOT_READY, detail="no configuration"
+            )
+        if not self.keys_required:
             return None
         rules = self._rules()
         if rules.public_routes.get(route.name, route.public):
@@ -116,10 +123,10 @@
         """Return the name of a request's tenant for the server.
 
         Returns:
-          Text, "" if the request has no tenant; None if the deployment has no
+          Text, "" if the request has no tenant; None if the operator uses no
           tenants.
         """
-        return _name(context.tenant) if self.has_tenants else None
+        return _name(context.tenant) if self.keys_required else None
 
     def _rules(self):
         """Return the _Rules of the configuration in force."""
@@ -132,13 +139,16 @@
                 public_routes={
                     route.name: route.public for route in configuration.routes
                 },
-                public_priority=statistics.median_low(
-                    tenant.priority
-                    for tenant in configuration.tenants.values()
-                ),
+                public_priority=_middle_priority(configuration.tenants),
             )
         return rules
 
 
+def _middle_priority(tenants):
+    """Return the priority of the middle one of some tenants, 0 without any."""
+    priorities = [tenant.priority for tenant in tenants.values()]
+    return statistics.median_low(priorities) if priorities else 0
+
+
 def _name(tenant):
     return tenant.name if tenant else ""
--- a/wigeonrouter/node/_cluster_state.py
+++ b/wigeonrouter/node/_cluster_state.py
@@ -344,7 +344,7 @@
             revision=record.revision,
             routes=len(new.routes),
             tenants=len(new.tenants),
-            keys_required=new.has_tenants,
+            keys_required=new.keys_required,
         )
 
     def _apply_registration(self, record, now, listed):
--- a/wigeonrouter/node/_entry_choice.py
+++ b/wigeonrouter/node/_entry_choice.py
@@ -57,7 +57,7 @@
             service=services[0] if services else "",
             peers=topology.entry_peers(
                 self._region_member.peers,
-                has_tenants=self._cluster_state.configuration.has_tenants,
+                keys_required=self._cluster_state.configuration.keys_required,
             ),
             own_host=settings.host,
             count=_HOMES_PER_SERVICE,
--- a/wigeonrouter/node/_explainer_test.py
+++ b/wigeonrouter/node/_explainer_test.py
@@ -43,7 +43,7 @@
         cluster_state = types.SimpleNamespace(
             configuration=types.SimpleNamespace(
                 tenants={"acme": tenant},
-                has_tenants=True,
+                keys_required=True,
                 routes=(changed,),
             ),
             routes=topology.RouteTable([changed]),
--- a/wigeonrouter/node/_forwarder.py
+++ b/wigeonrouter/node/_forwarder.py
@@ -108,7 +108,7 @@
         context.hand_over(str(address), started)
         attempt = None
         key_headers = None
-        if self._has_tenants:
+        if self._keys_required:
             key_headers = self._codec.key_headers(context.request)
         try:
             attempt = self._sender.send_to(
@@ -131,8 +131,8 @@
         return attempt
 
     @property
-    def _has_tenants(self):
-        return self._cluster_state.configuration.has_tenants
+    def _keys_required(self):
+        return self._cluster_state.configuration.keys_required
 
     def _make_origin(self, context, remaining):
         return _forwarded_request.Origin(
@@ -159,14 +159,14 @@
             peers=self._peers(),
             own_host=self._host,
             count=_REGION_PEERS,
-            has_tenants=self._has_tenants,
+            keys_required=self._keys_required,
         )
         if peers:
             return [
                 core.parse_address(peer.forwarding_address) for peer in peers
             ]
         remote_hosts = self._cluster_state.remote_hosts
-        if self._has_tenants:
+        if self._keys_required:
             remote_hosts = self._cluster_state.remote_key_checkers
         hosts = topology.remote_forwarding_hosts(
             service=service,
--- a/wigeonrouter/node/_home_regions_paths_test.py
+++ b/wigeonrouter/node/_home_regions_paths_test.py
@@ -42,6 +42,7 @@
             routes=(dataclasses.replace(route, home_regions=home_regions),),
             services={},
             limits=topology.CallerLimits(),
+            authentication=topology.Authentication.OPEN,
         )
         records = [
             topology.NodeWritten(region=region, host=host)
--- a/wigeonrouter/node/_proxy_test.py
+++ b/wigeonrouter/node/_proxy_test.py
@@ -182,6 +182,7 @@
             routes=(route,),
             services={},
             limits=topology.CallerLimits(),
+            authentication=topology.Authentication.OPEN,
         )
         self.remote_hosts = lambda region, home_regions: ("127.0.0.3",)
         self.routes = topology.RouteTable([route])
@@ -364,6 +365,7 @@
         cluster_state.configuration = dataclasses.replace(
             configuration,
             routes=(dataclasses.replace(route, public=public),),
+            authentication=topology.Authentication.KEYED,
             tenants={"acme": topology.Tenant(name="acme", api_keys=("k",))},
         )
         if may_send():
--- a/wigeonrouter/node/_request_log_test.py
+++ b/wigeonrouter/node/_request_log_test.py
@@ -38,7 +38,11 @@
     """ClusterState with a configuration."""
 
     configuration = topology.Configuration(
-        version=7, routes=(), services={}, limits=topology.CallerLimits()
+        version=7,
+        routes=(),
+        services={},
+        limits=topology.CallerLimits(),
+        authentication=topology.Authentication.OPEN,
     )
 
 
--- a/wigeonrouter/node/_request_router_test.py
+++ b/wigeonrouter/node/_request_router_test.py
@@ -31,6 +31,7 @@
             routes=(route,),
             services={},
             limits=topology.CallerLimits(),
+            authentication=topology.Authentication.KEYED,
             tenants={
                 f"t{number}": topology.Tenant(
                     name=f"t{number}",
--- a/wigeonrouter/node/testing.py
+++ b/wigeonrouter/node/testing.py
@@ -304,6 +304,7 @@
             routes=(),
             services={},
             limits=topology.CallerLimits(),
+            authentication=topology.Authentication.KEYED,
             tenants={tenant.name: tenant for tenant in tenants},
         )
         # Share of each tenant's callers by region, equal by default.
--- a/wigeonrouter/platform/_configuration_checks_test.py
+++ b/wigeonrouter/platform/_configuration_checks_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from wigeonrouter import topology
 from wigeonrouter.platform import _fields
 from wigeonrouter.platform import _store_values
 from wigeonrouter.platform import conftest
@@ -72,6 +73,21 @@
         _decode(tenants={name: _tenant("k-1")})
 
 
+@pytest.mark.parametrize(
+    ("changes", "authentication"),
+    [
+        ({}, topology.Authentication.OPEN),
+        ({"tenants": None}, topology.Authentication.OPEN),
+        ({"tenants": {}}, topology.Authentication.KEYED),
+        ({"tenants": {"acme": {}}}, topology.Authentication.KEYED),
+        ({"tenants": {"acme": _tenant()}}, topology.Authentication.KEYED),
+    ],
+)
+def test_table_without_keys_still_requires_keys(changes, authentication):
+    """Guards against authentication that ends with the last customer."""
+    assert _decode(**changes).authentication is authentication
+
+
 @pytest.mark.parametrize("tenants", [None, {}])
 def test_configuration_without_tenants_stays_readable(tenants):
     """Guards against deployments without tenants that lose their routes."""
--- a/wigeonrouter/platform/_store_values.py
+++ b/wigeonrouter/platform/_store_values.py
@@ -61,6 +61,7 @@
         routes=routes,
         services=services,
         limits=_read_limits(document.get("limits")),
+        authentication=_read_authentication(document),
         tenants=_read_tenants(document),
     )
 
@@ -188,7 +189,15 @@
     return frozenset(regions)
 
 
+def _read_authentication(document):
+    """Return the topology.Authentication; a table without rows needs keys."""
+    if document.get("tenants") is None:
+        return topology.Authentication.OPEN
+    return topology.Authentication.KEYED
+
+
 def _read_tenants(document):
+    """Return a dict from name to topology.Tenant."""
     if document.get("tenants") is None:
         return {}
     tenants = {
--- a/wigeonrouter/platform/_tenants_test.py
+++ b/wigeonrouter/platform/_tenants_test.py
@@ -113,6 +113,27 @@
     assert identity(server.runs[-1]) == [(b"tenant", b"acme")]
 
 
+@pytest.mark.parametrize(
+    "documents", [{}, {"acme": {"api_keys": []}}], ids=["tenants", "keys"]
+)
+def test_removal_of_the_last_key_rejects_all_keys(
+    server, node, store, documents
+):
+    """Guards against requests that run with a withdrawn or unknown key.
+
+    The configuration has a table of tenants, without any key.
+    """
+    assert send_raw(node, [_KEY_LINE]).status == 200
+    ran = len(server.runs)
+    put_tenants(store, 3, documents)
+    wait_for_version([node], 3)
+    for lines in ([_KEY_LINE], [b"Key: unknown"], []):
+        assert send_raw(node, lines).status == 401
+    assert len(server.runs) == ran
+    assert send_raw(node, [_KEY_LINE], path="/public/a").status == 200
+    assert not identity(server.runs[-1])
+
+
 @pytest.mark.parametrize(
     "lines",
     [
--- a/wigeonrouter/platform/testing.py
+++ b/wigeonrouter/platform/testing.py
@@ -90,7 +90,7 @@
             service.name: _render_service(service)
             for service in configuration.services.values()
         },
-        **_render_tenants(configuration.tenants),
+        **_render_tenants(configuration),
         "limits": {
             "max_header_bytes": configuration.limits.max_header_bytes,
             "max_body_bytes": configuration.limits.max_body_bytes,
@@ -115,8 +115,8 @@
     return document
 
 
-def _render_tenants(tenants):
-    if not tenants:
+def _render_tenants(configuration):
+    if not configuration.keys_required:
         return {}
     return {
         "tenants": {
@@ -127,7 +127,7 @@
                 "burst": tenant.burst,
                 "allowed_regions": sorted(tenant.home_regions),
             }
-            for tenant in tenants.values()
+            for tenant in configuration.tenants.values()
         }
     }
 
--- a/wigeonrouter/soak/_environment.py
+++ b/wigeonrouter/soak/_environment.py
@@ -315,6 +315,11 @@
                 for service in self._services
             },
             limits=topology.CallerLimits(),
+            authentication=(
+                topology.Authentication.KEYED
+                if self._tenants
+                else topology.Authentication.OPEN
+            ),
             tenants=self._tenants,
         )
         for route in configuration.routes:
--- a/wigeonrouter/topology/__init__.py
+++ b/wigeonrouter/topology/__init__.py
@@ -8,6 +8,7 @@
 from wigeonrouter.topology import _region_history
 from wigeonrouter.topology import _routing
 
+Authentication = _records.Authentication
 Bounds = _records.Bounds
 CallerLimits = _records.CallerLimits
 Configuration = _records.Configuration
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -123,25 +123,40 @@
     idle_timeout: float = 75.0
 
 
+class Authentication(enum.Enum):
+    """Whether requests need an API key.
+
+    Attributes:
+      OPEN: none does.
+      KEYED: all do, but for public routes. If no tenant holds a key, all of
+        these are rejected.
+    """
+
+    OPEN = "open"
+    KEYED = "keyed"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Configuration:
     """The whole configuration by the operator, at one version.
 
     Attributes:
-      tenants: dict from name to Tenant. Without tenants, requests need no
-        API key.
+      authentication: whether the operator uses tenants, also if there are
+        none at present.
+      tenants: dict from name to Tenant.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSettings]
     limits: CallerLimits
+    authentication: Authentication
     tenants: dict[str, Tenant] = dataclasses.field(default_factory=dict)
 
     @property
-    def has_tenants(self):
+    def keys_required(self):
         """Whether requests need an API key, but for public routes."""
-        return bool(self.tenants)
+        return self.authentication is Authentication.KEYED
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/wigeonrouter/topology/_region.py
+++ b/wigeonrouter/topology/_region.py
@@ -233,7 +233,7 @@
     return tuple(ready[host] for host in order[:count])
 
 
-def entry_peers(peers, *, has_tenants):
+def entry_peers(peers, *, keys_required):
     """Return the peers that the directory chooses from.
 
     Load pattern: a deployment gets tenants while nodes of an earlier build
@@ -242,10 +242,10 @@
 
     Args:
       peers: iterable of Peer of one region.
-      has_tenants: whether the configuration has tenants.
+      keys_required: whether requests need API keys.
     """
     checking = tuple(peer for peer in peers if peer.checks_keys and peer.ready)
-    return checking if has_tenants and checking else peers
+    return checking if keys_required and checking else peers
 
 
 def entry_nodes(*, service, peers, own_host, count, roster_age, max_age):
@@ -270,7 +270,7 @@
     return home_nodes(service=service, peers=peers, count=count)
 
 
-def forwarding_peers(*, service, peers, own_host, count, has_tenants=False):
+def forwarding_peers(*, service, peers, own_host, count, keys_required=False):
     """Return the peers that may take a request which this node cannot serve.
 
     The home of the service comes first, since it knows which slots are taken.
@@ -280,8 +280,8 @@
       peers: iterable of Peer of one region.
       own_host: host of this node.
       count: largest number of peers.
-      has_tenants: whether the configuration has tenants. Only peers that
-        check keys get requests then.
+      keys_required: whether requests need API keys. Only peers that check
+        keys get requests then.
     Returns:
       A tuple of Peer.
     """
@@ -291,7 +291,7 @@
         if peer.host != own_host
         and peer.reaches_servers
         and peer.forwarding_address
-        and (peer.checks_keys or not has_tenants)
+        and (peer.checks_keys or not keys_required)
     ]
     return home_nodes(service=service, peers=able, count=count)
 
