Let a hub that stops make way for any other hub

When all nodes of a region stop in turn, the last one grants quota alone. The first one that is back begins a ledger, while the one that stops goes on to grant from its own until its end, up to 4 s later. The two together may exceed a tenant's limit, and in an ordinary stop its callers only get tokens of the reserve, since its followers have left it (QUOTA).

Cause: a hub looks for others each 1.5 s, and steps down only for an earlier one in order, so the first in order never does.

Change: a hub that stops looks each 0.3 s and follows any other hub, so that it orders there and reports what it granted.

--- a/wigeonrouter/node/_hub_search.py
+++ b/wigeonrouter/node/_hub_search.py
@@ -106,6 +106,13 @@
             for role in self.query_roles().values()
         )
 
+    def has_successor(self):
+        """Return whether other nodes have another hub than this node."""
+        return any(
+            role.hub not in ("", self._host) and role.store_reachable
+            for role in self.query_roles().values()
+        )
+
     def decide_role(self, *, reaches_store):
         """Return the topology.Decision of which hub to follow."""
         return topology.decide_role(
--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -27,6 +27,8 @@
 # hub, this node becomes the hub itself.
 _MAX_HUB_WAITS = 4
 _HUB_CHECK_INTERVAL_S = 1.5
+# A hub that stops looks for its successor so often, which may start only now.
+_SUCCESSOR_CHECK_INTERVAL_S = 0.3
 
 
 class RegionMember:
@@ -79,8 +81,10 @@
         self._hub_waits = 0
         # The hub that this node left because it does not reach the store.
         self._abandoned_hub = ""
-        # Set when another hub is known that is better than this one.
-        self._replaced = event.Event()
+        # Whether another hub is known that is better than this one.
+        self._replaced = False
+        # Set when this hub has to look for a better one at once.
+        self._check_due = event.Event()
         self._store_copy = _store_copy.StoreCopy(
             settings=settings,
             feed=feed,
@@ -213,6 +217,7 @@
         self.broadcast_state()
         if self._hub is not None:
             self._hub.send_heartbeat(leaving=True)
+            self._check_due.set()
 
     def kill(self):
         """Stop accepting other nodes and close the store client."""
@@ -268,7 +273,7 @@
         hub = self._hub
         hub.grant_quotas_from(self._quotas.start_hub(lambda: hub.served_hosts))
         self._hub_search.prefer("")
-        self._replaced.clear()
+        self._replaced = False
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
         self._hub.broadcast_roster()
         heartbeats = gevent.spawn(self._hub.run_heartbeats)
@@ -281,8 +286,8 @@
         )
         try:
             while not reader.ready():
-                replaced = self._replaced.wait(timeout=_HUB_CHECK_INTERVAL_S)
-                if replaced or self._should_step_down():
+                self._wait_for_check()
+                if self._replaced or self._should_step_down():
                     return
         finally:
             if reader.exception is not None:
@@ -301,7 +306,16 @@
             )
             self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
+    def _wait_for_check(self):
+        interval = _HUB_CHECK_INTERVAL_S
+        if self._leaving:
+            interval = _SUCCESSOR_CHECK_INTERVAL_S
+        self._check_due.wait(timeout=interval)
+        self._check_due.clear()
+
     def _should_step_down(self):
+        if self._leaving:
+            return self._hub_search.has_successor()
         order = self._hub_search.candidate_order()
         if order[0] == self._settings.host and self._reaches_store:
             return False
@@ -360,7 +374,8 @@
         )
         if is_earlier or (role.store_reachable and not self._reaches_store):
             self._hub_search.prefer(role.hub)
-            self._replaced.set()
+            self._replaced = True
+            self._check_due.set()
 
     def _on_hub_lost_store(self, hub):
         self._abandoned_hub = hub
--- a/wigeonrouter/node/_region_member_test.py
+++ b/wigeonrouter/node/_region_member_test.py
@@ -1,5 +1,6 @@
 """Tests of how a hub of a region deals with a second one."""
 
+import dataclasses
 import random
 
 import gevent
@@ -142,8 +143,8 @@
     member.kill()
 
 
-def _wait_until(condition):
-    with gevent.Timeout(WAIT_S):
+def _wait_until(condition, *, timeout=WAIT_S):
+    with gevent.Timeout(timeout):
         while not condition():
             gevent.sleep(0.01)
 
@@ -176,3 +177,20 @@
     gevent.sleep(0.2)
     # It has tried to follow the other one, which does not exist.
     assert ("hub-lost" in events.names) is steps_down
+
+
+@pytest.mark.parametrize("known_from", ["hub", "follower"])
+def test_hub_that_stops_makes_way_for_any_other(hub, known_roles, known_from):
+    """Guards against two ledgers that both grant the quota of a region.
+
+    The other hub has started after the stop began.
+    """
+    hub.leave()
+    gevent.sleep(0.1)
+    granting = hub.quotas.hub
+    assert granting is not None
+    role = _hub_role("127.0.0.3")
+    if known_from == "follower":
+        role = dataclasses.replace(role, kind=topology.RoleKind.FOLLOWER)
+    known_roles["127.0.0.2"] = role
+    _wait_until(lambda: hub.quotas.hub is not granting, timeout=1.0)
--- a/wigeonrouter/node/testing.py
+++ b/wigeonrouter/node/testing.py
@@ -494,7 +494,12 @@
             and self._connected(node, other)
         ]
         if node.is_hub:
-            if hubs and hubs[0].host < node.host and self.rng.random() < 0.02:
+            # Hubs look for others each 1.5 s, those that stop each 0.3 s.
+            gives_way = hubs and hubs[0].host < node.host
+            chance = 0.02
+            if node.stops_at is not None:
+                gives_way, chance = bool(hubs), 0.07
+            if gives_way and self.rng.random() < chance:
                 self._step_down(node)
             return
         if node.connection is not None or self.now < node.seek_at:
