Let the levels of tenants fall after a refusal that was the last

After a loss of all nodes its callers would have been refused for a window. Tokens that a bound kept back now count as wanted for one second.

test_demand_that_has_ended_wants_no_higher_level failed before.

--- a/wigeonrouter/tenancy/_grant_bounds.py
+++ b/wigeonrouter/tenancy/_grant_bounds.py
@@ -34,6 +34,8 @@
 _MAX_BURST_SHARE = 0.45
 # A higher level is wanted when less than this share of the burst is left.
 _LOW_SHARE = 0.3
+# Tokens that were refused are wanted for this time. Nodes order them again.
+_LACKING_S = 1.0
 # A lower level is enough if it would have been for this time, which is longer
 # than what was granted under the higher one counts.
 CALM_S = 10.0
@@ -148,8 +150,10 @@
         self._lower = None
         # When that was exceeded the last time.
         self._exceeded_at = 0.0
-        # Tokens that the bound kept from the last grant.
+        # Tokens that the bound kept from the last grant, and until when they
+        # may still be wanted.
         self._lacking = 0
+        self._lacking_until = 0.0
 
     def apply(self, levels, now):
         """Apply the GrantLevels in force."""
@@ -181,6 +185,7 @@
         available = max(0.0, self._allowance.available(now))
         allowed = wanted if available >= wanted else int(available)
         self._lacking = wanted - allowed
+        self._lacking_until = now + _LACKING_S
         return allowed
 
     def take(self, count, now):
@@ -195,8 +200,9 @@
         """Return the level that the demand needs."""
         available = self._allowance.available(now)
         burst = self._allowance.bound.burst
-        if self._lacking or available < _LOW_SHARE * burst:
-            return self._level_for(burst - available + self._lacking)
+        lacking = self._lacking if now < self._lacking_until else 0
+        if lacking or available < _LOW_SHARE * burst:
+            return self._level_for(burst - available + lacking)
         if now - self._exceeded_at >= CALM_S:
             return level_below(self._level)
         return self._level
--- a/wigeonrouter/tenancy/_grant_bounds_test.py
+++ b/wigeonrouter/tenancy/_grant_bounds_test.py
@@ -80,3 +80,12 @@
     assert grants.wanted_level(30.0) == 160
     grants.apply(_levels(level=160), 30.0)
     assert grants.allow(10, 30.0) == 10
+
+
+def test_demand_that_has_ended_wants_no_higher_level():
+    """Guards against an idle tenant whose level rises to the top."""
+    grants = _grant_bounds.BoundedGrants(seconds=_COUNTED_S, since=-math.inf)
+    grants.apply(_levels(), 0.0)
+    assert grants.allow(60, 0.0) < 60
+    assert grants.wanted_level(0.5) > 100
+    assert grants.wanted_level(5.0) == 100
