Keep a tenant's allowance when its limit changes

After a change of a tenant's limit, the hub took the allowance of its default bound as used up, so that callers could be refused until the level was raised: equal levels were taken for a fall by a step.

test_changed_limit_leaves_what_is_unused failed before.

--- a/wigeonrouter/tenancy/_grant_bounds.py
+++ b/wigeonrouter/tenancy/_grant_bounds.py
@@ -112,6 +112,8 @@
 
     def available(self, now):
         """Return the allowed tokens, negative if the bound is exceeded."""
+        if self.bound is _UNLIMITED:
+            return math.inf
         elapsed = max(0.0, now - self._updated_at)
         self._tokens = min(
             self.bound.burst, self._tokens + elapsed * self.bound.rate
@@ -121,6 +123,8 @@
 
     def replace(self, bound, now):
         """Apply another bound, of which as much is used as of this one."""
+        if bound == self.bound:
+            return
         used = self.bound.burst - self.available(now)
         self.bound = bound
         self._tokens = bound.burst
@@ -160,17 +164,17 @@
         changed = (levels.quota, levels.level) != (self._quota, self._level)
         if self._allowance is not None and not changed:
             return
-        is_lower = levels.level == level_below(self._level)
         falls = levels.level < self._level
+        is_step = falls and levels.level == level_below(self._level)
         self._quota, self._level = levels.quota, levels.level
         bound = self._bound(levels.level)
-        if self._allowance is not None and is_lower:
+        if self._allowance is None:
+            self._allowance = _Allowance(bound=bound, now=self._since)
+        elif is_step:
             self._allowance = self._lower
-        if self._allowance is None or (falls and not is_lower):
-            began_at = self._since if self._allowance is None else now
-            self._allowance = _Allowance(bound=bound, now=began_at)
-        else:
-            self._allowance.replace(bound, now)
+        elif falls:
+            self._allowance = _Allowance(bound=bound, now=now)
+        self._allowance.replace(bound, now)
         self._lower = _Allowance(
             bound=self._bound(level_below(levels.level)), now=now
         )
--- a/wigeonrouter/tenancy/_grant_bounds_test.py
+++ b/wigeonrouter/tenancy/_grant_bounds_test.py
@@ -89,3 +89,12 @@
     assert grants.allow(60, 0.0) < 60
     assert grants.wanted_level(0.5) > 100
     assert grants.wanted_level(5.0) == 100
+
+
+def test_changed_limit_leaves_what_is_unused():
+    """Guards against refusals after a change of a tenant's limit."""
+    grants = _grant_bounds.BoundedGrants(seconds=_COUNTED_S, since=-math.inf)
+    grants.apply(_levels(), 0.0)
+    raised = tenancy.GrantLevels(quota=2 * QUOTA, level=100, prior=0)
+    grants.apply(raised, 0.0)
+    assert grants.allow(20, 0.0) == 20
