--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -64,16 +64,15 @@
       window: seconds over which requests are counted.
       number: tells the ledger from others.
       now: present time.
-      first_start: whether no request was sent before.
     """
 
-    def __init__(self, *, window, number, now, first_start=False):
+    def __init__(self, *, window, number, now):
         self._window = window
         # A token counts for so long if nothing more is heard of it.
         self._counted_s = window + _quota.TOKEN_LIFETIME_S
         self._number = number
         self._began_at = now
-        self._prior_until = now if first_start else now + window
+        self._prior_until = now + window
         self._accounts = {}
 
     def total(self, tenant, now):
--- a/wigeonrouter/tenancy/_ledger_test.py
+++ b/wigeonrouter/tenancy/_ledger_test.py
@@ -28,9 +28,12 @@
 @pytest.fixture
 def ledger():
     """Return a ledger that begins at the first start of the system."""
-    return tenancy.RegionLedger(
-        window=WINDOW_S, number=NUMBER, now=0.0, first_start=True
+    ledger = tenancy.RegionLedger(window=WINDOW_S, number=NUMBER, now=0.0)
+    first = tenancy.GrantLevels(
+        quota=CAPACITY, level=tenancy.UNLIMITED_LEVEL, prior=0
     )
+    ledger.grant("acme", wanted=0, capacity=CAPACITY, now=0.0, levels=first)
+    return ledger
 
 
 def _grant(ledger, wanted, now, capacity=CAPACITY):
