--- a/wigeonrouter/node/_region_member.py
+++ b/wigeonrouter/node/_region_member.py
@@ -15,6 +15,7 @@
 from wigeonrouter.node import _follower
 from wigeonrouter.node import _hub
 from wigeonrouter.node import _hub_search
+from wigeonrouter.node import _hub_succession
 from wigeonrouter.node import _peer_requests
 from wigeonrouter.node import _peer_server
 from wigeonrouter.node import _region_quotas
@@ -26,9 +27,6 @@
 # After this number of waits for a better candidate that does not become the
 # hub, this node becomes the hub itself.
 _MAX_HUB_WAITS = 4
-_HUB_CHECK_INTERVAL_S = 1.5
-# A hub that stops looks for its successor so often, which may start only now.
-_SUCCESSOR_CHECK_INTERVAL_S = 0.3
 
 
 class RegionMember:
@@ -81,10 +79,6 @@
         self._hub_waits = 0
         # The hub that this node left because it does not reach the store.
         self._abandoned_hub = ""
-        # Whether another hub is known that is better than this one.
-        self._replaced = False
-        # Set when this hub has to look for a better one at once.
-        self._check_due = event.Event()
         self._store_copy = _store_copy.StoreCopy(
             settings=settings,
             feed=feed,
@@ -112,6 +106,13 @@
             cluster_state=cluster_state,
             clock=self._clock,
         )
+        self._succession = _hub_succession.HubSuccession(
+            settings=settings,
+            hub_search=self._hub_search,
+            role=lambda: self._role,
+            reaches_store=lambda: self._reaches_store,
+            is_leaving=lambda: self._leaving,
+        )
         self._registrar = _registrar.Registrar(
             settings=settings,
             feed=feed,
@@ -217,7 +218,7 @@
         self.broadcast_state()
         if self._hub is not None:
             self._hub.send_heartbeat(leaving=True)
-            self._check_due.set()
+            self._succession.check_soon()
 
     def kill(self):
         """Stop accepting other nodes and close the store client."""
@@ -272,8 +273,7 @@
         )
         hub = self._hub
         hub.grant_quotas_from(self._quotas.start_hub(lambda: hub.served_hosts))
-        self._hub_search.prefer("")
-        self._replaced = False
+        self._succession.begin()
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
         self._hub.broadcast_roster()
         heartbeats = gevent.spawn(self._hub.run_heartbeats)
@@ -286,8 +286,8 @@
         )
         try:
             while not reader.ready():
-                self._wait_for_check()
-                if self._replaced or self._should_step_down():
+                self._succession.wait()
+                if self._succession.should_step_down():
                     return
         finally:
             if reader.exception is not None:
@@ -306,38 +306,6 @@
             )
             self._set_role(topology.RoleKind.UNDECIDED, "", False)
 
-    def _wait_for_check(self):
-        interval = _HUB_CHECK_INTERVAL_S
-        if self._leaving:
-            interval = _SUCCESSOR_CHECK_INTERVAL_S
-        self._check_due.wait(timeout=interval)
-        self._check_due.clear()
-
-    def _should_step_down(self):
-        if self._leaving:
-            return self._hub_search.has_successor()
-        order = self._hub_search.candidate_order()
-        if order[0] == self._settings.host and self._reaches_store:
-            return False
-        if not self._reaches_store:
-            return self._hub_search.other_hub_reaches_store()
-        roles = self._hub_search.query_roles()
-        for host in topology.later_hubs(
-            own_host=self._settings.host, order=order, roles=roles
-        ):
-            self._announce_role(host)
-        return topology.should_step_down(
-            own_host=self._settings.host, order=order, roles=roles
-        )
-
-    def _announce_role(self, host):
-        gevent.spawn(
-            _peer_requests.announce_role,
-            host,
-            port=self._port,
-            role=self._role,
-        )
-
     def _on_store_contact(self):
         if not self._reaches_store:
             self._events.notice(
@@ -350,7 +318,7 @@
         self._hub.set_store_reachable(True)
         self._set_role(topology.RoleKind.HUB, self._settings.host, True)
         if self._abandoned_hub:
-            self._announce_role(self._abandoned_hub)
+            self._succession.announce(self._abandoned_hub)
             self._abandoned_hub = ""
 
     def _on_copy_read(self):
@@ -362,20 +330,8 @@
             self._hub.broadcast_update(update)
 
     def _on_hub_announced(self, role):
-        """Step down if this node is a hub, and the other one is better."""
-        if self._hub is None or role.kind is not topology.RoleKind.HUB:
-            return
-        if role.hub in self._hub_search.avoided_hosts():
-            return
-        is_earlier = topology.should_step_down(
-            own_host=self._settings.host,
-            order=self._hub_search.candidate_order(),
-            roles={role.hub: role},
-        )
-        if is_earlier or (role.store_reachable and not self._reaches_store):
-            self._hub_search.prefer(role.hub)
-            self._replaced = True
-            self._check_due.set()
+        if self._hub is not None and role.kind is topology.RoleKind.HUB:
+            self._succession.on_announced(role)
 
     def _on_hub_lost_store(self, hub):
         self._abandoned_hub = hub
