Choose bounds of quota grants by the rate of the limit

Cause: the bound allowed a tenth of the quota at once, which nodes that order ahead often exceed. After each change of hub the bounds began as used up.

Change: a quarter of the quota at once, and 0.75 of the limit's rate for long, so that what is assumed fades as fast as tenants usually send. A level rises only for tokens that are lacking, and falls each 30 s. A hub that has written that it began has a whole burst; its entry says how many have begun lately, and the next ledger counts a burst for each.

--- a/wigeonrouter/node/_quota_hub.py
+++ b/wigeonrouter/node/_quota_hub.py
@@ -35,8 +35,8 @@
         count at a time.
       share: function from a topology.Tenant to the same for the whole region,
         which a previous hub may have granted.
-      quota: function from a topology.Tenant to the tokens in a window to
-        which the bounds of grants are proportional.
+      basis: function from a topology.Tenant to the pair (quota, rate) to
+        which the bounds of grants are proportional, see tenancy.GrantLevels.
       levels: QuotaLevels or FallbackLevels.
       window: seconds over which requests are counted.
       ledger_id: number that tells this ledger from others.
@@ -51,7 +51,7 @@
         tenants,
         capacity,
         share,
-        quota,
+        basis,
         levels,
         window,
         ledger_id,
@@ -61,7 +61,7 @@
         self._tenants = tenants
         self._capacity = capacity
         self._share = share
-        self._quota = quota
+        self._basis = basis
         self._levels = levels
         self._ledger_id = ledger_id
         self._events = events
@@ -165,7 +165,8 @@
             if tenant is None:
                 continue
             share = self._share(tenant)
-            levels = self._levels.levels(tenant.name, self._quota(tenant))
+            quota, rate = self._basis(tenant)
+            levels = self._levels.levels(tenant.name, quota=quota, rate=rate)
             self._learn(order, share, levels, ledger, suspended, now)
             grant = self._ledger.grant(
                 order.tenant,
--- a/wigeonrouter/node/_quota_levels.py
+++ b/wigeonrouter/node/_quota_levels.py
@@ -13,10 +13,12 @@
 from wigeonrouter import tenancy
 
 # Raises within this time are written together.
-_WRITE_INTERVAL_S = 0.1
+_WRITE_INTERVAL_S = 0.25
 _RETRY_INTERVAL_S = 0.5
 # Lowered levels are written at this interval.
-_SWEEP_INTERVAL_S = 10.0
+_SWEEP_INTERVAL_S = 30.0
+# Then the entry no longer has to say that the ledger has just begun.
+_FIRST_SWEEP_S = 10.5
 
 
 class QuotaLevels:
@@ -62,9 +64,9 @@
         """
         now = self._clock()
         self._known.clear()
-        self._keeper.start(now, ledger)
+        self._keeper.start(now, ledger, first_start=first_start)
         self._first_start = first_start
-        self._sweep_at = now + _SWEEP_INTERVAL_S
+        self._sweep_at = now + _FIRST_SWEEP_S
         self._write_due.set()
 
     def on_read(self):
@@ -79,14 +81,14 @@
         """Wait for the first read of this hub, at most `timeout` seconds."""
         self._known.wait(timeout=timeout)
 
-    def levels(self, tenant, quota):
+    def levels(self, tenant, *, quota, rate):
         """Return the tenancy.GrantLevels of a tenant's name.
 
         Args:
-          quota: tokens in a window to which its bounds are proportional.
+          quota, rate: as in tenancy.GrantLevels.
         """
         self._take_copy()
-        return self._keeper.levels(tenant, quota)
+        return self._keeper.levels(tenant, quota=quota, rate=rate)
 
     def want(self, tenant, level):
         """Record the level that the demand of a tenant needs."""
@@ -105,7 +107,7 @@
 
     def wait_due(self):
         """Wait until there may be levels to write."""
-        self._write_due.wait(timeout=_SWEEP_INTERVAL_S)
+        self._write_due.wait(timeout=_FIRST_SWEEP_S)
         self._write_due.clear()
 
     def write(self):
@@ -116,9 +118,10 @@
             return True
         if now < self._retry_at:
             return False
-        self._sweep_at = now + _SWEEP_INTERVAL_S
         self._take_copy()
         proposed = self._keeper.propose(now)
+        if now >= self._sweep_at:
+            self._sweep_at = now + _SWEEP_INTERVAL_S
         if proposed is None:
             return True
         self._retry_at = now + _RETRY_INTERVAL_S
@@ -161,6 +164,7 @@
             copied = tenancy.StoredLevels(
                 revision=record.revision,
                 ledger=record.ledger,
+                starts=record.starts,
                 general=record.general,
                 levels=record.levels,
             )
@@ -172,11 +176,13 @@
 
     known = True
 
-    def levels(self, tenant, quota):
+    def levels(self, tenant, *, quota, rate):
         """Return tenancy.GrantLevels that do not bound the grants."""
         return tenancy.GrantLevels(
             quota=quota,
+            rate=rate,
             level=tenancy.UNLIMITED_LEVEL,
+            begun=True,
             prior=tenancy.DEFAULT_LEVEL,
         )
 
--- a/wigeonrouter/node/_region_quotas.py
+++ b/wigeonrouter/node/_region_quotas.py
@@ -191,7 +191,7 @@
             tenants=self._tenants,
             capacity=capacity,
             share=lambda tenant: self._rules().capacity(tenant),
-            quota=lambda tenant: self._rules().equal_share(tenant),
+            basis=self._bound_basis,
             levels=levels,
             window=self._settings.bounds.quota_window,
             ledger_id=self._rng.randint(1, _MAX_LEDGER_ID),
@@ -199,6 +199,10 @@
             clock=self._clock,
         )
 
+    def _bound_basis(self, tenant):
+        rules = self._rules()
+        return rules.equal_share(tenant), rules.equal_rate(tenant)
+
     def _make_fallback(self):
         """Return a QuotaHub with this node's part of the region's quota.
 
--- a/wigeonrouter/node/testing.py
+++ b/wigeonrouter/node/testing.py
@@ -105,6 +105,7 @@
         record = topology.QuotaLevelsWritten(
             region=region,
             ledger=levels.ledger,
+            starts=levels.starts,
             general=levels.general,
             levels=levels.levels,
             revision=self._revision,
--- a/wigeonrouter/platform/_quota_values.py
+++ b/wigeonrouter/platform/_quota_values.py
@@ -70,6 +70,7 @@
     return _encode(
         {
             "ledger": stored.ledger,
+            "starts": stored.starts,
             "general": stored.general,
             "tenants": stored.levels,
         }
@@ -82,30 +83,35 @@
     A value that cannot be read stands for grants without a bound.
     """
     region = item.key.removeprefix(LEVELS_PREFIX)
-    try:
-        ledger, general, levels = _read_levels(item.value)
-    except (ValueError, TypeError, AttributeError, KeyError):
-        ledger, general, levels = 0, tenancy.UNLIMITED_LEVEL, {}
+    if item.value is None:
+        fields = {"ledger": 0, "starts": 0, "general": 0, "levels": {}}
+    else:
+        fields = _read_levels(item.value)
     return topology.QuotaLevelsWritten(
-        region=region,
-        ledger=ledger,
-        general=general,
-        levels=levels,
-        revision=item.version,
+        region=region, revision=item.version, **fields
     )
 
 
 def _read_levels(value):
-    """Return the ledger, the general level and the tenants' levels."""
-    if value is None:
-        return 0, 0, {}
-    document = json.loads(value)
-    levels = {
-        tenant: _read_count(level)
-        for tenant, level in document["tenants"].items()
-    }
-    ledger = _read_count(document["ledger"])
-    return ledger, _read_count(document["general"]), levels
+    """Return the fields of a topology.QuotaLevelsWritten."""
+    try:
+        document = json.loads(value)
+        fields = {
+            name: _read_count(document[name])
+            for name in ("ledger", "starts", "general")
+        }
+        fields["levels"] = {
+            tenant: _read_count(level)
+            for tenant, level in document["tenants"].items()
+        }
+    except (ValueError, TypeError, AttributeError, KeyError):
+        return {
+            "ledger": 0,
+            "starts": 0,
+            "general": tenancy.UNLIMITED_LEVEL,
+            "levels": {},
+        }
+    return fields
 
 
 def _read_parts(regions, counts):
--- a/wigeonrouter/tenancy/_grant_bounds.py
+++ b/wigeonrouter/tenancy/_grant_bounds.py
@@ -20,20 +20,20 @@
 NO_LEVEL = 0
 # In hundredths of the default bound. The highest allows any grant that the
 # capacity allows.
-_LEVELS = (DEFAULT_LEVEL, 125, 160, 200, 250, 320, 400, 500, 640, 800, 1000)
-_LEVELS += (1600, 2500, 4000)
+_LEVELS = (DEFAULT_LEVEL, 125, 160, 250, 400, 640, 1000, 1600, 2500, 4000)
 UNLIMITED_LEVEL = 1_000_000
-# Share of a quota that the default bound allows in a window and the lifetime
-# of a token.
-_DEFAULT_SHARE = 0.75
+# Shares of a limit's rate, and of a quota in a second at least, that the
+# default bound allows for long.
+_RATE_SHARE = 0.75
+_MIN_RATE_SHARE = 0.02
 # Share of a quota that it allows at once.
-_BURST_SHARE = 0.1
+_BURST_SHARE = 0.25
 # Whole tokens that it allows at once of a small quota, and the share of the
 # quota that these are at most.
 _MIN_BURST = 3.0
-_MAX_BURST_SHARE = 0.45
-# A higher level is wanted when less than this share of the burst is left.
-_LOW_SHARE = 0.3
+_MAX_BURST_SHARE = 0.6
+# A level leaves this share of its burst unused.
+_SPARE_SHARE = 0.3
 # Tokens that were refused are wanted for this time. Nodes order them again.
 _LACKING_S = 1.0
 # A lower level is enough if it would have been for this time, which is longer
@@ -58,27 +58,30 @@
         return self.burst + self.rate * seconds
 
 
+NOTHING = GrantBound(burst=0.0, rate=0.0)
 _UNLIMITED = GrantBound(burst=math.inf, rate=0.0)
 
 
-def make_bound(*, quota, level, seconds):
+def make_bound(*, quota, rate, level, starts=0):
     """Return the GrantBound of a level.
 
     Args:
-      quota: tokens in a window to which the bound is proportional.
+      quota: tokens in a window to which the burst is proportional.
+      rate: tokens in a second that the tenant's limit allows for long.
       level: hundredths of the default bound.
-      seconds: the window and the lifetime of a token.
+      starts: ledgers that have followed another one a short time ago. Each
+        had a burst of its own.
     """
     if level >= UNLIMITED_LEVEL:
         return _UNLIMITED
-    if level == NO_LEVEL:
-        return GrantBound(burst=0.0, rate=0.0)
     burst = max(
         _BURST_SHARE * quota, min(_MIN_BURST, _MAX_BURST_SHARE * quota)
     )
-    rate = (_DEFAULT_SHARE * quota - burst) / seconds
     factor = level / DEFAULT_LEVEL
-    return GrantBound(burst=burst * factor, rate=rate * factor)
+    return GrantBound(
+        burst=burst * factor * (1 + starts),
+        rate=max(_RATE_SHARE * rate, _MIN_RATE_SHARE * quota) * factor,
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,28 +89,31 @@
     """The levels of a tenant's bounds.
 
     Attributes:
-      quota: tokens in a window to which the bounds are proportional.
+      quota, rate: to which the bounds are proportional, see make_bound().
       level: of the bound for what is granted from now on.
+      begun: whether the store has that this ledger began, so that it may
+        grant a burst although its predecessor may have just done so.
       prior: of the bound for what earlier ledgers granted, None if unknown.
       prior_ledger: number of the ledger that granted last, ANY_LEDGER if the
         store does not say, NO_LEDGER before it was asked.
+      prior_starts: how many of these followed another a short time before.
     """
 
     quota: float
+    rate: float
     level: int
+    begun: bool
     prior: int | None
     prior_ledger: int = _quota.NO_LEDGER
+    prior_starts: int = 0
 
 
 class _Allowance:
-    """What a bound allows to grant at present.
-
-    It is empty at first, as another ledger may have granted just before.
-    """
+    """What a bound allows to grant at present, nothing at first."""
 
     def __init__(self, *, bound, now):
         self.bound = bound
-        self._tokens = math.inf if bound is _UNLIMITED else 0.0
+        self._tokens = 0.0
         self._updated_at = now
 
     def available(self, now):
@@ -121,6 +127,10 @@
         self._updated_at = now
         return self._tokens
 
+    def fill(self):
+        """Allow a whole burst."""
+        self._tokens = self.bound.burst
+
     def replace(self, bound, now):
         """Apply another bound, of which as much is used as of this one."""
         if bound == self.bound:
@@ -140,20 +150,17 @@
     """Keeps the grants for one tenant to a bound, and chooses its level.
 
     Args:
-      seconds: the window and the lifetime of a token.
+      levels: GrantLevels in force.
       since: time from which on no other ledger has granted any.
     """
 
-    def __init__(self, *, seconds, since):
-        self._seconds = seconds
-        self._since = since
-        self._quota = 0.0
-        self._level = DEFAULT_LEVEL
-        self._allowance = None
-        # What the next lower level would allow.
+    def __init__(self, *, levels, since):
+        self._levels = levels
+        self._allowance = _Allowance(bound=_bound(levels), now=since)
+        if levels.begun:
+            self._allowance.fill()
         self._lower = None
-        # When that was exceeded the last time.
-        self._exceeded_at = 0.0
+        self._track_lower(since)
         # Tokens that the bound kept from the last grant, and until when they
         # may still be wanted.
         self._lacking = 0
@@ -161,24 +168,16 @@
 
     def apply(self, levels, now):
         """Apply the GrantLevels in force."""
-        changed = (levels.quota, levels.level) != (self._quota, self._level)
-        if self._allowance is not None and not changed:
+        before, self._levels = self._levels, levels
+        if levels == before:
             return
-        falls = levels.level < self._level
-        is_step = falls and levels.level == level_below(self._level)
-        self._quota, self._level = levels.quota, levels.level
-        bound = self._bound(levels.level)
-        if self._allowance is None:
-            self._allowance = _Allowance(bound=bound, now=self._since)
-        elif is_step:
-            self._allowance = self._lower
-        elif falls:
-            self._allowance = _Allowance(bound=bound, now=now)
-        self._allowance.replace(bound, now)
-        self._lower = _Allowance(
-            bound=self._bound(level_below(levels.level)), now=now
-        )
-        self._exceeded_at = now
+        if levels.begun and not before.begun:
+            self._allowance.fill()
+        if levels.level < before.level:
+            self._lower_allowance(before.level, now)
+        self._allowance.replace(_bound(levels), now)
+        if levels.level != before.level:
+            self._track_lower(now)
 
     def is_unused(self, now):
         """Return whether nothing that was granted limits the next grants."""
@@ -196,34 +195,54 @@
         """Count granted tokens, or with a minus those that were not used."""
         self._allowance.take(count)
         self._lower.take(count)
-        least = _LOW_SHARE * self._lower.bound.burst
+        least = _SPARE_SHARE * self._lower.bound.burst
         if self._lower.available(now) < least:
             self._exceeded_at = now
 
     def wanted_level(self, now):
         """Return the level that the demand needs."""
-        available = self._allowance.available(now)
-        burst = self._allowance.bound.burst
+        if not self._levels.begun:
+            # The allowance is to be filled soon.
+            return self._levels.level
         lacking = self._lacking if now < self._lacking_until else 0
-        if lacking or available < _LOW_SHARE * burst:
-            return self._level_for(burst - available + lacking)
+        if lacking:
+            burst = self._allowance.bound.burst
+            return self._level_for(
+                burst - self._allowance.available(now) + lacking
+            )
         if now - self._exceeded_at >= CALM_S:
-            return level_below(self._level)
-        return self._level
+            return level_below(self._levels.level)
+        return self._levels.level
+
+    def _lower_allowance(self, level, now):
+        """Begin with the allowance of a lower level than a present one."""
+        if self._levels.level == level_below(level):
+            self._allowance = self._lower
+        else:
+            self._allowance = _Allowance(bound=_bound(self._levels), now=now)
+
+    def _track_lower(self, now):
+        """Begin to track what the next lower level would allow."""
+        lower = level_below(self._levels.level)
+        self._lower = _Allowance(
+            bound=_bound(dataclasses.replace(self._levels, level=lower)),
+            now=now,
+        )
+        self._exceeded_at = now
 
     def _level_for(self, used):
         """Return the lowest level that leaves a share of its burst."""
-        level = self._level
+        level = self._levels.level
         while level < UNLIMITED_LEVEL:
             level = _level_above(level)
-            if self._bound(level).burst * (1 - _LOW_SHARE) >= used:
+            bound = _bound(dataclasses.replace(self._levels, level=level))
+            if bound.burst * (1 - _SPARE_SHARE) >= used:
                 break
         return level
 
-    def _bound(self, level):
-        return make_bound(
-            quota=self._quota, level=level, seconds=self._seconds
-        )
+
+def _bound(levels):
+    return make_bound(quota=levels.quota, rate=levels.rate, level=levels.level)
 
 
 def _level_above(level):
--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -9,7 +9,6 @@
 
 import collections
 import dataclasses
-import math
 
 from wigeonrouter.tenancy import _grant_bounds
 from wigeonrouter.tenancy import _prior_use
@@ -18,7 +17,9 @@
 _BUCKET_S = 0.05
 _UNKNOWN = _grant_bounds.GrantLevels(
     quota=0.0,
+    rate=0.0,
     level=_grant_bounds.UNLIMITED_LEVEL,
+    begun=True,
     prior=None,
     prior_ledger=_quota.ANY_LEDGER,
 )
@@ -225,23 +226,16 @@
         account.grants.apply(levels, now)
         assumed = account.assumed
         if assumed and assumed.bound is None and levels.prior is not None:
-            assumed.bound = _grant_bounds.make_bound(
-                quota=levels.quota,
-                level=levels.prior,
-                seconds=self._counted_s,
-            )
+            assumed.bound = _prior_bound(levels)
         _compare_with_reports(account, levels)
         return account
 
     def _open(self, levels):
-        since = self._began_at
-        if levels.prior == _grant_bounds.NO_LEVEL:
-            since = -math.inf
         return _Account(
             live=collections.deque(),
             spent=collections.deque(),
             grants=_grant_bounds.BoundedGrants(
-                seconds=self._counted_s, since=since
+                levels=levels, since=self._began_at
             ),
         )
 
@@ -267,6 +261,17 @@
         return max(_BUCKET_S, min(ends) - now) if ends else self._window
 
 
+def _prior_bound(levels):
+    if levels.prior == _grant_bounds.NO_LEVEL:
+        return _grant_bounds.NOTHING
+    return _grant_bounds.make_bound(
+        quota=levels.quota,
+        rate=levels.rate,
+        level=levels.prior,
+        starts=levels.prior_starts,
+    )
+
+
 def _compare_with_reports(account, levels):
     """Assume nothing if nodes have told of the ledger that granted last."""
     ledger = levels.prior_ledger
--- a/wigeonrouter/tenancy/_level_keeper.py
+++ b/wigeonrouter/tenancy/_level_keeper.py
@@ -22,12 +22,14 @@
     Attributes:
       revision: of the store.
       ledger: number of the ledger that has written them.
+      starts: ledgers that have followed another one a short time ago.
       general: level of the tenants that are not listed.
       levels: dict from tenant to its level.
     """
 
     revision: int
     ledger: int = _quota.NO_LEDGER
+    starts: int = 0
     general: int = _grant_bounds.DEFAULT_LEVEL
     levels: dict = dataclasses.field(default_factory=dict)
 
@@ -49,6 +51,8 @@
         # What this hub has written, until the copy has it too.
         self._written = None
         self._ledger = _quota.NO_LEDGER
+        self._began_at = 0.0
+        self._first_start = False
         # Whether the store was read since the ledger began.
         self._is_read = False
         # What earlier ledgers kept to, None while it is unknown.
@@ -64,13 +68,15 @@
         """StoredLevels, None without an entry."""
         return self._written or self._copied
 
-    def start(self, now, ledger):
+    def start(self, now, ledger, *, first_start=False):
         """Begin with a new ledger, whose predecessors are not known yet.
 
         Args:
           ledger: its number.
+          first_start: whether the whole system starts for the first time.
         """
-        self._ledger = ledger
+        self._first_start = first_start
+        self._ledger, self._began_at = ledger, now
         self._is_read = False
         self._general_needed_at = now
         self._prior = None
@@ -118,24 +124,28 @@
         """Record that no ledger of the region granted anything before."""
         self._nothing_granted = True
 
-    def levels(self, tenant, quota):
+    def levels(self, tenant, *, quota, rate):
         """Return the GrantLevels of a tenant.
 
         Args:
-          quota: tokens in a window to which its bounds are proportional.
+          quota, rate: as in GrantLevels.
         """
-        prior, prior_ledger = None, _quota.NO_LEDGER
+        prior, prior_ledger, prior_starts = None, _quota.NO_LEDGER, 0
         if self._nothing_granted:
             prior = _grant_bounds.NO_LEVEL
         elif self._prior is not None:
             prior, prior_ledger = self._prior.of(tenant), self._prior.ledger
+            prior_starts = self._prior.starts
         elif self._is_read:
             prior_ledger = _quota.ANY_LEDGER
         return _grant_bounds.GrantLevels(
             quota=quota,
+            rate=rate,
             level=self._effective.of(tenant),
+            begun=self._effective.ledger == self._ledger,
             prior=prior,
             prior_ledger=prior_ledger,
+            prior_starts=prior_starts,
         )
 
     def want(self, tenant, level, now):
@@ -175,18 +185,27 @@
             general=general,
             revision=stored.revision,
             ledger=self._ledger,
+            starts=self._starts(now),
         )
         if self.stored is not None and proposed == stored:
             return None
         return proposed
 
+    def _starts(self, now):
+        """Return how many ledgers have followed another a short time ago."""
+        if now - self._began_at >= _grant_bounds.CALM_S:
+            return 0
+        if self._prior is None:
+            return 0 if self._first_start else 1
+        return 1 + self._prior.starts
+
     @property
     def _effective(self):
         """StoredLevels, the default ones without an entry."""
         return self.stored or StoredLevels(revision=0)
 
 
-def _limit_listed(levels, *, general, revision, ledger):
+def _limit_listed(levels, *, general, revision, ledger, starts):
     """Return StoredLevels that list the highest of some levels."""
     higher = [name for name in levels if levels[name] > general]
     higher.sort(key=lambda name: (-levels[name], name))
@@ -195,6 +214,7 @@
     return StoredLevels(
         revision=revision,
         ledger=ledger,
+        starts=starts,
         general=general,
         levels={
             name: levels[name] for name in higher if levels[name] > general
--- a/wigeonrouter/tenancy/_quota.py
+++ b/wigeonrouter/tenancy/_quota.py
@@ -64,6 +64,10 @@
         """
         return self._granted(tenant) / len(self.regions)
 
+    def equal_rate(self, tenant):
+        """Return the tokens per second of an equal share of the limit."""
+        return tenant.rate / len(self.regions)
+
     def _granted(self, tenant):
         return math.floor(
             self._limit(tenant) * (1 + self.overage * _GRANTED_OVERAGE_SHARE)
--- a/wigeonrouter/topology/_records.py
+++ b/wigeonrouter/topology/_records.py
@@ -279,12 +279,14 @@
 
     Attributes:
       ledger: number of the ledger that has written them, 0 if unknown.
+      starts: ledgers that had followed another one a short time before.
       general: level of the tenants that are not listed, 0 without an entry.
       levels: dict from tenant to its level.
     """
 
     region: str
     ledger: int
+    starts: int
     general: int
     levels: dict
     revision: int
