Let levels of quota bounds fall below the default

A region that has few callers of a tenant keeps a small part of its quota. The default bound, which goes by an equal share, counted all of that as used for seconds after a loss of all nodes: 75 of 75 tokens where a share of 171 would be equal. A tenant's level now is the lowest that would have been enough for ten seconds, also below the default, and is written each ten seconds.

The allowance of each level is tracked, so a level that changes neither loses nor gains tokens.

--- a/wigeonrouter/node/_quota_levels.py
+++ b/wigeonrouter/node/_quota_levels.py
@@ -16,7 +16,7 @@
 _WRITE_INTERVAL_S = 0.25
 _RETRY_INTERVAL_S = 0.5
 # Lowered levels are written at this interval.
-_SWEEP_INTERVAL_S = 30.0
+_SWEEP_INTERVAL_S = 10.0
 # Then the entry no longer has to say that the ledger has just begun.
 _FIRST_SWEEP_S = 10.5
 
--- a/wigeonrouter/tenancy/_grant_bounds.py
+++ b/wigeonrouter/tenancy/_grant_bounds.py
@@ -20,7 +20,7 @@
 NO_LEVEL = 0
 # In hundredths of the default bound. The highest allows any grant that the
 # capacity allows.
-_LEVELS = (DEFAULT_LEVEL, 125, 160, 250, 400, 640, 1000, 1600, 2500, 4000)
+_LEVELS = (16, 25, 40, 63, 100, 125, 160, 250, 400, 640, 1000, 1600, 2500)
 UNLIMITED_LEVEL = 1_000_000
 # Shares of a limit's rate, and of a quota in a second at least, that the
 # default bound allows for long.
@@ -72,7 +72,7 @@
       starts: ledgers that have followed another one a short time ago. Each
         had a burst of its own.
     """
-    if level >= UNLIMITED_LEVEL:
+    if level > _LEVELS[-1]:
         return _UNLIMITED
     burst = max(
         _BURST_SHARE * quota, min(_MIN_BURST, _MAX_BURST_SHARE * quota)
@@ -109,41 +109,52 @@
 
 
 class _Allowance:
-    """What a bound allows to grant at present, nothing at first."""
+    """What the bound of one level allows to grant, nothing at first.
+
+    Attributes:
+      exceeded_at: when the bound was last nearly used up.
+    """
 
     def __init__(self, *, bound, now):
-        self.bound = bound
+        self._bound = bound
         self._tokens = 0.0
         self._updated_at = now
+        self.exceeded_at = now
+
+    @property
+    def spare(self):
+        """Tokens that are left if the level is enough."""
+        return _SPARE_SHARE * self._bound.burst
+
+    @property
+    def is_full(self):
+        """Whether it allows a whole burst."""
+        return self._tokens >= self._bound.burst
 
     def available(self, now):
         """Return the allowed tokens, negative if the bound is exceeded."""
-        if self.bound is _UNLIMITED:
-            return math.inf
         elapsed = max(0.0, now - self._updated_at)
         self._tokens = min(
-            self.bound.burst, self._tokens + elapsed * self.bound.rate
+            self._bound.burst, self._tokens + elapsed * self._bound.rate
         )
         self._updated_at = now
         return self._tokens
 
     def fill(self):
         """Allow a whole burst."""
-        self._tokens = self.bound.burst
+        self._tokens = self._bound.burst
 
-    def replace(self, bound, now):
+    def replace(self, bound):
         """Apply another bound, of which as much is used as of this one."""
-        if bound == self.bound:
-            return
-        used = self.bound.burst - self.available(now)
-        self.bound = bound
-        self._tokens = bound.burst
-        if bound is not _UNLIMITED:
-            self._tokens -= used
-
-    def take(self, count):
+        self._tokens += bound.burst - self._bound.burst
+        self._bound = bound
+
+    def take(self, count, now):
         """Count tokens that were granted, or given back if negative."""
-        self._tokens = min(self.bound.burst, self._tokens - count)
+        left = self.available(now) - count
+        self._tokens = min(self._bound.burst, left)
+        if self._tokens < self.spare:
+            self.exceeded_at = now
 
 
 class BoundedGrants:
@@ -156,36 +167,39 @@
 
     def __init__(self, *, levels, since):
         self._levels = levels
-        self._allowance = _Allowance(bound=_bound(levels), now=since)
+        # Dict from level to its _Allowance, for all levels with a bound.
+        self._allowances = {
+            level: _Allowance(bound=_bound(levels, level), now=since)
+            for level in _LEVELS
+        }
         if levels.begun:
-            self._allowance.fill()
-        self._lower = None
-        self._track_lower(since)
+            self._fill()
         # Tokens that the bound kept from the last grant, and until when they
         # may still be wanted.
         self._lacking = 0
         self._lacking_until = 0.0
 
-    def apply(self, levels, now):
+    def apply(self, levels):
         """Apply the GrantLevels in force."""
         before, self._levels = self._levels, levels
-        if levels == before:
-            return
+        if (levels.quota, levels.rate) != (before.quota, before.rate):
+            for level, allowance in self._allowances.items():
+                allowance.replace(_bound(levels, level))
         if levels.begun and not before.begun:
-            self._allowance.fill()
-        if levels.level < before.level:
-            self._lower_allowance(before.level, now)
-        self._allowance.replace(_bound(levels), now)
-        if levels.level != before.level:
-            self._track_lower(now)
+            self._fill()
 
     def is_unused(self, now):
         """Return whether nothing that was granted limits the next grants."""
-        return self._allowance.available(now) >= self._allowance.bound.burst
+        lowest = self._allowances[_LEVELS[0]]
+        lowest.available(now)
+        return lowest.is_full
 
     def allow(self, wanted, now):
         """Return how many of some wanted tokens may be granted."""
-        available = max(0.0, self._allowance.available(now))
+        allowance = self._allowances.get(self._levels.level)
+        if allowance is None:
+            return wanted
+        available = max(0.0, allowance.available(now))
         allowed = wanted if available >= wanted else int(available)
         self._lacking = wanted - allowed
         self._lacking_until = now + _LACKING_S
@@ -193,62 +207,44 @@
 
     def take(self, count, now):
         """Count granted tokens, or with a minus those that were not used."""
-        self._allowance.take(count)
-        self._lower.take(count)
-        least = _SPARE_SHARE * self._lower.bound.burst
-        if self._lower.available(now) < least:
-            self._exceeded_at = now
+        for allowance in self._allowances.values():
+            allowance.take(count, now)
 
     def wanted_level(self, now):
         """Return the level that the demand needs."""
         if not self._levels.begun:
             # The allowance is to be filled soon.
             return self._levels.level
-        lacking = self._lacking if now < self._lacking_until else 0
-        if lacking:
-            burst = self._allowance.bound.burst
-            return self._level_for(
-                burst - self._allowance.available(now) + lacking
-            )
-        if now - self._exceeded_at >= CALM_S:
-            return level_below(self._levels.level)
-        return self._levels.level
-
-    def _lower_allowance(self, level, now):
-        """Begin with the allowance of a lower level than a present one."""
-        if self._levels.level == level_below(level):
-            self._allowance = self._lower
-        else:
-            self._allowance = _Allowance(bound=_bound(self._levels), now=now)
-
-    def _track_lower(self, now):
-        """Begin to track what the next lower level would allow."""
-        lower = level_below(self._levels.level)
-        self._lower = _Allowance(
-            bound=_bound(dataclasses.replace(self._levels, level=lower)),
-            now=now,
-        )
-        self._exceeded_at = now
-
-    def _level_for(self, used):
-        """Return the lowest level that leaves a share of its burst."""
-        level = self._levels.level
-        while level < UNLIMITED_LEVEL:
-            level = _level_above(level)
-            bound = _bound(dataclasses.replace(self._levels, level=level))
-            if bound.burst * (1 - _SPARE_SHARE) >= used:
+        if self._lacking and now < self._lacking_until:
+            return self._level_for(self._lacking, now)
+        for level, allowance in self._allowances.items():
+            if level >= self._levels.level:
                 break
-        return level
+            if now - allowance.exceeded_at >= CALM_S:
+                return level
+        return self._levels.level
 
+    def _level_for(self, lacking, now):
+        """Return the lowest level that allows some more tokens."""
+        for level, allowance in self._allowances.items():
+            needed = lacking + allowance.spare
+            if (
+                level > self._levels.level
+                and allowance.available(now) >= needed
+            ):
+                return level
+        return UNLIMITED_LEVEL
 
-def _bound(levels):
-    return make_bound(quota=levels.quota, rate=levels.rate, level=levels.level)
+    def _fill(self):
+        for allowance in self._allowances.values():
+            allowance.fill()
 
 
-def _level_above(level):
-    return next((x for x in _LEVELS if x > level), UNLIMITED_LEVEL)
+def _bound(levels, level):
+    return make_bound(quota=levels.quota, rate=levels.rate, level=level)
 
 
 def level_below(level):
     """Return the next lower level, the default one at least."""
-    return max((x for x in _LEVELS if x < level), default=DEFAULT_LEVEL)
+    lower = (x for x in _LEVELS if DEFAULT_LEVEL <= x < level)
+    return max(lower, default=DEFAULT_LEVEL)
--- a/wigeonrouter/tenancy/_ledger.py
+++ b/wigeonrouter/tenancy/_ledger.py
@@ -223,7 +223,7 @@
                     capacity=capacity,
                     until=self._prior_until,
                 )
-        account.grants.apply(levels, now)
+        account.grants.apply(levels)
         assumed = account.assumed
         if assumed and assumed.bound is None and levels.prior is not None:
             assumed.bound = _prior_bound(levels)
--- a/wigeonrouter/tenancy/_level_keeper.py
+++ b/wigeonrouter/tenancy/_level_keeper.py
@@ -35,10 +35,7 @@
 
     def of(self, tenant):
         """Return the level of a tenant."""
-        return max(
-            self.general,
-            self.levels.get(tenant, _grant_bounds.DEFAULT_LEVEL),
-        )
+        return self.levels.get(tenant, self.general)
 
 
 class LevelKeeper:
@@ -206,17 +203,26 @@
 
 
 def _limit_listed(levels, *, general, revision, ledger, starts):
-    """Return StoredLevels that list the highest of some levels."""
-    higher = [name for name in levels if levels[name] > general]
-    higher.sort(key=lambda name: (-levels[name], name))
-    if len(higher) > _MAX_LISTED:
-        general = levels[higher[_MAX_LISTED]]
+    """Return StoredLevels that list at most some of the levels.
+
+    Tenants that are not listed have the general level, which is no lower than
+    theirs.
+    """
+    listed = {
+        tenant: level for tenant, level in levels.items() if level != general
+    }
+    if len(listed) > _MAX_LISTED:
+        order = sorted(listed, key=lambda tenant: (-listed[tenant], tenant))
+        general = max(general, listed[order[_MAX_LISTED]])
+        listed = {
+            tenant: listed[tenant]
+            for tenant in order[:_MAX_LISTED]
+            if listed[tenant] > general
+        }
     return StoredLevels(
         revision=revision,
         ledger=ledger,
         starts=starts,
         general=general,
-        levels={
-            name: levels[name] for name in higher if levels[name] > general
-        },
+        levels=listed,
     )
