Start the nodes of tests as the first ones of their system

Nodes of tests start on an empty store, but said that the system had run before. Since nothing tells them what was granted then, limited tenants are refused for a window: test_command_prints_the_choice and the others of its fixture got 429 in place of 200. The assertions are the same.

--- a/wigeonrouter/platform/_explain_test.py
+++ b/wigeonrouter/platform/_explain_test.py
@@ -24,7 +24,7 @@
 @pytest.fixture
 def tenant_node(store, make_settings, start_node, backend):
     """Run a node with a limited tenant, a server and some requests."""
-    node = start_node(make_settings(spill_over=True))
+    node = start_node(make_settings(spill_over=True, first_start=True))
     acme = {
         "api_keys": [_tenants_test.KEY],
         "priority": 1,
--- a/wigeonrouter/platform/conftest.py
+++ b/wigeonrouter/platform/conftest.py
@@ -234,7 +234,7 @@
 @pytest.fixture
 def node(make_settings, start_node):
     """Run one node without backend servers."""
-    return start_node(make_settings())
+    return start_node(make_settings(first_start=True))
 
 
 @pytest.fixture
