Let orders of quota wait until the ledger has begun

After all machines had lost power, orders of a new hub were refused for 0.2 to 0.4 s: until the store has that its ledger began, it has no burst, and the callers that come back at this moment got 429. Orders now wait for that write, 0.4 s at most, as they wait for a hub.

--- a/wigeonrouter/node/_quota_hub.py
+++ b/wigeonrouter/node/_quota_hub.py
@@ -12,8 +12,8 @@
 # Time in which it notices that they have left.
 _RECOVERY_S = 1.5
 _EXPIRY_INTERVAL_S = 5.0
-# Orders wait at most so long for the levels that the store has.
-_LEVELS_WAIT_S = 0.1
+# Orders wait at most so long until the store has that the ledger has begun.
+_BEGIN_WAIT_S = 0.4
 # A ledger that knows no tokens of a tenant after this time has granted none
 # that count, nor have earlier ones.
 _IDLE_S = 10.0
@@ -99,15 +99,15 @@
 
     @property
     def answers(self):
-        """Whether orders are answered, which waits for the stored levels."""
+        """Whether orders are answered, which waits for the store."""
         waited = self._clock() - self._began_at
-        return self._levels.known or waited >= _LEVELS_WAIT_S
+        return self._levels.begun or waited >= _BEGIN_WAIT_S
 
     def wait_until_it_answers(self):
         """Wait until orders are answered, a short time after the start."""
         waited = self._clock() - self._began_at
-        if not self._levels.known and waited < _LEVELS_WAIT_S:
-            self._levels.wait_known(_LEVELS_WAIT_S - waited)
+        if not self._levels.begun and waited < _BEGIN_WAIT_S:
+            self._levels.wait_begun(_BEGIN_WAIT_S - waited)
 
     def on_join(self, host):
         """Expect the first request of a follower that has joined."""
--- a/wigeonrouter/node/_quota_levels.py
+++ b/wigeonrouter/node/_quota_levels.py
@@ -48,12 +48,14 @@
         self._sweep_at = 0.0
         self._retry_at = 0.0
         self._write_due = event.Event()
-        self._known = event.Event()
+        # Whether it is known what earlier ledgers may have granted.
+        self._known = False
+        self._begun = event.Event()
 
     @property
-    def known(self):
-        """Whether it is known what earlier ledgers may have granted."""
-        return self._known.is_set()
+    def begun(self):
+        """Whether the store has that this hub's ledger has begun."""
+        return self._begun.is_set()
 
     def start(self, *, ledger, first_start):
         """Begin with a new ledger of this node.
@@ -63,7 +65,8 @@
           first_start: whether the whole system starts for the first time.
         """
         now = self._clock()
-        self._known.clear()
+        self._known = False
+        self._begun.clear()
         self._keeper.start(now, ledger, first_start=first_start)
         self._first_start = first_start
         self._sweep_at = now + _FIRST_SWEEP_S
@@ -71,15 +74,16 @@
 
     def on_read(self):
         """Record that this hub has read all that the store has."""
-        if self.known:
+        if self._known:
             return
         self._take_copy()
         self._keeper.on_read()
-        self._known.set()
+        self._known = True
+        self._write_due.set()
 
-    def wait_known(self, timeout):
-        """Wait for the first read of this hub, at most `timeout` seconds."""
-        self._known.wait(timeout=timeout)
+    def wait_begun(self, timeout):
+        """Wait until the ledger has begun, at most `timeout` seconds."""
+        self._begun.wait(timeout=timeout)
 
     def levels(self, tenant, *, quota, rate):
         """Return the tenancy.GrantLevels of a tenant's name.
@@ -114,7 +118,7 @@
         """Write the levels that are due; return whether the store did."""
         now = self._clock()
         is_due = self._keeper.raise_due or now >= self._sweep_at
-        if not self.known or not is_due:
+        if not self._known or not is_due:
             return True
         if now < self._retry_at:
             return False
@@ -151,6 +155,7 @@
         )
         if self._first_start and not proposed.revision:
             self._keeper.on_first_entry()
+        self._begun.set()
 
     def _take_copy(self):
         """Apply what the copy of the store has, if it has changed."""
@@ -174,7 +179,7 @@
 class FallbackLevels:
     """Levels of a node whose hub knows no quotas, and stores none."""
 
-    known = True
+    begun = True
 
     def levels(self, tenant, *, quota, rate):
         """Return tenancy.GrantLevels that do not bound the grants."""
--- a/wigeonrouter/node/_quota_levels_test.py
+++ b/wigeonrouter/node/_quota_levels_test.py
@@ -131,3 +131,17 @@
     assert levels.write() and len(feed.written) == 2
     clock[0] += 1.0
     assert levels.write() and feed.written[2:] == [{"acme": 250}]
+
+
+def test_ledger_has_begun_when_the_store_has_it(levels, feed, clock):
+    """Guards against callers that are refused while a hub begins."""
+    assert not levels.begun
+    levels.on_read()
+    feed.failing = True
+    levels.write()
+    assert not levels.begun
+    feed.failing = False
+    clock[0] += 1.0
+    assert levels.write() and levels.begun
+    levels.start(ledger=9, first_start=False)
+    assert not levels.begun
