Decode an update once where it is applied and logged

A follower decompressed and parsed each whole update of its hub a second time for a line of its log, at the moments when many nodes get large copies. The numbers for the line now come from applying it. Behaviour is the same; lint and the tests of the cache, of proofs and of restored stores pass.

--- a/wigeonrouter/node/_follower.py
+++ b/wigeonrouter/node/_follower.py
@@ -143,16 +143,15 @@
         Raises:
           RestoreMissed: it has changes of a later era than the copy.
         """
-        self._store_cache.apply_update(update)
+        items, keys = self._store_cache.apply_update(update)
         if not update.whole:
             return
-        items, keys = _store_cache.decode_update(update)
         position = self._store_cache.position
         self._callbacks.notice(
             "hub-copy-applied",
             hub=self._hub,
-            items=len(items),
-            keys=len(keys),
+            items=items,
+            keys=keys,
             era=position.era,
             revision=position.revision,
             confirmed=self._store_cache.confirmed,
--- a/wigeonrouter/node/_store_cache.py
+++ b/wigeonrouter/node/_store_cache.py
@@ -162,10 +162,13 @@
     def apply_update(self, update):
         """Apply an Update message.
 
+        Returns:
+          The numbers of items and of keys that it has.
         Raises:
           RestoreMissed: it has changes of a later era than the cache.
         """
         items, listed_keys = decode_update(update)
+        counts = len(items), len(listed_keys)
         keys = frozenset(listed_keys)
         position = read_position(update)
         if not position.era:
@@ -173,9 +176,9 @@
             position = dataclasses.replace(position, era=self._position.era)
         if not update.whole:
             self.apply_changes(items, position)
-            return
+            return counts
         if position < self._position:
-            return
+            return counts
         if update.HasField("memory"):
             self._import_memory(update.memory)
         merged = {}
@@ -191,6 +194,7 @@
         self._replace(
             merged.values(), position, confirmed=not update.unconfirmed
         )
+        return counts
 
     def _items_newer_than(self, position):
         """Return the items that the store has changed after a position.
