--- a/review/support3.py
+++ b/review/support3.py
@@ -625,7 +625,9 @@
         return self._case.folder / f"node-{self.number}.log"
 
     def start(self):
-        """Start the process."""
+        """Start the process, unless the case is over."""
+        if self._case.over:
+            return
         self._file.write_text(self._render())
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())[
             "roles"
@@ -705,7 +707,10 @@
     ):
         self.record = Record(folder)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self._temporary = tempfile.TemporaryDirectory()
+        self.over = False
+        self._temporary = tempfile.TemporaryDirectory(
+            ignore_cleanup_errors=True
+        )
         self.folder = pathlib.Path(self._temporary.name)
         self.store = Store()
         self.regions = regions or REGIONS
@@ -720,6 +725,7 @@
         return self
 
     def __exit__(self, *_):
+        self.over = True
         for node in self.nodes:
             node.end()
         kept = os.environ.get("KEEP_LOGS")
