--- a/review/support3.py
+++ b/review/support3.py
@@ -328,12 +328,15 @@
       busy: answer 503 to each call.
       lose: function from a request to the seconds after which it is executed
         without an answer, None to answer it.
+      addresses: dict from the address of a server to that of the Link by which
+        the readers of this address reach it.
     """
 
     def __init__(self, store):
         self._store = store
         self.busy = False
         self.lose = lambda request: None
+        self.addresses = {}
         super().__init__()
 
     def serve(self, sock):
@@ -356,6 +359,11 @@
                 )
             if self.busy:
                 status, document = 503, {}
+            for name in ("items", "events"):
+                if name in document:
+                    document[name] = [
+                        self._readdress(row) for row in document[name]
+                    ]
             body = json.dumps(document).encode()
             headers = [
                 ("Content-Type", "application/json"),
@@ -365,6 +373,15 @@
                 headers.append(("Store-Era", self._store.era))
             sock.sendall(render(f"HTTP/1.1 {status} X", headers, body))
 
+    def _readdress(self, row):
+        if not row["key"].startswith("servers/") or "value" not in row:
+            return row
+        entry = json.loads(base64.b64decode(row["value"]))
+        address = entry.get("address")
+        entry["address"] = self.addresses.get(address, address)
+        value = base64.b64encode(json.dumps(entry).encode()).decode()
+        return {**row, "value": value}
+
 
 class Server(Listener):
     """A backend server with slots and a short queue.
@@ -506,6 +523,38 @@
             sock.setblocking(True)
 
 
+class Link(Listener):
+    """A path to a server, which close() cuts so that it refuses."""
+
+    def __init__(self, target):
+        self._target = target
+        super().__init__()
+
+    def serve(self, sock):
+        host, _, port = self._target.rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=2) as other:
+            other.settimeout(None)
+            self._open.add(other)
+            threading.Thread(
+                target=_copy, args=(other, sock), daemon=True
+            ).start()
+            _copy(sock, other)
+            self._open.discard(other)
+
+
+def _copy(source, target):
+    try:
+        while data := source.recv(65536):
+            target.sendall(data)
+    except OSError:
+        pass
+    for sock in (source, target):
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+
 class FastServer(Server):
     """A backend server that takes any number of requests at a time."""
 
