--- a/review/13/run.py
+++ b/review/13/run.py
@@ -1,5 +1,6 @@
-"""Callers that leave behind a pipelined request, while theirs is queued."""
+"""A share of a quota that a late write gives away after its hub was killed."""
 
+import json
 import pathlib
 import sys
 import threading
@@ -10,109 +11,123 @@
 
 import support3  # noqa: E402
 
-CALLERS = 40
-# The clients that leave, three in ten, and when. Others are ahead of them.
-LEAVING = range(14, 26)
-LEAVE_AFTER_S = 0.15
-LATE_S = 0.5
-# The rule allows a few.
-A_FEW = 5
-DEADLINE_MS = 6000
+RATE, BURST, WINDOW, OVERAGE, SLACK = 60, 30, 5.0, 0.1, 20
+ALLOWED = (RATE * WINDOW + BURST) * (1 + OVERAGE) + SLACK
+SHARES_KEY = "wigeonrouter/quota/shares"
+# Answers of the store are lost, and the write is done 1 to 6 s later.
+LATE_S = 6.0
+KILL_DELAY_S = 0.7
+BOUNDS = {
+    **support3.BOUNDS,
+    "revoke_strict": "false",
+    "revoke": "5000ms",
+    "quota_window": "5s",
+    "quota_overage": str(OVERAGE),
+    "quota_slack": str(SLACK),
+}
+
+
+def make(request_id):
+    """Return the bytes of a request of the tenant."""
+    return support3.request(
+        "GET",
+        "/read/x",
+        "a.example",
+        request_id,
+        deadline=2000,
+        more=[("Key", "key-1")],
+    )
 
 
 def main():
-    with support3.Case(FOLDER, nodes=1) as case:
+    settings = {"bounds": ",".join(f"{k}={v}" for k, v in BOUNDS.items())}
+    zones = ["za", "za", "za", "zb"]
+    with support3.Case(
+        FOLDER, nodes=4, zones=zones, settings=settings
+    ) as case:
         return run(case)
 
 
 def run(case):
-    servers = [
-        support3.Server(
-            case.record, instance=f"i-{number}", service="desk", work_s=0.4
+    servers = []
+    for number, zone in enumerate(("za", "zb")):
+        server = support3.FastServer(
+            case.record, instance=f"i-{number}", service="papers", slots=8
         )
-        for number in range(4)
-    ]
+        entry = server.entry()
+        entry["info"]["zone"] = zone
+        case.store.put(f"servers/{server.instance}", entry)
+        servers.append(server)
     case.configure(
         1,
-        {
-            "r-book": support3.route(
-                "a.example",
-                "/book/",
-                "desk",
-                kind="unsafe",
-                timeout=DEADLINE_MS,
-                target_latency="4000ms",
-            ),
-            "r-read": support3.route(
-                "a.example",
-                "/read/",
-                "desk",
-                timeout=DEADLINE_MS,
-                target_latency="4000ms",
-            ),
+        {"r-read": support3.route("a.example", "/read/", "papers")},
+        ["papers"],
+        tenants={
+            "t-1": {
+                "api_keys": ["key-1"],
+                "priority": 1,
+                "rate_per_s": RATE,
+                "burst": BURST,
+            }
         },
-        ["desk"],
     )
-    case.register(*servers)
     case.start()
-    closed = {}
-    callers = [
-        threading.Thread(target=call, args=(case, number, closed))
-        for number in range(CALLERS)
-    ]
-    for caller in callers:
-        caller.start()
-        time.sleep(0.003)
-    for caller in callers:
-        caller.join()
-    time.sleep(DEADLINE_MS / 1000)
-    late = {
-        name: at - closed[name]
-        for server in servers
-        for at, name in server.arrivals
-        if name in closed and at - closed[name] > LATE_S
-    }
-    for name, seconds in sorted(late.items()):
-        case.record.write(f"{name} reaches a server {seconds:.2f} s too late")
+    lost = threading.Event()
+    writer = []
+
+    def make_lose(node):
+        def lose(request):
+            if (
+                lost.is_set()
+                or "kv-txn" not in request.first
+                or SHARES_KEY not in _keys(request)
+            ):
+                return None
+            writer.append(node)
+            lost.set()
+            case.record.write(f"answer to the shares of {node.host} is lost")
+            return LATE_S
+
+        return lose
+
+    if case.trouble:
+        for node in case.nodes:
+            node.store.lose = make_lose(node)
+    began = time.monotonic()
+    there = support3.Load(case, case.nodes[3], "b", rate=120, make=make)
+    there.start()
+    if case.trouble:
+        if not lost.wait(20.0):
+            return support3.CANNOT_RUN
+        time.sleep(KILL_DELAY_S)
+        # The process that last wrote to the store under a condition.
+        writer[0].signal(support3.signal.SIGKILL)
+        case.record.write(f"{writer[0].host} is killed")
+    else:
+        time.sleep(8.0)
+    others = [node for node in case.nodes[:3] if node not in writer]
+    here = support3.Load(case, others[0], "a", rate=100, make=make)
+    here.start()
+    time.sleep(LATE_S + 5.0)
+    for load in (here, there):
+        load.stop()
+    time.sleep(0.5)
+    case.record.write(f"answers at a {here.statuses}, at b {there.statuses}")
+    runs = [run for server in servers for run in server.runs]
+    sent = {**here.sent, **there.sent}
+    for at, name in sorted(runs):
+        case.record.write(f"run of {name} at {at - began:.3f}")
+    count, begins = support3.largest_window(sent, runs, WINDOW)
     return case.end(
-        len(late) > A_FEW,
-        f"{len(late)} requests of the {len(closed) // 2} callers that left"
-        f" reach a server over {LATE_S} s after the close",
+        count > ALLOWED,
+        f"{count} requests of the tenant in the {WINDOW:.0f} s from"
+        f" {begins - began:.1f} s on, allowed are {ALLOWED:.0f}",
     )
 
 
-def call(case, number, closed):
-    """Book, read behind it on the same connection, and perhaps leave."""
-    leaves = case.trouble and number in LEAVING
-    book, read = f"book-{number}", f"read-{number}"
-    sock = case.connect(case.nodes[0])
-    sock.sendall(
-        support3.request(
-            "POST",
-            f"/book/{number}",
-            "a.example",
-            book,
-            deadline=DEADLINE_MS,
-            body=b"one lane",
-        )
-    )
-    time.sleep(0.02)
-    sock.sendall(
-        support3.request(
-            "GET", f"/read/{number}", "a.example", read, deadline=DEADLINE_MS
-        )
-    )
-    if leaves:
-        time.sleep(LEAVE_AFTER_S)
-        sock.close()
-        closed[book] = closed[read] = time.monotonic()
-        case.record.write(f"caller {number} closes")
-        return
-    stream = support3.Stream(sock)
-    for _ in range(2):
-        answer = stream.read()
-        status = answer and answer.status
-        case.record.write(f"caller {number} gets {status}")
+def _keys(request):
+    document = json.loads(request.body)
+    return {row["key"] for row in document.get("writes", ())}
 
 
 if __name__ == "__main__":
